--- /dev/null
+++ b/dogwoodvale/src/Core/Clock.h
@@ -0,0 +1,31 @@
+#ifndef DOGWOODVALE_CORE_CLOCK_H
+#define DOGWOODVALE_CORE_CLOCK_H
+
+#include <chrono>
+
+namespace dogwoodvale {
+
+/// Monotonic time. Budgets cross processes as remaining durations, never as
+/// time points, since two machines' clocks do not agree.
+using TimePoint = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Reads the monotonic clock. Decision code takes a TimePoint instead.
+inline TimePoint
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+/// The span from \p aFrom to \p aTo in microseconds; negative if reversed.
+inline Duration
+Between(TimePoint aFrom, TimePoint aTo)
+{
+  return std::chrono::duration_cast<Duration>(aTo - aFrom);
+}
+
+} // namespace dogwoodvale
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Core/EventLoop.cpp
@@ -0,0 +1,146 @@
+#include "dogwoodvale/Core"
+
+#include <event2/event.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr long kMicrosecondsPerSecond = 1000000;
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  const long micros = std::max<long>(aDuration.count(), 0);
+  return { micros / kMicrosecondsPerSecond, micros % kMicrosecondsPerSecond };
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<EventLoop>>
+EventLoop::Create()
+{
+  event_config* config = event_config_new();
+  // Coarse timers round up to 4 ms, which is as long as an engine step.
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  if (base == nullptr) {
+    return absl::InternalError("libevent gave no event base");
+  }
+  return std::unique_ptr<EventLoop>(new EventLoop(base));
+}
+
+EventLoop::EventLoop(event_base* aBase)
+  : base(aBase)
+{
+}
+
+EventLoop::~EventLoop()
+{
+  event_base_free(this->base);
+}
+
+void
+EventLoop::Run()
+{
+  event_base_loop(this->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+bool
+EventLoop::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
+{
+  const TimePoint end = Now() + aLimit;
+  Timer tick(*this, [] {});
+  tick.StartRepeating(milliseconds(1));
+  while (!aDone()) {
+    if (Now() >= end) {
+      return false;
+    }
+    event_base_loop(this->base, EVLOOP_ONCE);
+  }
+  return true;
+}
+
+void
+EventLoop::Stop()
+{
+  event_base_loopbreak(this->base);
+}
+
+Timer::Timer(EventLoop& aLoop, std::function<void()> aCallback)
+  : callback(std::move(aCallback))
+  , timeout(event_new(aLoop.Base(), -1, 0, &Timer::OnTimeout, this))
+{
+}
+
+Timer::~Timer()
+{
+  event_free(this->timeout);
+}
+
+void
+Timer::OnTimeout(int /*aDescriptor*/, short /*aWhat*/, void* aSelf)
+{
+  auto* self = static_cast<Timer*>(aSelf);
+  if (self->repeats) {
+    const timeval delay = ToTimeval(self->period);
+    event_add(self->timeout, &delay);
+  }
+  // A copy, since the callback may destroy this timer and itself with it.
+  const std::function<void()> call = self->callback;
+  call();
+}
+
+void
+Timer::StartOnce(Duration aDelay)
+{
+  this->repeats = false;
+  const timeval delay = ToTimeval(aDelay);
+  event_add(this->timeout, &delay);
+}
+
+void
+Timer::StartRepeating(Duration aPeriod)
+{
+  this->repeats = true;
+  this->period = aPeriod;
+  const timeval delay = ToTimeval(aPeriod);
+  event_add(this->timeout, &delay);
+}
+
+void
+Timer::Stop()
+{
+  this->repeats = false;
+  event_del(this->timeout);
+}
+
+bool
+Timer::IsPending() const
+{
+  return event_pending(this->timeout, EV_TIMEOUT, nullptr) != 0;
+}
+
+SignalWatch::SignalWatch(EventLoop& aLoop,
+                         int aSignal,
+                         std::function<void()> aCallback)
+  : callback(std::move(aCallback))
+  , watch(event_new(
+      aLoop.Base(),
+      aSignal,
+      EV_SIGNAL | EV_PERSIST,
+      [](evutil_socket_t, short, void* aSelf) {
+        static_cast<SignalWatch*>(aSelf)->callback();
+      },
+      this))
+{
+  event_add(this->watch, nullptr);
+}
+
+SignalWatch::~SignalWatch()
+{
+  event_free(this->watch);
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Core/EventLoop.h
@@ -0,0 +1,78 @@
+#ifndef DOGWOODVALE_CORE_EVENTLOOP_H
+#define DOGWOODVALE_CORE_EVENTLOOP_H
+
+#include <functional>
+#include <memory>
+
+#include "Clock.h"
+#include "Status.h"
+
+struct event;
+struct event_base;
+
+namespace dogwoodvale {
+
+/// The one loop of a process; everything runs on its thread.
+class EventLoop
+{
+public:
+  static absl::StatusOr<std::unique_ptr<EventLoop>> Create();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// For libraries that are built on libevent.
+  event_base* Base() const { return this->base; }
+
+  /// Runs until Stop().
+  void Run();
+  /// Runs until \p aDone gives true or \p aLimit has passed; for tests and
+  /// tools. \return whether \p aDone became true.
+  bool RunUntil(const std::function<bool()>& aDone, Duration aLimit);
+  void Stop();
+
+private:
+  explicit EventLoop(event_base* aBase);
+  event_base* base;
+};
+
+/// Calls back once or again and again; stops when destroyed.
+/// \note The callback may destroy or re-arm its own timer.
+class Timer
+{
+public:
+  Timer(EventLoop& aLoop, std::function<void()> aCallback);
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  void StartOnce(Duration aDelay);
+  void StartRepeating(Duration aPeriod);
+  void Stop();
+  bool IsPending() const;
+
+private:
+  static void OnTimeout(int aDescriptor, short aWhat, void* aSelf);
+  std::function<void()> callback;
+  event* timeout;
+  bool repeats = false;
+  Duration period{ 0 };
+};
+
+/// Calls back when the process gets a signal.
+class SignalWatch
+{
+public:
+  SignalWatch(EventLoop& aLoop, int aSignal, std::function<void()> aCallback);
+  ~SignalWatch();
+  SignalWatch(const SignalWatch&) = delete;
+  SignalWatch& operator=(const SignalWatch&) = delete;
+
+private:
+  std::function<void()> callback;
+  event* watch;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- /dev/null
+++ b/test/main/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
