--- /dev/null
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -0,0 +1,62 @@
+#ifndef DOGWOODVALE_HTTP_BACKENDCLIENT_H
+#define DOGWOODVALE_HTTP_BACKENDCLIENT_H
+
+#include <memory>
+
+#include "HttpMessage.h"
+
+namespace dogwoodvale {
+
+/// Is told what a backend server answers. Callbacks may destroy the call.
+class BackendCallHandler
+{
+public:
+  virtual ~BackendCallHandler() = default;
+  virtual void OnHead(int aStatus, std::span<const HeaderField> aHeaders) = 0;
+  virtual void OnBody(std::string_view aBytes) = 0;
+  /// The answer is whole by HTTP's own rules (length or last chunk).
+  virtual void OnComplete() = 0;
+  /// \param aWritten whether any byte of the request may have reached the
+  /// server; false means that it was surely not run.
+  virtual void OnFailed(const absl::Status& aReason, bool aWritten) = 0;
+};
+
+/// One call under way; destroying it cancels by closing the connection.
+class BackendCall
+{
+public:
+  virtual ~BackendCall() = default;
+  virtual void SetReadingPaused(bool aPaused) = 0;
+};
+
+struct BackendClientOptions
+{
+  std::size_t idleConnections = 64;
+  Duration connectTimeout = seconds(1);
+  /// Silence from the server after which the call is given up.
+  Duration idleTimeout = seconds(60);
+  std::size_t headerBytes = 32U << 10U;
+};
+
+/// HTTP/1.1 client to one backend server, with a pool.
+///
+/// A connection with any doubt about its last answer (cut, cancelled, bytes
+/// left over) is closed, never pooled, so that no answer can be taken for
+/// another's.
+class BackendClient
+{
+public:
+  static absl::StatusOr<std::unique_ptr<BackendClient>> Create(
+    EventLoop& aLoop,
+    const SocketAddress& aAddress,
+    const BackendClientOptions& aOptions);
+
+  virtual ~BackendClient() = default;
+  virtual std::unique_ptr<BackendCall> Start(const HttpRequest& aRequest,
+                                             BackendCallHandler& aHandler) = 0;
+  virtual std::size_t IdleConnections() const = 0;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -0,0 +1,97 @@
+#ifndef DOGWOODVALE_HTTP_CALLERSERVER_H
+#define DOGWOODVALE_HTTP_CALLERSERVER_H
+
+#include <memory>
+
+#include "HttpMessage.h"
+
+namespace dogwoodvale {
+
+/// Is told what happens to a caller's exchange.
+class CallerExchangeHandler
+{
+public:
+  virtual ~CallerExchangeHandler() = default;
+  /// The caller closed its connection; what is sent from now on is dropped.
+  virtual void OnCallerGone() = 0;
+  /// PendingBytes() fell below the low-water mark after being above it.
+  virtual void OnDrained() = 0;
+};
+
+/// One request and the way to answer it. Destroying it before the end of the
+/// answer closes the caller's connection, so that it is not taken for whole.
+class CallerExchange
+{
+public:
+  virtual ~CallerExchange() = default;
+  virtual const HttpRequest& Request() const = 0;
+  virtual void SetHandler(CallerExchangeHandler* aHandler) = 0;
+
+  /// A whole answer at once.
+  virtual void Respond(int aStatus,
+                       std::span<const HeaderField> aHeaders,
+                       std::string_view aBody) = 0;
+
+  /// An answer in parts (chunked).
+  virtual void StartStream(int aStatus,
+                           std::span<const HeaderField> aHeaders) = 0;
+  virtual void SendPart(std::string_view aBytes) = 0;
+  virtual void EndStream() = 0;
+
+  /// Bytes not yet taken by the caller's socket.
+  virtual std::size_t PendingBytes() const = 0;
+};
+
+class CallerHandler
+{
+public:
+  virtual ~CallerHandler() = default;
+  virtual void OnRequest(std::unique_ptr<CallerExchange> aExchange) = 0;
+};
+
+struct CallerBounds
+{
+  std::size_t headerBytes = 32U << 10U;
+  std::size_t bodyBytes = 4U << 20U;
+  std::size_t connections = 10000;
+  /// Time for a whole request to arrive, against slow senders.
+  Duration readTimeout = seconds(20);
+  Duration idleTimeout = seconds(75);
+  std::size_t lowWaterBytes = 64U << 10U;
+};
+
+/// What the server refused by itself.
+struct CallerServerCounters
+{
+  std::uint64_t connections = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t tooLarge = 0;
+  std::uint64_t malformed = 0;
+  std::uint64_t readTimeouts = 0;
+  std::uint64_t refusedConnections = 0;
+};
+
+/// HTTP/1.1 server for callers, by libevhtp.
+///
+/// Two pipelined requests are answered in order, each with its own answer.
+class CallerServer
+{
+public:
+  static absl::StatusOr<std::unique_ptr<CallerServer>> Create(
+    EventLoop& aLoop,
+    const SocketAddress& aAddress,
+    const CallerBounds& aBounds,
+    CallerHandler& aHandler);
+
+  virtual ~CallerServer() = default;
+  virtual SocketAddress Address() const = 0;
+  virtual const CallerServerCounters& Counters() const = 0;
+  /// Closes the listening socket; open connections go on, and each closes
+  /// after the answer to its current request.
+  virtual void StopAccepting() = 0;
+  virtual std::size_t OpenConnections() const = 0;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -0,0 +1,121 @@
+#ifndef DOGWOODVALE_SETTINGS_DAEMONSETTINGS_H
+#define DOGWOODVALE_SETTINGS_DAEMONSETTINGS_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodvale/Core"
+
+namespace dogwoodvale {
+
+enum class Role
+{
+  Entry,
+  Sidecar,
+};
+
+std::string_view
+RoleName(Role aRole);
+
+/// Where the platform's services are.
+struct PlatformSettings
+{
+  std::vector<SocketAddress> store;
+  std::optional<SocketAddress> instanceList;
+  Duration listPeriod = seconds(5);
+  Duration storeTimeout = milliseconds(1000);
+  /// Bound on this process's own calls to the store.
+  double storeCallsPerSecond = 2;
+};
+
+/// Settings of an entry.
+struct EntrySettings
+{
+  SocketAddress callers;
+  std::size_t maxRequestBytes = 4U << 20U;
+  std::size_t maxConnections = 10000;
+  /// Sidecars connected to, for each service.
+  std::size_t subsetSize = 20;
+  std::string chooser = "least_loaded_of_two";
+  /// Tries of one request in all.
+  int maxAttempts = 4;
+  /// How long an entry that stops still accepts, so that the balancer notices.
+  Duration drainGrace = seconds(2);
+  /// Bound on answer bytes held for one slow caller.
+  std::size_t callerBufferBytes = 256U << 10U;
+};
+
+/// Settings of a sidecar.
+struct SidecarSettings
+{
+  /// Its one backend server and the service that it belongs to.
+  SocketAddress backend;
+  std::string service;
+  std::string policy = "tiered";
+  std::size_t queueBytes = 256U << 20U;
+  std::size_t queueRequests = 20000;
+  /// Most requests at the backend server at once; the limit learns below it.
+  std::uint32_t maxConcurrency = 64;
+  std::uint32_t minConcurrency = 1;
+  bool adaptiveConcurrency = true;
+  bool preemption = true;
+  /// Silence from the backend server after which an attempt is given up.
+  Duration backendIdleTimeout = seconds(30);
+  /// Share of starts that may go to overdue lower tiers.
+  double overdueShare = 0.1;
+};
+
+/// A sidecar that the settings name.
+struct StaticInstance
+{
+  InstanceName name;
+  std::string service;
+  DataCentreName dataCentre;
+  SocketAddress address;
+};
+
+/// A process's settings, whole and checked.
+struct DaemonSettings
+{
+  Role role = Role::Entry;
+  InstanceName instance;
+  DataCentreName dataCentre;
+  RegionName region;
+  /// For the other processes (sidecar and entry).
+  SocketAddress peers;
+  /// For operators: metrics, health, status.
+  SocketAddress operators;
+  /// Shared by all processes of the system; others get nothing.
+  std::string peerSecret;
+  PlatformSettings platform;
+  /// A configuration used when the store and the peers give none, for small
+  /// sites and tests; relative to the settings file.
+  std::string configurationFile;
+  /// Backend servers known without the platform's list, for small sites.
+  std::vector<StaticInstance> staticInstances;
+  /// Longest time a planned stop waits for work in flight.
+  Duration stopTimeout = seconds(600);
+  EntrySettings entry;
+  SidecarSettings sidecar;
+};
+
+/// Parses and checks settings.
+///
+/// \param aFile the name for findings.
+/// \param aFindings gets every finding, with its place; when it stays empty
+/// the returned settings may be used.
+DaemonSettings
+ParseDaemonSettings(std::string_view aText,
+                    std::string_view aFile,
+                    Findings& aFindings);
+
+/// Reads the file and parses it; a file that can't be read is a finding.
+DaemonSettings
+LoadDaemonSettings(const std::string& aPath, Findings& aFindings);
+
+} // namespace dogwoodvale
+
+#endif
