--- /dev/null
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -0,0 +1,332 @@
+#include "dogwoodvale/Entry"
+
+#include <json/json.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr std::uint32_t kProtocolVersion = 1;
+constexpr Duration kStopCheckPeriod = milliseconds(20);
+constexpr std::string_view kModelsPath = "/v1/models";
+constexpr int kHttpOk = 200;
+constexpr int kHttpAccepted = 202;
+
+CustomerLimit
+LimitOf(const Customer& aCustomer)
+{
+  return { aCustomer.requestsPerSecond,
+           static_cast<double>(aCustomer.burst),
+           aCustomer.concurrency };
+}
+
+bool
+HasLimit(const Customer& aCustomer)
+{
+  return aCustomer.requestsPerSecond > 0 || aCustomer.concurrency > 0;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<Entry>>
+Entry::Create(EventLoop& aLoop, const DaemonSettings& aSettings)
+{
+  std::unique_ptr<Entry> entry(new Entry(aLoop, aSettings));
+  const absl::Status opened = entry->Open();
+  if (!opened.ok()) {
+    return opened;
+  }
+  return entry;
+}
+
+Entry::Entry(EventLoop& aLoop, const DaemonSettings& aSettings)
+  : loop(aLoop)
+  , settings(aSettings)
+  , incarnation(DrawIncarnation())
+  , random(DrawIncarnation())
+  , sweepTimer(aLoop, [this] { this->Sweep(); })
+  , stopTimer(aLoop, [this] { this->CheckStopped(); })
+{
+}
+
+absl::Status
+Entry::Open()
+{
+  auto servers =
+    Fleet::Create(this->loop, this->settings, this->MakeHello(), *this);
+  if (!servers.ok()) {
+    return servers.status();
+  }
+  this->fleet = *std::move(servers);
+  if (!this->settings.configurationFile.empty()) {
+    const absl::Status loaded = this->LoadConfigurationFile();
+    if (!loaded.ok()) {
+      return loaded;
+    }
+  }
+  auto operatorServer =
+    OperatorServer::Create(this->loop, this->settings.operators, *this);
+  if (!operatorServer.ok()) {
+    return operatorServer.status();
+  }
+  this->operators = *std::move(operatorServer);
+  CallerBounds bounds;
+  bounds.bodyBytes = this->settings.entry.maxRequestBytes;
+  bounds.connections = this->settings.entry.maxConnections;
+  auto server = CallerServer::Create(
+    this->loop, this->settings.entry.callers, bounds, *this);
+  if (!server.ok()) {
+    return server.status();
+  }
+  this->callers = *std::move(server);
+  return absl::OkStatus();
+}
+
+absl::Status
+Entry::LoadConfigurationFile()
+{
+  Findings findings;
+  const std::vector<ConfigurationSource> sources =
+    ReadConfigurationSources(this->settings.configurationFile, findings);
+  Configuration parsed = ParseConfiguration(sources, findings);
+  if (!findings.IsEmpty()) {
+    return findings.ToStatus();
+  }
+  this->SetConfiguration(0, "", std::move(parsed));
+  return absl::OkStatus();
+}
+
+void
+Entry::SetConfiguration(Epoch aEpoch,
+                        std::string aRootHash,
+                        Configuration aConfiguration)
+{
+  this->epoch = aEpoch;
+  this->rootHash = std::move(aRootHash);
+  for (const Customer& customer : this->configuration.Customers()) {
+    if (aConfiguration.FindCustomer(customer.name) == nullptr) {
+      this->admission.ClearLimit(customer.name);
+    }
+  }
+  this->configuration = std::move(aConfiguration);
+  for (const Customer& customer : this->configuration.Customers()) {
+    if (HasLimit(customer)) {
+      this->admission.SetLimit(customer.name, LimitOf(customer));
+    } else {
+      this->admission.ClearLimit(customer.name);
+    }
+  }
+  this->configured = true;
+  Log(LogLevel::Info,
+      "configuration_in_force",
+      "epoch",
+      aEpoch,
+      "services",
+      this->configuration.Services().size(),
+      "customers",
+      this->configuration.Customers().size());
+}
+
+Hello
+Entry::MakeHello() const
+{
+  Hello hello;
+  hello.protocolVersion = kProtocolVersion;
+  hello.secret = this->settings.peerSecret;
+  hello.role = std::string(RoleName(Role::Entry));
+  hello.instance = this->settings.instance.Value();
+  hello.dataCentre = this->settings.dataCentre.Value();
+  hello.incarnation = this->incarnation;
+  hello.epoch = this->epoch;
+  hello.rootHash = this->rootHash;
+  return hello;
+}
+
+RequestId
+Entry::NextId()
+{
+  return { this->incarnation, this->nextSequence++ };
+}
+
+RetryBudget&
+Entry::BudgetOf(const ResolvedRequest& aRequest)
+{
+  return this->budgets[{ aRequest.service, aRequest.requestClass.name }];
+}
+
+void
+Entry::OnRequest(std::unique_ptr<CallerExchange> aExchange)
+{
+  const RequestId id = this->NextId();
+  if (!this->configured) {
+    RespondError(*aExchange,
+                 { ErrorCode::NotReady,
+                   Disposition::NotRun,
+                   "no configuration yet",
+                   SpreadRetryAfter(seconds(1), this->random) },
+                 ToString(id));
+    return;
+  }
+  if (aExchange->Request().path == kModelsPath &&
+      aExchange->Request().method == "GET") {
+    this->RespondModels(*aExchange);
+    return;
+  }
+  auto result = ResolveRequest(aExchange->Request(), this->configuration);
+  if (const auto* error = std::get_if<RequestError>(&result)) {
+    RespondError(*aExchange, *error, ToString(id));
+    return;
+  }
+  auto& resolved = std::get<ResolvedRequest>(result);
+  const std::optional<RequestError> refusal =
+    this->admission.Admit(resolved.customer, Now(), this->random);
+  if (refusal) {
+    RespondError(*aExchange, *refusal, ToString(id));
+    return;
+  }
+  auto request = std::make_unique<CallerRequest>(
+    *this, std::move(aExchange), std::move(resolved), id);
+  CallerRequest& started = *request;
+  this->requests[id] = std::move(request);
+  started.Start();
+}
+
+void
+Entry::RespondModels(CallerExchange& aExchange)
+{
+  if (Authenticate(aExchange.Request(), this->configuration) == nullptr) {
+    RespondError(aExchange,
+                 { ErrorCode::Unauthorized,
+                   Disposition::NotRun,
+                   "no such API key",
+                   milliseconds(0) },
+                 ToString(this->NextId()));
+    return;
+  }
+  Json::Value list;
+  list["object"] = "list";
+  list["data"] = Json::arrayValue;
+  for (const Service& service : this->configuration.Services()) {
+    for (const ModelPlacement& placement : service.models) {
+      Json::Value model;
+      model["id"] = placement.model.Value();
+      model["object"] = "model";
+      model["owned_by"] = service.name.Value();
+      list["data"].append(model);
+    }
+  }
+  const std::vector<HeaderField> headers = { { "Content-Type",
+                                               "application/json" } };
+  aExchange.Respond(
+    kHttpOk, headers, Json::writeString(Json::StreamWriterBuilder(), list));
+}
+
+void
+Entry::OnDone(CallerRequest& aRequest)
+{
+  this->admission.Release(aRequest.Resolved().customer);
+  this->sweepTimer.StartOnce(Duration(0));
+}
+
+void
+Entry::Sweep()
+{
+  absl::erase_if(this->requests,
+                 [](const auto& aItem) { return aItem.second->IsDone(); });
+}
+
+void
+Entry::OnPeerEpoch(const InstanceName& /*aPeer*/,
+                   Epoch /*aEpoch*/,
+                   std::string_view /*aRootHash*/,
+                   Duration /*aStoreContactAge*/)
+{
+}
+
+void
+Entry::BeginStop()
+{
+  if (this->stopping) {
+    return;
+  }
+  this->stopping = true;
+  const TimePoint now = Now();
+  this->graceEnd = now + this->settings.entry.drainGrace;
+  this->stopDeadline = now + this->settings.stopTimeout;
+  Log(LogLevel::Info, "draining", "requests", this->requests.size());
+  this->stopTimer.StartRepeating(kStopCheckPeriod);
+}
+
+void
+Entry::CheckStopped()
+{
+  const TimePoint now = Now();
+  if (now < this->graceEnd) {
+    return;
+  }
+  if (this->accepting) {
+    this->accepting = false;
+    this->callers->StopAccepting();
+  }
+  const bool quiet =
+    this->requests.empty() && this->callers->OpenConnections() == 0;
+  if (quiet || now >= this->stopDeadline) {
+    Log(quiet ? LogLevel::Info : LogLevel::Warning,
+        "stopped",
+        "requests",
+        this->requests.size());
+    this->loop.Stop();
+  }
+}
+
+absl::Status
+Entry::Ready()
+{
+  if (this->stopping) {
+    return absl::UnavailableError("stopping");
+  }
+  if (!this->configured) {
+    return absl::UnavailableError("no configuration yet");
+  }
+  if (!this->fleet->HasUsable()) {
+    return absl::UnavailableError("no backend server takes work");
+  }
+  return absl::OkStatus();
+}
+
+std::string
+Entry::Metrics()
+{
+  return "";
+}
+
+std::string
+Entry::Statusz()
+{
+  Json::Value status;
+  status["role"] = "entry";
+  status["instance"] = this->settings.instance.Value();
+  status["data_centre"] = this->settings.dataCentre.Value();
+  status["region"] = this->settings.region.Value();
+  status["version"] = DOGWOODVALE_VERSION;
+  status["incarnation"] = fmt::format("{:016x}", this->incarnation);
+  status["epoch"] = Json::UInt64(this->epoch);
+  status["root_hash"] = this->rootHash;
+  status["ready"] = this->Ready().ok();
+  status["stopping"] = this->stopping;
+  status["requests"] = Json::UInt64(this->requests.size());
+  status["services"] = this->fleet->Describe();
+  return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
+}
+
+OperatorResponse
+Entry::Other(const HttpRequest& aRequest)
+{
+  if (aRequest.method == "POST" && aRequest.path == "/drain") {
+    this->BeginStop();
+    return { kHttpAccepted, "text/plain; charset=utf-8", "stopping\n" };
+  }
+  return OperatorHandler::Other(aRequest);
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Entry/Entry.h
@@ -0,0 +1,97 @@
+#ifndef DOGWOODVALE_ENTRY_ENTRY_H
+#define DOGWOODVALE_ENTRY_ENTRY_H
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "CallerRequest.h"
+#include "dogwoodvale/Configuration"
+#include "dogwoodvale/Settings"
+
+namespace dogwoodvale {
+
+/// The entry role, wired: callers on one side, sidecars on the other,
+/// operators beside.
+class Entry final
+  : public CallerHandler
+  , public CallerRequestHost
+  , public FleetObserver
+  , public OperatorHandler
+{
+public:
+  static absl::StatusOr<std::unique_ptr<Entry>> Create(
+    EventLoop& aLoop,
+    const DaemonSettings& aSettings);
+
+  /// Takes a configuration into force.
+  void SetConfiguration(Epoch aEpoch,
+                        std::string aRootHash,
+                        Configuration aConfiguration);
+
+  /// Starts a planned stop: unready at once, accepts until the balancer has
+  /// noticed, finishes what it has, then stops the loop.
+  void BeginStop();
+
+  SocketAddress CallerAddress() const { return this->callers->Address(); }
+  SocketAddress OperatorAddress() const { return this->operators->Address(); }
+
+  void OnRequest(std::unique_ptr<CallerExchange> aExchange) override;
+
+  EventLoop& Loop() override { return this->loop; }
+  Fleet& Servers() override { return *this->fleet; }
+  RequestId NextId() override;
+  Epoch CurrentEpoch() const override { return this->epoch; }
+  RetryBudget& BudgetOf(const ResolvedRequest& aRequest) override;
+  std::mt19937_64& Random() override { return this->random; }
+  const EntrySettings& Bounds() const override { return this->settings.entry; }
+  void OnDone(CallerRequest& aRequest) override;
+
+  void OnPeerEpoch(const InstanceName& aPeer,
+                   Epoch aEpoch,
+                   std::string_view aRootHash,
+                   Duration aStoreContactAge) override;
+
+  std::string Metrics() override;
+  absl::Status Ready() override;
+  std::string Statusz() override;
+  OperatorResponse Other(const HttpRequest& aRequest) override;
+
+private:
+  using BudgetKey = std::pair<ServiceName, ClassName>;
+
+  Entry(EventLoop& aLoop, const DaemonSettings& aSettings);
+  absl::Status Open();
+  absl::Status LoadConfigurationFile();
+  Hello MakeHello() const;
+  void RespondModels(CallerExchange& aExchange);
+  void Sweep();
+  void CheckStopped();
+
+  EventLoop& loop;
+  const DaemonSettings settings;
+  const Incarnation incarnation;
+  std::mt19937_64 random;
+  std::uint64_t nextSequence = 1;
+  Epoch epoch = 0;
+  std::string rootHash;
+  bool configured = false;
+  Configuration configuration;
+  AdmissionControl admission;
+  std::map<BudgetKey, RetryBudget> budgets;
+  std::unique_ptr<Fleet> fleet;
+  absl::flat_hash_map<RequestId, std::unique_ptr<CallerRequest>> requests;
+  std::unique_ptr<CallerServer> callers;
+  std::unique_ptr<OperatorServer> operators;
+  Timer sweepTimer;
+  Timer stopTimer;
+  bool stopping = false;
+  bool accepting = true;
+  TimePoint graceEnd;
+  TimePoint stopDeadline;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- a/dogwoodvale/src/Peer/Message.h
+++ b/dogwoodvale/src/Peer/Message.h
@@ -36,6 +36,8 @@
   std::string rootHash;
   /// Go-away: no new work here.
   bool draining = false;
+  /// False while the backend server can not be reached; may come back.
+  bool backendUp = true;
   /// Age of the newest contact with the store that the sender knows of.
   std::uint32_t storeContactAgeMillis = 0;
   /// Set by sidecars.
@@ -77,6 +79,8 @@
   std::uint32_t classQueueBound = 0;
   std::uint32_t promptTokens = 0;
   std::uint32_t maxTokens = 0;
+  /// How often it was preempted before.
+  std::uint32_t preemptions = 0;
   std::string method;
   std::string path;
   std::vector<HeaderField> headers;
--- /dev/null
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -0,0 +1,333 @@
+#include "dogwoodvale/Sidecar"
+
+#include <json/json.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr std::uint32_t kProtocolVersion = 1;
+/// How often a load report goes out on connections with no answers to carry it.
+constexpr Duration kNoticePeriod = milliseconds(1000);
+constexpr Duration kStopCheckPeriod = milliseconds(20);
+constexpr Duration kBackendTrialPeriod = milliseconds(250);
+constexpr std::string_view kTrialPath = "/v1/models";
+constexpr int kHttpAccepted = 202;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<Sidecar>>
+Sidecar::Create(EventLoop& aLoop, const DaemonSettings& aSettings)
+{
+  std::unique_ptr<Sidecar> sidecar(new Sidecar(aLoop, aSettings));
+  const absl::Status opened = sidecar->Open();
+  if (!opened.ok()) {
+    return opened;
+  }
+  return sidecar;
+}
+
+Sidecar::Sidecar(EventLoop& aLoop, const DaemonSettings& aSettings)
+  : loop(aLoop)
+  , settings(aSettings)
+  , incarnation(DrawIncarnation())
+  , sweepTimer(aLoop, [this] { this->Sweep(); })
+  , noticeTimer(aLoop, [this] { this->TellPeers(false); })
+  , stopTimer(aLoop, [this] { this->CheckStopped(); })
+  , backendTimer(aLoop, [this] { this->TryBackend(); })
+{
+}
+
+absl::Status
+Sidecar::Open()
+{
+  BackendClientOptions options;
+  options.idleTimeout = this->settings.sidecar.backendIdleTimeout;
+  auto client =
+    BackendClient::Create(this->loop, this->settings.sidecar.backend, options);
+  if (!client.ok()) {
+    return client.status();
+  }
+  this->backend = *std::move(client);
+  auto made = Dispatcher::Create(this->settings.sidecar, *this->backend);
+  if (!made.ok()) {
+    return made.status();
+  }
+  this->dispatcher = *std::move(made);
+  auto operatorServer =
+    OperatorServer::Create(this->loop, this->settings.operators, *this);
+  if (!operatorServer.ok()) {
+    return operatorServer.status();
+  }
+  this->operators = *std::move(operatorServer);
+  auto peerListener = PeerListener::Create(
+    this->loop, this->settings.peers, PeerOptions{}, this->MakeHello(), *this);
+  if (!peerListener.ok()) {
+    return peerListener.status();
+  }
+  this->listener = *std::move(peerListener);
+  this->noticeTimer.StartRepeating(kNoticePeriod);
+  return absl::OkStatus();
+}
+
+Hello
+Sidecar::MakeHello() const
+{
+  Hello hello;
+  hello.protocolVersion = kProtocolVersion;
+  hello.secret = this->settings.peerSecret;
+  hello.role = std::string(RoleName(Role::Sidecar));
+  hello.instance = this->settings.instance.Value();
+  hello.dataCentre = this->settings.dataCentre.Value();
+  hello.incarnation = this->incarnation;
+  return hello;
+}
+
+Notice
+Sidecar::MakeNotice() const
+{
+  Notice notice;
+  notice.draining = this->dispatcher->IsDraining();
+  notice.backendUp = this->dispatcher->IsBackendUp();
+  notice.load = this->dispatcher->Load();
+  return notice;
+}
+
+void
+Sidecar::TellPeers(bool aNow)
+{
+  const Notice notice = this->MakeNotice();
+  for (const auto& session : this->sessions) {
+    if (!session->IsClosed()) {
+      session->Connection().SetNotice(notice, aNow);
+    }
+  }
+}
+
+PeerConnectionHandler&
+Sidecar::OnAccepted(std::unique_ptr<PeerConnection> aConnection,
+                    const Hello& aPeer)
+{
+  this->sessions.push_back(
+    std::make_unique<SidecarSession>(*this, std::move(aConnection), aPeer));
+  SidecarSession& session = *this->sessions.back();
+  session.Connection().SetNotice(this->MakeNotice(), true);
+  return session;
+}
+
+void
+Sidecar::OnPeerNotice(SidecarSession& /*aSession*/, const Notice& /*aNotice*/)
+{
+}
+
+void
+Sidecar::OnSessionClosed(SidecarSession& /*aSession*/)
+{
+  this->sweepTimer.StartOnce(Duration(0));
+}
+
+void
+Sidecar::OnRun(SidecarAttempt& aAttempt)
+{
+  this->dispatcher->Admit(aAttempt);
+}
+
+std::optional<Message>
+Sidecar::OnQuery(const Message& aQuery)
+{
+  if (const auto* probe = std::get_if<Probe>(&aQuery)) {
+    // The record of another incarnation says nothing about this id.
+    if (probe->sidecar != this->incarnation) {
+      return ProbeReply{ Disposition::MayHaveRun };
+    }
+    return ProbeReply{ this->dispatcher->Probe(probe->id) };
+  }
+  if (std::holds_alternative<StatusQuery>(aQuery)) {
+    return StatusReply{ this->Statusz() };
+  }
+  return std::nullopt;
+}
+
+void
+Sidecar::OnFirstToken(SidecarAttempt& aAttempt, Duration aSinceStart)
+{
+  this->dispatcher->OnFirstToken(aAttempt, aSinceStart);
+}
+
+void
+Sidecar::OnTokens(SidecarAttempt& /*aAttempt*/,
+                  std::uint32_t aTokens,
+                  Duration aInterval)
+{
+  this->dispatcher->OnTokens(aTokens, aInterval);
+}
+
+LoadReport
+Sidecar::CurrentLoad() const
+{
+  return this->dispatcher->Load();
+}
+
+void
+Sidecar::OnEnded(SidecarAttempt& aAttempt, AttemptEnd aEnd)
+{
+  if (aAttempt.WasUnreached()) {
+    this->SetBackendUp(false);
+  }
+  this->dispatcher->OnEnded(aAttempt, aEnd);
+  this->sweepTimer.StartOnce(Duration(0));
+}
+
+void
+Sidecar::Sweep()
+{
+  for (const auto& session : this->sessions) {
+    session->Sweep();
+  }
+  std::erase_if(this->sessions,
+                [](const auto& aSession) { return aSession->IsClosed(); });
+}
+
+void
+Sidecar::Drain()
+{
+  if (this->dispatcher->IsDraining()) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "draining",
+      "running",
+      this->dispatcher->Running(),
+      "queued",
+      this->dispatcher->Queued());
+  this->dispatcher->StartDraining();
+  this->TellPeers(true);
+}
+
+void
+Sidecar::BeginStop()
+{
+  if (this->stopping) {
+    return;
+  }
+  this->stopping = true;
+  this->stopDeadline = Now() + this->settings.stopTimeout;
+  this->Drain();
+  this->stopTimer.StartRepeating(kStopCheckPeriod);
+}
+
+void
+Sidecar::CheckStopped()
+{
+  std::size_t streams = 0;
+  for (const auto& session : this->sessions) {
+    streams += session->IsClosed() ? 0 : session->Connection().StreamCount();
+  }
+  const bool quiet = this->dispatcher->Running() == 0 && streams == 0;
+  if (quiet || Now() >= this->stopDeadline) {
+    Log(quiet ? LogLevel::Info : LogLevel::Warning,
+        "stopped",
+        "running",
+        this->dispatcher->Running(),
+        "streams",
+        streams);
+    this->loop.Stop();
+  }
+}
+
+void
+Sidecar::SetBackendUp(bool aUp)
+{
+  if (aUp == this->dispatcher->IsBackendUp()) {
+    return;
+  }
+  Log(aUp ? LogLevel::Info : LogLevel::Warning,
+      aUp ? "backend_up" : "backend_down",
+      "address",
+      this->settings.sidecar.backend.ToString());
+  this->dispatcher->SetBackendUp(aUp);
+  this->TellPeers(true);
+  if (!aUp) {
+    this->backendTimer.StartRepeating(kBackendTrialPeriod);
+  } else {
+    this->backendTimer.Stop();
+  }
+}
+
+void
+Sidecar::TryBackend()
+{
+  HttpRequest request;
+  request.method = "GET";
+  request.path = std::string(kTrialPath);
+  this->trial = this->backend->Start(request, *this);
+}
+
+void
+Sidecar::OnHead(int /*aStatus*/, std::span<const HeaderField> /*aHeaders*/)
+{
+  this->SetBackendUp(true);
+}
+
+void
+Sidecar::OnComplete()
+{
+  this->trial.reset();
+}
+
+void
+Sidecar::OnFailed(const absl::Status& /*aReason*/, bool /*aWritten*/)
+{
+  this->trial.reset();
+}
+
+absl::Status
+Sidecar::Ready()
+{
+  if (this->dispatcher->IsDraining()) {
+    return absl::UnavailableError("draining");
+  }
+  if (!this->dispatcher->IsBackendUp()) {
+    return absl::UnavailableError("backend server can't be reached");
+  }
+  return absl::OkStatus();
+}
+
+std::string
+Sidecar::Metrics()
+{
+  return "";
+}
+
+std::string
+Sidecar::Statusz()
+{
+  Json::Value status;
+  status["role"] = "sidecar";
+  status["instance"] = this->settings.instance.Value();
+  status["data_centre"] = this->settings.dataCentre.Value();
+  status["region"] = this->settings.region.Value();
+  status["version"] = DOGWOODVALE_VERSION;
+  status["incarnation"] = fmt::format("{:016x}", this->incarnation);
+  status["service"] = this->settings.sidecar.service;
+  status["ready"] = this->Ready().ok();
+  status["stopping"] = this->dispatcher->IsDraining();
+  status["backend_up"] = this->dispatcher->IsBackendUp();
+  status["running"] = Json::UInt64(this->dispatcher->Running());
+  status["queued"] = Json::UInt64(this->dispatcher->Queued());
+  status["limit"] = this->dispatcher->Limit();
+  status["entries"] = Json::UInt64(this->sessions.size());
+  return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
+}
+
+OperatorResponse
+Sidecar::Other(const HttpRequest& aRequest)
+{
+  if (aRequest.method == "POST" && aRequest.path == "/drain") {
+    this->Drain();
+    return { kHttpAccepted, "text/plain; charset=utf-8", "draining\n" };
+  }
+  return OperatorHandler::Other(aRequest);
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -0,0 +1,94 @@
+#ifndef DOGWOODVALE_SIDECAR_SIDECAR_H
+#define DOGWOODVALE_SIDECAR_SIDECAR_H
+
+#include <memory>
+#include <vector>
+
+#include "Dispatcher.h"
+#include "SidecarSession.h"
+#include "dogwoodvale/Http"
+#include "dogwoodvale/Peer"
+#include "dogwoodvale/Settings"
+
+namespace dogwoodvale {
+
+/// The sidecar role, wired: peers on one side, its backend server on the
+/// other, operators beside.
+class Sidecar final
+  : public PeerAcceptor
+  , public SidecarSessionHost
+  , public OperatorHandler
+  , public BackendCallHandler
+{
+public:
+  static absl::StatusOr<std::unique_ptr<Sidecar>> Create(
+    EventLoop& aLoop,
+    const DaemonSettings& aSettings);
+
+  /// Starts a planned stop: no new work, hands back what is queued, finishes
+  /// what runs, then stops the loop.
+  void BeginStop();
+  /// Refuses new work and hands back the queue, but goes on running.
+  void Drain();
+
+  SocketAddress PeerAddress() const { return this->listener->Address(); }
+  SocketAddress OperatorAddress() const { return this->operators->Address(); }
+  const Dispatcher& Work() const { return *this->dispatcher; }
+
+  PeerConnectionHandler& OnAccepted(std::unique_ptr<PeerConnection> aConnection,
+                                    const Hello& aPeer) override;
+
+  void OnPeerNotice(SidecarSession& aSession, const Notice& aNotice) override;
+  void OnSessionClosed(SidecarSession& aSession) override;
+
+  void OnRun(SidecarAttempt& aAttempt) override;
+  std::optional<Message> OnQuery(const Message& aQuery) override;
+  void OnFirstToken(SidecarAttempt& aAttempt, Duration aSinceStart) override;
+  void OnTokens(SidecarAttempt& aAttempt,
+                std::uint32_t aTokens,
+                Duration aInterval) override;
+  LoadReport CurrentLoad() const override;
+  void OnEnded(SidecarAttempt& aAttempt, AttemptEnd aEnd) override;
+
+  std::string Metrics() override;
+  absl::Status Ready() override;
+  std::string Statusz() override;
+  OperatorResponse Other(const HttpRequest& aRequest) override;
+
+  /// The trial call that finds out whether the backend server is back.
+  void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
+  void OnBody(std::string_view /*aBytes*/) override {}
+  void OnComplete() override;
+  void OnFailed(const absl::Status& aReason, bool aWritten) override;
+
+private:
+  Sidecar(EventLoop& aLoop, const DaemonSettings& aSettings);
+  absl::Status Open();
+  Hello MakeHello() const;
+  Notice MakeNotice() const;
+  void TellPeers(bool aNow);
+  void Sweep();
+  void CheckStopped();
+  void SetBackendUp(bool aUp);
+  void TryBackend();
+
+  EventLoop& loop;
+  const DaemonSettings settings;
+  const Incarnation incarnation;
+  std::unique_ptr<BackendClient> backend;
+  std::unique_ptr<Dispatcher> dispatcher;
+  std::unique_ptr<PeerListener> listener;
+  std::unique_ptr<OperatorServer> operators;
+  std::vector<std::unique_ptr<SidecarSession>> sessions;
+  Timer sweepTimer;
+  Timer noticeTimer;
+  Timer stopTimer;
+  Timer backendTimer;
+  std::unique_ptr<BackendCall> trial;
+  bool stopping = false;
+  TimePoint stopDeadline;
+};
+
+} // namespace dogwoodvale
+
+#endif
