--- /dev/null
+++ b/dogwoodvale/src/Routing/BackendChooser.cpp
@@ -0,0 +1,79 @@
+#include "BackendChooser.h"
+
+#include <algorithm>
+
+#include "LeastConnectionsChooser.h"
+#include "LeastLoadedOfTwo.h"
+#include "RandomChooser.h"
+#include "RoundRobinChooser.h"
+
+namespace dogwoodvale {
+
+absl::StatusOr<std::unique_ptr<BackendChooser>>
+CreateChooser(std::string_view aName)
+{
+  if (aName == "least_loaded_of_two") {
+    return std::make_unique<LeastLoadedOfTwo>();
+  }
+  if (aName == "least_connections") {
+    return std::make_unique<LeastConnectionsChooser>();
+  }
+  if (aName == "round_robin") {
+    return std::make_unique<RoundRobinChooser>();
+  }
+  if (aName == "random") {
+    return std::make_unique<RandomChooser>();
+  }
+  return MakeError(absl::StatusCode::kInvalidArgument,
+                   "no routing policy is called \"{}\"",
+                   aName);
+}
+
+namespace internal {
+
+namespace {
+
+/// With one server in ten unusable, four draws all fail once in 10,000 times.
+constexpr int kDraws = 4;
+
+} // namespace
+
+bool
+IsCandidate(const Backend& aBackend, const ChoiceRequest& aRequest)
+{
+  return aBackend.IsUsable() &&
+         std::find(aRequest.excluded.begin(),
+                   aRequest.excluded.end(),
+                   aBackend.name) == aRequest.excluded.end();
+}
+
+const Backend*
+DrawCandidate(const BackendTable& aTable,
+              const ChoiceRequest& aRequest,
+              const Backend* aOther,
+              std::mt19937_64& aRandom)
+{
+  const std::span<const Backend> all = aTable.All();
+  if (all.empty()) {
+    return nullptr;
+  }
+  std::uniform_int_distribution<std::size_t> position(0, all.size() - 1);
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const Backend& drawn = all[position(aRandom)];
+    if (&drawn != aOther && IsCandidate(drawn, aRequest)) {
+      return &drawn;
+    }
+  }
+  const std::size_t start = position(aRandom);
+  for (std::size_t offset = 0; offset < all.size(); ++offset) {
+    const Backend& next = all[(start + offset) % all.size()];
+    if (&next != aOther && IsCandidate(next, aRequest)) {
+      return &next;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace internal
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Routing/BackendTable.cpp
@@ -0,0 +1,143 @@
+#include "BackendTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodvale {
+
+namespace {
+
+/// Weight of the newest sample in the smoothed first-token latency.
+constexpr double kLatencyGain = 0.2;
+
+} // namespace
+
+BackendTable::BackendTable(PrefixIndexSettings aPrefixes)
+  : prefixes(aPrefixes)
+{
+}
+
+void
+BackendTable::Upsert(const InstanceName& aName,
+                     const DataCentreName& aDataCentre)
+{
+  if (Backend* known = this->FindMutable(aName)) {
+    known->dataCentre = aDataCentre;
+    return;
+  }
+  this->positions[aName] = this->backends.size();
+  Backend& added = this->backends.emplace_back();
+  added.name = aName;
+  added.dataCentre = aDataCentre;
+}
+
+void
+BackendTable::Remove(const InstanceName& aName)
+{
+  const auto found = this->positions.find(aName);
+  if (found == this->positions.end()) {
+    return;
+  }
+  const std::size_t position = found->second;
+  this->positions.erase(found);
+  if (position + 1 != this->backends.size()) {
+    this->backends[position] = std::move(this->backends.back());
+    this->positions[this->backends[position].name] = position;
+  }
+  this->backends.pop_back();
+  this->prefixes.Forget(aName);
+}
+
+void
+BackendTable::SetAvailable(const InstanceName& aName, bool aAvailable)
+{
+  if (Backend* known = this->FindMutable(aName)) {
+    known->available = aAvailable;
+  }
+}
+
+void
+BackendTable::SetStanding(const InstanceName& aName, Standing aStanding)
+{
+  if (Backend* known = this->FindMutable(aName)) {
+    known->standing = aStanding;
+  }
+}
+
+void
+BackendTable::OnLoadReport(const InstanceName& aName,
+                           const LoadReport& aReport,
+                           TimePoint aNow)
+{
+  if (Backend* known = this->FindMutable(aName)) {
+    known->report = aReport;
+    known->reportedAt = aNow;
+    known->unreported = 0;
+  }
+}
+
+void
+BackendTable::OnSent(const InstanceName& aName,
+                     std::uint64_t aEstimatedTokens,
+                     Tier aTier)
+{
+  if (Backend* known = this->FindMutable(aName)) {
+    ++known->inFlight;
+    ++known->unreported;
+    ++known->sent;
+    ++known->inFlightByTier[aTier % kTierCount];
+    known->inFlightTokens += aEstimatedTokens;
+  }
+}
+
+void
+BackendTable::OnEnded(const InstanceName& aName,
+                      std::uint64_t aEstimatedTokens,
+                      Tier aTier,
+                      SendResult /*aResult*/,
+                      Duration aFirstToken,
+                      TimePoint /*aNow*/)
+{
+  Backend* known = this->FindMutable(aName);
+  if (known == nullptr || known->inFlight == 0) {
+    return;
+  }
+  --known->inFlight;
+  known->unreported -= std::min<std::uint32_t>(known->unreported, 1);
+  std::uint32_t& ofTier = known->inFlightByTier[aTier % kTierCount];
+  ofTier -= std::min<std::uint32_t>(ofTier, 1);
+  known->inFlightTokens -= std::min(known->inFlightTokens, aEstimatedTokens);
+  if (aFirstToken > Duration{ 0 }) {
+    const auto sample = static_cast<double>(aFirstToken.count());
+    known->firstTokenMicros =
+      known->firstTokenMicros == 0.0
+        ? sample
+        : known->firstTokenMicros +
+            kLatencyGain * (sample - known->firstTokenMicros);
+  }
+}
+
+const Backend*
+BackendTable::Find(const InstanceName& aName) const
+{
+  const auto found = this->positions.find(aName);
+  return found == this->positions.end() ? nullptr
+                                        : &this->backends[found->second];
+}
+
+std::size_t
+BackendTable::AvailableCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->backends.begin(), this->backends.end(), [](const Backend& aBackend) {
+      return aBackend.available;
+    }));
+}
+
+Backend*
+BackendTable::FindMutable(const InstanceName& aName)
+{
+  return const_cast<Backend*>(std::as_const(*this).Find(aName));
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Routing/LoadReport.h
@@ -0,0 +1,32 @@
+#ifndef DOGWOODVALE_ROUTING_LOADREPORT_H
+#define DOGWOODVALE_ROUTING_LOADREPORT_H
+
+#include <cstdint>
+#include <vector>
+
+namespace dogwoodvale {
+
+/// What a sidecar tells of its backend server; travels in peer messages.
+struct LoadReport
+{
+  /// Requests that the engine is working on.
+  std::uint32_t running = 0;
+  /// Requests that wait in the sidecar's queue.
+  std::uint32_t queued = 0;
+  /// The sidecar's concurrency limit; 0 while unknown.
+  std::uint32_t limit = 0;
+  /// Estimated tokens of the queued requests.
+  std::uint64_t queuedTokens = 0;
+  /// Recent median from arrival to first token.
+  std::uint32_t firstTokenMicros = 0;
+  /// Recent median of one engine step; 0 while unknown.
+  std::uint32_t stepMicros = 0;
+  /// Queued requests by tier; missing tiers are empty.
+  std::vector<std::uint32_t> queuedByTier;
+
+  bool operator==(const LoadReport&) const = default;
+};
+
+} // namespace dogwoodvale
+
+#endif
