--- a/dogwoodvale/src/Routing/LoadReport.h
+++ b/dogwoodvale/src/Routing/LoadReport.h
@@ -6,20 +6,25 @@
 
 namespace dogwoodvale {
 
-/// A sidecar's load as it was when the message that carries it was sent.
+/// What a sidecar tells of its backend server; travels in peer messages.
 struct LoadReport
 {
+  /// Requests that the engine is working on.
   std::uint32_t running = 0;
+  /// Requests that wait in the sidecar's queue.
   std::uint32_t queued = 0;
-  /// The concurrency limit.
+  /// The sidecar's concurrency limit; 0 while unknown.
   std::uint32_t limit = 0;
+  /// Estimated tokens of the queued requests.
   std::uint64_t queuedTokens = 0;
-  /// Recent median wait to the first token, in microseconds.
+  /// Recent median from arrival to first token.
   std::uint32_t firstTokenMicros = 0;
-  /// Recent time between tokens, in microseconds.
+  /// Recent median of one engine step; 0 while unknown.
   std::uint32_t stepMicros = 0;
-  /// Requests queued, by tier.
+  /// Queued requests by tier; missing tiers are empty.
   std::vector<std::uint32_t> queuedByTier;
+
+  bool operator==(const LoadReport&) const = default;
 };
 
 } // namespace dogwoodvale
