--- a/dogwoodvale/src/Configuration/Configuration.h
+++ b/dogwoodvale/src/Configuration/Configuration.h
@@ -45,8 +45,11 @@
 {
   /// Empty matches any method.
   std::string method;
+  /// Whole segments: "/permits" takes "/permits/7" but not "/permits-old".
   std::string pathPrefix;
   ClassName className;
+
+  bool Matches(std::string_view aMethod, std::string_view aPath) const;
 };
 
 enum class ServiceKind : std::uint8_t
@@ -128,6 +131,7 @@
 private:
   std::vector<Service> services;
   std::vector<Customer> customers;
+  absl::flat_hash_map<std::string, std::size_t> serviceOfName;
   absl::flat_hash_map<std::string, std::size_t> serviceOfModel;
   absl::flat_hash_map<std::string, std::size_t> customerOfKey;
   absl::flat_hash_map<std::string, std::size_t> customerOfName;
--- a/dogwoodvale/src/Settings/JsonDocument.h
+++ b/dogwoodvale/src/Settings/JsonDocument.h
@@ -24,6 +24,7 @@
                             std::string_view aFile,
                             Findings& aFindings);
 
+  const std::string& File() const { return this->file; }
   const Json::Value& Root() const { return this->root; }
   /// Where \p aValue, a value of this document or a copy of one, begins.
   Place PlaceOf(const Json::Value& aValue) const;
