--- /dev/null
+++ b/dogwoodvale/src/Membership/WatcherElection.cpp
@@ -0,0 +1,108 @@
+#include "dogwoodvale/Membership"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+/// A peer's contact must be newer than one's own by more than the rounding of
+/// ages in notices, else it may be an echo of one's own.
+constexpr Duration kEchoMargin = milliseconds(20);
+
+std::uint64_t
+RankOf(const InstanceName& aName)
+{
+  return XXH3_64bits(aName.Value().data(), aName.Value().size());
+}
+
+} // namespace
+
+WatcherElection::WatcherElection(const InstanceName& aSelf,
+                                 const DataCentreName& aDataCentre,
+                                 const WatcherBounds& aBounds,
+                                 TimePoint aNow)
+  : self(aSelf)
+  , dataCentre(aDataCentre)
+  , bounds(aBounds)
+  , startedAt(aNow)
+{
+}
+
+void
+WatcherElection::SetNoList()
+{
+  this->ranked = true;
+}
+
+void
+WatcherElection::OnList(std::span<const ListedInstance> aList)
+{
+  const std::uint64_t own = RankOf(this->self);
+  std::size_t before = 0;
+  this->instances = 1;
+  for (const ListedInstance& listed : aList) {
+    if (listed.dataCentre != this->dataCentre || listed.name == this->self ||
+        listed.state != ListedState::Live) {
+      continue;
+    }
+    ++this->instances;
+    before += RankOf(listed.name) < own ? 1 : 0;
+  }
+  this->ranked = before < this->bounds.watchers;
+}
+
+void
+WatcherElection::OnPeerContact(Duration aAge, TimePoint aNow)
+{
+  const TimePoint when = aNow - aAge;
+  if (!this->peerContact || *this->peerContact < when) {
+    this->peerContact = when;
+  }
+}
+
+void
+WatcherElection::OnOwnContact(TimePoint aNow)
+{
+  this->ownContact = aNow;
+}
+
+void
+WatcherElection::OnOwnFailure()
+{
+  this->volunteer = false;
+}
+
+Duration
+WatcherElection::ContactAge(TimePoint aNow) const
+{
+  TimePoint newest = this->startedAt;
+  newest = std::max(newest, this->ownContact.value_or(newest));
+  newest = std::max(newest, this->peerContact.value_or(newest));
+  return std::max(Duration(0), Between(newest, aNow));
+}
+
+void
+WatcherElection::Tick(TimePoint aNow, double aUniform)
+{
+  if (this->volunteer) {
+    const bool othersReachIt =
+      this->peerContact && this->ownContact &&
+      *this->peerContact > *this->ownContact + kEchoMargin;
+    // By chance, so that two volunteers who see each other don't both leave.
+    if (othersReachIt && aUniform < this->bounds.stepDown) {
+      this->volunteer = false;
+    }
+    return;
+  }
+  if (this->ranked || this->ContactAge(aNow) < this->bounds.staleAfter) {
+    return;
+  }
+  const double share = static_cast<double>(this->bounds.watchers) /
+                       static_cast<double>(this->instances);
+  this->volunteer = aUniform < std::min(share, this->bounds.mostVolunteer);
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Platform/StoreTypes.h
@@ -0,0 +1,137 @@
+#ifndef DOGWOODVALE_PLATFORM_STORETYPES_H
+#define DOGWOODVALE_PLATFORM_STORETYPES_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "dogwoodvale/Core"
+
+namespace dogwoodvale {
+
+/// The store's counter of changes, over all keys.
+using Revision = std::int64_t;
+using LeaseId = std::int64_t;
+
+struct KeyValue
+{
+  std::string key;
+  std::string value;
+  /// Of the change that created the key; a new life of a key has a new one.
+  Revision createRevision = 0;
+  /// Of the key's latest change.
+  Revision modRevision = 0;
+  /// Changes since creation.
+  std::int64_t version = 0;
+  /// 0: none.
+  LeaseId lease = 0;
+};
+
+struct RangeQuery
+{
+  std::string key;
+  /// All keys that start with \c key.
+  bool isPrefix = false;
+  /// 0: no bound.
+  std::int64_t limit = 0;
+  /// Answer with keys alone.
+  bool keysOnly = false;
+};
+
+struct RangeResult
+{
+  /// The store's revision when it answered.
+  Revision revision = 0;
+  std::vector<KeyValue> values;
+  bool hasMore = false;
+};
+
+/// Holds if the key's property equals the value; an absent key has revisions
+/// and version 0.
+struct Compare
+{
+  enum class Target : std::uint8_t
+  {
+    CreateRevision,
+    ModRevision,
+    Version,
+    Value,
+  };
+  std::string key;
+  Target target = Target::ModRevision;
+  std::int64_t number = 0;
+  /// For Target::Value.
+  std::string value;
+};
+
+struct Operation
+{
+  enum class Kind : std::uint8_t
+  {
+    Put,
+    Delete,
+    Range,
+  };
+  Kind kind = Kind::Put;
+  std::string key;
+  std::string value;
+  LeaseId lease = 0;
+  /// For Delete and Range.
+  bool isPrefix = false;
+};
+
+/// All of \c then if all of \c when holds, else all of \c otherwise; whole or
+/// not at all.
+struct Transaction
+{
+  std::vector<Compare> when;
+  std::vector<Operation> then;
+  std::vector<Operation> otherwise;
+};
+
+/// What became of a write.
+enum class WriteOutcome : std::uint8_t
+{
+  Applied,
+  /// It took no effect and never will.
+  NotApplied,
+  /// It was sent and no answer came: read back to settle it.
+  Unknown,
+};
+
+std::string_view
+WriteOutcomeName(WriteOutcome aOutcome);
+
+struct WriteResult
+{
+  WriteOutcome outcome = WriteOutcome::Unknown;
+  /// OK when applied; FailedPrecondition when a comparison did not hold; else
+  /// why it was refused or what was lost.
+  absl::Status status;
+  /// The store's revision after it, if known.
+  Revision revision = 0;
+  /// What the range operations of the branch that ran have read, in order.
+  std::vector<std::vector<KeyValue>> reads;
+};
+
+struct LeaseGrant
+{
+  LeaseId id = 0;
+  Duration ttl{ 0 };
+};
+
+/// One change of a key.
+struct StoreChange
+{
+  enum class Kind : std::uint8_t
+  {
+    Put,
+    Delete,
+  };
+  Kind kind = Kind::Put;
+  KeyValue value;
+};
+
+} // namespace dogwoodvale
+
+#endif
