--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -417,10 +417,10 @@
 CallerRequest::Conclude(RequestError aError, SendResult aResult, bool aSettle)
 {
   const bool repeatable = this->resolved.requestClass.idempotent;
-  const bool unclear = aSettle && !repeatable &&
+  const bool mustAsk = aSettle && !repeatable &&
                        aError.disposition == Disposition::MayHaveRun &&
                        !this->running->started;
-  if (unclear && this->AskAbout(*this->running, aError)) {
+  if (mustAsk && this->AskAbout(*this->running, aError)) {
     this->StopAttempt(aResult);
     return;
   }
