--- /dev/null
+++ b/standins/PlainService.cpp
@@ -0,0 +1,180 @@
+#include "PlainService.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <vector>
+
+#include <xxhash.h>
+
+#include "Prompt.h"
+
+namespace dogwoodvale::standins {
+
+absl::StatusOr<std::unique_ptr<PlainService>>
+PlainService::Create(EventLoop& aLoop,
+                     const SocketAddress& aListen,
+                     Duration aDelay)
+{
+  std::unique_ptr<PlainService> service(new PlainService(aLoop, aDelay));
+  auto server = JsonServer::Create(aLoop, aListen, *service);
+  if (!server.ok()) {
+    return server.status();
+  }
+  service->server = std::move(*server);
+  return service;
+}
+
+PlainService::PlainService(EventLoop& aLoop, Duration aDelay)
+  : delay(aDelay)
+  , timer(aLoop, [this] { this->AnswerDue(); })
+{
+}
+
+void
+PlainService::OnRequest(Exchange& aExchange)
+{
+  const std::string path = aExchange.Path();
+  if (path == "/standin/fault" || path == "/standin/record") {
+    this->Control(aExchange);
+  } else if (this->faults.refuse) {
+    Json::Value body;
+    body["error"] = "refused by a fault";
+    aExchange.ReplyJson(503, body);
+  } else {
+    this->Execute(aExchange);
+  }
+}
+
+void
+PlainService::OnClosed(Exchange& aExchange)
+{
+  const auto found = this->pending.find(&aExchange);
+  if (found != this->pending.end()) {
+    this->End(found->second.entry, "cancelled");
+    this->pending.erase(found);
+  }
+}
+
+void
+PlainService::Control(Exchange& aExchange)
+{
+  if (aExchange.Path() == "/standin/record") {
+    const std::string since = aExchange.Query("since");
+    aExchange.ReplyJson(
+      200, this->Record(std::strtoull(since.c_str(), nullptr, 10)));
+    return;
+  }
+  const auto fault = aExchange.JsonBody();
+  this->SetFault(fault.value_or(Json::Value(Json::objectValue)));
+  aExchange.ReplyJson(fault ? 200 : 400, fault.value_or(Json::Value()));
+}
+
+void
+PlainService::SetFault(const Json::Value& aFault)
+{
+  const auto set = [&](const char* aName, bool& aFlag) {
+    aFlag = aFault[aName].isBool() ? aFault[aName].asBool() : aFlag;
+  };
+  bool clear = false;
+  set("clear", clear);
+  if (clear) {
+    this->faults = {};
+  }
+  if (aFault["slow"].isNumeric()) {
+    this->faults.slow = std::max(aFault["slow"].asDouble(), 0.0);
+  }
+  set("stall", this->faults.stall);
+  set("refuse", this->faults.refuse);
+  set("crash", this->faults.crash);
+  this->Schedule();
+}
+
+Json::Value
+PlainService::Record(std::uint64_t aSince) const
+{
+  Json::Value record;
+  record["executions"] = this->journal.ToJson(aSince);
+  record["next"] = Json::UInt64(this->journal.Next());
+  return record;
+}
+
+void
+PlainService::Execute(Exchange& aExchange)
+{
+  const std::string body = aExchange.Body();
+  Execution execution;
+  execution.id = aExchange.Header("X-Request-Id");
+  execution.nonce = Directive(body, "nonce");
+  execution.started = Now();
+  execution.more["execution"] = Json::UInt64(this->journal.Next());
+  execution.more["idempotency_key"] = aExchange.Header("Idempotency-Key");
+  execution.more["method"] = aExchange.Method();
+  execution.more["path"] = aExchange.Path();
+  execution.more["body_hash"] =
+    fmt::format("{:016x}", XXH3_64bits(body.data(), body.size()));
+  const std::uint64_t entry = this->journal.Append(std::move(execution));
+  if (this->faults.crash) {
+    this->End(entry, "crashed");
+    aExchange.Drop();
+    return;
+  }
+  const auto span =
+    std::chrono::duration_cast<Duration>(this->delay * this->faults.slow);
+  this->pending[&aExchange] = { entry, Now() + span };
+  this->Schedule();
+}
+
+void
+PlainService::Schedule()
+{
+  if (this->pending.empty() || this->faults.stall) {
+    this->timer.Stop();
+    return;
+  }
+  const auto soonest = std::min_element(
+    this->pending.begin(), this->pending.end(), [](auto& aOne, auto& aOther) {
+      return aOne.second.due < aOther.second.due;
+    });
+  this->timer.StartOnce(Between(Now(), soonest->second.due));
+}
+
+void
+PlainService::AnswerDue()
+{
+  const TimePoint now = Now();
+  std::vector<std::pair<Exchange*, std::uint64_t>> due;
+  for (const auto& [exchange, waiting] : this->pending) {
+    if (waiting.due <= now) {
+      due.emplace_back(exchange, waiting.entry);
+    }
+  }
+  for (const auto& [exchange, entry] : due) {
+    this->pending.erase(exchange);
+    this->Answer(*exchange, entry);
+  }
+  this->Schedule();
+}
+
+void
+PlainService::Answer(Exchange& aExchange, std::uint64_t aEntry)
+{
+  this->End(aEntry, "complete");
+  Json::Value body;
+  body["execution"] = Json::UInt64(aEntry);
+  body["method"] = aExchange.Method();
+  body["path"] = aExchange.Path();
+  body["body"] = aExchange.Body();
+  aExchange.AddHeader("X-Execution", std::to_string(aEntry));
+  aExchange.ReplyJson(200, body);
+}
+
+void
+PlainService::End(std::uint64_t aEntry, const char* aEnd)
+{
+  if (Execution* execution = this->journal.Find(aEntry)) {
+    execution->end = aEnd;
+    execution->ended = Now();
+  }
+}
+
+} // namespace dogwoodvale::standins
