--- a/dogwoodvale/src/Peer/Message.h
+++ b/dogwoodvale/src/Peer/Message.h
@@ -191,16 +191,31 @@
 std::string
 EncodeMessage(const Message& aMessage);
 
+/// Appends what EncodeMessage gives to \p aOut.
+void
+AppendMessage(const Message& aMessage, std::string& aOut);
+
 /// Cuts a byte stream into messages; bounded in memory.
 class MessageReader
 {
 public:
+  /// \param aLimit the longest message that is taken, in bytes.
+  explicit MessageReader(std::size_t aLimit = kMaxMessageBytes)
+    : limit(aLimit)
+  {
+  }
+
   /// Takes bytes as they come; appends whole messages to \p aOut.
   /// \return an error for a frame that is over-long, of unknown kind or
   /// malformed; the stream must then be reset.
   absl::Status Feed(std::string_view aBytes, std::vector<Message>& aOut);
 
+  /// Bytes held of a message that has not come whole.
+  std::size_t PartialBytes() const { return this->buffer.size(); }
+
 private:
+  absl::Status TakeFrames(std::string_view& aBytes, std::vector<Message>& aOut);
+  std::size_t limit;
   std::string buffer;
 };
 
