Send Notice.backendUp and RunRequest.preemptions over the wire

Cause: both fields were added to Message.h while the codec was being written. Change: they travel at the end of their messages.

--- a/dogwoodvale/src/Peer/MessageFields.h
+++ b/dogwoodvale/src/Peer/MessageFields.h
@@ -70,7 +70,8 @@
                   aValue.rootHash,
                   aValue.draining,
                   aValue.storeContactAgeMillis,
-                  aValue.load);
+                  aValue.load,
+                  aValue.backendUp);
 }
 
 template<MaybeConst<RunRequest> M>
@@ -96,7 +97,8 @@
                   aValue.path,
                   aValue.headers,
                   aValue.body,
-                  aValue.epoch);
+                  aValue.epoch,
+                  aValue.preemptions);
 }
 
 template<MaybeConst<Started> M>
