Serve callers and operators and call backend servers over HTTP/1.1

Cause: entry and sidecar need callers, engines and operators. evhtp's own server either hides a caller's leaving (paused) or swallows a pipelined request (not paused), and bounds neither the head nor the time of a request.

Change: CallerServer and BackendClient keep their own bufferevents and read by libevhtp's parser, one message at a time, so that the byte at which a message ends is known. An answer that is given up is reset, never closed in good order.

--- /dev/null
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -0,0 +1,296 @@
+#include "BackendConnection.h"
+
+#include <cerrno>
+#include <cstring>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace dogwoodvale::internal {
+
+namespace {
+
+/// How much of an answer is read ahead of its handler.
+constexpr std::size_t kReadAhead = 64U << 10U;
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  constexpr long kMicros = 1000000;
+  return { aDuration.count() / kMicros, aDuration.count() % kMicros };
+}
+
+} // namespace
+
+BackendConnection::BackendConnection(EventLoop& aLoop,
+                                     BackendConnectionOwner& aOwner,
+                                     const RawAddress& aAddress)
+  : owner(aOwner)
+  // Deferred: a refused connection is told after Start() has returned, and
+  // bytes that came before a close are read before it.
+  , stream(
+      bufferevent_socket_new(aLoop.Base(),
+                             -1,
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+{
+  bufferevent_setcb(
+    this->stream,
+    [](bufferevent*, void* aSelf) {
+      static_cast<BackendConnection*>(aSelf)->OnReadable();
+    },
+    nullptr,
+    [](bufferevent*, short aWhat, void* aSelf) {
+      static_cast<BackendConnection*>(aSelf)->OnEvent(aWhat);
+    },
+    this);
+  bufferevent_setwatermark(this->stream, EV_READ, 0, kReadAhead);
+  const timeval limit = ToTimeval(this->owner.Options().connectTimeout);
+  bufferevent_set_timeouts(this->stream, nullptr, &limit);
+  bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+  bufferevent_socket_connect(
+    this->stream, aAddress.Get(), static_cast<int>(aAddress.size));
+}
+
+BackendConnection::~BackendConnection()
+{
+  this->Close();
+}
+
+void
+BackendConnection::Close()
+{
+  if (this->call != nullptr) {
+    this->call->connection = nullptr;
+    this->call = nullptr;
+  }
+  if (this->stream != nullptr) {
+    bufferevent_free(this->stream);
+    this->stream = nullptr;
+  }
+}
+
+void
+BackendConnection::Begin(BackendCallImpl& aCall,
+                         bool aIsHead,
+                         std::string_view aBytes)
+{
+  this->call = &aCall;
+  aCall.connection = this;
+  this->isHead = aIsHead;
+  this->requestBytes = aBytes.size();
+  this->ResetParser();
+  if (this->connected) {
+    const timeval limit = ToTimeval(this->owner.Options().idleTimeout);
+    bufferevent_set_timeouts(this->stream, &limit, &limit);
+  }
+  bufferevent_write(this->stream, aBytes.data(), aBytes.size());
+}
+
+void
+BackendConnection::ResetParser()
+{
+  this->parser = std::make_unique<HttpParser>(
+    HttpParser::Kind::Response, this->owner.Options().headerBytes, *this);
+  this->untilClose = false;
+  this->headOnly = false;
+  this->interim = false;
+}
+
+void
+BackendConnection::Cancel()
+{
+  this->call = nullptr;
+  this->Close();
+  this->owner.Retire(*this);
+}
+
+void
+BackendConnection::SetReadingPaused(bool aPaused)
+{
+  if (aPaused) {
+    bufferevent_disable(this->stream, EV_READ);
+  } else {
+    bufferevent_enable(this->stream, EV_READ);
+  }
+}
+
+bool
+BackendConnection::IsCleanNow() const
+{
+  char byte = 0;
+  return evbuffer_get_length(bufferevent_get_input(this->stream)) == 0 &&
+         recv(
+           bufferevent_getfd(this->stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+           0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool
+BackendConnection::OnParsedHead()
+{
+  const int status = this->parser->Status();
+  this->interim = status < 200;
+  if (this->interim) {
+    return false;
+  }
+  this->headOnly = this->isHead || status == 204 || status == 304;
+  this->untilClose = !this->headOnly && !this->parser->IsChunked() &&
+                     !this->parser->ContentLength();
+  this->call->handler.OnHead(status, this->parser->Headers());
+  return this->call != nullptr && !this->untilClose && !this->headOnly;
+}
+
+bool
+BackendConnection::OnParsedBody(std::string_view aBytes)
+{
+  this->call->handler.OnBody(aBytes);
+  return this->call != nullptr;
+}
+
+void
+BackendConnection::OnReadable()
+{
+  if (this->call == nullptr) {
+    // Bytes with no request: nobody's answer, so nobody's connection.
+    this->Close();
+    this->owner.Retire(*this);
+    return;
+  }
+  evbuffer* input = bufferevent_get_input(this->stream);
+  while (this->call != nullptr) {
+    const std::size_t size = evbuffer_get_contiguous_space(input);
+    if (size == 0) {
+      return;
+    }
+    // A copy, since a handler may cancel, which frees the buffer.
+    std::string bytes(size, '\0');
+    evbuffer_remove(input, bytes.data(), size);
+    std::string_view rest = bytes;
+    while (!rest.empty() && this->call != nullptr) {
+      rest.remove_prefix(this->ReadAnswer(rest));
+    }
+  }
+}
+
+std::size_t
+BackendConnection::ReadAnswer(std::string_view aBytes)
+{
+  if (this->untilClose) {
+    this->call->handler.OnBody(aBytes);
+    return aBytes.size();
+  }
+  const std::size_t taken = this->parser->Run(aBytes);
+  if (this->call == nullptr) {
+    return aBytes.size();
+  }
+  const bool hasMore =
+    taken < aBytes.size() ||
+    evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+  switch (this->parser->GetState()) {
+    case HttpParser::State::Reading:
+      break;
+    case HttpParser::State::Complete:
+      this->Complete(this->parser->KeepsAlive() && !hasMore);
+      return aBytes.size();
+    case HttpParser::State::Stopped:
+      if (this->interim) {
+        this->ResetParser();
+      } else if (this->headOnly) {
+        this->Complete(this->parser->KeepsAlive() && !hasMore);
+        return aBytes.size();
+      }
+      break;
+    case HttpParser::State::Malformed:
+    case HttpParser::State::TooLarge:
+      this->Fail(absl::DataLossError("a malformed answer"));
+      return aBytes.size();
+  }
+  return taken;
+}
+
+void
+BackendConnection::OnEvent(short aWhat)
+{
+  if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
+    this->connected = true;
+    const int on = 1;
+    setsockopt(bufferevent_getfd(this->stream),
+               IPPROTO_TCP,
+               TCP_NODELAY,
+               &on,
+               sizeof(on));
+    const timeval limit = ToTimeval(this->owner.Options().idleTimeout);
+    bufferevent_set_timeouts(this->stream, &limit, &limit);
+    return;
+  }
+  const int error = EVUTIL_SOCKET_ERROR();
+  if (this->call == nullptr) {
+    this->Close();
+    this->owner.Retire(*this);
+  } else if ((aWhat & BEV_EVENT_TIMEOUT) != 0) {
+    this->Fail(absl::DeadlineExceededError(
+      this->connected ? "the server was silent for too long"
+                      : "the server took too long to accept"));
+  } else if ((aWhat & BEV_EVENT_EOF) != 0 && this->untilClose) {
+    this->Complete(false);
+  } else if ((aWhat & BEV_EVENT_EOF) != 0) {
+    this->Fail(absl::DataLossError("closed before the answer was whole"));
+  } else {
+    this->Fail(
+      MakeError(absl::StatusCode::kUnavailable, "{}", std::strerror(error)));
+  }
+}
+
+void
+BackendConnection::Complete(bool aKeep)
+{
+  BackendCallImpl& done = *std::exchange(this->call, nullptr);
+  done.connection = nullptr;
+  const bool sent =
+    evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+  this->parser.reset();
+  if (aKeep && sent) {
+    bufferevent_enable(this->stream, EV_READ);
+    bufferevent_set_timeouts(this->stream, nullptr, nullptr);
+    this->owner.Pool(*this);
+  } else {
+    this->Close();
+    this->owner.Retire(*this);
+  }
+  done.handler.OnComplete();
+}
+
+void
+BackendConnection::Fail(const absl::Status& aReason)
+{
+  BackendCallImpl& failed = *std::exchange(this->call, nullptr);
+  failed.connection = nullptr;
+  const bool untouched =
+    evbuffer_get_length(bufferevent_get_output(this->stream)) ==
+    this->requestBytes;
+  this->Close();
+  this->owner.Retire(*this);
+  failed.handler.OnFailed(aReason, !untouched);
+}
+
+BackendCallImpl::~BackendCallImpl()
+{
+  if (this->connection != nullptr) {
+    this->connection->Cancel();
+  }
+}
+
+void
+BackendCallImpl::SetReadingPaused(bool aPaused)
+{
+  if (this->connection != nullptr) {
+    this->connection->SetReadingPaused(aPaused);
+  }
+}
+
+} // namespace dogwoodvale::internal
--- /dev/null
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -0,0 +1,94 @@
+#ifndef DOGWOODVALE_HTTP_BACKENDCONNECTION_H
+#define DOGWOODVALE_HTTP_BACKENDCONNECTION_H
+
+#include <memory>
+
+#include "BackendClient.h"
+#include "HttpParser.h"
+#include "Sockets.h"
+
+struct bufferevent;
+
+namespace dogwoodvale::internal {
+
+class BackendConnection;
+class BackendCallImpl;
+
+class BackendConnectionOwner
+{
+public:
+  virtual ~BackendConnectionOwner() = default;
+  virtual const BackendClientOptions& Options() const = 0;
+  /// The connection is clean and may serve another call.
+  virtual void Pool(BackendConnection& aConnection) = 0;
+  /// Forgets the connection; it is destroyed on the loop's next turn.
+  virtual void Retire(BackendConnection& aConnection) = 0;
+};
+
+/// One connection to a backend server, for one call at a time.
+class BackendConnection final : public HttpParserListener
+{
+public:
+  BackendConnection(EventLoop& aLoop,
+                    BackendConnectionOwner& aOwner,
+                    const RawAddress& aAddress);
+  ~BackendConnection() override;
+  BackendConnection(const BackendConnection&) = delete;
+  BackendConnection& operator=(const BackendConnection&) = delete;
+
+  void Begin(BackendCallImpl& aCall, bool aIsHead, std::string_view aBytes);
+  /// The call was given up: closes at once.
+  void Cancel();
+  void SetReadingPaused(bool aPaused);
+  /// Looks at the socket whether the server closed or sent anything since.
+  bool IsCleanNow() const;
+  /// Closes, with no call told.
+  void Close();
+
+private:
+  bool OnParsedHead() override;
+  bool OnParsedBody(std::string_view aBytes) override;
+
+  void OnReadable();
+  void OnEvent(short aWhat);
+  /// \return how many bytes are dealt with.
+  std::size_t ReadAnswer(std::string_view aBytes);
+  void ResetParser();
+  void Complete(bool aKeep);
+  void Fail(const absl::Status& aReason);
+
+  BackendConnectionOwner& owner;
+  bufferevent* stream;
+  BackendCallImpl* call = nullptr;
+  std::unique_ptr<HttpParser> parser;
+  std::size_t requestBytes = 0;
+  bool connected = false;
+  bool isHead = false;
+  /// The body has no length of its own and ends when the server closes.
+  bool untilClose = false;
+  /// The answer's head says that no body follows, whatever its length says.
+  bool headOnly = false;
+  /// An interim (1xx) head, which is not the answer.
+  bool interim = false;
+};
+
+/// The handle that the caller of Start() holds.
+class BackendCallImpl final : public BackendCall
+{
+public:
+  explicit BackendCallImpl(BackendCallHandler& aHandler)
+    : handler(aHandler)
+  {
+  }
+  ~BackendCallImpl() override;
+  void SetReadingPaused(bool aPaused) override;
+
+  BackendCallHandler& handler;
+  BackendConnection* connection = nullptr;
+  /// Fails a call that cannot even be begun, on the loop's next turn.
+  std::unique_ptr<Timer> failure;
+};
+
+} // namespace dogwoodvale::internal
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -0,0 +1,414 @@
+#include "CallerConnection.h"
+
+#include <absl/strings/match.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace dogwoodvale::internal {
+
+namespace {
+
+/// How much a caller may send ahead while its request is answered.
+constexpr std::size_t kPipelineBytes = 64U << 10U;
+/// How long a closed answer waits for the caller to read it.
+constexpr Duration kLinger = seconds(2);
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  constexpr long kMicros = 1000000;
+  return { aDuration.count() / kMicros, aDuration.count() % kMicros };
+}
+
+bool
+IsFraming(std::string_view aName)
+{
+  for (const char* name :
+       { "content-length", "transfer-encoding", "connection", "keep-alive" }) {
+    if (absl::EqualsIgnoreCase(ToAbsl(aName), name)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+HasNoBody(int aStatus)
+{
+  return aStatus == 204 || aStatus == 304 || aStatus < 200;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(EventLoop& aLoop,
+                                   CallerConnectionOwner& aOwner,
+                                   int aDescriptor)
+  : owner(aOwner)
+  , stream(
+      bufferevent_socket_new(aLoop.Base(), aDescriptor, BEV_OPT_CLOSE_ON_FREE))
+  , timer(aLoop, [this] { this->OnTimer(); })
+{
+  const int on = 1;
+  setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  bufferevent_setcb(
+    this->stream,
+    [](bufferevent*, void* aSelf) {
+      static_cast<CallerConnection*>(aSelf)->OnReadable();
+    },
+    [](bufferevent*, void* aSelf) {
+      static_cast<CallerConnection*>(aSelf)->OnWritable();
+    },
+    [](bufferevent*, short aWhat, void* aSelf) {
+      static_cast<CallerConnection*>(aSelf)->OnEvent(aWhat);
+    },
+    this);
+  const CallerBounds& bounds = this->owner.Bounds();
+  bufferevent_setwatermark(this->stream,
+                           EV_WRITE,
+                           bounds.lowWaterBytes > 0 ? bounds.lowWaterBytes - 1
+                                                    : 0,
+                           0);
+  // A caller that takes nothing for this long is as good as gone; without the
+  // bound its answer would be held for ever.
+  const timeval stall = ToTimeval(bounds.idleTimeout);
+  bufferevent_set_timeouts(this->stream, nullptr, &stall);
+  bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+  this->timer.StartOnce(bounds.readTimeout);
+}
+
+CallerConnection::~CallerConnection()
+{
+  if (this->exchange != nullptr) {
+    this->exchange->Detach(false);
+  }
+  if (this->stream != nullptr) {
+    bufferevent_free(this->stream);
+  }
+}
+
+void
+CallerConnection::OnReadable()
+{
+  evbuffer* input = bufferevent_get_input(this->stream);
+  switch (this->phase) {
+    case Phase::Idle:
+    case Phase::Receiving:
+      this->ParseNext();
+      break;
+    case Phase::Answering:
+      // Reading goes on while a request is answered, since a connection that
+      // is not read does not show that the caller left. What comes early is
+      // bounded: beyond that it is dropped and the connection closes after
+      // this answer, which HTTP allows.
+      if (evbuffer_get_length(input) > kPipelineBytes) {
+        this->mustClose = true;
+      }
+      if (this->mustClose) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+      }
+      break;
+    case Phase::Closing:
+    case Phase::Closed:
+      evbuffer_drain(input, evbuffer_get_length(input));
+      break;
+  }
+}
+
+void
+CallerConnection::ParseNext()
+{
+  while (this->phase == Phase::Idle || this->phase == Phase::Receiving) {
+    evbuffer* input = bufferevent_get_input(this->stream);
+    const std::size_t size = evbuffer_get_contiguous_space(input);
+    if (size == 0) {
+      break;
+    }
+    if (this->phase == Phase::Idle) {
+      this->phase = Phase::Receiving;
+      this->parser = std::make_unique<HttpParser>(
+        HttpParser::Kind::Request, this->owner.Bounds().headerBytes, *this);
+      this->body.clear();
+      this->timer.StartOnce(this->owner.Bounds().readTimeout);
+    }
+    const auto* bytes =
+      reinterpret_cast<const char*>(evbuffer_pullup(input, ssize_t(size)));
+    const std::size_t taken = this->parser->Run({ bytes, size });
+    evbuffer_drain(input, taken);
+    switch (this->parser->GetState()) {
+      case HttpParser::State::Reading:
+        break;
+      case HttpParser::State::Complete:
+        this->DeliverRequest();
+        break;
+      case HttpParser::State::Stopped:
+        ++this->owner.MutableCounters().tooLarge;
+        this->Refuse(413, ErrorCode::TooLarge, "the body is too large");
+        break;
+      case HttpParser::State::TooLarge:
+        ++this->owner.MutableCounters().tooLarge;
+        this->Refuse(431, ErrorCode::TooLarge, "the headers are too large");
+        break;
+      case HttpParser::State::Malformed:
+        ++this->owner.MutableCounters().malformed;
+        this->Refuse(400, ErrorCode::BadRequest, "not a well-formed request");
+        break;
+    }
+  }
+}
+
+bool
+CallerConnection::OnParsedHead()
+{
+  const auto& length = this->parser->ContentLength();
+  if (length && *length > this->owner.Bounds().bodyBytes) {
+    return false;
+  }
+  if (absl::EqualsIgnoreCase(
+        ToAbsl(FindHeader(this->parser->Headers(), "expect")),
+        "100-continue") &&
+      !this->parser->IsHttp10()) {
+    this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return true;
+}
+
+bool
+CallerConnection::OnParsedBody(std::string_view aBytes)
+{
+  if (this->body.size() + aBytes.size() > this->owner.Bounds().bodyBytes) {
+    return false;
+  }
+  this->body += aBytes;
+  return true;
+}
+
+void
+CallerConnection::DeliverRequest()
+{
+  this->timer.Stop();
+  this->phase = Phase::Answering;
+  this->isHead = this->parser->Method() == "HEAD";
+  this->isHttp10 = this->parser->IsHttp10();
+  this->mustClose = !this->parser->KeepsAlive();
+  this->aboveLowWater = false;
+  this->chunked = false;
+  HttpRequest request{ this->parser->Method(),
+                       this->parser->Path(),
+                       std::move(this->parser->Headers()),
+                       std::move(this->body) };
+  // The parser holds 8 KiB, too much for a connection that waits.
+  this->parser.reset();
+  this->body = std::string();
+  ++this->owner.MutableCounters().requests;
+  auto made = std::make_unique<CallerExchangeImpl>(*this, std::move(request));
+  this->exchange = made.get();
+  this->owner.Handler().OnRequest(std::move(made));
+}
+
+void
+CallerConnection::Refuse(int aStatus,
+                         ErrorCode aCode,
+                         std::string_view aMessage)
+{
+  this->isHead = false;
+  this->isHttp10 = false;
+  this->mustClose = true;
+  const std::string answer = ErrorBody(
+    { aCode, Disposition::NotRun, std::string(aMessage), milliseconds(0) });
+  const HeaderField type{ "Content-Type", "application/json" };
+  this->WriteHead(aStatus, { &type, 1 }, answer.size());
+  this->Write(answer);
+  this->StartClosing();
+}
+
+void
+CallerConnection::WriteHead(int aStatus,
+                            std::span<const HeaderField> aHeaders,
+                            std::optional<std::size_t> aLength)
+{
+  this->mustClose = this->mustClose || this->owner.IsStopping();
+  std::string head =
+    fmt::format("HTTP/1.1 {} {}\r\n", aStatus, ReasonPhrase(aStatus));
+  for (const HeaderField& field : aHeaders) {
+    if (!IsFraming(field.name) && IsSafeHeader(field)) {
+      head += fmt::format("{}: {}\r\n", field.name, field.value);
+    }
+  }
+  const bool noBody = HasNoBody(aStatus);
+  this->chunked = !aLength && !this->isHttp10 && !noBody;
+  if (this->chunked) {
+    head += "Transfer-Encoding: chunked\r\n";
+  } else if (aLength && !noBody) {
+    head += fmt::format("Content-Length: {}\r\n", *aLength);
+  }
+  // HTTP/1.0 knows no chunks: such a stream ends by closing, and a cut one by
+  // a reset, so that the two differ.
+  this->mustClose = this->mustClose || (!aLength && this->isHttp10);
+  if (this->mustClose) {
+    head += "Connection: close\r\n";
+  } else if (this->isHttp10) {
+    head += "Connection: keep-alive\r\n";
+  }
+  head += "\r\n";
+  this->isHead = this->isHead || noBody;
+  this->Write(head);
+}
+
+void
+CallerConnection::WritePart(std::string_view aBytes)
+{
+  // An empty chunk would end the answer.
+  if (this->isHead || aBytes.empty()) {
+    return;
+  }
+  if (this->chunked) {
+    this->Write(fmt::format("{:x}\r\n", aBytes.size()));
+  }
+  this->Write(aBytes);
+  if (this->chunked) {
+    this->Write("\r\n");
+  }
+}
+
+void
+CallerConnection::Write(std::string_view aBytes)
+{
+  if (this->stream == nullptr) {
+    return;
+  }
+  bufferevent_write(this->stream, aBytes.data(), aBytes.size());
+  if (this->PendingBytes() > this->owner.Bounds().lowWaterBytes) {
+    this->aboveLowWater = true;
+  }
+}
+
+void
+CallerConnection::FinishAnswer()
+{
+  if (this->chunked && !this->isHead) {
+    this->Write("0\r\n\r\n");
+  }
+  this->exchange = nullptr;
+  if (this->phase != Phase::Answering) {
+    return;
+  }
+  if (this->mustClose || this->owner.IsStopping()) {
+    this->StartClosing();
+    return;
+  }
+  this->phase = Phase::Idle;
+  this->timer.StartOnce(this->owner.Bounds().idleTimeout);
+  // A second request may lie here already, and no event of the socket's would
+  // come for it. Deferred, so that no handler is called inside its own call.
+  if (evbuffer_get_length(bufferevent_get_input(this->stream)) > 0) {
+    bufferevent_trigger(this->stream,
+                        EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
+void
+CallerConnection::StartClosing()
+{
+  this->phase = Phase::Closing;
+  this->timer.Stop();
+  evbuffer* input = bufferevent_get_input(this->stream);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  if (this->PendingBytes() == 0) {
+    this->OnWritable();
+  }
+}
+
+void
+CallerConnection::OnWritable()
+{
+  const std::size_t pending = this->PendingBytes();
+  if (this->phase == Phase::Closing && pending == 0 && !this->finishedWriting) {
+    this->finishedWriting = true;
+    // Closing with unread bytes would reset the connection and could take the
+    // answer from the caller's hands; so it is the caller that closes, within
+    // a bound.
+    shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+    this->timer.StartOnce(kLinger);
+    return;
+  }
+  if (this->aboveLowWater && pending < this->owner.Bounds().lowWaterBytes) {
+    this->aboveLowWater = false;
+    if (this->exchange != nullptr) {
+      this->exchange->Drained();
+    }
+  }
+}
+
+void
+CallerConnection::OnEvent(short aWhat)
+{
+  if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
+    this->Drop();
+  }
+}
+
+void
+CallerConnection::OnTimer()
+{
+  if (this->phase == Phase::Receiving) {
+    ++this->owner.MutableCounters().readTimeouts;
+    this->Refuse(408, ErrorCode::BadRequest, "the request came too slowly");
+    return;
+  }
+  this->Drop();
+}
+
+void
+CallerConnection::Drop()
+{
+  this->Close(false);
+}
+
+void
+CallerConnection::Abort()
+{
+  this->exchange = nullptr;
+  this->Close(true);
+}
+
+void
+CallerConnection::Close(bool aReset)
+{
+  if (this->phase == Phase::Closed) {
+    return;
+  }
+  this->phase = Phase::Closed;
+  this->timer.Stop();
+  if (aReset) {
+    const linger now{ 1, 0 };
+    setsockopt(bufferevent_getfd(this->stream),
+               SOL_SOCKET,
+               SO_LINGER,
+               &now,
+               sizeof(now));
+  }
+  bufferevent_free(this->stream);
+  this->stream = nullptr;
+  CallerExchangeImpl* open = std::exchange(this->exchange, nullptr);
+  this->owner.Retire(*this);
+  if (open != nullptr) {
+    open->Detach(true);
+  }
+}
+
+std::size_t
+CallerConnection::PendingBytes() const
+{
+  return this->stream == nullptr
+           ? 0
+           : evbuffer_get_length(bufferevent_get_output(this->stream));
+}
+
+} // namespace dogwoodvale::internal
--- /dev/null
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -0,0 +1,129 @@
+#ifndef DOGWOODVALE_HTTP_CALLERCONNECTION_H
+#define DOGWOODVALE_HTTP_CALLERCONNECTION_H
+
+#include <memory>
+#include <optional>
+
+#include "CallerServer.h"
+#include "HttpParser.h"
+
+struct bufferevent;
+
+namespace dogwoodvale::internal {
+
+class CallerConnection;
+class CallerExchangeImpl;
+
+/// What a connection needs of its server.
+class CallerConnectionOwner
+{
+public:
+  virtual ~CallerConnectionOwner() = default;
+  virtual const CallerBounds& Bounds() const = 0;
+  virtual CallerServerCounters& MutableCounters() = 0;
+  virtual CallerHandler& Handler() = 0;
+  virtual bool IsStopping() const = 0;
+  /// Forgets the connection; it is destroyed on the loop's next turn.
+  virtual void Retire(CallerConnection& aConnection) = 0;
+};
+
+/// One caller's connection: reads requests one at a time and writes answers.
+class CallerConnection final : public HttpParserListener
+{
+public:
+  CallerConnection(EventLoop& aLoop,
+                   CallerConnectionOwner& aOwner,
+                   int aDescriptor);
+  ~CallerConnection() override;
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+
+  /// Whether a request is being received or answered.
+  bool IsBusy() const { return this->phase != Phase::Idle; }
+  /// Closes at once, telling the exchange's handler.
+  void Drop();
+
+  // For the exchange.
+  void WriteHead(int aStatus,
+                 std::span<const HeaderField> aHeaders,
+                 std::optional<std::size_t> aLength);
+  void WritePart(std::string_view aBytes);
+  /// The answer is whole: goes on with the next request or closes.
+  void FinishAnswer();
+  /// The answer will never be whole.
+  void Abort();
+  std::size_t PendingBytes() const;
+
+private:
+  enum class Phase
+  {
+    Idle,
+    Receiving,
+    Answering,
+    /// All is said; waits for the bytes to leave and the caller to close.
+    Closing,
+    Closed,
+  };
+
+  bool OnParsedHead() override;
+  bool OnParsedBody(std::string_view aBytes) override;
+
+  void OnReadable();
+  void OnWritable();
+  void OnEvent(short aWhat);
+  void OnTimer();
+
+  void ParseNext();
+  void DeliverRequest();
+  /// Answers by itself with an error and closes.
+  void Refuse(int aStatus, ErrorCode aCode, std::string_view aMessage);
+  void StartClosing();
+  void Write(std::string_view aBytes);
+  void Close(bool aReset);
+
+  CallerConnectionOwner& owner;
+  bufferevent* stream;
+  std::unique_ptr<HttpParser> parser;
+  std::string body;
+  CallerExchangeImpl* exchange = nullptr;
+  Phase phase = Phase::Idle;
+  bool mustClose = false;
+  bool isHead = false;
+  bool isHttp10 = false;
+  bool chunked = false;
+  bool aboveLowWater = false;
+  bool finishedWriting = false;
+  Timer timer;
+};
+
+/// The handle that a request's handler holds; outlives a lost connection.
+class CallerExchangeImpl final : public CallerExchange
+{
+public:
+  CallerExchangeImpl(CallerConnection& aConnection, HttpRequest aRequest);
+  ~CallerExchangeImpl() override;
+
+  const HttpRequest& Request() const override { return this->request; }
+  void SetHandler(CallerExchangeHandler* aHandler) override;
+  void Respond(int aStatus,
+               std::span<const HeaderField> aHeaders,
+               std::string_view aBody) override;
+  void StartStream(int aStatus, std::span<const HeaderField> aHeaders) override;
+  void SendPart(std::string_view aBytes) override;
+  void EndStream() override;
+  std::size_t PendingBytes() const override;
+
+  /// The connection is lost; the handler is told unless the answer is whole.
+  void Detach(bool aTell);
+  void Drained();
+
+private:
+  CallerConnection* connection;
+  CallerExchangeHandler* handler = nullptr;
+  HttpRequest request;
+  bool started = false;
+};
+
+} // namespace dogwoodvale::internal
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -0,0 +1,169 @@
+#include "CallerServer.h"
+
+#include <memory>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <event2/listener.h>
+
+#include <sys/socket.h>
+
+#include "CallerConnection.h"
+#include "Graveyard.h"
+#include "Sockets.h"
+
+namespace dogwoodvale {
+
+namespace {
+
+using internal::CallerConnection;
+
+/// How long accepting pauses when the process has no descriptor left.
+constexpr Duration kAcceptPause = milliseconds(50);
+
+class CallerServerImpl final
+  : public CallerServer
+  , public internal::CallerConnectionOwner
+{
+public:
+  CallerServerImpl(EventLoop& aLoop,
+                   const CallerBounds& aBounds,
+                   CallerHandler& aHandler)
+    : loop(aLoop)
+    , bounds(aBounds)
+    , handler(aHandler)
+    , graveyard(aLoop)
+    , resume(aLoop, [this] {
+      if (this->listener != nullptr) {
+        evconnlistener_enable(this->listener.get());
+      }
+    })
+  {
+  }
+
+  absl::Status Listen(const SocketAddress& aAddress)
+  {
+    auto made = internal::Listen(
+      this->loop,
+      aAddress,
+      [](
+        evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+        static_cast<CallerServerImpl*>(aSelf)->OnAccept(aSocket);
+      },
+      this);
+    if (!made.ok()) {
+      return made.status();
+    }
+    this->listener = std::move(*made);
+    this->address =
+      internal::LocalAddress(evconnlistener_get_fd(this->listener.get()));
+    // Out of descriptors: the listener stays readable, and without a pause the
+    // loop would spin on it.
+    evconnlistener_set_error_cb(
+      this->listener.get(), [](evconnlistener* aListener, void* aSelf) {
+        evconnlistener_disable(aListener);
+        static_cast<CallerServerImpl*>(aSelf)->resume.StartOnce(kAcceptPause);
+      });
+    return absl::OkStatus();
+  }
+
+  SocketAddress Address() const override { return this->address; }
+  const CallerServerCounters& Counters() const override
+  {
+    return this->counters;
+  }
+
+  void StopAccepting() override
+  {
+    this->stopping = true;
+    this->listener.reset();
+  }
+
+  std::size_t OpenConnections() const override
+  {
+    return this->connections.size();
+  }
+
+  std::size_t BusyConnections() const override
+  {
+    std::size_t busy = 0;
+    for (const auto& [key, connection] : this->connections) {
+      busy += connection->IsBusy() ? 1 : 0;
+    }
+    return busy;
+  }
+
+  void CloseIdleConnections() override
+  {
+    std::vector<CallerConnection*> idle;
+    for (const auto& [key, connection] : this->connections) {
+      if (!connection->IsBusy()) {
+        idle.push_back(connection.get());
+      }
+    }
+    for (CallerConnection* connection : idle) {
+      connection->Drop();
+    }
+  }
+
+private:
+  void OnAccept(int aSocket)
+  {
+    if (this->connections.size() >= this->bounds.connections) {
+      ++this->counters.refusedConnections;
+      constexpr std::string_view kFull =
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+        "Content-Length: 0\r\nConnection: close\r\n\r\n";
+      send(aSocket, kFull.data(), kFull.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      evutil_closesocket(aSocket);
+      return;
+    }
+    ++this->counters.connections;
+    auto made = std::make_unique<CallerConnection>(this->loop, *this, aSocket);
+    CallerConnection* key = made.get();
+    this->connections.emplace(key, std::move(made));
+  }
+
+  const CallerBounds& Bounds() const override { return this->bounds; }
+  CallerServerCounters& MutableCounters() override { return this->counters; }
+  CallerHandler& Handler() override { return this->handler; }
+  bool IsStopping() const override { return this->stopping; }
+
+  void Retire(CallerConnection& aConnection) override
+  {
+    const auto found = this->connections.find(&aConnection);
+    if (found != this->connections.end()) {
+      this->graveyard.Bury(std::move(found->second));
+      this->connections.erase(found);
+    }
+  }
+
+  EventLoop& loop;
+  CallerBounds bounds;
+  CallerHandler& handler;
+  CallerServerCounters counters;
+  SocketAddress address;
+  bool stopping = false;
+  internal::ListenerPointer listener{ nullptr, &evconnlistener_free };
+  internal::Graveyard<CallerConnection> graveyard;
+  absl::flat_hash_map<CallerConnection*, std::unique_ptr<CallerConnection>>
+    connections;
+  Timer resume;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<CallerServer>>
+CallerServer::Create(EventLoop& aLoop,
+                     const SocketAddress& aAddress,
+                     const CallerBounds& aBounds,
+                     CallerHandler& aHandler)
+{
+  auto server = std::make_unique<CallerServerImpl>(aLoop, aBounds, aHandler);
+  if (absl::Status status = server->Listen(aAddress); !status.ok()) {
+    return status;
+  }
+  return server;
+}
+
+} // namespace dogwoodvale
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -90,6 +90,11 @@
   /// after the answer to its current request.
   virtual void StopAccepting() = 0;
   virtual std::size_t OpenConnections() const = 0;
+  /// Connections on which a request is being received or answered.
+  virtual std::size_t BusyConnections() const = 0;
+  /// Closes the connections on which no request has begun; for the end of a
+  /// planned stop.
+  virtual void CloseIdleConnections() = 0;
 };
 
 } // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Http/HttpParser.cpp
@@ -0,0 +1,333 @@
+#include "HttpParser.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <limits>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+#include <evhtp/parser.h>
+
+namespace dogwoodvale::internal {
+
+namespace {
+
+std::string_view
+Trim(std::string_view aText)
+{
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t first = aText.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
+}
+
+bool
+IsToken(std::string_view aText)
+{
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !aText.empty() && std::ranges::all_of(aText, [&](unsigned char c) {
+    return absl::ascii_isalnum(c) || kMarks.find(char(c)) != kMarks.npos;
+  });
+}
+
+bool
+IsFieldValue(std::string_view aText)
+{
+  return std::ranges::none_of(
+    aText, [](unsigned char c) { return c != '\t' && absl::ascii_iscntrl(c); });
+}
+
+bool
+SameName(std::string_view aLeft, std::string_view aRight)
+{
+  return absl::EqualsIgnoreCase(ToAbsl(aLeft), ToAbsl(aRight));
+}
+
+} // namespace
+
+struct HttpParser::Hooks
+{
+  static HttpParser& Self(htparser* aParser)
+  {
+    return *static_cast<HttpParser*>(htparser_get_userdata(aParser));
+  }
+
+  static int OnMethod(htparser* aParser, const char* aData, std::size_t aSize)
+  {
+    Self(aParser).method.assign(aData, aSize);
+    return 0;
+  }
+
+  static int OnPath(htparser* aParser, const char* aData, std::size_t aSize)
+  {
+    Self(aParser).path.assign(aData, aSize);
+    return 0;
+  }
+
+  static int OnQuery(htparser* aParser, const char* aData, std::size_t aSize)
+  {
+    Self(aParser).path.append("?").append(aData, aSize);
+    return 0;
+  }
+
+  static int OnKey(htparser* aParser, const char* aData, std::size_t aSize)
+  {
+    HttpParser& self = Self(aParser);
+    if (self.headDone) {
+      self.hasTrailers = true;
+      return 0;
+    }
+    self.headers.push_back({ std::string(aData, aSize), "" });
+    self.awaitsValue = true;
+    return IsToken({ aData, aSize }) ? 0 : self.Fail();
+  }
+
+  static int OnValue(htparser* aParser, const char* aData, std::size_t aSize)
+  {
+    HttpParser& self = Self(aParser);
+    if (self.headDone) {
+      return 0;
+    }
+    // A value without a name of its own is a folded line or one that has no
+    // colon: proxies differ in how they read these, so they are refused.
+    if (!self.awaitsValue) {
+      return self.Fail();
+    }
+    self.awaitsValue = false;
+    HeaderField& field = self.headers.back();
+    field.value = Trim({ aData, aSize });
+    return IsFieldValue(field.value) && self.ReadFraming(field) ? 0
+                                                                : self.Fail();
+  }
+
+  static int OnHead(htparser* aParser)
+  {
+    HttpParser& self = Self(aParser);
+    self.headDone = true;
+    if (!self.CheckHead()) {
+      return self.Fail();
+    }
+    if (!self.listener.OnParsedHead()) {
+      self.state = State::Stopped;
+      return -1;
+    }
+    return 0;
+  }
+
+  static int OnBody(htparser* aParser, const char* aData, std::size_t aSize)
+  {
+    HttpParser& self = Self(aParser);
+    if (!self.listener.OnParsedBody({ aData, aSize })) {
+      self.state = State::Stopped;
+      return -1;
+    }
+    return 0;
+  }
+
+  static int OnComplete(htparser* aParser)
+  {
+    Self(aParser).state = State::Complete;
+    // Stops the parser here, so that it says where the message ended.
+    return -1;
+  }
+
+  static htparse_hooks* All()
+  {
+    static htparse_hooks hooks = [] {
+      htparse_hooks all{};
+      all.method = &OnMethod;
+      all.path = &OnPath;
+      all.args = &OnQuery;
+      all.hdr_key = &OnKey;
+      all.hdr_val = &OnValue;
+      all.on_hdrs_complete = &OnHead;
+      all.body = &OnBody;
+      all.on_msg_complete = &OnComplete;
+      return all;
+    }();
+    return &hooks;
+  }
+};
+
+HttpParser::HttpParser(Kind aKind,
+                       std::size_t aHeaderBytes,
+                       HttpParserListener& aListener)
+  : parser(htparser_new(), [](htparser* aParser) { std::free(aParser); })
+  , listener(aListener)
+  , headerBytes(aHeaderBytes)
+{
+  htparser_init(this->parser.get(),
+                aKind == Kind::Request ? htp_type_request : htp_type_response);
+  htparser_set_userdata(this->parser.get(), this);
+}
+
+HttpParser::~HttpParser() = default;
+
+int
+HttpParser::Fail()
+{
+  this->state = State::Malformed;
+  return -1;
+}
+
+std::size_t
+HttpParser::Run(std::string_view aBytes)
+{
+  std::size_t taken = 0;
+  // The parser may return early with no error, e.g. at an empty first line.
+  while (taken < aBytes.size() && this->state == State::Reading) {
+    std::string_view rest = aBytes.substr(taken);
+    if (!this->headDone) {
+      if (this->headRead >= this->headerBytes) {
+        this->state = State::TooLarge;
+        break;
+      }
+      rest = rest.substr(0, this->headerBytes - this->headRead);
+    }
+    const bool inHead = !this->headDone;
+    const std::size_t count =
+      htparser_run(this->parser.get(), Hooks::All(), rest.data(), rest.size());
+    taken += std::min(count, rest.size());
+    this->headRead += inHead ? count : 0;
+    if (this->state != State::Reading) {
+      break;
+    }
+    const htpparse_error error = htparser_get_error(this->parser.get());
+    if (error == htparse_error_too_big && !this->headDone &&
+        !(this->awaitsValue &&
+          SameName(this->headers.back().name, "content-length"))) {
+      this->state = State::TooLarge;
+    } else if (error != htparse_error_none || count == 0) {
+      this->state = State::Malformed;
+    }
+  }
+  return taken;
+}
+
+int
+HttpParser::Status() const
+{
+  return static_cast<int>(htparser_get_status(this->parser.get()));
+}
+
+bool
+HttpParser::IsHttp10() const
+{
+  return htparser_get_minor(this->parser.get()) == 0;
+}
+
+bool
+HttpParser::KeepsAlive() const
+{
+  if (this->hasTrailers) {
+    return false;
+  }
+  bool keeps = !this->IsHttp10();
+  for (const HeaderField& field : this->headers) {
+    if (SameName(field.name, "connection")) {
+      const std::string value = absl::AsciiStrToLower(ToAbsl(field.value));
+      if (value.find("close") != std::string::npos) {
+        return false;
+      }
+      keeps = keeps || value.find("keep-alive") != std::string::npos;
+    }
+  }
+  return keeps;
+}
+
+bool
+HttpParser::ReadFraming(const HeaderField& aField)
+{
+  if (SameName(aField.name, "transfer-encoding")) {
+    const bool isFirst = !this->chunked;
+    this->chunked = SameName(aField.value, "chunked");
+    return isFirst && this->chunked;
+  }
+  if (!SameName(aField.name, "content-length")) {
+    return true;
+  }
+  std::uint64_t length = 0;
+  const char* end = aField.value.data() + aField.value.size();
+  const auto [stop, error] = std::from_chars(aField.value.data(), end, length);
+  const bool isFirst = !this->contentLength;
+  this->contentLength = length;
+  return isFirst && !aField.value.empty() && error == std::errc() &&
+         stop == end &&
+         length <= std::uint64_t(std::numeric_limits<std::int64_t>::max());
+}
+
+bool
+HttpParser::CheckHead()
+{
+  // Both framings at once is how requests are smuggled past a proxy.
+  const bool framed = !(this->chunked && this->contentLength);
+  return framed && htparser_get_major(this->parser.get()) == 1 &&
+         htparser_get_minor(this->parser.get()) <= 1;
+}
+
+bool
+IsSafeHeader(const HeaderField& aField)
+{
+  return IsToken(aField.name) && IsFieldValue(aField.value);
+}
+
+std::string_view
+ReasonPhrase(int aStatus)
+{
+  switch (aStatus) {
+    case 100:
+      return "Continue";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 301:
+      return "Moved Permanently";
+    case 302:
+      return "Found";
+    case 304:
+      return "Not Modified";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 499:
+      return "Client Closed Request";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Unknown";
+  }
+}
+
+} // namespace dogwoodvale::internal
--- /dev/null
+++ b/dogwoodvale/src/Http/HttpParser.h
@@ -0,0 +1,104 @@
+#ifndef DOGWOODVALE_HTTP_HTTPPARSER_H
+#define DOGWOODVALE_HTTP_HTTPPARSER_H
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "HttpMessage.h"
+
+struct htparser;
+
+namespace dogwoodvale::internal {
+
+/// Is told what HttpParser reads. Giving false stops the parser for good.
+class HttpParserListener
+{
+public:
+  virtual ~HttpParserListener() = default;
+  virtual bool OnParsedHead() = 0;
+  virtual bool OnParsedBody(std::string_view aBytes) = 0;
+};
+
+/// Reads one HTTP/1.x message by libevhtp's parser, and closes its gaps: it
+/// takes folded headers, lines without a colon, several lengths, any version
+/// and trailers in ways that let one message's bytes pass for another's.
+class HttpParser
+{
+public:
+  enum class Kind
+  {
+    Request,
+    Response,
+  };
+  enum class State
+  {
+    Reading,
+    Complete,
+    Stopped,
+    Malformed,
+    TooLarge,
+  };
+
+  HttpParser(Kind aKind,
+             std::size_t aHeaderBytes,
+             HttpParserListener& aListener);
+  ~HttpParser();
+  HttpParser(const HttpParser&) = delete;
+  HttpParser& operator=(const HttpParser&) = delete;
+
+  /// Reads bytes of the message. \return how many were taken: all, unless the
+  /// message ended or is wrong.
+  std::size_t Run(std::string_view aBytes);
+
+  State GetState() const { return this->state; }
+  const std::string& Method() const { return this->method; }
+  const std::string& Path() const { return this->path; }
+  int Status() const;
+  bool IsHttp10() const;
+  std::vector<HeaderField>& Headers() { return this->headers; }
+  bool IsChunked() const { return this->chunked; }
+  const std::optional<std::uint64_t>& ContentLength() const
+  {
+    return this->contentLength;
+  }
+  /// Whether the sender means to keep the connection. Never after trailers,
+  /// since libevhtp leaves them half read.
+  bool KeepsAlive() const;
+
+private:
+  struct Hooks;
+  friend struct Hooks;
+  int Fail();
+  bool CheckHead();
+  bool ReadFraming(const HeaderField& aField);
+
+  std::unique_ptr<htparser, void (*)(htparser*)> parser;
+  HttpParserListener& listener;
+  std::size_t headerBytes;
+  std::size_t headRead = 0;
+  State state = State::Reading;
+  bool headDone = false;
+  bool awaitsValue = false;
+  bool hasTrailers = false;
+  bool chunked = false;
+  std::optional<std::uint64_t> contentLength;
+  std::string method;
+  std::string path;
+  std::vector<HeaderField> headers;
+};
+
+/// Whether a header can be written without changing the message's shape.
+bool
+IsSafeHeader(const HeaderField& aField);
+
+/// The standard reason phrase; "Unknown" for others.
+std::string_view
+ReasonPhrase(int aStatus);
+
+} // namespace dogwoodvale::internal
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Http/Sockets.h
@@ -0,0 +1,45 @@
+#ifndef DOGWOODVALE_HTTP_SOCKETS_H
+#define DOGWOODVALE_HTTP_SOCKETS_H
+
+#include <memory>
+
+#include <sys/socket.h>
+
+#include <event2/listener.h>
+
+#include "dogwoodvale/Core"
+
+namespace dogwoodvale::internal {
+
+struct RawAddress
+{
+  sockaddr_storage storage{};
+  socklen_t size = 0;
+
+  const sockaddr* Get() const
+  {
+    return reinterpret_cast<const sockaddr*>(&this->storage);
+  }
+};
+
+/// The system's form of an address; fails for what is not an IP number.
+absl::StatusOr<RawAddress>
+ToRawAddress(const SocketAddress& aAddress);
+
+/// Where a socket is bound; an empty address if it isn't.
+SocketAddress
+LocalAddress(int aSocket);
+
+using ListenerPointer =
+  std::unique_ptr<evconnlistener, void (*)(evconnlistener*)>;
+
+/// Listens; accepted sockets are non-blocking and closed on exec.
+absl::StatusOr<ListenerPointer>
+Listen(EventLoop& aLoop,
+       const SocketAddress& aAddress,
+       evconnlistener_cb aAccept,
+       void* aContext);
+
+} // namespace dogwoodvale::internal
+
+#endif
--- a/dogwoodvale/src/Http/SseParser.h
+++ b/dogwoodvale/src/Http/SseParser.h
@@ -32,9 +32,15 @@
   static constexpr std::size_t kDefaultMaxEventBytes = 1U << 20U;
 
 private:
+  void TakeLine(std::vector<SseEvent>& aOut);
+  void TakeField(std::string_view aName, std::string_view aValue);
+  void Dispatch(std::vector<SseEvent>& aOut);
+  std::size_t HeldBytes() const;
+
   std::size_t maxEventBytes;
   std::string line;
   SseEvent current;
+  bool isFirstLine = true;
   bool hasData = false;
   bool skipLineFeed = false;
 };
