Add the stand-in platform: key-value service and list of instances

Store, leases, watches, rate limits, lost replies, outages, restored older data and a list that lags, in the form of the etcd v3 JSON mapping. KvStore and StoreApi do no I/O; Platform is the HTTP face.

--- a/standins/PlainService.cpp
+++ b/standins/PlainService.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <vector>
 
 #include <xxhash.h>
 
@@ -26,7 +25,7 @@
 
 PlainService::PlainService(EventLoop& aLoop, Duration aDelay)
   : delay(aDelay)
-  , timer(aLoop, [this] { this->AnswerDue(); })
+  , delayed(aLoop, [this](Exchange& aExchange) { this->Answer(aExchange); })
 {
 }
 
@@ -50,7 +49,8 @@
 {
   const auto found = this->pending.find(&aExchange);
   if (found != this->pending.end()) {
-    this->End(found->second.entry, "cancelled");
+    this->End(found->second, "cancelled");
+    this->delayed.Remove(aExchange);
     this->pending.erase(found);
   }
 }
@@ -86,7 +86,7 @@
   set("stall", this->faults.stall);
   set("refuse", this->faults.refuse);
   set("crash", this->faults.crash);
-  this->Schedule();
+  this->delayed.Stop(this->faults.stall);
 }
 
 Json::Value
@@ -118,53 +118,24 @@
     aExchange.Drop();
     return;
   }
-  const auto span =
-    std::chrono::duration_cast<Duration>(this->delay * this->faults.slow);
-  this->pending[&aExchange] = { entry, Now() + span };
-  this->Schedule();
+  this->pending[&aExchange] = entry;
+  this->delayed.Add(
+    aExchange,
+    std::chrono::duration_cast<Duration>(this->delay * this->faults.slow));
 }
 
 void
-PlainService::Schedule()
+PlainService::Answer(Exchange& aExchange)
 {
-  if (this->pending.empty() || this->faults.stall) {
-    this->timer.Stop();
-    return;
-  }
-  const auto soonest = std::min_element(
-    this->pending.begin(), this->pending.end(), [](auto& aOne, auto& aOther) {
-      return aOne.second.due < aOther.second.due;
-    });
-  this->timer.StartOnce(Between(Now(), soonest->second.due));
-}
-
-void
-PlainService::AnswerDue()
-{
-  const TimePoint now = Now();
-  std::vector<std::pair<Exchange*, std::uint64_t>> due;
-  for (const auto& [exchange, waiting] : this->pending) {
-    if (waiting.due <= now) {
-      due.emplace_back(exchange, waiting.entry);
-    }
-  }
-  for (const auto& [exchange, entry] : due) {
-    this->pending.erase(exchange);
-    this->Answer(*exchange, entry);
-  }
-  this->Schedule();
-}
-
-void
-PlainService::Answer(Exchange& aExchange, std::uint64_t aEntry)
-{
-  this->End(aEntry, "complete");
+  const std::uint64_t entry = this->pending.at(&aExchange);
+  this->pending.erase(&aExchange);
+  this->End(entry, "complete");
   Json::Value body;
-  body["execution"] = Json::UInt64(aEntry);
+  body["execution"] = Json::UInt64(entry);
   body["method"] = aExchange.Method();
   body["path"] = aExchange.Path();
   body["body"] = aExchange.Body();
-  aExchange.AddHeader("X-Execution", std::to_string(aEntry));
+  aExchange.AddHeader("X-Execution", std::to_string(entry));
   aExchange.ReplyJson(200, body);
 }
 
--- a/standins/PlainService.h
+++ b/standins/PlainService.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 
+#include "DelayLine.h"
 #include "Journal.h"
 #include "JsonServer.h"
 
@@ -39,25 +40,18 @@
     bool refuse = false;
     bool crash = false;
   };
-  struct Pending
-  {
-    std::uint64_t entry;
-    TimePoint due;
-  };
-
   PlainService(EventLoop& aLoop, Duration aDelay);
   void Control(Exchange& aExchange);
   void Execute(Exchange& aExchange);
-  void AnswerDue();
-  void Answer(Exchange& aExchange, std::uint64_t aEntry);
+  void Answer(Exchange& aExchange);
   void End(std::uint64_t aEntry, const char* aEnd);
-  void Schedule();
 
   Duration delay;
   Faults faults;
   Journal<Execution> journal;
-  std::map<Exchange*, Pending> pending;
-  Timer timer;
+  /// Journal entries of the executions not answered yet.
+  std::map<Exchange*, std::uint64_t> pending;
+  DelayLine delayed;
   /// Last, so that it goes first: its end closes exchanges.
   std::unique_ptr<JsonServer> server;
 };
--- a/standins/Program.cpp
+++ b/standins/Program.cpp
@@ -21,6 +21,12 @@
   return this->values.at(aName).asBool();
 }
 
+bool
+Options::Has(const std::string& aName) const
+{
+  return this->values.at(aName).isString();
+}
+
 std::string
 Options::Text(const std::string& aName) const
 {
--- a/standins/Program.h
+++ b/standins/Program.h
@@ -21,6 +21,8 @@
   Options(const char* aUsage, int aCount, char** aWords);
 
   bool Flag(const std::string& aName) const;
+  /// Whether an option that has no default was given.
+  bool Has(const std::string& aName) const;
   std::string Text(const std::string& aName) const;
   /// The items between commas.
   std::vector<std::string> List(const std::string& aName) const;
--- a/test/Standins.cpp
+++ b/test/Standins.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <absl/strings/escaping.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -7,6 +8,7 @@
 #include "dogwoodvale/Core"
 #include "standins/Engine.h"
 #include "standins/PlainService.h"
+#include "standins/Platform.h"
 
 using namespace dogwoodvale;
 using namespace dogwoodvale::standins;
@@ -122,6 +124,69 @@
   }
 };
 
+std::string
+B64(const char* aText)
+{
+  return absl::Base64Escape(aText);
+}
+
+/// {"key":...,"value":...} in base64.
+std::string
+KeyAndValue(const char* aKey, const char* aValue)
+{
+  return fmt::format(R"({{"key":"{}","value":"{}"}})", B64(aKey), B64(aValue));
+}
+
+/// Creates a key if it is absent, else reads it.
+std::string
+CreateIfAbsent(const char* aKey, const char* aValue)
+{
+  return fmt::format(
+    R"({{"compare":[{{"key":"{0}","target":"VERSION","version":"0"}}],)"
+    R"("success":[{{"request_put":{1}}}],)"
+    R"("failure":[{{"request_range":{{"key":"{0}"}}}}]}})",
+    B64(aKey),
+    KeyAndValue(aKey, aValue));
+}
+
+struct PlatformBench
+{
+  std::unique_ptr<EventLoop> loop = std::move(*EventLoop::Create());
+  std::unique_ptr<Platform> platform;
+
+  explicit PlatformBench(const PlatformSettings& aSettings = {})
+    : platform(std::move(*Platform::Create(*this->loop, kAnyPort, aSettings)))
+  {
+  }
+  std::unique_ptr<Call> Post(const char* aPath, const std::string& aBody)
+  {
+    return std::make_unique<Call>(
+      *this->loop, this->platform->Address(), aPath, aBody);
+  }
+  /// The reply, with its status under "http".
+  Json::Value Ask(const char* aPath, const std::string& aBody)
+  {
+    const auto call = this->Post(aPath, aBody);
+    Json::Value reply = call->Wait().Json();
+    reply["http"] = call->code;
+    return reply;
+  }
+  std::string Read(const char* aKey)
+  {
+    const Json::Value reply =
+      this->Ask("/v3/kv/range", R"({"key":")" + B64(aKey) + R"("})");
+    std::string value;
+    absl::Base64Unescape(reply["kvs"][0]["value"].asString(), &value);
+    return value;
+  }
+  void Fault(const char* aName, const Json::Value& aValue)
+  {
+    Json::Value fault;
+    fault[aName] = aValue;
+    REQUIRE(this->platform->SetFault(fault).ok());
+  }
+};
+
 } // namespace
 
 TEST_CASE("the engine streams exactly the tokens asked for")
@@ -226,3 +291,110 @@
   REQUIRE(record[1]["end"] == "crashed");
   REQUIRE(record[1]["nonce"] == "N2");
 }
+
+TEST_CASE("of two transactions that create a key one succeeds")
+{
+  PlatformBench bench;
+  const Json::Value one = bench.Ask("/v3/kv/txn", CreateIfAbsent("k", "one"));
+  const Json::Value two = bench.Ask("/v3/kv/txn", CreateIfAbsent("k", "two"));
+  REQUIRE(one["succeeded"] == true);
+  REQUIRE(one["header"]["revision"] == "2");
+  REQUIRE_FALSE(two.isMember("succeeded"));
+  const Json::Value held = two["responses"][0]["response_range"]["kvs"][0];
+  REQUIRE(held["value"] == B64("one"));
+  REQUIRE(held["version"] == "1");
+  REQUIRE(bench.Read("k") == "one");
+}
+
+// The write takes effect but its reply is lost: the writer sees its connection
+// close and can't tell, until it reads back. Only that one write is hit.
+TEST_CASE("a write whose reply is lost has taken effect")
+{
+  PlatformBench bench;
+  bench.Fault("lose_replies", 1);
+  REQUIRE(bench.Ask("/v3/kv/put", KeyAndValue("k", "v"))["http"] == 0);
+  REQUIRE(bench.Read("k") == "v");
+  REQUIRE(bench.Ask("/v3/kv/put", KeyAndValue("k", "w"))["http"] == 200);
+  REQUIRE(bench.platform->Calls()["lost_replies"].asInt() == 1);
+}
+
+TEST_CASE("a watch delivers from its revision on, and ends at a compaction")
+{
+  PlatformBench bench;
+  bench.Ask("/v3/kv/put", KeyAndValue("a/1", "old"));
+  const std::string range =
+    R"("key":")" + B64("a/") + R"(","range_end":")" + B64("a0") + R"(")";
+  const auto watch = bench.Post(
+    "/v3/watch", R"({"create_request":{"start_revision":"2",)" + range + "}}");
+  REQUIRE(bench.loop->RunUntil(
+    [&] { return Count(watch->body, B64("old")) == 1; }, seconds(5)));
+  bench.Ask("/v3/kv/put", KeyAndValue("b", "other"));
+  bench.Ask("/v3/kv/deleterange", "{" + range + "}");
+  REQUIRE(bench.loop->RunUntil(
+    [&] { return Count(watch->body, R"("type":"DELETE")") == 1; }, seconds(5)));
+  REQUIRE(Count(watch->body, "\n") == 3);
+  REQUIRE(Count(watch->body, B64("other")) == 0);
+  REQUIRE(bench.platform->Calls()["watches_waiting"].asInt() == 1);
+
+  bench.Ask("/v3/kv/compaction", R"({"revision":"4"})");
+  const auto late = bench.Post(
+    "/v3/watch", R"({"create_request":{"start_revision":"2",)" + range + "}}");
+  REQUIRE(late->Wait().body.find(R"("compact_revision":"4")") !=
+          std::string::npos);
+  bench.Fault("restart", true);
+  REQUIRE(watch->Wait().code == 0);
+  REQUIRE(bench.platform->Calls()["watches_waiting"].asInt() == 0);
+}
+
+TEST_CASE("a lease that isn't kept alive takes its keys along")
+{
+  PlatformBench bench;
+  const std::string id =
+    bench.Ask("/v3/lease/grant", R"({"TTL":"1"})")["ID"].asString();
+  const std::string lease = R"({"ID":")" + id + R"("})";
+  Json::Value put = Json::Value();
+  put["key"] = B64("k");
+  put["value"] = B64("v");
+  put["lease"] = id;
+  REQUIRE(bench.Ask("/v3/kv/put", ToLine(put))["http"] == 200);
+  for (int kept = 0; kept < 3; ++kept) {
+    bench.loop->RunUntil([] { return false; }, milliseconds(500));
+    REQUIRE(bench.Ask("/v3/lease/keepalive", lease)["result"]["TTL"] == "1");
+  }
+  REQUIRE(bench.Read("k") == "v");
+  bench.loop->RunUntil([] { return false; }, milliseconds(1100));
+  REQUIRE(bench.Read("k").empty());
+  REQUIRE_FALSE(
+    bench.Ask("/v3/lease/keepalive", lease)["result"].isMember("TTL"));
+  REQUIRE(bench.Ask("/v3/kv/put", ToLine(put))["http"] == 404);
+}
+
+TEST_CASE("an outage, a rate limit and older data are as asked for")
+{
+  PlatformSettings settings;
+  settings.writesPerSecond = 2;
+  PlatformBench bench(settings);
+  bench.Ask("/v3/kv/put", KeyAndValue("k", "old"));
+  bench.Ask("/v3/kv/put", KeyAndValue("k", "new"));
+  REQUIRE(bench.Ask("/v3/kv/put", KeyAndValue("k", "x"))["http"] == 429);
+  bench.Fault("down", true);
+  REQUIRE(bench.Ask("/v3/kv/range", "{}")["http"] == 0);
+  bench.Fault("down", false);
+  REQUIRE(bench.Read("k") == "new");
+  bench.Fault("roll_back_to_revision", 2);
+  REQUIRE(bench.Read("k") == "old");
+  REQUIRE(bench.platform->Calls()["revision"].asInt() == 2);
+}
+
+TEST_CASE("the list shows a change only after its lag")
+{
+  PlatformSettings settings;
+  settings.listLag = milliseconds(200);
+  PlatformBench bench(settings);
+  const std::string list =
+    R"({"instances":[{"name":"n","role":"entry","address":"127.0.0.1:1","state":"live"}]})";
+  REQUIRE(bench.Ask("/standin/instances", list)["http"] == 200);
+  REQUIRE(bench.Ask("/instances", "")["instances"].empty());
+  bench.loop->RunUntil([] { return false; }, milliseconds(250));
+  REQUIRE(bench.Ask("/instances", "")["instances"][0]["name"] == "n");
+}
