--- a/dogwoodvale/src/Configuration/ConfigurationPages.h
+++ b/dogwoodvale/src/Configuration/ConfigurationPages.h
@@ -19,45 +19,29 @@
   std::string content;
 };
 
-/// What the store's one root key holds: which pages make up the configuration.
-struct ConfigurationRoot
-{
-  Epoch epoch = 0;
-  /// Drawn by the tool for each change, so that a lost reply can be settled.
-  std::string changeId;
-  std::string author;
-  std::string comment;
-  /// Seconds since 1970, for people only; nothing is decided by it.
-  std::int64_t acceptedAt = 0;
-  std::vector<std::string> pageHashes;
-  /// The newest changes before this one, newest first, bounded.
-  struct Past
-  {
-    Epoch epoch = 0;
-    std::string changeId;
-    std::string author;
-    std::string comment;
-    std::int64_t acceptedAt = 0;
-  };
-  std::vector<Past> history;
-
-  static constexpr std::size_t kMaxHistory = 50;
-};
+/// A page is split while it has more bytes and more than one item. A change of
+/// one customer moves the root (46 bytes a page) and one page; this size makes
+/// both about equal at 16,000 customers.
+inline constexpr std::size_t kMaxPageBytes = 16U << 10U;
 
-/// Cuts sources into pages by content, so that a small change to one customer
+/// Cuts sources into pages by content, so that a change to one customer
 /// changes few pages.
+///
+/// Templates, services and customers are written without comments and blanks,
+/// one a line, and bucketed by a hash of their names; a bucket that is too
+/// large is split by the next bit of the hash, so that a split stays local.
+/// A source that isn't a well-formed configuration file becomes one page as it
+/// stands: parsing what JoinPages() returns gives its findings.
 std::vector<Page>
 MakePages(std::span<const ConfigurationSource> aSources);
 
 /// The sources again; an error if a page is missing or its hash is wrong.
+///
+/// They are equivalent to those that MakePages() took, in a canonical order
+/// and form: making pages of them gives the same pages.
 absl::StatusOr<std::vector<ConfigurationSource>>
-JoinPages(const ConfigurationRoot& aRoot, std::span<const Page> aPages);
-
-std::string
-EncodeRoot(const ConfigurationRoot& aRoot);
-
-absl::StatusOr<ConfigurationRoot>
-DecodeRoot(std::string_view aText);
+JoinPages(std::span<const std::string> aPageHashes,
+          std::span<const Page> aPages);
 
 } // namespace dogwoodvale
 
--- a/dogwoodvale/src/Configuration/ConfigurationParser.cpp
+++ b/dogwoodvale/src/Configuration/ConfigurationParser.cpp
@@ -41,10 +41,11 @@
     const Place place = aScope.document.PlaceOf(aValue);
     const auto [entry, isNew] = this->first.try_emplace(aName, place);
     if (!isNew) {
-      aScope.Add(
-        aValue,
-        fmt::format(
-          "{} \"{}\" stands already at {}", aWhat, aName, Render(entry->second)));
+      aScope.Add(aValue,
+                 fmt::format("{} \"{}\" stands already at {}",
+                             aWhat,
+                             aName,
+                             Render(entry->second)));
     }
   }
 
@@ -321,8 +322,7 @@
       aFindings.Add({ path, 0, 0 }, "the file can't be read");
       continue;
     }
-    sources.push_back(
-      { path, { std::istreambuf_iterator<char>(stream), {} } });
+    sources.push_back({ path, { std::istreambuf_iterator<char>(stream), {} } });
   }
   return sources;
 }
--- a/dogwoodvale/src/Configuration/CustomerReader.cpp
+++ b/dogwoodvale/src/Configuration/CustomerReader.cpp
@@ -28,9 +28,9 @@
 CheckKeyHashes(const ReadScope& aScope, const Json::Value& aList)
 {
   if (aList.size() > kMaxKeys) {
-    aScope.Add(aList,
-               fmt::format(
-                 "{} key hashes; at most {} allowed", aList.size(), kMaxKeys));
+    aScope.Add(
+      aList,
+      fmt::format("{} key hashes; at most {} allowed", aList.size(), kMaxKeys));
   }
   for (const Json::Value& item : aList) {
     if (item.isString() && !IsSha256Hex(item.asString())) {
@@ -74,14 +74,13 @@
       continue;
     }
     const std::string nearest = NearestName(name, known);
-    aScope.Add(
-      classes[static_cast<Json::ArrayIndex>(i)],
-      fmt::format("service \"{}\" has no class \"{}\"{}",
-                  aGrant.service.Value(),
-                  name,
-                  nearest.empty()
-                    ? ""
-                    : fmt::format("; did you mean \"{}\"?", nearest)));
+    aScope.Add(classes[static_cast<Json::ArrayIndex>(i)],
+               fmt::format("service \"{}\" has no class \"{}\"{}",
+                           aGrant.service.Value(),
+                           name,
+                           nearest.empty()
+                             ? ""
+                             : fmt::format("; did you mean \"{}\"?", nearest)));
   }
 }
 
@@ -131,9 +130,9 @@
     Customer::Grant grant = ReadGrant(aScope, item, aServices);
     if (aCustomer.FindGrant(grant.service) != nullptr &&
         !grant.service.IsEmpty()) {
-      aScope.Add(item,
-                 fmt::format("service \"{}\" is granted twice",
-                             grant.service.Value()));
+      aScope.Add(
+        item,
+        fmt::format("service \"{}\" is granted twice", grant.service.Value()));
     }
     aCustomer.grants.push_back(std::move(grant));
   }
--- a/dogwoodvale/src/Configuration/ServiceReader.cpp
+++ b/dogwoodvale/src/Configuration/ServiceReader.cpp
@@ -23,9 +23,9 @@
 constexpr std::size_t kMaxRoutes = 256;
 constexpr std::size_t kMaxModels = 64;
 constexpr std::size_t kMaxAdapters = 1024;
-constexpr std::array<std::string_view, 7> kMethods{
-  "GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"
-};
+constexpr std::array<std::string_view, 7> kMethods{ "GET",    "HEAD",   "POST",
+                                                    "PUT",    "DELETE", "PATCH",
+                                                    "OPTIONS" };
 
 /// Whether the list is short enough to be read.
 bool
@@ -38,8 +38,7 @@
     return true;
   }
   aScope.Add(
-    aList,
-    fmt::format("{} {}; at most {} allowed", aList.size(), aWhat, aMax));
+    aList, fmt::format("{} {}; at most {} allowed", aList.size(), aWhat, aMax));
   return false;
 }
 
@@ -89,7 +88,9 @@
 }
 
 void
-ReadClasses(const ReadScope& aScope, const Json::Value& aList, Service& aService)
+ReadClasses(const ReadScope& aScope,
+            const Json::Value& aList,
+            Service& aService)
 {
   if (!CheckCount(aScope, aList, "classes", kMaxClasses)) {
     return;
@@ -177,8 +178,8 @@
 {
   const Json::Value* value = aReader.Require("kind");
   std::string text;
-  if (value != nullptr && aReader.ReadString("kind", text) &&
-      text != "model" && text != "plain") {
+  if (value != nullptr && aReader.ReadString("kind", text) && text != "model" &&
+      text != "plain") {
     aReader.Scope().Add(*value, "\"kind\" must be \"model\" or \"plain\"");
   }
   return text == "plain" ? ServiceKind::Plain : ServiceKind::Model;
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -65,8 +65,8 @@
                              kMaxStoreAddresses));
     }
     for (const Json::Value& item : *list) {
-      auto address = SocketAddress::Parse(item.isString() ? item.asString()
-                                                          : std::string());
+      auto address =
+        SocketAddress::Parse(item.isString() ? item.asString() : std::string());
       if (address.ok()) {
         aPlatform.store.push_back(*std::move(address));
       } else {
@@ -175,9 +175,8 @@
   const Json::Value* direct = aReader.Find("peer_secret");
   const Json::Value* fromFile = aReader.Find("peer_secret_file");
   if ((direct == nullptr) == (fromFile == nullptr)) {
-    aReader.Scope().Add(
-      fromFile == nullptr ? aReader.Object() : *fromFile,
-      "give one of \"peer_secret\" and \"peer_secret_file\"");
+    aReader.Scope().Add(fromFile == nullptr ? aReader.Object() : *fromFile,
+                        "give one of \"peer_secret\" and \"peer_secret_file\"");
     return;
   }
   std::string path;
@@ -224,7 +223,9 @@
 }
 
 void
-ReadRoleSection(ObjectReader& aReader, bool aRoleKnown, DaemonSettings& aSettings)
+ReadRoleSection(ObjectReader& aReader,
+                bool aRoleKnown,
+                DaemonSettings& aSettings)
 {
   const ReadScope& scope = aReader.Scope();
   const Json::Value* entry = aReader.Find("entry");
@@ -243,10 +244,9 @@
   const std::string_view other =
     RoleName(isEntry ? Role::Sidecar : Role::Entry);
   if ((isEntry ? sidecar : entry) != nullptr) {
-    scope.AddAt(scope.document.PlaceOfKey(aReader.Object(), other),
-                fmt::format("section \"{}\" has no meaning for role \"{}\"",
-                            other,
-                            own));
+    scope.AddAt(
+      scope.document.PlaceOfKey(aReader.Object(), other),
+      fmt::format("section \"{}\" has no meaning for role \"{}\"", other, own));
   }
   aReader.Require(own);
 }
--- a/dogwoodvale/src/Settings/JsonDocument.cpp
+++ b/dogwoodvale/src/Settings/JsonDocument.cpp
@@ -108,8 +108,8 @@
 Place
 JsonDocument::PlaceAt(std::size_t aOffset) const
 {
-  const auto after = std::upper_bound(
-    this->lineStarts.begin(), this->lineStarts.end(), aOffset);
+  const auto after =
+    std::upper_bound(this->lineStarts.begin(), this->lineStarts.end(), aOffset);
   const auto line = after - this->lineStarts.begin();
   const std::size_t start = line == 0 ? 0 : this->lineStarts[line - 1];
   return { this->file,
--- a/dogwoodvale/src/Settings/ObjectReader.cpp
+++ b/dogwoodvale/src/Settings/ObjectReader.cpp
@@ -239,10 +239,9 @@
   }
   auto address = SocketAddress::Parse(text);
   if (!address.ok()) {
-    this->scope.Add(*this->Find(aKey),
-                    fmt::format("\"{}\": {}",
-                                aKey,
-                                std::string(address.status().message())));
+    this->scope.Add(
+      *this->Find(aKey),
+      fmt::format("\"{}\": {}", aKey, std::string(address.status().message())));
     return false;
   }
   aTarget = *std::move(address);
@@ -313,8 +312,7 @@
         this->known.end()) {
       continue;
     }
-    std::string message =
-      fmt::format("{} has no key \"{}\"", this->what, key);
+    std::string message = fmt::format("{} has no key \"{}\"", this->what, key);
     const std::string nearest = NearestName(key, this->known);
     if (!nearest.empty()) {
       message += fmt::format("; did you mean \"{}\"?", nearest);
