--- a/dogwoodvale/src/Configuration/Configuration.cpp
+++ b/dogwoodvale/src/Configuration/Configuration.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cassert>
 
+#include <absl/strings/escaping.h>
 #include <openssl/evp.h>
 
 namespace dogwoodvale {
@@ -134,12 +135,8 @@
                               nullptr);
   assert(good == 1);
   static_cast<void>(good);
-  std::string hex;
-  hex.reserve(2 * static_cast<std::size_t>(length));
-  for (unsigned int i = 0; i < length; ++i) {
-    fmt::format_to(std::back_inserter(hex), "{:02x}", digest[i]);
-  }
-  return hex;
+  return absl::BytesToHexString(
+    absl::string_view(reinterpret_cast<const char*>(digest.data()), length));
 }
 
 } // namespace dogwoodvale
