--- a/dogwoodvale/src/Routing/BackendTable.cpp
+++ b/dogwoodvale/src/Routing/BackendTable.cpp
@@ -40,6 +40,7 @@
   }
   const std::size_t position = found->second;
   this->positions.erase(found);
+  this->CountReport(this->backends[position], -1.0);
   if (position + 1 != this->backends.size()) {
     this->backends[position] = std::move(this->backends.back());
     this->positions[this->backends[position].name] = position;
@@ -70,9 +71,10 @@
                            TimePoint aNow)
 {
   if (Backend* known = this->FindMutable(aName)) {
+    this->CountReport(*known, -1.0);
     known->report = aReport;
     known->reportedAt = aNow;
-    known->unreported = 0;
+    this->CountReport(*known, 1.0);
   }
 }
 
@@ -83,7 +85,6 @@
 {
   if (Backend* known = this->FindMutable(aName)) {
     ++known->inFlight;
-    ++known->unreported;
     ++known->sent;
     ++known->inFlightByTier[aTier % kTierCount];
     known->inFlightTokens += aEstimatedTokens;
@@ -103,7 +104,6 @@
     return;
   }
   --known->inFlight;
-  known->unreported -= std::min<std::uint32_t>(known->unreported, 1);
   std::uint32_t& ofTier = known->inFlightByTier[aTier % kTierCount];
   ofTier -= std::min<std::uint32_t>(ofTier, 1);
   known->inFlightTokens -= std::min(known->inFlightTokens, aEstimatedTokens);
@@ -134,6 +134,25 @@
     }));
 }
 
+double
+BackendTable::MeanOthersPerSlot() const
+{
+  return this->reportedCount == 0
+           ? 0.0
+           : this->othersSum / static_cast<double>(this->reportedCount);
+}
+
+void
+BackendTable::CountReport(const Backend& aBackend, double aSign)
+{
+  if (!aBackend.HasReport()) {
+    return;
+  }
+  const double others = aBackend.ReportedOthers() / aBackend.Slots();
+  this->othersSum += aSign * others;
+  this->reportedCount += aSign > 0.0 ? 1 : -1;
+}
+
 Backend*
 BackendTable::FindMutable(const InstanceName& aName)
 {
--- a/dogwoodvale/src/Routing/BackendTable.h
+++ b/dogwoodvale/src/Routing/BackendTable.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_ROUTING_BACKENDTABLE_H
 #define DOGWOODVALE_ROUTING_BACKENDTABLE_H
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -35,6 +36,9 @@
   Cancelled,
 };
 
+/// Taken for a concurrency limit that is not known yet.
+inline constexpr double kGuessedSlots = 8.0;
+
 /// What this entry knows of one sidecar and its backend server.
 struct Backend
 {
@@ -49,13 +53,25 @@
   std::uint32_t inFlight = 0;
   std::uint64_t inFlightTokens = 0;
   std::array<std::uint32_t, kTierCount> inFlightByTier{};
-  /// Own requests sent since the last report, net of those that ended since:
-  /// the part of inFlight that the report cannot have counted.
-  std::uint32_t unreported = 0;
   /// Smoothed latency to the first token; 0 until one is known.
   double firstTokenMicros = 0.0;
   std::uint64_t sent = 0;
 
+  bool HasReport() const { return this->reportedAt != TimePoint{}; }
+
+  /// The reported concurrency limit, or a guess until one is reported.
+  double Slots() const
+  {
+    return this->report.limit == 0 ? kGuessedSlots : this->report.limit;
+  }
+
+  /// Requests of other entries there, by the last report.
+  double ReportedOthers() const
+  {
+    const std::uint32_t all = this->report.running + this->report.queued;
+    return all - std::min(all, this->report.fromReader);
+  }
+
   /// Whether new requests may go there.
   bool IsUsable() const
   {
@@ -101,7 +117,9 @@
   /// In no order that means anything. Valid until the next Upsert or Remove.
   std::span<const Backend> All() const { return this->backends; }
   std::size_t AvailableCount() const;
-  bool IsEmpty() const { return this->backends.empty(); }
+  /// Mean over the servers that have reported, of the requests of other
+  /// entries per slot.
+  double MeanOthersPerSlot() const;
 
   /// Hints about which server holds which prompt prefix.
   PrefixIndex& Prefixes() { return this->prefixes; }
@@ -109,10 +127,13 @@
 
 private:
   Backend* FindMutable(const InstanceName& aName);
+  void CountReport(const Backend& aBackend, double aSign);
 
   std::vector<Backend> backends;
   absl::flat_hash_map<InstanceName, std::size_t> positions;
   PrefixIndex prefixes;
+  double othersSum = 0.0;
+  std::size_t reportedCount = 0;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Routing/LeastLoadedOfTwo.cpp
+++ b/dogwoodvale/src/Routing/LeastLoadedOfTwo.cpp
@@ -7,76 +7,147 @@
 
 namespace {
 
-/// A report of this age counts for 1/e of a fresh one.
-constexpr double kReportLifeMicros = 2e6;
-/// Step time taken for a server that has not reported one.
-constexpr double kDefaultStepMicros = 6000.0;
+/// Share of a prefill that a hint saves on average; a reported prefix may have
+/// been evicted since, and one that was only sent there more so.
+constexpr double kReportedTrust = 0.9;
+constexpr double kLikelyTrust = 0.6;
 
+/// Share of the reported queue that is served before a request of \p aTier.
 double
-ReportWeight(const Backend& aBackend, TimePoint aNow)
+ShareAhead(const LoadReport& aReport, Tier aTier)
 {
-  if (aBackend.reportedAt == TimePoint{}) {
-    return 0.0;
-  }
-  const auto age =
-    static_cast<double>(Between(aBackend.reportedAt, aNow).count());
-  return std::exp(-std::max(age, 0.0) / kReportLifeMicros);
-}
-
-/// Reported requests that are served before one of \p aTier.
-double
-ReportedAhead(const LoadReport& aReport, Tier aTier)
-{
-  if (aReport.queuedByTier.empty()) {
-    return aReport.queued;
+  if (aReport.queued == 0 || aReport.queuedByTier.empty()) {
+    return 1.0;
   }
   double ahead = 0.0;
   const std::size_t tiers = std::min<std::size_t>(aReport.queuedByTier.size(),
-                                                  aTier + std::size_t{ 1 });
+                                                  std::size_t{ aTier } + 1);
   for (std::size_t tier = 0; tier < tiers; ++tier) {
     ahead += aReport.queuedByTier[tier];
   }
-  return ahead;
+  return std::min(1.0, ahead / aReport.queued);
 }
 
-/// Work ahead of a new request, in requests per slot, times the step time.
-double
-ExpectedWait(const Backend& aBackend,
-             const ChoiceRequest& aRequest,
-             TimePoint aNow)
+} // namespace
+
+LeastLoadedOfTwo::LeastLoadedOfTwo(LeastLoadedSettings aSettings)
+  : settings(aSettings)
 {
-  const LoadReport& report = aBackend.report;
-  const double reported = report.running + ReportedAhead(report, aRequest.tier);
-  const double known = reported * ReportWeight(aBackend, aNow);
-  const double own = std::max<double>(aBackend.inFlight, aBackend.unreported);
-  const double ahead = std::max(known + aBackend.unreported, own);
-  const double slots = std::max<std::uint32_t>(report.limit, 1);
-  const double step =
-    report.stepMicros == 0 ? kDefaultStepMicros : report.stepMicros;
-  return (ahead + 1.0) / slots * step;
 }
 
-} // namespace
-
 std::optional<InstanceName>
 LeastLoadedOfTwo::Choose(const BackendTable& aTable,
                          const ChoiceRequest& aRequest,
                          TimePoint aNow,
                          std::mt19937_64& aRandom)
 {
-  const Backend* first =
-    internal::DrawCandidate(aTable, aRequest, nullptr, aRandom);
-  if (first == nullptr) {
+  double trust = 0.0;
+  const Backend* holder = this->FindHolder(aTable, aRequest, aNow, trust);
+  const Backend* best = nullptr;
+  double bestWait = 0.0;
+  const auto consider = [&](const Backend& aBackend) {
+    double wait = this->ExpectedWait(aBackend, aTable, aRequest, aNow);
+    if (&aBackend == holder) {
+      wait -= this->PrefillMicros(aBackend, aRequest) * trust;
+    }
+    if (best == nullptr || wait < bestWait) {
+      best = &aBackend;
+      bestWait = wait;
+    }
+  };
+  if (holder != nullptr) {
+    consider(*holder);
+  }
+  for (std::uint32_t draw = 0; draw < this->settings.draws; ++draw) {
+    const Backend* drawn =
+      internal::DrawCandidate(aTable, aRequest, best, aRandom);
+    if (drawn == nullptr) {
+      break;
+    }
+    consider(*drawn);
+  }
+  if (best == nullptr) {
     return std::nullopt;
   }
-  const Backend* second =
-    internal::DrawCandidate(aTable, aRequest, first, aRandom);
-  if (second == nullptr) {
-    return first->name;
+  return best->name;
+}
+
+double
+LeastLoadedOfTwo::ExpectedWait(const Backend& aBackend,
+                               const BackendTable& aTable,
+                               const ChoiceRequest& aRequest,
+                               TimePoint aNow) const
+{
+  const LoadReport& report = aBackend.report;
+  const double slots = aBackend.Slots();
+  const double step = this->StepMicros(aBackend);
+  const double weight = this->ReportWeight(aBackend, aNow);
+  // Old news fades into the mean of all rather than into "empty", which would
+  // draw everyone to the server that is silent because it is swamped.
+  const double others = weight * aBackend.ReportedOthers() / slots +
+                        (1.0 - weight) * aTable.MeanOthersPerSlot();
+  const double load = others + aBackend.inFlight / slots;
+  const double prefill = this->PrefillMicros(aBackend, aRequest);
+  if (load < 1.0) {
+    return step * (1.0 + load) + prefill;
+  }
+  // Each slot gives one token a step, so the queue drains at slots per step.
+  const double tokensPerRequest =
+    report.queued == 0
+      ? this->settings.defaultTokens
+      : static_cast<double>(report.queuedTokens) / report.queued;
+  const double ahead = (load - 1.0) * ShareAhead(report, aRequest.tier);
+  return step * (2.0 + ahead * tokensPerRequest) + prefill;
+}
+
+double
+LeastLoadedOfTwo::ReportWeight(const Backend& aBackend, TimePoint aNow) const
+{
+  if (!aBackend.HasReport()) {
+    return 0.0;
+  }
+  const auto age =
+    static_cast<double>(Between(aBackend.reportedAt, aNow).count());
+  const auto life = static_cast<double>(this->settings.reportLife.count());
+  return std::exp(-std::max(age, 0.0) / life);
+}
+
+double
+LeastLoadedOfTwo::StepMicros(const Backend& aBackend) const
+{
+  return aBackend.report.stepMicros == 0
+           ? static_cast<double>(this->settings.defaultStep.count())
+           : aBackend.report.stepMicros;
+}
+
+double
+LeastLoadedOfTwo::PrefillMicros(const Backend& aBackend,
+                                const ChoiceRequest& aRequest) const
+{
+  return this->StepMicros(aBackend) * aRequest.promptTokens /
+         this->settings.prefillTokensPerStep;
+}
+
+const Backend*
+LeastLoadedOfTwo::FindHolder(const BackendTable& aTable,
+                             const ChoiceRequest& aRequest,
+                             TimePoint aNow,
+                             double& aTrust) const
+{
+  if (aRequest.prefixHash == 0) {
+    return nullptr;
+  }
+  const PrefixIndex& prefixes = aTable.Prefixes();
+  for (const PrefixHolder& holder : prefixes.Find(aRequest.prefixHash)) {
+    const Backend* backend = aTable.Find(holder.server);
+    if (backend != nullptr && prefixes.IsCurrent(holder, aNow) &&
+        internal::IsCandidate(*backend, aRequest)) {
+      aTrust = holder.confidence == PrefixConfidence::Reported ? kReportedTrust
+                                                               : kLikelyTrust;
+      return backend;
+    }
   }
-  const double firstWait = ExpectedWait(*first, aRequest, aNow);
-  const double secondWait = ExpectedWait(*second, aRequest, aNow);
-  return firstWait <= secondWait ? first->name : second->name;
+  return nullptr;
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Routing/LoadReport.h
+++ b/dogwoodvale/src/Routing/LoadReport.h
@@ -13,6 +13,10 @@
   std::uint32_t running = 0;
   /// Requests that wait in the sidecar's queue.
   std::uint32_t queued = 0;
+  /// Of running and queued, those sent by the entry that reads the report. The
+  /// reader knows its own part exactly and at once, so that only the others'
+  /// part is as old as the report.
+  std::uint32_t fromReader = 0;
   /// The sidecar's concurrency limit; 0 while unknown.
   std::uint32_t limit = 0;
   /// Estimated tokens of the queued requests.
