--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <vector>
 
 #include "ConcurrencyLimit.h"
 
@@ -10,10 +11,16 @@
 
 /// A limit learned from the server's step time and from waiting inside it.
 ///
-/// Two signs of too much work: the time between tokens exceeds its target, and
-/// the first token takes longer than a multiple of the lowest time seen for
-/// prompts of like size. Either brings the limit down by a factor at the end
-/// of a window; with neither, and with the limit in use, it rises.
+/// Two signs of too much work: the time between tokens exceeds its target, or
+/// first tokens take longer than a multiple of the lowest time seen for prompts
+/// of like size, beyond what the steps themselves have become slower by. Either
+/// brings the limit down by a factor at the end of a window; with neither, and
+/// with the limit in use, it rises by one (by half until the first sign).
+///
+/// So it follows a straggler down, to where its tokens meet the target, and
+/// back up. A server that misses the target even at the minimum is given the
+/// work that slows it by no more than a quarter: starving it would cost goodput
+/// and mend nothing.
 class AdaptiveConcurrencyLimit : public ConcurrencyLimit
 {
 public:
@@ -55,21 +62,29 @@
   }
   void CloseWindowWhenFull();
   void Adjust();
+  double StepSignal();
+  double FirstTokenSignal();
+  void NoteUnloadedStep(double aMean);
 
   Options options;
   double limit;
   double signal = 0;
   Duration stepTime{ 0 };
   bool sawCongestion = false;
-  /// Lowest time to first token seen, in microseconds; 0 when none.
-  std::array<double, kPromptSizes> lowest{};
+  /// Lowest time to first token by prompt size and lowest mean step time, in
+  /// microseconds; 0 when none. Slowly forgotten.
+  std::array<double, kPromptSizes> lowestFirstToken{};
+  double lowestStep = 0;
+  /// Step time at the minimum limit while that misses the target; else 0.
+  double unloadedStep = 0;
 
   // The window under way.
   double tokenSum = 0;
   std::uint32_t tokens = 0;
-  double ratioSum = 0;
-  std::uint32_t firstTokens = 0;
   bool limitReached = false;
+  /// First tokens over the lowest for their size; kept until there are enough
+  /// for a median.
+  std::vector<double> ratios;
 };
 
 } // namespace dogwoodvale
