--- a/bench/EngineModel.h
+++ b/bench/EngineModel.h
@@ -88,12 +88,11 @@
       sequence.advanced = sequence.prefillLeft == 0;
       sequence.tokensLeft -= sequence.advanced ? 1 : 0;
     }
-    const Duration length =
-      this->options.base +
-      static_cast<std::int64_t>(this->batch.size()) *
-        this->options.perSequence +
-      std::int64_t{ this->options.prefillChunk - chunk } *
-        this->options.perPrefillToken;
+    const Duration length = this->options.base +
+                            static_cast<std::int64_t>(this->batch.size()) *
+                              this->options.perSequence +
+                            std::int64_t{ this->options.prefillChunk - chunk } *
+                              this->options.perPrefillToken;
     return aNow + Duration(static_cast<std::int64_t>(
                     static_cast<double>(length.count()) * this->slowdown));
   }
--- a/dogwoodvale/src/Scheduling/RequestQueue.cpp
+++ b/dogwoodvale/src/Scheduling/RequestQueue.cpp
@@ -17,6 +17,29 @@
 
 constexpr std::int64_t kWholeStart = 1000000;
 
+/// Whether one who holds \p aHeld may take \p aMore of the \p aLeft that are
+/// free. \sa RequestQueue::kSharingFactor
+bool
+IsWithinShare(std::uint64_t aHeld, std::uint64_t aMore, std::uint64_t aLeft)
+{
+  return aHeld + aMore <= RequestQueue::kSharingFactor * aLeft;
+}
+
+/// Whether class and customer each stay within their share of one resource.
+bool
+AreWithinShares(std::uint64_t aClassHeld,
+                std::uint64_t aCustomerHeld,
+                std::uint64_t aMore,
+                std::uint64_t aLeft)
+{
+  if (!IsWithinShare(aClassHeld, aMore, aLeft)) {
+    return false;
+  }
+  const std::uint64_t leftToClass =
+    RequestQueue::kSharingFactor * aLeft - aClassHeld;
+  return IsWithinShare(aCustomerHeld, aMore, leftToClass);
+}
+
 } // namespace
 
 absl::StatusOr<RequestQueue>
@@ -185,8 +208,8 @@
   }
   // Without this, one customer's burst fills its class's bound and the class's
   // other customers are refused until it is worked off.
-  const std::uint64_t left = aRequest.classQueueBound - owner.size;
-  return aFlow.line.Size() + 1 <= kSharingFactor * left;
+  return IsWithinShare(
+    aFlow.line.Size(), 1, aRequest.classQueueBound - owner.size);
 }
 
 bool
@@ -202,13 +225,17 @@
   if (aRequest.resumed) {
     return true;
   }
-  // Without this, one class's burst fills the memory, and the others of its
-  // tier and below are refused however little they hold.
+  // Without this, one burst fills the memory, and the other classes and
+  // customers of its tier and below are refused however little they hold.
   const ClassState& owner = this->waiting.Flows().ClassAt(aFlow.classIndex);
-  return owner.size + 1 <=
-           kSharingFactor * (this->bounds.requests - held.size) &&
-         owner.bytes + aRequest.bytes <=
-           kSharingFactor * (this->bounds.bytes - held.bytes);
+  return AreWithinShares(owner.size,
+                         aFlow.line.Size(),
+                         1,
+                         this->bounds.requests - held.size) &&
+         AreWithinShares(owner.bytes,
+                         aFlow.bytes,
+                         aRequest.bytes,
+                         this->bounds.bytes - held.bytes);
 }
 
 std::vector<RequestId>
--- /dev/null
+++ b/test/SchedulingLimit.cpp
@@ -0,0 +1,187 @@
+#include <catch2/catch.hpp>
+
+#include "bench/EngineModel.h"
+#include "dogwoodvale/Scheduling"
+
+using namespace dogwoodvale;
+using model::EngineModel;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+/// A server that always has work: as much in flight as the limit allows.
+class SaturatedServer
+{
+public:
+  SaturatedServer(const EngineModel::Options& aEngine,
+                  const AdaptiveConcurrencyLimit::Options& aLimit)
+    : engine(aEngine)
+    , limit(*AdaptiveConcurrencyLimit::Create(aLimit))
+  {
+  }
+
+  void SetSlowdown(double aFactor) { this->engine.SetSlowdown(aFactor); }
+
+  /// Runs for \p aSpan of the model's time. \return mean limit of its last
+  /// third.
+  double Run(Duration aSpan)
+  {
+    const TimePoint end = this->now + aSpan;
+    double sum = 0;
+    int samples = 0;
+    while (this->now < end) {
+      this->StepOnce();
+      if (end - this->now < aSpan / 3) {
+        sum += this->limit.Limit();
+        ++samples;
+      }
+    }
+    return sum / samples;
+  }
+
+  const AdaptiveConcurrencyLimit& Limit() const { return this->limit; }
+
+private:
+  void StepOnce()
+  {
+    while (this->limit.HasRoom()) {
+      this->draw = this->draw * 1664525U + 1013904223U;
+      const std::uint32_t prompt = 128 + (this->draw >> 8U) % 128;
+      const std::uint32_t answer = 50 + (this->draw >> 16U) % 100;
+      this->engine.Start(
+        { prompt, ++this->started }, prompt, answer, this->now);
+      this->limit.OnStart(this->now);
+    }
+    this->now = this->engine.Step(this->now);
+    for (EngineModel::Sequence& sequence : this->engine.Batch()) {
+      if (sequence.advanced) {
+        this->Report(sequence);
+      }
+    }
+  }
+
+  void Report(EngineModel::Sequence& aSequence)
+  {
+    if (aSequence.hasFirst) {
+      this->limit.OnToken(Between(aSequence.lastToken, this->now));
+    } else {
+      this->limit.OnFirstToken(Between(aSequence.started, this->now),
+                               static_cast<std::uint32_t>(aSequence.id.entry));
+    }
+    aSequence.hasFirst = true;
+    aSequence.lastToken = this->now;
+    if (aSequence.tokensLeft == 0) {
+      this->limit.OnFinish(this->now);
+    }
+  }
+
+  EngineModel engine;
+  AdaptiveConcurrencyLimit limit;
+  TimePoint now = kStart;
+  std::uint64_t started = 0;
+  std::uint32_t draw = 1;
+};
+
+} // namespace
+
+// More requests than the server has slots wait inside it, in its own order: a
+// teller behind notes. The limit must settle about the 32 slots.
+TEST_CASE("the limit settles about the server's slots")
+{
+  SaturatedServer server({}, {});
+  const double settled = server.Run(seconds(20));
+  REQUIRE(settled > 24);
+  REQUIRE(settled < 40);
+}
+
+// The step time binds before the slots do: 6 ms + 0.1 ms a sequence meets a
+// target of 8 ms with 20 sequences.
+TEST_CASE("the limit keeps the time between tokens at its target")
+{
+  AdaptiveConcurrencyLimit::Options options;
+  options.tokenTarget = milliseconds(8);
+  SaturatedServer server({}, options);
+  const double settled = server.Run(seconds(20));
+  REQUIRE(settled > 8);
+  REQUIRE(settled <= 20);
+  REQUIRE(server.Limit().StepTime() <= milliseconds(8));
+}
+
+// A server becomes five times slower while saturated, then recovers. Its
+// callers see 46 ms between tokens for as long as the limit stays where it was,
+// and a fifth of its worth for as long as the limit stays down after.
+TEST_CASE("the limit follows a straggler down and back up")
+{
+  SaturatedServer server({}, {});
+  const double before = server.Run(seconds(20));
+  server.SetSlowdown(5);
+  const double during = server.Run(seconds(20));
+  REQUIRE(during < before / 2);
+  REQUIRE(server.Limit().StepTime() < milliseconds(40));
+  server.SetSlowdown(1);
+  const double after = server.Run(seconds(15));
+  REQUIRE(after > 0.8 * before);
+}
+
+// At 20 times slower no limit meets the target. Held at the minimum, the server
+// would give a sixteenth of what it can, for no gain.
+TEST_CASE("a server that misses its target unloaded keeps some work")
+{
+  SaturatedServer server({}, {});
+  server.Run(seconds(20));
+  server.SetSlowdown(20);
+  REQUIRE(server.Run(seconds(120)) > 4);
+  server.SetSlowdown(1);
+  REQUIRE(server.Run(seconds(15)) > 24);
+}
+
+// Lowest times from before a change of model make every first token look late.
+TEST_CASE("a server that is slower for good is learned anew")
+{
+  EngineModel::Options slow;
+  slow.perPrefillToken = Duration(200);
+  SaturatedServer server(slow, {});
+  const double settled = server.Run(seconds(60));
+  REQUIRE(settled > 2);
+}
+
+TEST_CASE("an idle server's limit stays where it is")
+{
+  auto limit = *AdaptiveConcurrencyLimit::Create({});
+  const std::uint32_t before = limit.Limit();
+  for (int request = 0; request < 1000; ++request) {
+    limit.OnStart(kStart);
+    limit.OnFirstToken(milliseconds(20), 100);
+    for (int token = 0; token < 10; ++token) {
+      limit.OnToken(milliseconds(6));
+    }
+    limit.OnFinish(kStart);
+  }
+  REQUIRE(limit.Limit() == before);
+}
+
+TEST_CASE("limits stay within their bounds")
+{
+  AdaptiveConcurrencyLimit::Options options;
+  options.minimum = 2;
+  options.maximum = 12;
+  options.tokenTarget = milliseconds(1);
+  SaturatedServer slow({}, options);
+  // Misses its target always: from the minimum to a quarter slower.
+  REQUIRE(slow.Run(seconds(5)) >= 2);
+  options.tokenTarget = seconds(1);
+  SaturatedServer fast({}, options);
+  REQUIRE(fast.Run(seconds(5)) == 12);
+  options.minimum = 0;
+  REQUIRE_FALSE(AdaptiveConcurrencyLimit::Create(options).ok());
+  options.minimum = 13;
+  REQUIRE_FALSE(AdaptiveConcurrencyLimit::Create(options).ok());
+  REQUIRE_FALSE(FixedConcurrencyLimit::Create(0).ok());
+  auto fixed = *FixedConcurrencyLimit::Create(1);
+  REQUIRE(fixed.HasRoom());
+  fixed.OnStart(kStart);
+  REQUIRE_FALSE(fixed.HasRoom());
+  fixed.OnFinish(kStart);
+  REQUIRE(fixed.HasRoom());
+}
