--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -15,7 +15,9 @@
 site_make() {
   local site=$1 dir=$2 port=$3
   shift 3
-  "$SITE_ROOT/scripts/make-site" "$site" "$dir" --base-port "$port" "$@"
+  # The stand-in platform serves the store and the list at one address.
+  "$SITE_ROOT/scripts/make-site" "$site" "$dir" --base-port "$port" \
+    --list "127.0.0.1:$port" "$@"
 }
 
 # site_query DIR PYTHON-EXPRESSION over the site as `s`; prints one item a line.
@@ -67,7 +69,6 @@
   # shellcheck disable=SC2086
   site_spawn "$dir" platform "$build/standin_platform" \
     --listen "$(site_query "$dir" 's["store"][0]')" \
-    --list-listen "$(site_query "$dir" 's["instance_list"]')" \
     --instances "$dir/instances.json" ${SITE_PLATFORM_OPTIONS:-}
 }
 
@@ -78,7 +79,7 @@
   fi
   while read -r name kind listen; do
     site_start_backend "$dir" "$build" "$name" "$kind" "$listen"
-  done < <(site_query "$dir" '[f"{b[\"name\"]} {b[\"kind\"]} {b[\"listen\"]}" for b in s["backends"]]')
+  done < <(site_query "$dir" '[" ".join([b["name"], b["kind"], b["listen"]]) for b in s["backends"]]')
   for name in $(site_query "$dir" '[i["name"] for i in s["sidecars"] + s["entries"]]'); do
     site_start_daemon "$dir" "$build" "$name"
   done
