--- /dev/null
+++ b/dogwoodvale/src/Platform/InstanceListClient.cpp
@@ -0,0 +1,142 @@
+#include "dogwoodvale/Platform"
+
+#include "StoreJson.h"
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr double kJitter = 0.2;
+
+std::string
+TextOf(const Json::Value& aObject, const char* aName)
+{
+  const Json::Value& field = aObject[aName];
+  return field.isString() ? field.asString() : std::string();
+}
+
+absl::StatusOr<ListedInstance>
+ParseInstance(const Json::Value& aValue)
+{
+  if (!aValue.isObject()) {
+    return absl::DataLossError("an instance in the list is not an object");
+  }
+  ListedInstance result;
+  result.name = InstanceName(TextOf(aValue, "name"));
+  result.service = ServiceName(TextOf(aValue, "service"));
+  result.dataCentre = DataCentreName(TextOf(aValue, "data_centre"));
+  result.region = RegionName(TextOf(aValue, "region"));
+  const std::string role = TextOf(aValue, "role");
+  const std::string state = TextOf(aValue, "state");
+  const absl::StatusOr<SocketAddress> address =
+    SocketAddress::Parse(TextOf(aValue, "address"));
+  const bool known = (role == "entry" || role == "sidecar") &&
+                     (state == "live" || state == "leaving");
+  if (result.name.IsEmpty() || !known || !address.ok()) {
+    return MakeError(absl::StatusCode::kDataLoss,
+                     "instance \"{}\" in the list is malformed",
+                     result.name.Value());
+  }
+  result.role = role == "entry" ? Role::Entry : Role::Sidecar;
+  result.state = state == "live" ? ListedState::Live : ListedState::Leaving;
+  result.address = *address;
+  return result;
+}
+
+} // namespace
+
+absl::StatusOr<std::vector<ListedInstance>>
+ParseInstanceList(std::string_view aText)
+{
+  const absl::StatusOr<Json::Value> parsed = internal::ParseJson(aText);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  if (!parsed->isObject() || !(*parsed)["instances"].isArray()) {
+    return absl::DataLossError("the list has no \"instances\"");
+  }
+  std::vector<ListedInstance> result;
+  for (const Json::Value& item : (*parsed)["instances"]) {
+    absl::StatusOr<ListedInstance> instance = ParseInstance(item);
+    if (!instance.ok()) {
+      return instance.status();
+    }
+    result.push_back(*std::move(instance));
+  }
+  return result;
+}
+
+InstanceListClient::InstanceListClient(EventLoop& aLoop,
+                                       const SocketAddress& aAddress,
+                                       Duration aPeriod,
+                                       Duration aTimeout,
+                                       InstanceListObserver& aObserver)
+  : loop(aLoop)
+  , address(aAddress)
+  , period(aPeriod)
+  , timeout(aTimeout)
+  , observer(aObserver)
+  , random(DrawIncarnation())
+  , timer(aLoop, [this] { this->Read(); })
+{
+}
+
+void
+InstanceListClient::Start()
+{
+  this->Read();
+}
+
+void
+InstanceListClient::Read()
+{
+  HttpCall call;
+  call.address = this->address;
+  call.path = "/instances";
+  call.timeout = this->timeout;
+  this->exchange =
+    HttpExchange::Start(this->loop, call, [this](const HttpAnswer& aAnswer) {
+      this->OnAnswer(aAnswer);
+    });
+}
+
+void
+InstanceListClient::OnAnswer(const HttpAnswer& aAnswer)
+{
+  this->ScheduleNext();
+  absl::StatusOr<std::vector<ListedInstance>> list = aAnswer.status;
+  if (aAnswer.status.ok()) {
+    list = aAnswer.code == 200 ? ParseInstanceList(aAnswer.body)
+                               : MakeError(absl::StatusCode::kUnavailable,
+                                           "the list answered with HTTP {}",
+                                           aAnswer.code);
+  }
+  if (list.ok()) {
+    if (this->failing) {
+      Log(LogLevel::Info, "instance_list_back", "instances", list->size());
+    }
+    this->failing = false;
+    this->hasList = true;
+    this->observer.OnList(*list);
+    return;
+  }
+  if (!this->failing) {
+    Log(LogLevel::Warning,
+        "instance_list_failed",
+        "reason",
+        MessageOf(list.status()));
+  }
+  this->failing = true;
+  this->observer.OnListFailed(list.status());
+}
+
+void
+InstanceListClient::ScheduleNext()
+{
+  std::uniform_real_distribution<double> jitter(1 - kJitter, 1 + kJitter);
+  const double micros =
+    static_cast<double>(this->period.count()) * jitter(this->random);
+  this->timer.StartOnce(Duration(static_cast<Duration::rep>(micros)));
+}
+
+} // namespace dogwoodvale
