--- /dev/null
+++ b/dogwoodvale/src/Platform/RootReader.h
@@ -0,0 +1,84 @@
+#ifndef DOGWOODVALE_PLATFORM_ROOTREADER_H
+#define DOGWOODVALE_PLATFORM_ROOTREADER_H
+
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "StoreClient.h"
+#include "dogwoodvale/Configuration"
+#include "dogwoodvale/Membership"
+
+namespace dogwoodvale {
+
+/// Is told what the store holds of the configuration.
+class RootObserver
+{
+public:
+  virtual ~RootObserver() = default;
+  /// \param aText the root, empty if the store has none.
+  virtual void OnStoreRoot(std::string_view aText) = 0;
+  /// The pages that the store has of those asked for.
+  virtual void OnStorePages(std::span<const Page> aPages) = 0;
+  virtual void OnStorePagesFailed(const absl::Status& aReason) = 0;
+  virtual void OnStoreContact() = 0;
+  virtual void OnStoreFailure(const absl::Status& aReason) = 0;
+};
+
+/// Reads the configuration's root and pages from the store.
+///
+/// While watching it also reads the root's revision now and then: that shows a
+/// watch that went dead without a word, and a store that came back with older
+/// data.
+class RootReader final : public StoreWatchHandler
+{
+public:
+  RootReader(EventLoop& aLoop,
+             StoreClient& aStore,
+             Duration aConfirmPeriod,
+             RootObserver& aObserver);
+
+  void SetWatching(bool aWatching);
+  bool IsWatching() const { return this->watch != nullptr; }
+  /// Reads the root once.
+  void ReadRoot();
+  /// Reads pages, several a call; ends with OnStorePages or
+  /// OnStorePagesFailed. Drops a read of other pages under way.
+  void ReadPages(std::span<const std::string> aHashes);
+  bool IsReadingPages() const { return this->pagesCall != nullptr; }
+
+  void OnSnapshot(Revision aRevision,
+                  std::span<const KeyValue> aValues) override;
+  void OnChanges(Revision aRevision,
+                 std::span<const StoreChange> aChanges) override;
+  void OnContact() override;
+  void OnLost(const absl::Status& aReason) override;
+
+private:
+  void Confirm();
+  void ScheduleConfirm();
+  void TakeRoot(std::span<const KeyValue> aValues);
+  void ReadNextPages();
+
+  EventLoop& loop;
+  StoreClient& store;
+  Duration confirmPeriod;
+  RootObserver& observer;
+  std::mt19937_64 random;
+  Timer confirmTimer;
+  std::unique_ptr<StoreWatch> watch;
+  std::unique_ptr<StoreCall> rootCall;
+  std::unique_ptr<StoreCall> confirmCall;
+  std::unique_ptr<StoreCall> pagesCall;
+  Revision rootRevision = 0;
+  std::vector<std::string> wanted;
+  std::size_t asked = 0;
+  std::vector<Page> pages;
+};
+
+} // namespace dogwoodvale
+
+#endif
