Exchange configurations between entries and sidecars

Cause: a change of configuration must reach every process without each of them watching the store; only entries open streams, so sidecars can not fetch. Change: ControlPlane (store, list, keeper) in both roles; an entry fetches from sidecars ahead and offers to sidecars behind on its existing links. Conclusion: the request streams are the overlay.

--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint32_t kProtocolVersion = 1;
+/// How often what heartbeats repeat is made anew.
+constexpr Duration kNoticePeriod = milliseconds(1000);
 constexpr Duration kStopCheckPeriod = milliseconds(20);
 constexpr std::string_view kModelsPath = "/v1/models";
 constexpr int kHttpOk = 200;
@@ -45,6 +47,7 @@
   , incarnation(DrawIncarnation())
   , random(DrawIncarnation())
   , sweepTimer(aLoop, [this] { this->Sweep(); })
+  , noticeTimer(aLoop, [this] { this->TellPeers(false); })
   , stopTimer(aLoop, [this] { this->CheckStopped(); })
 {
 }
@@ -58,6 +61,14 @@
     return servers.status();
   }
   this->fleet = *std::move(servers);
+  this->sync = std::make_unique<ConfigurationSync>(this->loop, *this->fleet);
+  auto plane =
+    ControlPlane::Create(this->loop, this->settings, *this->sync, *this);
+  if (!plane.ok()) {
+    return plane.status();
+  }
+  this->control = *std::move(plane);
+  this->sync->SetKeeper(this->control->Keeper());
   if (!this->settings.configurationFile.empty()) {
     const absl::Status loaded = this->LoadConfigurationFile();
     if (!loaded.ok()) {
@@ -79,6 +90,8 @@
     return server.status();
   }
   this->callers = *std::move(server);
+  this->control->Start();
+  this->noticeTimer.StartRepeating(kNoticePeriod);
   return absl::OkStatus();
 }
 
@@ -92,39 +105,65 @@
   if (!findings.IsEmpty()) {
     return findings.ToStatus();
   }
-  this->SetConfiguration(0, "", std::move(parsed));
+  this->fileConfiguration = std::move(parsed);
   return absl::OkStatus();
 }
 
-void
-Entry::SetConfiguration(Epoch aEpoch,
-                        std::string aRootHash,
-                        Configuration aConfiguration)
+const Configuration*
+Entry::Active() const
 {
-  this->epoch = aEpoch;
-  this->rootHash = std::move(aRootHash);
-  for (const Customer& customer : this->configuration.Customers()) {
-    if (aConfiguration.FindCustomer(customer.name) == nullptr) {
-      this->admission.ClearLimit(customer.name);
-    }
+  const AcceptedConfiguration* accepted = this->control->Keeper().Current();
+  if (accepted != nullptr) {
+    return &accepted->configuration;
   }
-  this->configuration = std::move(aConfiguration);
-  for (const Customer& customer : this->configuration.Customers()) {
-    if (HasLimit(customer)) {
-      this->admission.SetLimit(customer.name, LimitOf(customer));
-    } else {
-      this->admission.ClearLimit(customer.name);
-    }
+  return this->fileConfiguration ? &*this->fileConfiguration : nullptr;
+}
+
+Epoch
+Entry::CurrentEpoch() const
+{
+  return this->control->Keeper().CurrentEpoch();
+}
+
+void
+Entry::FollowLimit(const CustomerName& aName)
+{
+  const Customer* customer = this->Active()->FindCustomer(aName);
+  if (customer != nullptr && HasLimit(*customer)) {
+    this->admission.SetLimit(aName, LimitOf(*customer));
+  } else {
+    this->admission.ClearLimit(aName);
   }
-  this->configured = true;
+}
+
+void
+Entry::OnConfiguration(const AcceptedConfiguration& aAccepted)
+{
+  this->fileConfiguration.reset();
+  this->fleet->SetHello(this->MakeHello());
+  this->TellPeers(true);
   Log(LogLevel::Info,
       "configuration_in_force",
       "epoch",
-      aEpoch,
-      "services",
-      this->configuration.Services().size(),
-      "customers",
-      this->configuration.Customers().size());
+      aAccepted.epoch,
+      "change",
+      aAccepted.root.changeId);
+}
+
+void
+Entry::OnList(std::span<const ListedInstance> aList)
+{
+  this->fleet->OnList(aList);
+}
+
+void
+Entry::TellPeers(bool aNow)
+{
+  Notice notice;
+  notice.epoch = this->CurrentEpoch();
+  notice.rootHash = this->control->Keeper().CurrentHash();
+  notice.storeContactAgeMillis = this->control->ContactAgeMillis();
+  this->fleet->SetNotice(notice, aNow);
 }
 
 Hello
@@ -137,8 +176,10 @@
   hello.instance = this->settings.instance.Value();
   hello.dataCentre = this->settings.dataCentre.Value();
   hello.incarnation = this->incarnation;
-  hello.epoch = this->epoch;
-  hello.rootHash = this->rootHash;
+  if (this->control) {
+    hello.epoch = this->CurrentEpoch();
+    hello.rootHash = this->control->Keeper().CurrentHash();
+  }
   return hello;
 }
 
@@ -158,7 +199,8 @@
 Entry::OnRequest(std::unique_ptr<CallerExchange> aExchange)
 {
   const RequestId id = this->NextId();
-  if (!this->configured) {
+  const Configuration* active = this->Active();
+  if (active == nullptr) {
     RespondError(*aExchange,
                  { ErrorCode::NotReady,
                    Disposition::NotRun,
@@ -172,12 +214,13 @@
     this->RespondModels(*aExchange);
     return;
   }
-  auto result = ResolveRequest(aExchange->Request(), this->configuration);
+  auto result = ResolveRequest(aExchange->Request(), *active);
   if (const auto* error = std::get_if<RequestError>(&result)) {
     RespondError(*aExchange, *error, ToString(id));
     return;
   }
   auto& resolved = std::get<ResolvedRequest>(result);
+  this->FollowLimit(resolved.customer);
   const std::optional<RequestError> refusal =
     this->admission.Admit(resolved.customer, Now(), this->random);
   if (refusal) {
@@ -194,7 +237,7 @@
 void
 Entry::RespondModels(CallerExchange& aExchange)
 {
-  if (Authenticate(aExchange.Request(), this->configuration) == nullptr) {
+  if (Authenticate(aExchange.Request(), *this->Active()) == nullptr) {
     RespondError(aExchange,
                  { ErrorCode::Unauthorized,
                    Disposition::NotRun,
@@ -206,7 +249,7 @@
   Json::Value list;
   list["object"] = "list";
   list["data"] = Json::arrayValue;
-  for (const Service& service : this->configuration.Services()) {
+  for (const Service& service : this->Active()->Services()) {
     for (const ModelPlacement& placement : service.models) {
       Json::Value model;
       model["id"] = placement.model.Value();
@@ -236,11 +279,22 @@
 }
 
 void
-Entry::OnPeerEpoch(const InstanceName& /*aPeer*/,
-                   Epoch /*aEpoch*/,
-                   std::string_view /*aRootHash*/,
-                   Duration /*aStoreContactAge*/)
+Entry::OnPeerEpoch(const InstanceName& aPeer,
+                   Epoch aEpoch,
+                   std::string_view aRootHash,
+                   std::optional<Duration> aStoreContactAge)
+{
+  this->control->Keeper().OnPeerEpoch(
+    aPeer, aEpoch, aRootHash, aStoreContactAge);
+  if (aEpoch < this->CurrentEpoch()) {
+    this->sync->Offer(aPeer);
+  }
+}
+
+void
+Entry::OnPeerLost(const InstanceName& aPeer)
 {
+  this->control->Keeper().OnPeerLost(aPeer);
 }
 
 void
@@ -285,7 +339,7 @@
   if (this->stopping) {
     return absl::UnavailableError("stopping");
   }
-  if (!this->configured) {
+  if (this->Active() == nullptr) {
     return absl::UnavailableError("no configuration yet");
   }
   if (!this->fleet->HasUsable()) {
@@ -310,8 +364,11 @@
   status["region"] = this->settings.region.Value();
   status["version"] = DOGWOODVALE_VERSION;
   status["incarnation"] = fmt::format("{:016x}", this->incarnation);
-  status["epoch"] = Json::UInt64(this->epoch);
-  status["root_hash"] = this->rootHash;
+  const AcceptedConfiguration* accepted = this->control->Keeper().Current();
+  status["epoch"] = Json::UInt64(this->CurrentEpoch());
+  status["root_hash"] = this->control->Keeper().CurrentHash();
+  status["change_id"] = accepted == nullptr ? "" : accepted->root.changeId;
+  status["store"] = this->control->Describe();
   status["ready"] = this->Ready().ok();
   status["stopping"] = this->stopping;
   status["requests"] = Json::UInt64(this->requests.size());
--- a/dogwoodvale/src/Entry/Entry.h
+++ b/dogwoodvale/src/Entry/Entry.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "CallerRequest.h"
+#include "ConfigurationSync.h"
 #include "dogwoodvale/Configuration"
 #include "dogwoodvale/Settings"
 
@@ -18,6 +19,7 @@
   : public CallerHandler
   , public CallerRequestHost
   , public FleetObserver
+  , public ControlPlaneObserver
   , public OperatorHandler
 {
 public:
@@ -25,11 +27,6 @@
     EventLoop& aLoop,
     const DaemonSettings& aSettings);
 
-  /// Takes a configuration into force.
-  void SetConfiguration(Epoch aEpoch,
-                        std::string aRootHash,
-                        Configuration aConfiguration);
-
   /// Starts a planned stop: unready at once, accepts until the balancer has
   /// noticed, finishes what it has, then stops the loop.
   void BeginStop();
@@ -42,7 +39,7 @@
   EventLoop& Loop() override { return this->loop; }
   Fleet& Servers() override { return *this->fleet; }
   RequestId NextId() override;
-  Epoch CurrentEpoch() const override { return this->epoch; }
+  Epoch CurrentEpoch() const override;
   RetryBudget& BudgetOf(const ResolvedRequest& aRequest) override;
   std::mt19937_64& Random() override { return this->random; }
   const EntrySettings& Bounds() const override { return this->settings.entry; }
@@ -51,7 +48,11 @@
   void OnPeerEpoch(const InstanceName& aPeer,
                    Epoch aEpoch,
                    std::string_view aRootHash,
-                   Duration aStoreContactAge) override;
+                   std::optional<Duration> aStoreContactAge) override;
+  void OnPeerLost(const InstanceName& aPeer) override;
+
+  void OnConfiguration(const AcceptedConfiguration& aAccepted) override;
+  void OnList(std::span<const ListedInstance> aList) override;
 
   std::string Metrics() override;
   absl::Status Ready() override;
@@ -64,6 +65,12 @@
   Entry(EventLoop& aLoop, const DaemonSettings& aSettings);
   absl::Status Open();
   absl::Status LoadConfigurationFile();
+  /// The configuration in force; nullptr before the first.
+  const Configuration* Active() const;
+  /// Sets a customer's limit when it is used, so that a change of
+  /// configuration costs nothing for the thousands that are silent.
+  void FollowLimit(const CustomerName& aName);
+  void TellPeers(bool aNow);
   Hello MakeHello() const;
   void RespondModels(CallerExchange& aExchange);
   void Sweep();
@@ -74,17 +81,18 @@
   const Incarnation incarnation;
   std::mt19937_64 random;
   std::uint64_t nextSequence = 1;
-  Epoch epoch = 0;
-  std::string rootHash;
-  bool configured = false;
-  Configuration configuration;
+  /// From the settings' file, used until the store or a peer gives one.
+  std::optional<Configuration> fileConfiguration;
   AdmissionControl admission;
   std::map<BudgetKey, RetryBudget> budgets;
   std::unique_ptr<Fleet> fleet;
+  std::unique_ptr<ConfigurationSync> sync;
+  std::unique_ptr<ControlPlane> control;
   absl::flat_hash_map<RequestId, std::unique_ptr<CallerRequest>> requests;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<OperatorServer> operators;
   Timer sweepTimer;
+  Timer noticeTimer;
   Timer stopTimer;
   bool stopping = false;
   bool accepting = true;
--- a/dogwoodvale/src/Entry/Fleet.cpp
+++ b/dogwoodvale/src/Entry/Fleet.cpp
@@ -8,6 +8,15 @@
 
 constexpr Duration kMaintainPeriod = milliseconds(100);
 
+std::optional<Duration>
+ContactAgeOf(const Notice& aNotice)
+{
+  if (aNotice.storeContactAgeMillis == ControlPlane::kUnknownAge) {
+    return std::nullopt;
+  }
+  return milliseconds(aNotice.storeContactAgeMillis);
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<Fleet>>
@@ -263,7 +272,7 @@
   const bool usable = record != nullptr && !record->leaving;
   this->StateOf(aLink.ServiceOf()).table.SetAvailable(aLink.Name(), usable);
   this->observer.OnPeerEpoch(
-    aLink.Name(), peer.epoch, peer.rootHash, Duration::max());
+    aLink.Name(), peer.epoch, peer.rootHash, std::nullopt);
 }
 
 void
@@ -277,16 +286,15 @@
     record != nullptr && !record->leaving && aNotice.backendUp;
   this->StateOf(aLink.ServiceOf()).table.SetAvailable(aLink.Name(), usable);
   this->OnLoad(aLink.ServiceOf(), aLink.Name(), aNotice.load);
-  this->observer.OnPeerEpoch(aLink.Name(),
-                             aNotice.epoch,
-                             aNotice.rootHash,
-                             milliseconds(aNotice.storeContactAgeMillis));
+  this->observer.OnPeerEpoch(
+    aLink.Name(), aNotice.epoch, aNotice.rootHash, ContactAgeOf(aNotice));
 }
 
 void
 Fleet::OnLinkDown(SidecarLink& aLink, const absl::Status& aReason)
 {
   this->StateOf(aLink.ServiceOf()).table.SetAvailable(aLink.Name(), false);
+  this->observer.OnPeerLost(aLink.Name());
   if (absl::IsDeadlineExceeded(aReason)) {
     this->directory.OnTimedOut(aLink.Name(), Now(), this->DrawUniform());
   } else {
--- a/dogwoodvale/src/Entry/Fleet.h
+++ b/dogwoodvale/src/Entry/Fleet.h
@@ -23,7 +23,8 @@
   virtual void OnPeerEpoch(const InstanceName& aPeer,
                            Epoch aEpoch,
                            std::string_view aRootHash,
-                           Duration aStoreContactAge) = 0;
+                           std::optional<Duration> aStoreContactAge) = 0;
+  virtual void OnPeerLost(const InstanceName& aPeer) = 0;
 };
 
 /// The sidecars that this entry is connected to: for each service a subset of
--- a/dogwoodvale/src/Entry/SidecarLink.h
+++ b/dogwoodvale/src/Entry/SidecarLink.h
@@ -6,6 +6,7 @@
 
 #include "dogwoodvale/Membership"
 #include "dogwoodvale/Peer"
+#include "dogwoodvale/Platform"
 
 namespace dogwoodvale {
 
--- /dev/null
+++ b/dogwoodvale/src/Peer/ConfigurationMessages.h
@@ -0,0 +1,17 @@
+#ifndef DOGWOODVALE_PEER_CONFIGURATIONMESSAGES_H
+#define DOGWOODVALE_PEER_CONFIGURATIONMESSAGES_H
+
+#include "Message.h"
+#include "dogwoodvale/Platform"
+
+namespace dogwoodvale {
+
+/// The message forms of what ConfigurationKeeper exchanges.
+ConfigurationReply
+ToReply(ConfigurationBundle aBundle);
+ConfigurationBundle
+ToBundle(ConfigurationReply aReply);
+
+} // namespace dogwoodvale
+
+#endif
--- a/dogwoodvale/src/Peer/Message.h
+++ b/dogwoodvale/src/Peer/Message.h
@@ -163,6 +163,15 @@
   std::vector<ConfigurationPage> pages;
 };
 
+/// Opens a stream on which the receiver may ask for the configuration that the
+/// sender has in force. Only the connecting side can open streams, so that a
+/// listening side that is behind is told in this way.
+struct ConfigurationOffer
+{
+  Epoch epoch = 0;
+  std::string rootHash;
+};
+
 /// Asks a process for its /statusz document; for the tool and for relays.
 struct StatusQuery
 {
@@ -186,7 +195,8 @@
                              FetchConfiguration,
                              ConfigurationReply,
                              StatusQuery,
-                             StatusReply>;
+                             StatusReply,
+                             ConfigurationOffer>;
 
 /// Bounds on what is taken off the wire.
 inline constexpr std::size_t kMaxMessageBytes = 8U << 20U;
--- a/dogwoodvale/src/Peer/MessageFields.h
+++ b/dogwoodvale/src/Peer/MessageFields.h
@@ -182,6 +182,13 @@
   return std::tie(aValue.json);
 }
 
+template<MaybeConst<ConfigurationOffer> M>
+auto
+FieldsOf(M& aValue)
+{
+  return std::tie(aValue.epoch, aValue.rootHash);
+}
+
 /// The highest value of an enumeration that travels.
 inline constexpr std::uint64_t
 HighestOf(AnswerKind /*aKind*/)
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -54,6 +54,11 @@
     return made.status();
   }
   this->dispatcher = *std::move(made);
+  auto plane = ControlPlane::Create(this->loop, this->settings, *this, *this);
+  if (!plane.ok()) {
+    return plane.status();
+  }
+  this->control = *std::move(plane);
   auto operatorServer =
     OperatorServer::Create(this->loop, this->settings.operators, *this);
   if (!operatorServer.ok()) {
@@ -66,6 +71,7 @@
     return peerListener.status();
   }
   this->listener = *std::move(peerListener);
+  this->control->Start();
   this->noticeTimer.StartRepeating(kNoticePeriod);
   return absl::OkStatus();
 }
@@ -80,6 +86,8 @@
   hello.instance = this->settings.instance.Value();
   hello.dataCentre = this->settings.dataCentre.Value();
   hello.incarnation = this->incarnation;
+  hello.epoch = this->control->Keeper().CurrentEpoch();
+  hello.rootHash = this->control->Keeper().CurrentHash();
   return hello;
 }
 
@@ -90,6 +98,9 @@
   notice.draining = this->dispatcher->IsDraining();
   notice.backendUp = this->dispatcher->IsBackendUp();
   notice.load = this->dispatcher->Load();
+  notice.epoch = this->control->Keeper().CurrentEpoch();
+  notice.rootHash = this->control->Keeper().CurrentHash();
+  notice.storeContactAgeMillis = this->control->ContactAgeMillis();
   return notice;
 }
 
@@ -116,16 +127,74 @@
 }
 
 void
-Sidecar::OnPeerNotice(SidecarSession& /*aSession*/, const Notice& /*aNotice*/)
+Sidecar::OnPeerNotice(SidecarSession& aSession, const Notice& aNotice)
 {
+  std::optional<Duration> age;
+  if (aNotice.storeContactAgeMillis != ControlPlane::kUnknownAge) {
+    age = milliseconds(aNotice.storeContactAgeMillis);
+  }
+  this->control->Keeper().OnPeerEpoch(InstanceName(aSession.Peer().instance),
+                                      aNotice.epoch,
+                                      aNotice.rootHash,
+                                      age);
 }
 
 void
-Sidecar::OnSessionClosed(SidecarSession& /*aSession*/)
+Sidecar::OnSessionClosed(SidecarSession& aSession)
 {
+  this->control->Keeper().OnPeerLost(InstanceName(aSession.Peer().instance));
   this->sweepTimer.StartOnce(Duration(0));
 }
 
+void
+Sidecar::OnOffer(SidecarAttempt& aAttempt, const ConfigurationOffer& aOffer)
+{
+  this->offers[aAttempt.Entry()] = &aAttempt;
+  this->control->Keeper().OnPeerEpoch(
+    aAttempt.Entry(), aOffer.epoch, aOffer.rootHash, std::nullopt);
+}
+
+void
+Sidecar::OnOfferEnd(SidecarAttempt& aAttempt,
+                    absl::StatusOr<ConfigurationReply> aReply)
+{
+  const auto found = this->offers.find(aAttempt.Entry());
+  if (found != this->offers.end() && found->second == &aAttempt) {
+    this->offers.erase(found);
+  }
+  this->sweepTimer.StartOnce(Duration(0));
+  if (aReply.ok()) {
+    this->control->Keeper().OnFetched(aAttempt.Entry(),
+                                      ToBundle(*std::move(aReply)));
+  } else {
+    this->control->Keeper().OnFetched(aAttempt.Entry(), aReply.status());
+  }
+}
+
+bool
+Sidecar::Fetch(const InstanceName& aPeer, const ConfigurationRequest& aRequest)
+{
+  const auto found = this->offers.find(aPeer);
+  if (found == this->offers.end()) {
+    return false;
+  }
+  found->second->Ask({ aRequest.epoch, aRequest.have });
+  return true;
+}
+
+void
+Sidecar::OnConfiguration(const AcceptedConfiguration& aAccepted)
+{
+  this->listener->SetHello(this->MakeHello());
+  this->TellPeers(true);
+  Log(LogLevel::Info,
+      "configuration_in_force",
+      "epoch",
+      aAccepted.epoch,
+      "change",
+      aAccepted.root.changeId);
+}
+
 void
 Sidecar::OnRun(SidecarAttempt& aAttempt)
 {
@@ -142,6 +211,10 @@
     }
     return ProbeReply{ this->dispatcher->Probe(probe->id) };
   }
+  if (const auto* fetch = std::get_if<FetchConfiguration>(&aQuery)) {
+    return ToReply(
+      this->control->Keeper().Answer({ fetch->epoch, fetch->have }));
+  }
   if (std::holds_alternative<StatusQuery>(aQuery)) {
     return StatusReply{ this->Statusz() };
   }
@@ -309,6 +382,11 @@
   status["region"] = this->settings.region.Value();
   status["version"] = DOGWOODVALE_VERSION;
   status["incarnation"] = fmt::format("{:016x}", this->incarnation);
+  const AcceptedConfiguration* accepted = this->control->Keeper().Current();
+  status["epoch"] = Json::UInt64(this->control->Keeper().CurrentEpoch());
+  status["root_hash"] = this->control->Keeper().CurrentHash();
+  status["change_id"] = accepted == nullptr ? "" : accepted->root.changeId;
+  status["store"] = this->control->Describe();
   status["service"] = this->settings.sidecar.service;
   status["ready"] = this->Ready().ok();
   status["stopping"] = this->dispatcher->IsDraining();
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -8,6 +8,7 @@
 #include "SidecarSession.h"
 #include "dogwoodvale/Http"
 #include "dogwoodvale/Peer"
+#include "dogwoodvale/Platform"
 #include "dogwoodvale/Settings"
 
 namespace dogwoodvale {
@@ -19,6 +20,8 @@
   , public SidecarSessionHost
   , public OperatorHandler
   , public BackendCallHandler
+  , public ControlPlaneObserver
+  , public PeerFetch
 {
 public:
   static absl::StatusOr<std::unique_ptr<Sidecar>> Create(
@@ -43,6 +46,10 @@
 
   void OnRun(SidecarAttempt& aAttempt) override;
   std::optional<Message> OnQuery(const Message& aQuery) override;
+  void OnOffer(SidecarAttempt& aAttempt,
+               const ConfigurationOffer& aOffer) override;
+  void OnOfferEnd(SidecarAttempt& aAttempt,
+                  absl::StatusOr<ConfigurationReply> aReply) override;
   void OnFirstToken(SidecarAttempt& aAttempt, Duration aSinceStart) override;
   void OnTokens(SidecarAttempt& aAttempt,
                 std::uint32_t aTokens,
@@ -50,6 +57,12 @@
   LoadReport CurrentLoad() const override;
   void OnEnded(SidecarAttempt& aAttempt, AttemptEnd aEnd) override;
 
+  void OnConfiguration(const AcceptedConfiguration& aAccepted) override;
+  void OnList(std::span<const ListedInstance> /*aList*/) override {}
+  /// Over an offer that the entry holds open; a sidecar opens no streams.
+  bool Fetch(const InstanceName& aPeer,
+             const ConfigurationRequest& aRequest) override;
+
   std::string Metrics() override;
   absl::Status Ready() override;
   std::string Statusz() override;
@@ -79,7 +92,10 @@
   std::unique_ptr<Dispatcher> dispatcher;
   std::unique_ptr<PeerListener> listener;
   std::unique_ptr<OperatorServer> operators;
+  std::unique_ptr<ControlPlane> control;
   std::vector<std::unique_ptr<SidecarSession>> sessions;
+  /// Configurations that entries offer at this moment.
+  absl::flat_hash_map<InstanceName, SidecarAttempt*> offers;
   Timer sweepTimer;
   Timer noticeTimer;
   Timer stopTimer;
--- a/dogwoodvale/src/Sidecar/SidecarAttempt.cpp
+++ b/dogwoodvale/src/Sidecar/SidecarAttempt.cpp
@@ -15,8 +15,10 @@
 } // namespace
 
 SidecarAttempt::SidecarAttempt(SidecarAttemptHost& aHost,
+                               InstanceName aEntry,
                                std::unique_ptr<PeerStream> aStream)
   : host(aHost)
+  , entry(std::move(aEntry))
   , stream(std::move(aStream))
   , arrived(Now())
 {
@@ -37,7 +39,16 @@
 void
 SidecarAttempt::OnMessage(Message aMessage)
 {
-  if (this->ended || this->opened) {
+  if (this->ended) {
+    return;
+  }
+  if (this->offered) {
+    if (auto* reply = std::get_if<ConfigurationReply>(&aMessage)) {
+      this->EndOffer(std::move(*reply));
+    }
+    return;
+  }
+  if (this->opened) {
     return;
   }
   this->opened = true;
@@ -47,12 +58,30 @@
     this->host.OnRun(*this);
     return;
   }
+  if (const auto* offer = std::get_if<ConfigurationOffer>(&aMessage)) {
+    this->offered = true;
+    this->host.OnOffer(*this, *offer);
+    return;
+  }
   if (const std::optional<Message> reply = this->host.OnQuery(aMessage)) {
     this->stream->Send(*reply);
   }
+  this->stream->FinishSending();
+  this->End(AttemptEnd::NotRun);
+}
+
+void
+SidecarAttempt::Ask(const FetchConfiguration& aRequest)
+{
+  this->stream->Send(aRequest);
+}
+
+void
+SidecarAttempt::EndOffer(absl::StatusOr<ConfigurationReply> aReply)
+{
   this->stream->FinishSending();
   this->ended = true;
-  this->host.OnEnded(*this, AttemptEnd::NotRun);
+  this->host.OnOfferEnd(*this, std::move(aReply));
 }
 
 void
@@ -97,13 +126,23 @@
 }
 
 void
-SidecarAttempt::OnLost(const absl::Status& /*aReason*/)
+SidecarAttempt::OnLost(const absl::Status& aReason)
 {
-  if (!this->ended) {
+  if (this->offered && !this->ended) {
+    this->EndOffer(aReason);
+  } else if (!this->ended) {
     this->End(AttemptEnd::Withdrawn);
   }
 }
 
+void
+SidecarAttempt::OnEnd()
+{
+  if (this->offered && !this->ended) {
+    this->EndOffer(absl::UnavailableError("the offer was withdrawn"));
+  }
+}
+
 void
 SidecarAttempt::OnWritable()
 {
--- a/dogwoodvale/src/Sidecar/SidecarAttempt.h
+++ b/dogwoodvale/src/Sidecar/SidecarAttempt.h
@@ -35,6 +35,12 @@
   virtual void OnRun(SidecarAttempt& aAttempt) = 0;
   /// A stream that opened with something else; gives the reply.
   virtual std::optional<Message> OnQuery(const Message& aQuery) = 0;
+  /// The entry offers its configuration on this stream; it stays open.
+  virtual void OnOffer(SidecarAttempt& aAttempt,
+                       const ConfigurationOffer& aOffer) = 0;
+  /// The answer to SidecarAttempt::Ask, or why there is none.
+  virtual void OnOfferEnd(SidecarAttempt& aAttempt,
+                          absl::StatusOr<ConfigurationReply> aReply) = 0;
   virtual void OnFirstToken(SidecarAttempt& aAttempt, Duration aSinceStart) = 0;
   virtual void OnTokens(SidecarAttempt& aAttempt,
                         std::uint32_t aTokens,
@@ -52,9 +58,12 @@
 {
 public:
   SidecarAttempt(SidecarAttemptHost& aHost,
+                 InstanceName aEntry,
                  std::unique_ptr<PeerStream> aStream);
   ~SidecarAttempt() override;
 
+  /// Who opened it.
+  const InstanceName& Entry() const { return this->entry; }
   const RunRequest& Request() const { return this->request; }
   TimePoint Arrived() const { return this->arrived; }
   /// When its budget is spent.
@@ -70,11 +79,13 @@
   void Start(BackendClient& aBackend, TimePoint aNow);
   /// Ends it without calling the backend server.
   void Refuse(const RequestError& aError);
+  /// On an offered stream: asks for the configuration.
+  void Ask(const FetchConfiguration& aRequest);
   /// Stops it in favour of a higher tier; what was sent stays valid.
   void Preempt();
 
   void OnMessage(Message aMessage) override;
-  void OnEnd() override {}
+  void OnEnd() override;
   void OnLost(const absl::Status& aReason) override;
   void OnWritable() override;
 
@@ -89,14 +100,17 @@
   void Complete();
   void Fail(Failed aFailure, AttemptEnd aEnd);
   void End(AttemptEnd aEnd);
+  void EndOffer(absl::StatusOr<ConfigurationReply> aReply);
   /// Model answers other than 200 are passed on as they are.
   bool IsTokenAnswer() const;
 
   SidecarAttemptHost& host;
+  InstanceName entry;
   std::unique_ptr<PeerStream> stream;
   std::unique_ptr<BackendCall> call;
   RunRequest request;
   bool opened = false;
+  bool offered = false;
   bool ended = false;
   bool paused = false;
   bool unreached = false;
--- a/dogwoodvale/src/Sidecar/SidecarSession.cpp
+++ b/dogwoodvale/src/Sidecar/SidecarSession.cpp
@@ -27,8 +27,8 @@
 void
 SidecarSession::OnStream(std::unique_ptr<PeerStream> aStream)
 {
-  this->attempts.push_back(
-    std::make_unique<SidecarAttempt>(this->host, std::move(aStream)));
+  this->attempts.push_back(std::make_unique<SidecarAttempt>(
+    this->host, InstanceName(this->peer.instance), std::move(aStream)));
 }
 
 void
