--- a/tools/load/Balancer.cpp
+++ b/tools/load/Balancer.cpp
@@ -52,8 +52,7 @@
                    HttpClient& aClient,
                    std::vector<SocketAddress> aTargets,
                    const BalancerOptions& aOptions)
-  : client(aClient)
-  , targets(std::move(aTargets))
+  : targets(std::move(aTargets))
   , options(aOptions)
   , timer(aLoop, [this] { this->CheckAll(); })
 {
--- a/tools/load/Balancer.h
+++ b/tools/load/Balancer.h
@@ -37,7 +37,6 @@
   class Check;
   void CheckAll();
 
-  HttpClient& client;
   std::vector<SocketAddress> targets;
   BalancerOptions options;
   std::vector<std::unique_ptr<Check>> checks;
--- a/tools/load/LoadTool.cpp
+++ b/tools/load/LoadTool.cpp
@@ -3,14 +3,13 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
-#include <map>
 
-#include <docopt/docopt.h>
 #include <event2/event.h>
 
 #include "tools/load/History.h"
 #include "tools/load/JsonReader.h"
 #include "tools/load/LoadRun.h"
+#include "tools/load/Options.h"
 #include "tools/load/RecordFetch.h"
 #include "tools/load/Report.h"
 
@@ -64,75 +63,6 @@
   std::vector<SocketAddress> recordTargets;
 };
 
-std::vector<std::string>
-Split(const std::string& aList)
-{
-  std::vector<std::string> parts;
-  std::size_t begin = 0;
-  while (begin <= aList.size()) {
-    const std::size_t end = std::min(aList.find(',', begin), aList.size());
-    if (end > begin) {
-      parts.push_back(aList.substr(begin, end - begin));
-    }
-    begin = end + 1;
-  }
-  return parts;
-}
-
-/// Reads typed options and collects what is wrong with them.
-class OptionReader
-{
-public:
-  explicit OptionReader(std::map<std::string, docopt::value> aValues)
-    : values(std::move(aValues))
-  {
-  }
-
-  std::string Text(const std::string& aName) const
-  {
-    const docopt::value& value = this->values.at(aName);
-    return value ? value.asString() : std::string();
-  }
-
-  double Number(const std::string& aName, double aMax)
-  {
-    const std::string text = this->Text(aName);
-    char* end = nullptr;
-    const double number = std::strtod(text.c_str(), &end);
-    if (text.empty() || *end != '\0' || !(number >= 0) || number > aMax) {
-      this->Fail(aName,
-                 "must be a number from 0 to " + fmt::format("{}", aMax));
-      return 0;
-    }
-    return number;
-  }
-
-  std::vector<SocketAddress> Addresses(const std::string& aName)
-  {
-    std::vector<SocketAddress> found;
-    for (const std::string& part : Split(this->Text(aName))) {
-      absl::StatusOr<SocketAddress> address = SocketAddress::Parse(part);
-      if (address.ok()) {
-        found.push_back(*std::move(address));
-      } else {
-        this->Fail(aName, std::string(MessageOf(address.status())));
-      }
-    }
-    return found;
-  }
-
-  void Fail(const std::string& aName, const std::string& aMessage)
-  {
-    this->findings.Add({ aName, 0, 0 }, aMessage);
-  }
-
-  const Findings& Found() const { return this->findings; }
-
-private:
-  std::map<std::string, docopt::value> values;
-  Findings findings;
-};
-
 Duration
 FromSeconds(double aSeconds)
 {
@@ -263,20 +193,11 @@
 RunLoadTool(const std::vector<std::string>& aArguments)
 {
   std::signal(SIGPIPE, SIG_IGN);
-  std::map<std::string, docopt::value> values;
-  try {
-    values = docopt::docopt_parse(kUsage, aArguments, true, true);
-  } catch (const docopt::DocoptExitHelp&) {
-    fmt::print("{}", kUsage);
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    fmt::print("dogwoodvale-load {}\n", DOGWOODVALE_VERSION);
-    return 0;
-  } catch (const std::runtime_error& error) {
-    fmt::print(stderr, "{}\n{}", error.what(), kUsage);
-    return kExitUsage;
+  OptionReader reader;
+  if (const std::optional<int> exit =
+        reader.Parse(kUsage, "dogwoodvale-load", aArguments)) {
+    return *exit;
   }
-  OptionReader reader(std::move(values));
   const absl::StatusOr<Arguments> arguments = ReadArguments(reader);
   if (!arguments.ok()) {
     return Complain(arguments.status(), kExitUsage);
--- a/tools/load/RecordFetch.cpp
+++ b/tools/load/RecordFetch.cpp
@@ -85,7 +85,8 @@
     }
     all.insert(all.end(), record->begin(), record->end());
     if (!aDirectory.empty()) {
-      std::ofstream(aDirectory + "/" + name + ".json") << fetch->Body();
+      std::ofstream(fmt::format("{}/{}.json", aDirectory, name))
+        << fetch->Body();
     }
   }
   if (!findings.IsEmpty()) {
