--- a/standins/BatchingCore.h
+++ b/standins/BatchingCore.h
@@ -64,6 +64,8 @@
 };
 
 /// Continuous batching with priorities and a prefix cache; does no I/O.
+///
+/// The cache gets the memory that running sequences leave.
 class BatchingCore
 {
 public:
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -39,6 +39,21 @@
 
 } // namespace
 
+Json::Value
+EngineExecution::ToJson() const
+{
+  Json::Value json = Execution::ToJson();
+  json["model"] = this->model;
+  json["priority"] = Json::Int64(this->priority);
+  json["resumed_tokens"] = Json::UInt64(this->resumedTokens);
+  json["prompt_tokens"] = Json::UInt64(this->promptTokens);
+  json["tokens"] = Json::UInt64(this->tokens);
+  if (this->firstToken != TimePoint{}) {
+    json["first_token_ms"] = ToMs(this->firstToken);
+  }
+  return json;
+}
+
 absl::StatusOr<std::unique_ptr<Engine>>
 Engine::Create(EventLoop& aLoop,
                const SocketAddress& aListen,
@@ -50,6 +65,7 @@
     return server.status();
   }
   engine->server = std::move(*server);
+  engine->server->SetMaxBacklog(aSettings.maxBacklog);
   return engine;
 }
 
@@ -241,15 +257,14 @@
   const std::int64_t priority =
     aBody["priority"].isInt64() ? aBody["priority"].asInt64() : 0;
 
-  Execution execution;
+  EngineExecution execution;
   execution.id = aExchange.Header("X-Request-Id");
   execution.nonce = aPrompt.nonce;
   execution.started = Now();
-  execution.more["model"] = aBody["model"];
-  execution.more["priority"] = Json::Int64(priority);
-  execution.more["resumed_tokens"] = Json::UInt64(aPrompt.resumed);
-  execution.more["prompt_tokens"] = Json::UInt64(aPrompt.tokens);
-  execution.more["tokens"] = 0;
+  execution.model = aBody["model"].asString();
+  execution.priority = priority;
+  execution.resumedTokens = aPrompt.resumed;
+  execution.promptTokens = aPrompt.tokens;
 
   Answer answer{
     &aExchange,
@@ -333,11 +348,9 @@
   const std::string text =
     TokenText(answer.nonce, answer.resumed + answer.made);
   ++answer.made;
-  if (Execution* execution = this->journal.Find(answer.entry)) {
-    execution->more["tokens"] = Json::UInt64(answer.made);
-    if (answer.made == 1) {
-      execution->more["first_token_ms"] = ToMs(Now());
-    }
+  if (EngineExecution* execution = this->journal.Find(answer.entry)) {
+    execution->tokens = answer.made;
+    execution->firstToken = answer.made == 1 ? Now() : execution->firstToken;
   }
   if (!answer.streams) {
     answer.text += text;
@@ -379,9 +392,8 @@
 {
   this->core.Cancel(aKey);
   const auto found = this->answers.find(aKey);
-  if (Execution* execution = this->journal.Find(found->second.entry)) {
-    execution->end = aEnd;
-    execution->ended = Now();
+  if (EngineExecution* execution = this->journal.Find(found->second.entry)) {
+    execution->End(aEnd, Now());
   }
   this->keys.erase(found->second.exchange);
   this->answers.erase(found);
--- a/standins/Engine.h
+++ b/standins/Engine.h
@@ -34,6 +34,20 @@
   bool checksFencing = false;
   /// Share of cache events that are never published.
   double lostEvents = 0.05;
+  /// What a reader may leave unread before it is dropped.
+  std::size_t maxBacklog = 64ULL << 20;
+};
+
+struct EngineExecution : Execution
+{
+  std::string model;
+  std::int64_t priority = 0;
+  std::size_t resumedTokens = 0;
+  std::size_t promptTokens = 0;
+  std::size_t tokens = 0;
+  TimePoint firstToken{};
+
+  Json::Value ToJson() const;
 };
 
 /// A stand-in model engine: OpenAI routes before a BatchingCore.
@@ -117,7 +131,7 @@
   BatchingCore core;
   EngineOrders orders;
   Faults faults;
-  Journal<Execution> journal;
+  Journal<EngineExecution> journal;
   std::unordered_map<std::uint64_t, Answer> answers;
   std::map<const Exchange*, std::uint64_t> keys;
   std::uint64_t nextKey = 1;
--- a/standins/Journal.h
+++ b/standins/Journal.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <string>
+#include <utility>
 
 #include <json/json.h>
 
@@ -66,19 +68,24 @@
   std::uint64_t first = 0;
 };
 
-/// One run of a request on an engine or a plain service.
+/// One run of a request, on an engine or a plain service.
 struct Execution
 {
   std::string id;
   std::string nonce;
-  std::string end = "running"; ///< or complete, cancelled, crashed
+  const char* end = "running"; ///< or complete, cancelled, crashed
   TimePoint started;
   TimePoint ended{};
-  Json::Value more{ Json::objectValue }; ///< what only this kind has
+
+  void End(const char* aEnd, TimePoint aNow)
+  {
+    this->end = aEnd;
+    this->ended = aNow;
+  }
 
   Json::Value ToJson() const
   {
-    Json::Value json = this->more;
+    Json::Value json;
     json["id"] = this->id;
     json["nonce"] = this->nonce;
     json["end"] = this->end;
--- a/standins/JsonServer.cpp
+++ b/standins/JsonServer.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxBacklogBytes = 64ULL << 20;
 constexpr std::size_t kMaxBodyBytes = 64ULL << 20;
 constexpr std::size_t kMaxHeaderBytes = 64ULL << 10;
 constexpr int kListenBacklog = 4096;
@@ -199,7 +198,7 @@
   evbuffer* unread =
     bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
   // A client that doesn't read would otherwise fill our memory.
-  if (evbuffer_get_length(unread) + aText.size() > kMaxBacklogBytes) {
+  if (evbuffer_get_length(unread) + aText.size() > this->server.maxBacklog) {
     this->Drop();
     return false;
   }
--- a/standins/JsonServer.h
+++ b/standins/JsonServer.h
@@ -84,6 +84,9 @@
 
   const SocketAddress& Address() const { return this->address; }
 
+  /// What a reader may leave unread before it is dropped; 64 MB unless set.
+  void SetMaxBacklog(std::size_t aBytes) { this->maxBacklog = aBytes; }
+
   /// Closes all connections that have sent a request, but for \p aSpared's;
   /// the handler isn't told.
   void DropAll(const Exchange* aSpared);
@@ -101,6 +104,7 @@
   RequestHandler& handler;
   evhttp* http;
   SocketAddress address;
+  std::size_t maxBacklog = 64ULL << 20;
   Timer closing;
   /// Connections that have sent a request, with the one being answered.
   std::map<evhttp_connection*, std::unique_ptr<Exchange>> connections;
--- a/standins/PlainService.cpp
+++ b/standins/PlainService.cpp
@@ -9,6 +9,18 @@
 
 namespace dogwoodvale::standins {
 
+Json::Value
+ServiceExecution::ToJson() const
+{
+  Json::Value json = Execution::ToJson();
+  json["execution"] = Json::UInt64(this->number);
+  json["idempotency_key"] = this->idempotencyKey;
+  json["method"] = this->method;
+  json["path"] = this->path;
+  json["body_hash"] = fmt::format("{:016x}", this->bodyHash);
+  return json;
+}
+
 absl::StatusOr<std::unique_ptr<PlainService>>
 PlainService::Create(EventLoop& aLoop,
                      const SocketAddress& aListen,
@@ -102,16 +114,15 @@
 PlainService::Execute(Exchange& aExchange)
 {
   const std::string body = aExchange.Body();
-  Execution execution;
+  ServiceExecution execution;
   execution.id = aExchange.Header("X-Request-Id");
   execution.nonce = Directive(body, "nonce");
   execution.started = Now();
-  execution.more["execution"] = Json::UInt64(this->journal.Next());
-  execution.more["idempotency_key"] = aExchange.Header("Idempotency-Key");
-  execution.more["method"] = aExchange.Method();
-  execution.more["path"] = aExchange.Path();
-  execution.more["body_hash"] =
-    fmt::format("{:016x}", XXH3_64bits(body.data(), body.size()));
+  execution.number = this->journal.Next();
+  execution.idempotencyKey = aExchange.Header("Idempotency-Key");
+  execution.method = aExchange.Method();
+  execution.path = aExchange.Path();
+  execution.bodyHash = XXH3_64bits(body.data(), body.size());
   const std::uint64_t entry = this->journal.Append(std::move(execution));
   if (this->faults.crash) {
     this->End(entry, "crashed");
@@ -142,9 +153,8 @@
 void
 PlainService::End(std::uint64_t aEntry, const char* aEnd)
 {
-  if (Execution* execution = this->journal.Find(aEntry)) {
-    execution->end = aEnd;
-    execution->ended = Now();
+  if (ServiceExecution* execution = this->journal.Find(aEntry)) {
+    execution->End(aEnd, Now());
   }
 }
 
--- a/standins/PlainService.h
+++ b/standins/PlainService.h
@@ -10,6 +10,17 @@
 
 namespace dogwoodvale::standins {
 
+struct ServiceExecution : Execution
+{
+  std::uint64_t number = 0;
+  std::string idempotencyKey;
+  std::string method;
+  std::string path;
+  std::uint64_t bodyHash = 0;
+
+  Json::Value ToJson() const;
+};
+
 /// A stand-in plain HTTP service: executes whatever it is asked, at once,
 /// records it, and answers after a delay.
 ///
@@ -48,7 +59,7 @@
 
   Duration delay;
   Faults faults;
-  Journal<Execution> journal;
+  Journal<ServiceExecution> journal;
   /// Journal entries of the executions not answered yet.
   std::map<Exchange*, std::uint64_t> pending;
   DelayLine delayed;
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -109,7 +109,7 @@
                  const SocketAddress& aListen,
                  const PlatformSettings& aSettings)
 {
-  const absl::Status status = CheckInstances(ListOrEmpty(aSettings.instances));
+  absl::Status status = CheckInstances(ListOrEmpty(aSettings.instances));
   if (!status.ok()) {
     return status;
   }
@@ -182,7 +182,7 @@
 absl::Status
 Platform::SetInstances(const Json::Value& aList)
 {
-  const absl::Status status = CheckInstances(aList);
+  absl::Status status = CheckInstances(aList);
   if (!status.ok()) {
     return status;
   }
@@ -222,7 +222,7 @@
   }
   const std::int64_t revision = Int64Of(aFault["roll_back_to_revision"]);
   if (revision > 0) {
-    const absl::Status status = this->api.Store().RollBackTo(revision, Now());
+    absl::Status status = this->api.Store().RollBackTo(revision, Now());
     if (!status.ok()) {
       return status;
     }
--- a/standins/Prompt.cpp
+++ b/standins/Prompt.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t kBytesPerToken = 4;
+constexpr std::size_t kMaxDirective = 128;
 constexpr std::size_t kMaxPad = 1000000;
 constexpr std::size_t kMaxLength = 1000000;
 constexpr double kMedianLength = 60;
@@ -168,7 +169,7 @@
   }
   std::string value;
   if (at != std::string_view::npos) {
-    for (const char c : aText.substr(at + key.size())) {
+    for (const char c : aText.substr(at + key.size(), kMaxDirective)) {
       if (std::isalnum(static_cast<unsigned char>(c)) == 0 && c != '-' &&
           c != '_') {
         break;
--- a/standins/Prompt.h
+++ b/standins/Prompt.h
@@ -27,7 +27,8 @@
   std::vector<std::uint64_t> blocks;
 };
 
-/// The value of `aName=VALUE` in \p aText (letters, digits, '-' and '_').
+/// The value of `aName=VALUE` in \p aText (letters, digits, '-' and
+/// '_', at most 128).
 std::string
 Directive(std::string_view aText, std::string_view aName);
 
--- a/test/Standins.cpp
+++ b/test/Standins.cpp
@@ -1,5 +1,13 @@
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <numeric>
+#include <vector>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <absl/strings/escaping.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
@@ -100,15 +108,24 @@
   return count;
 }
 
+EngineSettings
+Quick()
+{
+  EngineSettings settings;
+  settings.batching.step = milliseconds(1);
+  settings.loadLag = milliseconds(0);
+  return settings;
+}
+
 struct EngineBench
 {
   std::unique_ptr<EventLoop> loop = std::move(*EventLoop::Create());
   EngineSettings settings;
   std::unique_ptr<Engine> engine;
 
-  explicit EngineBench(Duration aStep = milliseconds(1))
+  explicit EngineBench(const EngineSettings& aSettings = Quick())
+    : settings(aSettings)
   {
-    this->settings.batching.step = aStep;
     this->engine =
       std::move(*Engine::Create(*this->loop, kAnyPort, this->settings));
   }
@@ -255,6 +272,141 @@
   }
 }
 
+// A caller stops reading but stays connected. What the engine writes piles up
+// in its own memory once the sockets are full, so it closes at a bound.
+TEST_CASE("a client that doesn't read is dropped at the bound")
+{
+  EngineSettings settings = Quick();
+  settings.batching.step = Duration(1);
+  settings.batching.kvTokens = 2000000;
+  settings.maxBacklog = 100000;
+  EngineBench bench(settings);
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  const int small = 4096;
+  setsockopt(client, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+  sockaddr_in where{};
+  where.sin_family = AF_INET;
+  where.sin_port = htons(bench.engine->Address().port);
+  where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(client, reinterpret_cast<sockaddr*>(&where), sizeof(where)) ==
+          0);
+  const std::string body = Chat("len=1000000");
+  const std::string request =
+    fmt::format("POST /v1/chat/completions HTTP/1.1\r\nHost: "
+                "h\r\nContent-Length: {}\r\n\r\n{}",
+                body.size(),
+                body);
+  REQUIRE(send(client, request.data(), request.size(), 0) ==
+          static_cast<ssize_t>(request.size()));
+  REQUIRE(bench.loop->RunUntil(
+    [&] { return bench.Last()["end"] == "cancelled"; }, seconds(20)));
+  close(client);
+}
+
+TEST_CASE("a batch takes priorities in order and drops no running sequence")
+{
+  BatchingSettings settings;
+  settings.batch = 1;
+  BatchingCore core(settings);
+  const auto add = [&](std::uint64_t aKey, std::int64_t aPriority) {
+    REQUIRE(core.Add({ aKey, aPriority, 4, 1, {} }));
+  };
+  add(1, 5);
+  REQUIRE(core.BeginStep());
+  add(2, 5);
+  add(3, 0);
+  add(4, 5);
+  std::vector<std::uint64_t> order;
+  do {
+    for (const auto& token : core.EndStep()) {
+      order.push_back(token.key);
+    }
+  } while (core.BeginStep());
+  REQUIRE(order == std::vector<std::uint64_t>{ 1, 3, 2, 4 });
+}
+
+TEST_CASE("a cached prefix spares its prefill until it is evicted")
+{
+  BatchingSettings settings;
+  settings.step = milliseconds(10);
+  settings.kvTokens = 2200;
+  BatchingCore core(settings);
+  const auto stepFor = [&](std::uint64_t aSeed) {
+    std::vector<std::uint64_t> blocks(16);
+    std::iota(blocks.begin(), blocks.end(), aSeed * 100);
+    REQUIRE(core.Add({ aSeed, 0, 16 * kBlockTokens, 1, blocks }));
+    const auto length = core.BeginStep();
+    core.EndStep();
+    return *length;
+  };
+  REQUIRE(stepFor(1) == milliseconds(30));
+  REQUIRE(stepFor(1) == milliseconds(10));
+  REQUIRE(stepFor(2) == milliseconds(30));
+  REQUIRE(stepFor(1) == milliseconds(30));
+}
+
+// Memory runs out as answers grow. The last in order waits again, keeps what
+// it has made, and all are finished; a sequence too long alone is refused.
+TEST_CASE("a batch that outgrows its memory still finishes all")
+{
+  BatchingSettings settings;
+  settings.kvTokens = 300;
+  BatchingCore core(settings);
+  REQUIRE_FALSE(core.Add({ 9, 0, 300, 1, {} }));
+  for (std::uint64_t key = 1; key <= 4; ++key) {
+    REQUIRE(core.Add({ key, 0, 50, 100, {} }));
+  }
+  std::map<std::uint64_t, int> made;
+  while (core.BeginStep()) {
+    REQUIRE(core.KvUsed() + core.Running() <= 300);
+    for (const auto& token : core.EndStep()) {
+      ++made[token.key];
+    }
+  }
+  REQUIRE(made == std::map<std::uint64_t, int>{
+                    { 1, 100 }, { 2, 100 }, { 3, 100 }, { 4, 100 } });
+  REQUIRE(core.KvUsed() == 0);
+}
+
+TEST_CASE("an old fencing number is refused only where it is checked")
+{
+  for (const bool checks : { false, true }) {
+    EngineOrders orders({ "a" }, milliseconds(100), checks);
+    const TimePoint now = Now();
+    Json::Value load;
+    load["action"] = "load";
+    load["model"] = "b";
+    load["fencing"] = 7;
+    REQUIRE(orders.Obey(load, now).code == 200);
+    REQUIRE_FALSE(orders.Serves("b", now));
+    REQUIRE(orders.Serves("b", now + milliseconds(100)));
+    load["action"] = "unload";
+    load["fencing"] = 6;
+    REQUIRE(orders.Obey(load, now).code == (checks ? 409 : 200));
+    REQUIRE(orders.Serves("b", now + milliseconds(100)) == checks);
+    REQUIRE(orders.State(now)["highest_fencing"].asInt() == 7);
+    REQUIRE(orders.State(now)["log"].size() == (checks ? 1 : 2));
+  }
+}
+
+TEST_CASE("cache events come late and with gaps")
+{
+  EngineSettings settings = Quick();
+  settings.loadLag = milliseconds(100);
+  settings.lostEvents = 0.5;
+  EngineBench bench(settings);
+  const auto events = bench.Post("/kv_events", "");
+  bench.loop->RunUntil([] { return false; }, milliseconds(20));
+  const TimePoint start = Now();
+  bench.Post("/v1/chat/completions", Chat("len=1 pad=6400"))->Wait();
+  REQUIRE(
+    bench.loop->RunUntil([&] { return !events->body.empty(); }, seconds(5)));
+  REQUIRE(Now() - start >= milliseconds(100));
+  const std::size_t stored = Count(events->body, R"("event":"stored")");
+  REQUIRE(stored > 20);
+  REQUIRE(stored < 80);
+}
+
 TEST_CASE("a crash cuts a stream with no end")
 {
   EngineBench bench;
