--- a/dogwoodvale/src/Scheduling/FifoQueue.h
+++ b/dogwoodvale/src/Scheduling/FifoQueue.h
@@ -14,7 +14,7 @@
   static absl::StatusOr<FifoQueue> Create(const QueueBounds& aBounds);
 
 protected:
-  Tier RankOf(const QueuedRequest& aRequest) const override;
+  std::int64_t RankOf(const QueuedRequest& aRequest) const override;
 
 private:
   using internal::OrderedQueue::OrderedQueue;
--- a/dogwoodvale/src/Scheduling/OrderedQueue.cpp
+++ b/dogwoodvale/src/Scheduling/OrderedQueue.cpp
@@ -10,7 +10,7 @@
   if (this->places.contains(aRequest.id)) {
     return { EnqueueVerdict::RefusedClassBound, {} };
   }
-  const Tier rank = this->RankOf(aRequest);
+  const std::int64_t rank = this->RankOf(aRequest);
   std::uint64_t freed = 0;
   std::vector<Line::iterator> victims;
   for (auto last = this->line.end();
--- a/dogwoodvale/src/Scheduling/OrderedQueue.h
+++ b/dogwoodvale/src/Scheduling/OrderedQueue.h
@@ -37,12 +37,12 @@
   }
 
   /// Smaller ranks leave first, larger ranks are evicted first.
-  virtual Tier RankOf(const QueuedRequest& aRequest) const = 0;
+  virtual std::int64_t RankOf(const QueuedRequest& aRequest) const = 0;
 
 private:
   struct Key
   {
-    Tier rank;
+    std::int64_t rank;
     std::uint64_t sequence;
     auto operator<=>(const Key&) const = default;
   };
--- a/dogwoodvale/src/Scheduling/PreemptionPolicy.cpp
+++ b/dogwoodvale/src/Scheduling/PreemptionPolicy.cpp
@@ -19,8 +19,13 @@
 PreemptionPolicy::PickVictim(std::span<const RunningRequest> aRunning,
                              const QueuedRequest& aHead,
                              Duration aWait,
-                             TimePoint) const
+                             TimePoint aNow) const
 {
+  // A head that meets its target by waiting gains nothing that is measured; the
+  // victim's second prefill would be waste.
+  if (aNow + aWait + aHead.expectedFirstToken <= aHead.target) {
+    return std::nullopt;
+  }
   const RunningRequest* victim = nullptr;
   for (const RunningRequest& running : aRunning) {
     if (!this->MayGiveWay(running, aHead) ||
--- a/dogwoodvale/src/Scheduling/PreemptionPolicy.h
+++ b/dogwoodvale/src/Scheduling/PreemptionPolicy.h
@@ -36,8 +36,9 @@
 
 /// Picks a running request to give way to the head of the queue.
 ///
-/// Only for a higher tier, only an idempotent one, and only when resuming it
-/// costs less than the wait that the head is saved.
+/// Only for a higher tier, only an idempotent one, only when the head would
+/// otherwise miss its target, and only when resuming costs less than the wait
+/// that the head is saved.
 class PreemptionPolicy
 {
 public:
--- a/dogwoodvale/src/Scheduling/QueuePolicy.cpp
+++ b/dogwoodvale/src/Scheduling/QueuePolicy.cpp
@@ -76,7 +76,7 @@
   return FifoQueue(aBounds);
 }
 
-Tier
+std::int64_t
 FifoQueue::RankOf(const QueuedRequest&) const
 {
   return 0;
@@ -91,7 +91,7 @@
   return StrictPriorityQueue(aBounds);
 }
 
-Tier
+std::int64_t
 StrictPriorityQueue::RankOf(const QueuedRequest& aRequest) const
 {
   return aRequest.tier;
