--- a/dogwoodvale/src/Peer/Http2Control.cpp
+++ b/dogwoodvale/src/Peer/Http2Control.cpp
@@ -1,6 +1,6 @@
 #include "Http2Session.h"
 
-#include <array>
+#include <algorithm>
 
 #include <openssl/crypto.h>
 
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::int32_t kControlId = 1;
-
 /// SETTINGS, PING and the like within one second; a peer of ours sends a few
 /// in its life.
 constexpr std::uint32_t kMaxControlFrames = 200;
--- a/dogwoodvale/src/Peer/Http2Session.cpp
+++ b/dogwoodvale/src/Peer/Http2Session.cpp
@@ -1,10 +1,13 @@
 #include "Http2Session.h"
 
+#include <algorithm>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "Http2Callbacks.h"
 #include "Http2Scope.h"
@@ -24,6 +27,23 @@
 /// stream by stream, so that one stream's reader cannot stop the others.
 constexpr std::int32_t kConnectionWindowBytes = 16 << 20;
 
+/// Whether a connection ended by what the peer did, or failed to show.
+bool
+IsRejection(const absl::Status& aReason, bool aReady)
+{
+  switch (aReason.code()) {
+    case absl::StatusCode::kInvalidArgument:
+    case absl::StatusCode::kResourceExhausted:
+    case absl::StatusCode::kPermissionDenied:
+    case absl::StatusCode::kFailedPrecondition:
+      return true;
+    case absl::StatusCode::kDeadlineExceeded:
+      return !aReady;
+    default:
+      return false;
+  }
+}
+
 } // namespace
 
 Http2Session::Http2Session(EventLoop& aLoop,
@@ -120,8 +140,9 @@
 }
 
 void
-Http2Session::Accept(int aSocket)
+Http2Session::Accept(int aSocket, std::shared_ptr<std::uint64_t> aRejections)
 {
+  this->rejections = std::move(aRejections);
   this->SetUpSocket(
     bufferevent_socket_new(this->loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE));
   this->OnConnected();
@@ -249,22 +270,50 @@
 void
 Http2Session::WriteOut()
 {
+  // One allocation serves all sessions, as there is one thread. It is taken
+  // out for the while, since a callback may close, and so flush, another one.
+  static std::string spare;
+  std::string bytes;
+  bytes.swap(spare);
   evbuffer* const output = bufferevent_get_output(this->socket);
-  while (!this->closed && evbuffer_get_length(output) < kSocketQueueBytes) {
+  const std::size_t waiting = evbuffer_get_length(output);
+  while (!this->closed && waiting + bytes.size() < kSocketQueueBytes) {
     const std::uint8_t* data = nullptr;
     const ssize_t size = nghttp2_session_mem_send(this->session, &data);
-    if (this->closed || size == 0) {
-      return;
-    }
-    if (size < 0) {
+    if (size < 0 && !this->closed) {
       this->Close(MakeError(absl::StatusCode::kInternal,
                             "sending failed: {}",
                             nghttp2_strerror(static_cast<int>(size))));
-      return;
     }
-    evbuffer_add(output, data, static_cast<std::size_t>(size));
-    this->bytesSent += static_cast<std::uint64_t>(size);
-    this->lastSent = Now();
+    if (size <= 0) {
+      break;
+    }
+    bytes.append(reinterpret_cast<const char*>(data),
+                 static_cast<std::size_t>(size));
+  }
+  if (!this->closed && !bytes.empty()) {
+    this->WriteBytes(bytes, waiting == 0);
+  }
+  bytes.clear();
+  spare.swap(bytes);
+}
+
+void
+Http2Session::WriteBytes(std::string_view aBytes, bool aMayWriteNow)
+{
+  this->bytesSent += aBytes.size();
+  this->lastSent = Now();
+  // Mostly the kernel has room at once, which saves asking libevent to watch
+  // for that: three system calls for each token. Errors show on its way.
+  if (aMayWriteNow) {
+    const ssize_t sent = send(bufferevent_getfd(this->socket),
+                              aBytes.data(),
+                              aBytes.size(),
+                              MSG_NOSIGNAL | MSG_DONTWAIT);
+    aBytes.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(sent, 0)));
+  }
+  if (!aBytes.empty()) {
+    bufferevent_write(this->socket, aBytes.data(), aBytes.size());
   }
 }
 
@@ -275,6 +324,9 @@
     return;
   }
   const Scope scope(*this);
+  if (this->rejections != nullptr && IsRejection(aReason, this->ready)) {
+    ++*this->rejections;
+  }
   this->closed = true;
   this->timer.Stop();
   event_del(this->flushEvent);
@@ -300,11 +352,6 @@
     // Last words, such as a refusal just given, reach the kernel if it has
     // room. Not from within nghttp2, which must not be entered twice.
     self->Flush();
-    if (self->socket != nullptr && bufferevent_getfd(self->socket) >= 0) {
-      evbuffer* const output = bufferevent_get_output(self->socket);
-      evbuffer_unfreeze(output, 1);
-      evbuffer_write(output, bufferevent_getfd(self->socket));
-    }
   }
   self->Close(absl::CancelledError("the connection was closed here"));
 }
--- a/dogwoodvale/src/Peer/Http2Session.h
+++ b/dogwoodvale/src/Peer/Http2Session.h
@@ -45,8 +45,10 @@
   Http2Session& operator=(const Http2Session&) = delete;
 
   void Connect(const SocketAddress& aAddress);
-  /// Takes over the accepted socket \p aSocket.
-  void Accept(int aSocket);
+  /// Takes over the accepted socket \p aSocket. A connection that ends by the
+  /// peer's fault is counted in \p aRejections; shared, since connections may
+  /// outlive their listener.
+  void Accept(int aSocket, std::shared_ptr<std::uint64_t> aRejections);
   void SetHandler(PeerConnectionHandler& aHandler)
   {
     this->handler = &aHandler;
@@ -92,6 +94,7 @@
   void ScheduleFlush();
   void Flush();
   void WriteOut();
+  void WriteBytes(std::string_view aBytes, bool aMayWriteNow);
   void TellWritable();
   void Close(const absl::Status& aReason);
   void LoseStreams(const absl::Status& aReason);
@@ -105,6 +108,11 @@
   void ArmTimer();
 
   Http2Stream* Find(std::int32_t aId);
+  /// The stream is closed, or its owner has let go.
+  void Forget(Http2Stream& aStream);
+  absl::Status Feed(Http2Stream& aStream,
+                    std::string_view aBytes,
+                    std::vector<Message>& aOut);
   bool Deliver(std::int32_t aId, std::vector<Message> aMessages);
   void Reset(std::int32_t aId, std::uint32_t aError);
   void Lose(Http2Stream& aStream, const absl::Status& aReason);
@@ -126,6 +134,8 @@
   /// Released by their owners, with bytes still to be sent.
   absl::flat_hash_map<std::int32_t, std::unique_ptr<Http2Stream>> lingering;
   std::vector<std::int32_t> writable;
+  /// Held of messages that have not come whole, all streams.
+  std::size_t partialBytes = 0;
 
   absl::Status connectFailure;
   TimePoint opened;
@@ -134,6 +144,7 @@
   TimePoint timerDue;
   TimePoint floodWindowStart;
   std::uint32_t controlFrames = 0;
+  std::shared_ptr<std::uint64_t> rejections;
   std::uint64_t bytesSent = 0;
   std::uint64_t bytesReceived = 0;
   int depth = 0;
--- a/dogwoodvale/src/Peer/Http2Streams.cpp
+++ b/dogwoodvale/src/Peer/Http2Streams.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxPartialBytes = 8 * kMaxMessageBytes;
+
 absl::Status
 ReasonOf(std::uint32_t aError)
 {
@@ -43,6 +45,13 @@
   return found == this->lingering.end() ? nullptr : found->second.get();
 }
 
+void
+Http2Session::Forget(Http2Stream& aStream)
+{
+  this->partialBytes -= aStream.reader.PartialBytes();
+  this->streams.erase(aStream.id);
+}
+
 std::unique_ptr<PeerStream>
 Http2Session::OpenStream()
 {
@@ -156,6 +165,22 @@
   this->ScheduleFlush();
 }
 
+absl::Status
+Http2Session::Feed(Http2Stream& aStream,
+                   std::string_view aBytes,
+                   std::vector<Message>& aOut)
+{
+  this->partialBytes -= aStream.reader.PartialBytes();
+  const absl::Status status = aStream.reader.Feed(aBytes, aOut);
+  this->partialBytes += aStream.reader.PartialBytes();
+  // The bound on a message times that on streams is far more than a process
+  // has: a peer that begins many long messages and ends none would take it.
+  if (status.ok() && this->partialBytes > kMaxPartialBytes) {
+    return absl::ResourceExhaustedError("too many messages are incomplete");
+  }
+  return status;
+}
+
 bool
 Http2Session::OnData(std::int32_t aId, std::string_view aBytes)
 {
@@ -170,12 +195,14 @@
   }
   stream->unacknowledged += aBytes.size();
   std::vector<Message> messages;
-  const absl::Status status = stream->reader.Feed(aBytes, messages);
+  const absl::Status status = this->Feed(*stream, aBytes, messages);
   if (!this->Deliver(aId, std::move(messages))) {
     return !this->closed;
   }
   if (!status.ok()) {
-    this->Reset(aId, NGHTTP2_PROTOCOL_ERROR);
+    this->Reset(aId,
+                absl::IsResourceExhausted(status) ? NGHTTP2_ENHANCE_YOUR_CALM
+                                                  : NGHTTP2_PROTOCOL_ERROR);
     this->Lose(*stream, status);
   } else if (!stream->paused) {
     this->Acknowledge(*stream);
@@ -237,7 +264,7 @@
   // A listening side that is done with a stream resets it with no error; what
   // it had to say came before, with its end.
   if (aError == NGHTTP2_NO_ERROR && stream->remoteEnded) {
-    this->streams.erase(aId);
+    this->Forget(*stream);
     stream->session = nullptr;
     return true;
   }
@@ -249,7 +276,7 @@
 Http2Session::Release(std::unique_ptr<Http2Stream> aStream)
 {
   const std::int32_t id = aStream->id;
-  this->streams.erase(id);
+  this->Forget(*aStream);
   if (this->closed) {
     return;
   }
@@ -299,7 +326,7 @@
 void
 Http2Session::Lose(Http2Stream& aStream, const absl::Status& aReason)
 {
-  this->streams.erase(aStream.id);
+  this->Forget(aStream);
   aStream.session = nullptr;
   if (aStream.handler != nullptr) {
     aStream.handler->OnLost(aReason);
--- a/dogwoodvale/src/Peer/Message.cpp
+++ b/dogwoodvale/src/Peer/Message.cpp
@@ -376,7 +376,7 @@
       break;
     }
     Message message;
-    const absl::Status status =
+    absl::Status status =
       DecodeBody(aBytes.substr(kPrefixBytes, size), message);
     if (!status.ok()) {
       return status;
@@ -392,13 +392,13 @@
 {
   // Most messages come whole, and are then decoded where they lie.
   if (this->buffer.empty()) {
-    const absl::Status status = this->TakeFrames(aBytes, aOut);
+    absl::Status status = this->TakeFrames(aBytes, aOut);
     this->buffer.assign(aBytes);
     return status;
   }
   this->buffer.append(aBytes);
   std::string_view rest = this->buffer;
-  const absl::Status status = this->TakeFrames(rest, aOut);
+  absl::Status status = this->TakeFrames(rest, aOut);
   this->buffer.erase(0, this->buffer.size() - rest.size());
   if (this->buffer.empty()) {
     this->buffer.shrink_to_fit();
--- a/dogwoodvale/src/Peer/PeerConnection.h
+++ b/dogwoodvale/src/Peer/PeerConnection.h
@@ -14,13 +14,15 @@
 {
 public:
   virtual ~PeerConnectionHandler() = default;
-  /// The peer's hello was checked; streams may be opened now.
+  /// The peer's hello was checked; streams may be opened now. Connecting side
+  /// only: the listening side learns the same by PeerAcceptor::OnAccepted.
   virtual void OnReady(const Hello& aPeer) = 0;
   virtual void OnNotice(const Notice& aNotice) = 0;
   /// Refused, timed out, reset, or the hello was wrong. The connection is
   /// done; every open stream got OnLost first. May destroy the connection.
   virtual void OnClosed(const absl::Status& aReason) = 0;
-  /// The peer opened a stream (listening side only).
+  /// The peer opened a stream (listening side only). Set its handler before
+  /// returning: messages that come to a stream without one are dropped.
   virtual void OnStream(std::unique_ptr<PeerStream> aStream) = 0;
 };
 
@@ -52,12 +54,16 @@
     const Hello& aSelf,
     PeerConnectionHandler& aHandler);
 
+  /// Closes the connection, if it is open. Every stream that is still open
+  /// gets OnLost before this returns; OnClosed is not called. What is queued
+  /// goes out as far as the kernel takes it at once. Safe in any callback.
   virtual ~PeerConnection() = default;
 
   virtual bool IsReady() const = 0;
   /// The peer's hello; valid once ready.
   virtual const Hello& Peer() const = 0;
-  /// Opens a stream for a request; nullptr when not ready or full.
+  /// Opens a stream for a request; nullptr when not ready or full, and on the
+  /// listening side.
   virtual std::unique_ptr<PeerStream> OpenStream() = 0;
   /// Sends \p aNotice now; it is also what later heartbeats repeat.
   virtual void SetNotice(const Notice& aNotice, bool aSendNow) = 0;
--- a/dogwoodvale/src/Peer/PeerListener.cpp
+++ b/dogwoodvale/src/Peer/PeerListener.cpp
@@ -34,14 +34,7 @@
   void Start(EventLoop& aLoop,
              const PeerOptions& aOptions,
              const Hello& aSelf,
-             int aSocket)
-  {
-    auto session = std::make_unique<Http2Session>(
-      aLoop, aOptions, aSelf, Side::Listening, *this);
-    Http2Session& started = *session;
-    this->connection = std::make_unique<Http2Connection>(std::move(session));
-    started.Accept(aSocket);
-  }
+             int aSocket);
   void OnReady(const Hello& aPeer) override;
   void OnNotice(const Notice& /*aNotice*/) override {}
   void OnClosed(const absl::Status& aReason) override;
@@ -76,7 +69,7 @@
   /// Frees \p aPending, which may be what calls this.
   std::unique_ptr<PendingPeer> Remove(PendingPeer& aPending);
   PeerAcceptor& Acceptor() { return this->acceptor; }
-  void CountRejected() { ++this->rejected; }
+  std::shared_ptr<std::uint64_t> Rejections() { return this->rejections; }
 
   SocketAddress Address() const override { return this->address; }
   void SetHello(const Hello& aSelf) override { this->self = aSelf; }
@@ -88,7 +81,7 @@
       this->socket = nullptr;
     }
   }
-  std::uint64_t RejectedCount() const override { return this->rejected; }
+  std::uint64_t RejectedCount() const override { return *this->rejections; }
 
 private:
   EventLoop& loop;
@@ -98,10 +91,24 @@
   Timer retry;
   SocketAddress address;
   evconnlistener* socket = nullptr;
-  std::uint64_t rejected = 0;
+  std::shared_ptr<std::uint64_t> rejections =
+    std::make_shared<std::uint64_t>(0);
   absl::flat_hash_map<PendingPeer*, std::unique_ptr<PendingPeer>> pending;
 };
 
+void
+PendingPeer::Start(EventLoop& aLoop,
+                   const PeerOptions& aOptions,
+                   const Hello& aSelf,
+                   int aSocket)
+{
+  auto session = std::make_unique<Http2Session>(
+    aLoop, aOptions, aSelf, Side::Listening, *this);
+  Http2Session& started = *session;
+  this->connection = std::make_unique<Http2Connection>(std::move(session));
+  started.Accept(aSocket, this->listener.Rejections());
+}
+
 void
 PendingPeer::OnReady(const Hello& aPeer)
 {
@@ -114,7 +121,6 @@
 void
 PendingPeer::OnClosed(const absl::Status& /*aReason*/)
 {
-  this->listener.CountRejected();
   this->listener.Remove(*this);
 }
 
@@ -164,7 +170,7 @@
 {
   if (this->pending.size() >= kMaxPending) {
     close(aSocket);
-    this->CountRejected();
+    ++*this->rejections;
     return;
   }
   auto peer = std::make_unique<PendingPeer>(*this);
--- a/dogwoodvale/src/Peer/PeerStream.h
+++ b/dogwoodvale/src/Peer/PeerStream.h
@@ -15,14 +15,20 @@
   virtual void OnMessage(Message aMessage) = 0;
   /// The peer sends no more; everything it sent was delivered before.
   virtual void OnEnd() = 0;
-  /// The stream or its connection was lost; nothing more comes.
+  /// The stream or its connection was lost; nothing more comes. Cancelled: the
+  /// peer let go of it, or the connection was destroyed here. Unavailable: the
+  /// connection broke, or the peer refused the stream. DeadlineExceeded: the
+  /// peer fell silent. ResourceExhausted, InvalidArgument, DataLoss, Aborted: a
+  /// message was too long, malformed or cut short, here or there.
   virtual void OnLost(const absl::Status& aReason) = 0;
   /// QueuedBytes() fell below the low-water mark after being above it.
   virtual void OnWritable() {}
 };
 
 /// One bidirectional stream of messages. Destroying it cancels what has not
-/// ended, at both ends (RST_STREAM); no callback comes after that.
+/// ended, at both ends (RST_STREAM): the other end gets OnLost with Cancelled.
+/// No callback comes after that. Only an answer that the listening side has
+/// finished (FinishSending) is still sent whole after its stream is destroyed.
 class PeerStream
 {
 public:
@@ -35,7 +41,8 @@
   /// Bytes queued here and not yet taken by the connection.
   virtual std::size_t QueuedBytes() const = 0;
   /// While paused, received bytes are not acknowledged, so that the sender's
-  /// window of this stream alone fills up.
+  /// window of this stream alone fills up. What the window already allows
+  /// (PeerOptions::streamWindowBytes) is still delivered.
   virtual void SetReadingPaused(bool aPaused) = 0;
   /// Whether any byte of this stream was handed to the socket. If not, the
   /// peer cannot have seen it.
--- a/test/PeerMessages.cpp
+++ b/test/PeerMessages.cpp
@@ -105,11 +105,12 @@
 bool
 IsSame(const std::vector<T>& aLeft, const std::vector<T>& aRight)
 {
-  return std::equal(aLeft.begin(),
-                    aLeft.end(),
-                    aRight.begin(),
-                    aRight.end(),
-                    [](const T& a, const T& b) { return IsSame(a, b); });
+  return std::equal(
+    aLeft.begin(),
+    aLeft.end(),
+    aRight.begin(),
+    aRight.end(),
+    [](const T& aOne, const T& aOther) { return IsSame(aOne, aOther); });
 }
 
 bool
