Show class, customer and sidecar metrics

Cause: operators need histograms per class and per busy customer. Change: EntryMetrics and SidecarMetrics feed the Metrics module; /metrics shows them. Conclusion: wired.

--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -109,6 +109,7 @@
 void
 CallerRequest::Start()
 {
+  this->admitted = true;
   this->deadline.StartOnce(this->BudgetLeft(Now()));
   this->TryNext();
 }
@@ -222,7 +223,7 @@
   run.budgetMicros = this->BudgetLeft(now).count();
   run.maxWaitMicros = spec.maxWait.count();
   run.classQueueBound = spec.queueBound;
-  run.preemptions = static_cast<std::uint32_t>(this->preemptions);
+  run.preemptions = static_cast<std::uint32_t>(this->outcome.preemptions);
   run.method = http.method;
   run.path = http.path;
   run.epoch = this->host.CurrentEpoch();
@@ -355,7 +356,7 @@
     this->resolved.service, this->running->server, aFailed.load);
   if (aFailed.resumable && aFailed.code == ErrorCode::Evicted) {
     // Preempted: nothing is wrong with the server, and it may go on there.
-    ++this->preemptions;
+    ++this->outcome.preemptions;
     this->Conclude(MakeRequestError(aFailed), SendResult::Refused, false);
     return;
   }
--- a/dogwoodvale/src/Entry/CallerRequest.h
+++ b/dogwoodvale/src/Entry/CallerRequest.h
@@ -33,6 +33,7 @@
   std::uint64_t wastedTokens = 0;
   int attempts = 0;
   int resumes = 0;
+  int preemptions = 0;
 };
 
 /// What a request needs of its entry.
@@ -74,6 +75,8 @@
   const HttpRequest& Http() const { return this->exchange->Request(); }
   const CallerOutcome& Outcome() const { return this->outcome; }
   bool IsDone() const { return this->done; }
+  /// Whether it was started, and so counts against its customer's limits.
+  bool WasAdmitted() const { return this->admitted; }
 
   void OnCallerGone() override;
   void OnDrained() override;
@@ -146,7 +149,7 @@
   TimePoint firstTokenAt;
   TimePoint lastTokenAt;
   std::uint64_t promptTokens = 0;
-  int preemptions = 0;
+  bool admitted = false;
   bool passedOn = false;
   /// Whether any attempt so far may have run.
   bool mayHaveRun = false;
--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -195,18 +195,27 @@
   return this->budgets[{ aRequest.service, aRequest.requestClass.name }];
 }
 
+void
+Entry::RefuseEarly(CallerExchange& aExchange,
+                   const RequestError& aError,
+                   const RequestId& aId)
+{
+  this->metrics.CountRefusal(aError);
+  RespondError(aExchange, aError, ToString(aId));
+}
+
 void
 Entry::OnRequest(std::unique_ptr<CallerExchange> aExchange)
 {
   const RequestId id = this->NextId();
   const Configuration* active = this->Active();
   if (active == nullptr) {
-    RespondError(*aExchange,
-                 { ErrorCode::NotReady,
-                   Disposition::NotRun,
-                   "no configuration yet",
-                   SpreadRetryAfter(seconds(1), this->random) },
-                 ToString(id));
+    this->RefuseEarly(*aExchange,
+                      { ErrorCode::NotReady,
+                        Disposition::NotRun,
+                        "no configuration yet",
+                        SpreadRetryAfter(seconds(1), this->random) },
+                      id);
     return;
   }
   if (aExchange->Request().path == kModelsPath &&
@@ -216,34 +225,34 @@
   }
   auto result = ResolveRequest(aExchange->Request(), *active);
   if (const auto* error = std::get_if<RequestError>(&result)) {
-    RespondError(*aExchange, *error, ToString(id));
+    this->RefuseEarly(*aExchange, *error, id);
     return;
   }
   auto& resolved = std::get<ResolvedRequest>(result);
   this->FollowLimit(resolved.customer);
   const std::optional<RequestError> refusal =
     this->admission.Admit(resolved.customer, Now(), this->random);
-  if (refusal) {
-    RespondError(*aExchange, *refusal, ToString(id));
-    return;
-  }
   auto request = std::make_unique<CallerRequest>(
     *this, std::move(aExchange), std::move(resolved), id);
-  CallerRequest& started = *request;
+  CallerRequest& made = *request;
   this->requests[id] = std::move(request);
-  started.Start();
+  if (refusal) {
+    made.Refuse(*refusal);
+  } else {
+    made.Start();
+  }
 }
 
 void
 Entry::RespondModels(CallerExchange& aExchange)
 {
   if (Authenticate(aExchange.Request(), *this->Active()) == nullptr) {
-    RespondError(aExchange,
-                 { ErrorCode::Unauthorized,
-                   Disposition::NotRun,
-                   "no such API key",
-                   milliseconds(0) },
-                 ToString(this->NextId()));
+    this->RefuseEarly(aExchange,
+                      { ErrorCode::Unauthorized,
+                        Disposition::NotRun,
+                        "no such API key",
+                        milliseconds(0) },
+                      this->NextId());
     return;
   }
   Json::Value list;
@@ -267,7 +276,10 @@
 void
 Entry::OnDone(CallerRequest& aRequest)
 {
-  this->admission.Release(aRequest.Resolved().customer);
+  if (aRequest.WasAdmitted()) {
+    this->admission.Release(aRequest.Resolved().customer);
+  }
+  this->metrics.Record(aRequest.Resolved(), aRequest.Outcome());
   this->sweepTimer.StartOnce(Duration(0));
 }
 
@@ -351,7 +363,11 @@
 std::string
 Entry::Metrics()
 {
-  return "";
+  this->metrics.SetGauges(this->requests.size(),
+                          this->fleet->LinkCount(),
+                          this->CurrentEpoch(),
+                          this->callers->Counters());
+  return this->metrics.Render();
 }
 
 std::string
--- a/dogwoodvale/src/Entry/Entry.h
+++ b/dogwoodvale/src/Entry/Entry.h
@@ -8,6 +8,7 @@
 
 #include "CallerRequest.h"
 #include "ConfigurationSync.h"
+#include "EntryMetrics.h"
 #include "dogwoodvale/Configuration"
 #include "dogwoodvale/Settings"
 
@@ -73,6 +74,10 @@
   void TellPeers(bool aNow);
   Hello MakeHello() const;
   void RespondModels(CallerExchange& aExchange);
+  /// Refuses a request that has no class yet.
+  void RefuseEarly(CallerExchange& aExchange,
+                   const RequestError& aError,
+                   const RequestId& aId);
   void Sweep();
   void CheckStopped();
 
@@ -84,6 +89,7 @@
   /// From the settings' file, used until the store or a peer gives one.
   std::optional<Configuration> fileConfiguration;
   AdmissionControl admission;
+  EntryMetrics metrics;
   std::map<BudgetKey, RetryBudget> budgets;
   std::unique_ptr<Fleet> fleet;
   std::unique_ptr<ConfigurationSync> sync;
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -225,6 +225,9 @@
 Sidecar::OnFirstToken(SidecarAttempt& aAttempt, Duration aSinceStart)
 {
   this->dispatcher->OnFirstToken(aAttempt, aSinceStart);
+  this->metrics.RecordWait(ServiceName(aAttempt.Request().service),
+                           ClassName(aAttempt.Request().className),
+                           Between(aAttempt.Arrived(), aAttempt.StartedAt()));
 }
 
 void
@@ -369,7 +372,10 @@
 std::string
 Sidecar::Metrics()
 {
-  return "";
+  return this->metrics.Render(*this->dispatcher,
+                              this->control->Keeper().CurrentEpoch(),
+                              this->sessions.size(),
+                              this->listener->RejectedCount());
 }
 
 std::string
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Dispatcher.h"
+#include "SidecarMetrics.h"
 #include "SidecarSession.h"
 #include "dogwoodvale/Http"
 #include "dogwoodvale/Peer"
@@ -93,6 +94,7 @@
   std::unique_ptr<PeerListener> listener;
   std::unique_ptr<OperatorServer> operators;
   std::unique_ptr<ControlPlane> control;
+  SidecarMetrics metrics;
   std::vector<std::unique_ptr<SidecarSession>> sessions;
   /// Configurations that entries offer at this moment.
   absl::flat_hash_map<InstanceName, SidecarAttempt*> offers;
