Keep the stand-ins alive when a client resets its connection

Cause: a write to a reset connection raised SIGPIPE; under a trial of 60 clients that abort at random the engine and the platform ended with code 141. Change: the signal is ignored where the server is created.

--- a/standins/JsonServer.cpp
+++ b/standins/JsonServer.cpp
@@ -1,6 +1,6 @@
 #include "JsonServer.h"
 
-#include <cstdlib>
+#include <csignal>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -234,6 +234,8 @@
   if (size == 0) {
     return absl::InvalidArgumentError("not an IP number: " + aListen.ip);
   }
+  // A write to a connection that the client has closed would end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   std::unique_ptr<JsonServer> server(new JsonServer(aLoop, aHandler));
   evconnlistener* listener = evconnlistener_new_bind(
     aLoop.Base(),
