--- a/bench/RoutingModel.cpp
+++ b/bench/RoutingModel.cpp
@@ -19,22 +19,15 @@
 std::unique_ptr<BackendChooser>
 MakeChooser(const std::string& aName)
 {
-  if (aName == "least_of_all") {
-    return std::make_unique<LeastOfAllChooser>();
-  }
   if (aName == "join_idle") {
     return std::make_unique<JoinIdleChooser>();
   }
   if (aName == "hot_cold") {
     return std::make_unique<HotColdChooser>();
   }
-  if (aName == "least_loaded_of_three") {
-    return std::make_unique<LeastLoadedOfTwo>(
-      LeastLoadedSettings{ .draws = 3 });
-  }
-  if (aName == "least_loaded_of_five") {
-    return std::make_unique<LeastLoadedOfTwo>(
-      LeastLoadedSettings{ .draws = 5 });
+  if (aName == "trusting") {
+    return std::make_unique<LeastLoadedChooser>(
+      LeastLoadedSettings{ .draws = 2, .reportWeight = 1.0 });
   }
   return std::move(CreateChooser(aName)).value();
 }
@@ -147,6 +140,9 @@
   job.entry = this->arrivals() % this->entries.size();
   job.tokens = std::max(1.0, length(this->arrivals));
   job.arrival = this->now;
+  if (this->settings.refuses) {
+    job.refusalsLeft = AllowedRefusals(this->entries[job.entry].table);
+  }
   this->jobs.push_back(std::move(job));
   const std::size_t index = this->jobs.size() - 1;
   if (this->settings.reservations > 0) {
@@ -164,14 +160,11 @@
   const Duration probing = this->Probe(entry);
   ChoiceRequest request;
   request.promptTokens = this->settings.promptTokens;
-  request.excluded = this->jobs[aJob].refusedBy;
+  if (this->jobs[aJob].refusalsLeft > 0) {
+    request.excluded = this->jobs[aJob].refusedBy;
+  }
   std::optional<InstanceName> chosen =
     entry.chooser->Choose(entry.table, request, this->now, this->choices);
-  if (!chosen) {
-    request.excluded = {};
-    chosen =
-      entry.chooser->Choose(entry.table, request, this->now, this->choices);
-  }
   if (!chosen) {
     this->At(this->now + milliseconds(10), [this, aJob] { this->Send(aJob); });
     return;
@@ -221,10 +214,8 @@
 {
   Server& server = this->servers[aServer];
   const Job& job = this->jobs[aJob];
-  const double bound = this->settings.refuseAt * this->settings.slots;
-  const bool isFull = bound > 0.0 && job.refusedBy.size() < 2 &&
-                      static_cast<double>(server.queue.size()) >= bound;
-  if (isFull) {
+  const std::uint32_t left = job.refusalsLeft;
+  if (ShouldRefuseEarly(this->Snapshot(server, job.entry), left)) {
     this->Refuse(aJob, aServer);
     return;
   }
@@ -249,6 +240,7 @@
       name, tokens, 0, SendResult::Refused, Duration{ 0 }, this->now);
     table.OnLoadReport(name, report, this->now);
     job.refusedBy.push_back(name);
+    --job.refusalsLeft;
     this->Send(aJob);
   });
 }
@@ -344,7 +336,8 @@
     return;
   }
   Entry& entry = this->entries[aEntry];
-  for (const HealthChange& change : entry.health.Evaluate(this->now)) {
+  for (const HealthChange& change :
+       entry.health.Evaluate(this->now, entry.table.MeanLoad())) {
     entry.table.SetStanding(change.name, change.standing);
   }
   this->At(this->now + kHealthPeriod,
@@ -382,7 +375,7 @@
   const char* chooser;
   std::size_t probes = 0;
   std::size_t reservations = 0;
-  double refuseAt = 0.0;
+  bool refuses = false;
   bool ejects = false;
 };
 
@@ -392,14 +385,16 @@
   { "least_connections", "least_connections" },
   { "join_idle", "join_idle" },
   { "hot_cold", "hot_cold" },
-  { "least_of_all", "least_of_all" },
   { "two_reservations", "random", 0, 2 },
-  { "two_probes", "least_loaded_of_two", 2 },
+  { "two_probes", "trusting", 2 },
+  { "two_trusting_reports", "trusting" },
   { "least_loaded_of_two", "least_loaded_of_two" },
-  { "least_loaded_of_three", "least_loaded_of_three" },
-  { "least_loaded_of_five", "least_loaded_of_five" },
-  { "of_two+refusal", "least_loaded_of_two", 0, 0, 0.5 },
-  { "of_two+refusal+ejection", "least_loaded_of_two", 0, 0, 0.5, true },
+  { "least_loaded", "least_loaded" },
+  { "random+refusal", "random", 0, 0, true },
+  { "least_connections+refusal", "least_connections", 0, 0, true },
+  { "least_loaded_of_two+refusal", "least_loaded_of_two", 0, 0, true },
+  { "least_loaded+refusal", "least_loaded", 0, 0, true },
+  { "least_loaded+refusal+ejection", "least_loaded", 0, 0, true, true },
 };
 
 struct Fleet
@@ -447,7 +442,7 @@
   settings.reportLag = aCase.reportLag;
   settings.probes = aPolicy.probes;
   settings.reservations = aPolicy.reservations;
-  settings.refuseAt = aPolicy.refuseAt;
+  settings.refuses = aPolicy.refuses;
   settings.ejects = aPolicy.ejects;
   ModelResult result;
   for (auto _ : aState) {
--- a/bench/routing/Choosers.h
+++ b/bench/routing/Choosers.h
@@ -9,45 +9,6 @@
 /// Choosers that were weighed and not kept; for comparison only.
 namespace dogwoodvale::bench {
 
-/// Load as known to the entry, in shares of the slots.
-inline double
-KnownLoad(const Backend& aBackend)
-{
-  return (aBackend.ReportedOthers() + aBackend.inFlight) / aBackend.Slots();
-}
-
-/// The least loaded of all by the last reports.
-class LeastOfAllChooser final : public BackendChooser
-{
-public:
-  std::optional<InstanceName> Choose(const BackendTable& aTable,
-                                     const ChoiceRequest& aRequest,
-                                     TimePoint aNow,
-                                     std::mt19937_64& aRandom) override
-  {
-    const auto all = aTable.All();
-    const Backend* best = nullptr;
-    double bestWait = 0.0;
-    const std::size_t start = aRandom() % all.size();
-    for (std::size_t offset = 0; offset < all.size(); ++offset) {
-      const Backend& next = all[(start + offset) % all.size()];
-      if (!internal::IsCandidate(next, aRequest)) {
-        continue;
-      }
-      const double wait =
-        this->estimate.ExpectedWait(next, aTable, aRequest, aNow);
-      if (best == nullptr || wait < bestWait) {
-        best = &next;
-        bestWait = wait;
-      }
-    }
-    return best == nullptr ? std::nullopt : std::optional(best->name);
-  }
-
-private:
-  LeastLoadedOfTwo estimate;
-};
-
 /// Join-idle-queue: any server believed to have a free slot, else at random.
 class JoinIdleChooser final : public BackendChooser
 {
@@ -61,7 +22,7 @@
     const std::size_t start = aRandom() % all.size();
     for (std::size_t offset = 0; offset < all.size(); ++offset) {
       const Backend& next = all[(start + offset) % all.size()];
-      if (KnownLoad(next) < 1.0 && internal::IsCandidate(next, aRequest)) {
+      if (next.Load() < 1.0 && internal::IsCandidate(next, aRequest)) {
         return next.name;
       }
     }
@@ -94,7 +55,7 @@
     }
     this->loads.clear();
     for (const Backend* backend : this->pool) {
-      this->loads.push_back(KnownLoad(*backend));
+      this->loads.push_back(backend->Load());
     }
     std::sort(this->loads.begin(), this->loads.end());
     const double hot = this->loads[this->loads.size() * 8 / 10];
@@ -118,12 +79,12 @@
 
   bool IsBetter(const Backend& aLeft, const Backend& aRight, double aHot) const
   {
-    const bool leftHot = KnownLoad(aLeft) >= aHot;
-    const bool rightHot = KnownLoad(aRight) >= aHot;
+    const bool leftHot = aLeft.Load() >= aHot;
+    const bool rightHot = aRight.Load() >= aHot;
     if (leftHot != rightHot) {
       return rightHot;
     }
-    return leftHot ? KnownLoad(aLeft) < KnownLoad(aRight)
+    return leftHot ? aLeft.Load() < aRight.Load()
                    : Latency(aLeft) < Latency(aRight);
   }
 
--- a/bench/routing/QueueingModel.h
+++ b/bench/routing/QueueingModel.h
@@ -44,8 +44,8 @@
   /// Put the request on this many servers; the first with a free slot serves
   /// it, after a round trip to claim it.
   std::size_t reservations = 0;
-  /// A queue this many times the slots refuses; 0 for no bound.
-  double refuseAt = 0.0;
+  /// Servers without a free slot refuse early.
+  bool refuses = false;
   bool ejects = false;
 };
 
@@ -73,6 +73,7 @@
     double tokens = 0.0;
     TimePoint arrival{};
     std::vector<InstanceName> refusedBy;
+    std::uint32_t refusalsLeft = 0;
     bool claimed = false;
   };
 
--- a/dogwoodvale/src/Routing/BackendChooser.cpp
+++ b/dogwoodvale/src/Routing/BackendChooser.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "LeastConnectionsChooser.h"
-#include "LeastLoadedOfTwo.h"
+#include "LeastLoadedChooser.h"
 #include "RandomChooser.h"
 #include "RoundRobinChooser.h"
 
@@ -12,8 +12,12 @@
 absl::StatusOr<std::unique_ptr<BackendChooser>>
 CreateChooser(std::string_view aName)
 {
+  if (aName == "least_loaded") {
+    return std::make_unique<LeastLoadedChooser>();
+  }
   if (aName == "least_loaded_of_two") {
-    return std::make_unique<LeastLoadedOfTwo>();
+    return std::make_unique<LeastLoadedChooser>(
+      LeastLoadedSettings{ .draws = 2 });
   }
   if (aName == "least_connections") {
     return std::make_unique<LeastConnectionsChooser>();
@@ -47,6 +51,12 @@
                    aBackend.name) == aRequest.excluded.end();
 }
 
+std::size_t
+DrawPosition(std::size_t aCount, std::mt19937_64& aRandom)
+{
+  return std::uniform_int_distribution<std::size_t>(0, aCount - 1)(aRandom);
+}
+
 const Backend*
 DrawCandidate(const BackendTable& aTable,
               const ChoiceRequest& aRequest,
--- a/dogwoodvale/src/Routing/BackendChooser.h
+++ b/dogwoodvale/src/Routing/BackendChooser.h
@@ -19,7 +19,9 @@
   std::uint32_t promptTokens = 0;
   /// 0 when the request has no prefix worth looking for.
   PrefixHash prefixHash = 0;
-  /// Servers that have already refused or failed this request.
+  /// Servers that have failed this request, or have refused it and may refuse
+  /// the next; once no refusal is left, those that refused are worth choosing
+  /// again, since their reports are fresh.
   std::span<const InstanceName> excluded;
 };
 
@@ -36,8 +38,9 @@
                                              std::mt19937_64& aRandom) = 0;
 };
 
-/// Makes a chooser by the name used in settings: "least_loaded_of_two" (the
-/// default elsewhere), "least_connections", "round_robin" or "random".
+/// Makes a chooser by the name used in settings: "least_loaded" (the one
+/// to use), "least_loaded_of_two", "least_connections", "round_robin" or
+/// "random".
 absl::StatusOr<std::unique_ptr<BackendChooser>>
 CreateChooser(std::string_view aName);
 
@@ -47,6 +50,10 @@
 bool
 IsCandidate(const Backend& aBackend, const ChoiceRequest& aRequest);
 
+/// A position below \p aCount, which is not 0.
+std::size_t
+DrawPosition(std::size_t aCount, std::mt19937_64& aRandom);
+
 /// One candidate drawn at random, other than \p aOther; null if none. Tries a
 /// few draws, then scans, so that the cost does not grow with the table while
 /// most servers are usable.
--- a/dogwoodvale/src/Routing/BackendTable.cpp
+++ b/dogwoodvale/src/Routing/BackendTable.cpp
@@ -134,6 +134,29 @@
     }));
 }
 
+std::size_t
+BackendTable::UsableCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->backends.begin(), this->backends.end(), [](const Backend& aBackend) {
+      return aBackend.IsUsable();
+    }));
+}
+
+double
+BackendTable::MeanLoad() const
+{
+  double sum = 0.0;
+  std::size_t count = 0;
+  for (const Backend& backend : this->backends) {
+    if (backend.available && backend.HasReport()) {
+      sum += backend.Load();
+      ++count;
+    }
+  }
+  return count == 0 ? 0.0 : sum / static_cast<double>(count);
+}
+
 double
 BackendTable::MeanOthersPerSlot() const
 {
--- a/dogwoodvale/src/Routing/BackendTable.h
+++ b/dogwoodvale/src/Routing/BackendTable.h
@@ -65,6 +65,12 @@
     return this->report.limit == 0 ? kGuessedSlots : this->report.limit;
   }
 
+  /// Requests there per slot, by the last report and own work since.
+  double Load() const
+  {
+    return (this->ReportedOthers() + this->inFlight) / this->Slots();
+  }
+
   /// Requests of other entries there, by the last report.
   double ReportedOthers() const
   {
@@ -117,6 +123,10 @@
   /// In no order that means anything. Valid until the next Upsert or Remove.
   std::span<const Backend> All() const { return this->backends; }
   std::size_t AvailableCount() const;
+  std::size_t UsableCount() const;
+  /// Mean over the available servers that have reported, of the requests there
+  /// per slot; above 1 when there are queues, 0 when nothing is known.
+  double MeanLoad() const;
   /// Mean over the servers that have reported, of the requests of other
   /// entries per slot.
   double MeanOthersPerSlot() const;
--- a/dogwoodvale/src/Routing/HealthTracker.cpp
+++ b/dogwoodvale/src/Routing/HealthTracker.cpp
@@ -1,7 +1,8 @@
 #include "HealthTracker.h"
 
 #include <algorithm>
-#include <cmath>
+#include <cstdint>
+#include <utility>
 
 namespace dogwoodvale {
 
@@ -11,6 +12,13 @@
 /// What older results still count for, per new one.
 constexpr double kDecay = 0.9;
 constexpr std::uint32_t kMostDoublings = 16;
+/// Results decay, so their weight never quite reaches their number.
+constexpr double kLeastWeight = 0.8;
+/// A trial ends well after two successes, of which the first has decayed once.
+constexpr double kTrialSuccesses = 1.9;
+/// Above any slowness.
+constexpr double kCrashSeverity = 1e12;
+constexpr double kFailureSeverity = 1e9;
 
 void
 Smooth(double& aValue, Duration aSample)
@@ -97,31 +105,31 @@
 }
 
 std::vector<HealthChange>
-HealthTracker::Evaluate(TimePoint aNow)
+HealthTracker::Evaluate(TimePoint aNow, double aLoad)
 {
-  std::vector<HealthChange> changes;
+  Changes changes;
+  this->ReturnWhereDue(aNow, aLoad, changes);
+
   const Medians medians = this->MeasureMedians();
+  std::vector<Outlier> outliers;
   for (auto& [name, server] : this->servers) {
     if (server.standing == Standing::Ejected) {
-      if (aNow >= server.returnsAt) {
-        StartTrial(server);
-        changes.push_back({ name, server.standing, "trial" });
-      }
       continue;
     }
-    const char* reason = this->Judge(server, medians);
-    if (reason != nullptr) {
-      const bool isOut = server.standing == Standing::OnTrial;
-      if (isOut || this->MayEject()) {
-        this->Eject(server, aNow);
-        changes.push_back({ name, server.standing, reason });
-      }
-      continue;
+    if (auto outlier = this->Judge(name, server, medians)) {
+      outliers.push_back(*std::move(outlier));
+    } else {
+      this->Confirm(name, server, aNow, changes);
     }
-    const double results = server.successes + server.failures;
-    if (server.standing == Standing::OnTrial && results >= 2.0) {
-      server.standing = Standing::InService;
-      changes.push_back({ name, server.standing, "recovered" });
+  }
+  std::stable_sort(outliers.begin(),
+                   outliers.end(),
+                   [](const Outlier& aLeft, const Outlier& aRight) {
+                     return aLeft.severity > aRight.severity;
+                   });
+  for (const Outlier& outlier : outliers) {
+    if (this->MayEject(outlier, aLoad)) {
+      this->Eject(outlier, aNow, changes);
     }
   }
   return changes;
@@ -167,55 +175,124 @@
   return { MedianOf(steps), MedianOf(firstTokens) };
 }
 
-const char*
-HealthTracker::Judge(const Server& aServer, const Medians& aMedians) const
+std::optional<HealthTracker::Outlier>
+HealthTracker::Judge(const InstanceName& aName,
+                     Server& aServer,
+                     const Medians& aMedians) const
 {
   if (aServer.crashed) {
-    return "crashed";
+    return Outlier{ aName, &aServer, "crashed", false, kCrashSeverity };
   }
   const double results = aServer.successes + aServer.failures;
-  if (results >= std::min<double>(this->settings.leastSamples, 5.0) * 0.8 &&
+  if (results >= this->settings.leastSamples * kLeastWeight &&
       aServer.failures >= results * this->settings.failureShare) {
-    return "failing";
+    return Outlier{ aName, &aServer, "failing", false, kFailureSeverity };
+  }
+  const double slowness = this->Slowness(aServer, aMedians);
+  if (slowness > this->settings.slowFactor) {
+    return Outlier{ aName, &aServer, "slow", true, slowness };
   }
-  const bool isSlowStep =
-    aMedians.step > 0.0 &&
-    aServer.stepMicros > aMedians.step * this->settings.slowFactor;
-  const bool isSlowAnswer =
-    aServer.latencySamples >= this->settings.leastSamples &&
-    aMedians.firstToken > 0.0 &&
-    aServer.firstTokenMicros > aMedians.firstToken * this->settings.slowFactor;
-  return isSlowStep || isSlowAnswer ? "slow" : nullptr;
+  return std::nullopt;
+}
+
+double
+HealthTracker::Slowness(const Server& aServer, const Medians& aMedians) const
+{
+  // The latency to the first token contains the wait for a slot, which is the
+  // load's doing; it counts only where no step time is known.
+  if (aServer.stepMicros > 0.0 && aMedians.step > 0.0) {
+    return aServer.stepMicros / aMedians.step;
+  }
+  if (aServer.latencySamples >= this->settings.leastSamples &&
+      aMedians.firstToken > 0.0) {
+    return aServer.firstTokenMicros / aMedians.firstToken;
+  }
+  return 0.0;
 }
 
 bool
-HealthTracker::MayEject() const
+HealthTracker::MayEject(const Outlier& aOutlier, double aLoad) const
 {
+  if (aOutlier.server->standing == Standing::OnTrial) {
+    return true;
+  }
   const auto total = static_cast<double>(this->servers.size());
-  const double most = std::max(1.0, total * this->settings.largestShare);
   const auto out = static_cast<double>(this->OutCount());
-  return out + 1.0 <= most && out + 1.0 < total;
+  // One may go even from a small service, but never the last.
+  const double most = std::max(1.0, total * this->settings.largestShare);
+  const double left = total - out - 1.0;
+  if (out + 1.0 > most || left < 1.0) {
+    return false;
+  }
+  const double loadAfter = aLoad * (left + 1.0) / left;
+  return !aOutlier.isSlow || loadAfter <= this->settings.mostLoadAfter;
 }
 
 void
-HealthTracker::Eject(Server& aServer, TimePoint aNow) const
+HealthTracker::Eject(const Outlier& aOutlier, TimePoint aNow, Changes& aChanges)
 {
-  const std::uint32_t doublings = std::min(aServer.ejections, kMostDoublings);
+  Server& server = *aOutlier.server;
+  const std::uint32_t doublings = std::min(server.ejections, kMostDoublings);
   const Duration stay =
     std::min(this->settings.firstEjection * (std::int64_t{ 1 } << doublings),
              this->settings.longestEjection);
-  aServer.standing = Standing::Ejected;
-  aServer.returnsAt = aNow + stay;
-  ++aServer.ejections;
+  server.isSlow = aOutlier.isSlow;
+  server.returnsAt = aNow + stay;
+  ++server.ejections;
+  Enter(
+    aOutlier.name, server, Standing::Ejected, aOutlier.reason, aNow, aChanges);
+}
+
+void
+HealthTracker::ReturnWhereDue(TimePoint aNow, double aLoad, Changes& aChanges)
+{
+  for (auto& [name, server] : this->servers) {
+    if (server.standing == Standing::InService) {
+      continue;
+    }
+    if (server.isSlow && aLoad >= this->settings.neededLoad) {
+      Enter(name, server, Standing::InService, "needed", aNow, aChanges);
+    } else if (server.standing == Standing::Ejected &&
+               aNow >= server.returnsAt) {
+      // Judged on what it does from now on.
+      Server trial;
+      trial.ejections = server.ejections;
+      trial.isSlow = server.isSlow;
+      server = trial;
+      Enter(name, server, Standing::OnTrial, "trial", aNow, aChanges);
+    }
+  }
+}
+
+void
+HealthTracker::Confirm(const InstanceName& aName,
+                       Server& aServer,
+                       TimePoint aNow,
+                       Changes& aChanges) const
+{
+  if (aServer.standing == Standing::OnTrial) {
+    if (aServer.successes >= kTrialSuccesses) {
+      aServer.isSlow = false;
+      Enter(aName, aServer, Standing::InService, "recovered", aNow, aChanges);
+    }
+    return;
+  }
+  if (Between(aServer.since, aNow) > this->settings.longestEjection) {
+    aServer.ejections = 0;
+  }
 }
 
 void
-HealthTracker::StartTrial(Server& aServer)
+HealthTracker::Enter(const InstanceName& aName,
+                     Server& aServer,
+                     Standing aStanding,
+                     const char* aReason,
+                     TimePoint aNow,
+                     Changes& aChanges)
 {
-  const std::uint32_t ejections = aServer.ejections;
-  aServer = Server{};
-  aServer.ejections = ejections;
-  aServer.standing = Standing::OnTrial;
+  aServer.standing = aStanding;
+  aServer.since = aNow;
+  aChanges.push_back({ aName, aStanding, aReason });
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Routing/HealthTracker.h
+++ b/dogwoodvale/src/Routing/HealthTracker.h
@@ -3,10 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-
 #include "BackendTable.h"
 #include "dogwoodvale/Core"
 
@@ -23,6 +23,11 @@
   std::uint32_t leastSamples = 5;
   /// Never more than this share of a service is out at once, trials included.
   double largestShare = 0.3;
+  /// A slow server is not taken out where the others' requests per slot would
+  /// rise above this: it is better than none.
+  double mostLoadAfter = 0.85;
+  /// Slow servers come back when the requests per slot reach this.
+  double neededLoad = 0.97;
   /// Out for this long at first; doubles with each trial that fails.
   Duration firstEjection = seconds(5);
   Duration longestEjection = seconds(120);
@@ -33,7 +38,8 @@
 {
   InstanceName name;
   Standing standing = Standing::InService;
-  /// For logs: "slow", "failing", "crashed", "trial", "recovered".
+  /// For logs: "slow", "failing", "crashed", "trial", "recovered",
+  /// "needed".
   const char* reason = "";
 };
 
@@ -42,7 +48,8 @@
 /// A server is judged against the median of its peers, so that an overload of
 /// the whole service ejects nobody. The ejected share is bounded and the last
 /// server is never ejected, so that a bad measure can't empty a service. A
-/// server comes back by trial, one request at a time.
+/// server comes back by trial, one request at a time. A slow one, which still
+/// does useful work, is out only while the others can do without it.
 class HealthTracker
 {
 public:
@@ -60,9 +67,10 @@
   /// bounds all the same.
   void OnCrash(const InstanceName& aName);
 
-  /// Judges all servers; call a few times a second. \return what changed, to
-  /// be told to BackendTable::SetStanding and logged.
-  std::vector<HealthChange> Evaluate(TimePoint aNow);
+  /// Judges all servers; call a few times a second.
+  /// \param aLoad requests per slot, BackendTable::MeanLoad().
+  /// \return what changed, to be told to BackendTable::SetStanding and logged.
+  std::vector<HealthChange> Evaluate(TimePoint aNow, double aLoad = 0.0);
 
   Standing StandingOf(const InstanceName& aName) const;
   std::size_t OutCount() const;
@@ -77,7 +85,11 @@
     double successes = 0.0;
     double failures = 0.0;
     bool crashed = false;
+    /// Ejected for being slow, so still of some use.
+    bool isSlow = false;
     std::uint32_t ejections = 0;
+    /// When it entered its standing.
+    TimePoint since{};
     TimePoint returnsAt{};
   };
 
@@ -87,15 +99,42 @@
     double firstToken = 0.0;
   };
 
+  /// A server that ought to be out.
+  struct Outlier
+  {
+    InstanceName name;
+    Server* server;
+    const char* reason;
+    bool isSlow;
+    /// The worst is ejected first.
+    double severity;
+  };
+
+  using Changes = std::vector<HealthChange>;
+
   Server* Find(const InstanceName& aName);
   Medians MeasureMedians() const;
-  const char* Judge(const Server& aServer, const Medians& aMedians) const;
-  bool MayEject() const;
-  void Eject(Server& aServer, TimePoint aNow) const;
-  static void StartTrial(Server& aServer);
+  std::optional<Outlier> Judge(const InstanceName& aName,
+                               Server& aServer,
+                               const Medians& aMedians) const;
+  double Slowness(const Server& aServer, const Medians& aMedians) const;
+  bool MayEject(const Outlier& aOutlier, double aLoad) const;
+  void Eject(const Outlier& aOutlier, TimePoint aNow, Changes& aChanges);
+  void ReturnWhereDue(TimePoint aNow, double aLoad, Changes& aChanges);
+  void Confirm(const InstanceName& aName,
+               Server& aServer,
+               TimePoint aNow,
+               Changes& aChanges) const;
+  static void Enter(const InstanceName& aName,
+                    Server& aServer,
+                    Standing aStanding,
+                    const char* aReason,
+                    TimePoint aNow,
+                    Changes& aChanges);
 
   HealthSettings settings;
-  absl::flat_hash_map<InstanceName, Server> servers;
+  /// Ordered, so that equal inputs give equal verdicts.
+  std::map<InstanceName, Server> servers;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Routing/LeastLoadedOfTwo.cpp
+++ b/dogwoodvale/src/Routing/LeastLoadedChooser.cpp
@@ -1,4 +1,4 @@
-#include "LeastLoadedOfTwo.h"
+#include "LeastLoadedChooser.h"
 
 #include <algorithm>
 #include <cmath>
@@ -30,16 +30,16 @@
 
 } // namespace
 
-LeastLoadedOfTwo::LeastLoadedOfTwo(LeastLoadedSettings aSettings)
+LeastLoadedChooser::LeastLoadedChooser(LeastLoadedSettings aSettings)
   : settings(aSettings)
 {
 }
 
 std::optional<InstanceName>
-LeastLoadedOfTwo::Choose(const BackendTable& aTable,
-                         const ChoiceRequest& aRequest,
-                         TimePoint aNow,
-                         std::mt19937_64& aRandom)
+LeastLoadedChooser::Choose(const BackendTable& aTable,
+                           const ChoiceRequest& aRequest,
+                           TimePoint aNow,
+                           std::mt19937_64& aRandom)
 {
   double trust = 0.0;
   const Backend* holder = this->FindHolder(aTable, aRequest, aNow, trust);
@@ -58,13 +58,20 @@
   if (holder != nullptr) {
     consider(*holder);
   }
-  for (std::uint32_t draw = 0; draw < this->settings.draws; ++draw) {
-    const Backend* drawn =
-      internal::DrawCandidate(aTable, aRequest, best, aRandom);
-    if (drawn == nullptr) {
-      break;
+  // Neighbours from a random start: distinct with no bookkeeping, and close in
+  // memory.
+  const std::span<const Backend> all = aTable.All();
+  std::size_t position =
+    all.empty() ? 0 : internal::DrawPosition(all.size(), aRandom);
+  std::uint32_t drawn = 0;
+  for (std::size_t seen = 0; seen < all.size() && drawn < this->settings.draws;
+       ++seen) {
+    const Backend& next = all[position];
+    position = position + 1 == all.size() ? 0 : position + 1;
+    if (internal::IsCandidate(next, aRequest)) {
+      consider(next);
+      ++drawn;
     }
-    consider(*drawn);
   }
   if (best == nullptr) {
     return std::nullopt;
@@ -73,10 +80,10 @@
 }
 
 double
-LeastLoadedOfTwo::ExpectedWait(const Backend& aBackend,
-                               const BackendTable& aTable,
-                               const ChoiceRequest& aRequest,
-                               TimePoint aNow) const
+LeastLoadedChooser::ExpectedWait(const Backend& aBackend,
+                                 const BackendTable& aTable,
+                                 const ChoiceRequest& aRequest,
+                                 TimePoint aNow) const
 {
   const LoadReport& report = aBackend.report;
   const double slots = aBackend.Slots();
@@ -101,7 +108,7 @@
 }
 
 double
-LeastLoadedOfTwo::ReportWeight(const Backend& aBackend, TimePoint aNow) const
+LeastLoadedChooser::ReportWeight(const Backend& aBackend, TimePoint aNow) const
 {
   if (!aBackend.HasReport()) {
     return 0.0;
@@ -109,11 +116,11 @@
   const auto age =
     static_cast<double>(Between(aBackend.reportedAt, aNow).count());
   const auto life = static_cast<double>(this->settings.reportLife.count());
-  return std::exp(-std::max(age, 0.0) / life);
+  return this->settings.reportWeight * std::exp(-std::max(age, 0.0) / life);
 }
 
 double
-LeastLoadedOfTwo::StepMicros(const Backend& aBackend) const
+LeastLoadedChooser::StepMicros(const Backend& aBackend) const
 {
   return aBackend.report.stepMicros == 0
            ? static_cast<double>(this->settings.defaultStep.count())
@@ -121,18 +128,18 @@
 }
 
 double
-LeastLoadedOfTwo::PrefillMicros(const Backend& aBackend,
-                                const ChoiceRequest& aRequest) const
+LeastLoadedChooser::PrefillMicros(const Backend& aBackend,
+                                  const ChoiceRequest& aRequest) const
 {
   return this->StepMicros(aBackend) * aRequest.promptTokens /
          this->settings.prefillTokensPerStep;
 }
 
 const Backend*
-LeastLoadedOfTwo::FindHolder(const BackendTable& aTable,
-                             const ChoiceRequest& aRequest,
-                             TimePoint aNow,
-                             double& aTrust) const
+LeastLoadedChooser::FindHolder(const BackendTable& aTable,
+                               const ChoiceRequest& aRequest,
+                               TimePoint aNow,
+                               double& aTrust) const
 {
   if (aRequest.prefixHash == 0) {
     return nullptr;
--- a/dogwoodvale/src/Routing/LeastLoadedOfTwo.h
+++ b/dogwoodvale/src/Routing/LeastLoadedChooser.h
@@ -1,17 +1,20 @@
-#ifndef DOGWOODVALE_ROUTING_LEASTLOADEDOFTWO_H
-#define DOGWOODVALE_ROUTING_LEASTLOADEDOFTWO_H
+#ifndef DOGWOODVALE_ROUTING_LEASTLOADEDCHOOSER_H
+#define DOGWOODVALE_ROUTING_LEASTLOADEDCHOOSER_H
 
 #include "BackendChooser.h"
 
 namespace dogwoodvale {
 
-/// How LeastLoadedOfTwo estimates a server's wait.
+/// How LeastLoadedChooser estimates a server's wait.
 struct LeastLoadedSettings
 {
   /// Servers drawn per choice, the prefix's holder not counted.
-  std::uint32_t draws = 2;
-  /// A report of this age counts for 1/e, and the mean of all for the rest.
-  Duration reportLife = seconds(5);
+  std::uint32_t draws = 8;
+  /// What a fresh report counts for; the mean of all counts for the rest. Low,
+  /// since a report that came late cannot be told from a fresh one.
+  double reportWeight = 0.25;
+  /// A report of this age counts for 1/e of a fresh one.
+  Duration reportLife = seconds(1);
   /// Prompt tokens that an engine takes in per step.
   std::uint32_t prefillTokensPerStep = 256;
   /// Tokens taken for a request of unknown length.
@@ -20,17 +23,20 @@
   Duration defaultStep = milliseconds(6);
 };
 
-/// Draws two servers, and takes the one with the shorter expected wait.
+/// Draws some servers, and takes the one with the shortest expected wait.
 ///
-/// Looking at two only, out of a random draw, keeps many entries with the same
-/// old reports from all running to the same server. The expected wait is made
-/// of the last report, which counts less the older it is, and of the own work
-/// since then. A server that probably holds the prefix comes into the
-/// comparison as a third, with the prefill that it saves to its credit.
-class LeastLoadedOfTwo final : public BackendChooser
+/// The own work at a server is known exactly and counts in full. That of other
+/// entries is as old as the last report, so it counts for little and fades into
+/// the mean: entries that all trusted the same old report would all run to the
+/// same server. A server that probably holds the prefix comes into the
+/// comparison, with the prefill that it saves to its credit.
+///
+/// What the choice gets wrong, the sidecar puts right: see ShouldRefuseEarly().
+/// docs/design/routing.md has the measurements.
+class LeastLoadedChooser final : public BackendChooser
 {
 public:
-  explicit LeastLoadedOfTwo(LeastLoadedSettings aSettings = {});
+  explicit LeastLoadedChooser(LeastLoadedSettings aSettings = {});
 
   std::optional<InstanceName> Choose(const BackendTable& aTable,
                                      const ChoiceRequest& aRequest,
