--- a/dogwoodvale/src/Routing/BackendChooser.h
+++ b/dogwoodvale/src/Routing/BackendChooser.h
@@ -22,7 +22,7 @@
   /// Servers that have failed this request, or have refused it and may refuse
   /// the next; once no refusal is left, those that refused are worth choosing
   /// again, since their reports are fresh.
-  std::span<const InstanceName> excluded;
+  std::span<const InstanceName> excluded{};
 };
 
 /// Picks the backend server for a request.
--- a/dogwoodvale/src/Routing/RetryBudget.cpp
+++ b/dogwoodvale/src/Routing/RetryBudget.cpp
@@ -14,7 +14,7 @@
 
 RetryBudget::RetryBudget(RetryBudgetSettings aSettings)
   : settings(aSettings)
-  , bucket(aSettings.floorPerSecond, aSettings.burst)
+  , bucket(aSettings.floorPerSecond, aSettings.burst, aSettings.initial)
 {
 }
 
--- a/dogwoodvale/src/Routing/RetryBudget.h
+++ b/dogwoodvale/src/Routing/RetryBudget.h
@@ -15,16 +15,19 @@
   /// Retries earned by each success.
   double perSuccess = 0.08;
   /// Retries a second that need no success, so that a quiet class has some.
-  double floorPerSecond = 0.05;
+  double floorPerSecond = 0.02;
   /// The most retries saved up.
   double burst = 10.0;
+  /// Saved up before the first success.
+  double initial = 2.0;
 };
 
 /// Bounds the retries of one class.
 ///
 /// Without it every failure becomes several requests, so that an overload feeds
 /// itself. Since retries are earned by successes, a service that fails
-/// altogether gets no more than the floor and what was saved up.
+/// altogether gets no more than the floor and what was saved up: at most
+/// initial + perSuccess * successes + floorPerSecond * seconds, ever.
 class RetryBudget
 {
 public:
--- a/dogwoodvale/src/Routing/TokenBucket.h
+++ b/dogwoodvale/src/Routing/TokenBucket.h
@@ -7,16 +7,22 @@
 
 namespace dogwoodvale {
 
-/// Tokens that refill at a steady rate up to a bound; starts full.
+/// Tokens that refill at a steady rate up to a bound.
 class TokenBucket
 {
 public:
   /// \param aRate tokens a second.
-  /// \param aBurst the most tokens held.
+  /// \param aBurst the most tokens held; so many at first.
   TokenBucket(double aRate, double aBurst)
+    : TokenBucket(aRate, aBurst, aBurst)
+  {
+  }
+
+  /// \param aInitial tokens held at first.
+  TokenBucket(double aRate, double aBurst, double aInitial)
     : rate(aRate)
     , burst(aBurst)
-    , tokens(aBurst)
+    , tokens(aInitial)
   {
   }
 
--- /dev/null
+++ b/test/RoutingRetries.cpp
@@ -0,0 +1,231 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "dogwoodvale/Requests"
+#include "dogwoodvale/Routing"
+
+using namespace dogwoodvale;
+
+namespace {
+
+const TimePoint kStart{ seconds(100) };
+const CustomerName kCustomer{ "kilimo" };
+
+RetryVerdict
+DecideWithBudget(RetryBudget& aBudget, TimePoint aNow, std::uint32_t aAttempts)
+{
+  RetryAllowance allowance;
+  allowance.hasBudget = aBudget.Available(aNow) >= 1.0;
+  allowance.deadlineLeft = seconds(10);
+  allowance.attempts = aAttempts;
+  const AttemptOutcome outcome{ .disposition = Disposition::MayHaveRun,
+                                .idempotent = true };
+  return DecideRetry(outcome, allowance);
+}
+
+/// Attempts per request when every attempt fails, after a time in which all
+/// succeeded.
+double
+MeasureAmplification(double aRequestsPerSecond,
+                     int aGoodSeconds,
+                     int aBadSeconds)
+{
+  RetryBudget budget;
+  TimePoint now = kStart;
+  const Duration gap{ static_cast<Duration::rep>(1e6 / aRequestsPerSecond) };
+  const auto good = static_cast<int>(aRequestsPerSecond * aGoodSeconds);
+  const auto bad = static_cast<int>(aRequestsPerSecond * aBadSeconds);
+  for (int request = 0; request < good; ++request) {
+    now += gap;
+    budget.OnSuccess();
+  }
+  int attempts = 0;
+  for (int request = 0; request < bad; ++request) {
+    now += gap;
+    std::uint32_t tried = 1;
+    while (DecideWithBudget(budget, now, tried) == RetryVerdict::Retry &&
+           budget.TryTake(now)) {
+      ++tried;
+    }
+    attempts += static_cast<int>(tried);
+  }
+  return static_cast<double>(attempts) / bad;
+}
+
+} // namespace
+
+TEST_CASE("A service that fails altogether gets under 1.1 times the demand")
+{
+  // Every request fails, and each failure is one more request if it is retried.
+  // Without a budget three attempts a request treble the overload, and the
+  // service can't come back while callers keep asking.
+  const double rate = GENERATE(3.0, 13.0, 100.0);
+  const int good = GENERATE(0, 60);
+  const double amplification = MeasureAmplification(rate, good, 60);
+  fmt::print("{:5.0f} requests/s, {:2} s good, then 60 s all failing: {:.3f}\n",
+             rate,
+             good,
+             amplification);
+  CHECK(amplification < 1.1);
+}
+
+TEST_CASE("Retries are bounded by what successes have earned")
+{
+  rc::prop("taken <= initial + perSuccess * successes + floor * time", [] {
+    const RetryBudgetSettings settings;
+    RetryBudget budget(settings);
+    TimePoint now = kStart;
+    double successes = 0.0;
+    double taken = 0.0;
+    budget.Available(now);
+    for (const int action :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4))) {
+      if (action == 0) {
+        now += milliseconds(700);
+      } else if (action == 1) {
+        budget.OnSuccess();
+        successes += 1.0;
+      } else {
+        taken += budget.TryTake(now) ? 1.0 : 0.0;
+      }
+      const double passed = Between(kStart, now).count() / 1e6;
+      RC_ASSERT(taken <= settings.initial + settings.perSuccess * successes +
+                           settings.floorPerSecond * passed + 1e-6);
+    }
+  });
+}
+
+TEST_CASE("Only what was not run, or may be repeated, is ever sent again")
+{
+  rc::prop("the verdict keeps every rule", [] {
+    AttemptOutcome outcome;
+    outcome.disposition =
+      *rc::gen::element(Disposition::NotRun, Disposition::MayHaveRun);
+    outcome.idempotent = *rc::gen::arbitrary<bool>();
+    outcome.deliveredTokens = *rc::gen::inRange<std::uint64_t>(0, 3);
+    outcome.streaming = *rc::gen::arbitrary<bool>();
+    outcome.canResume = *rc::gen::arbitrary<bool>();
+    RetryAllowance allowance;
+    allowance.hasBudget = *rc::gen::arbitrary<bool>();
+    allowance.deadlineLeft = seconds(*rc::gen::inRange(-1, 4));
+    allowance.leastUseful = seconds(1);
+    allowance.attempts = *rc::gen::inRange<std::uint32_t>(1, 5);
+    const RetryVerdict verdict = DecideRetry(outcome, allowance);
+    if (verdict == RetryVerdict::GiveUp) {
+      const bool harmless =
+        outcome.idempotent || (outcome.disposition == Disposition::NotRun &&
+                               outcome.deliveredTokens == 0);
+      const bool canGoOn =
+        outcome.deliveredTokens == 0 || outcome.canResume || !outcome.streaming;
+      RC_ASSERT(!(harmless && canGoOn && allowance.hasBudget &&
+                  allowance.deadlineLeft > allowance.leastUseful &&
+                  allowance.attempts < allowance.maxAttempts));
+      return;
+    }
+    RC_ASSERT(allowance.hasBudget);
+    RC_ASSERT(allowance.deadlineLeft > allowance.leastUseful);
+    RC_ASSERT(allowance.attempts < allowance.maxAttempts);
+    RC_ASSERT(outcome.idempotent || outcome.disposition == Disposition::NotRun);
+    RC_ASSERT(outcome.idempotent || outcome.deliveredTokens == 0);
+    const bool resumes = verdict == RetryVerdict::Resume;
+    RC_ASSERT(!resumes || (outcome.canResume && outcome.deliveredTokens > 0));
+    // What the caller already has is never sent a second time.
+    RC_ASSERT(resumes || outcome.deliveredTokens == 0 || !outcome.streaming);
+  });
+}
+
+TEST_CASE("Backoff is spread and bounded")
+{
+  std::mt19937_64 random(1);
+  Duration longest{ 0 };
+  Duration sum{ 0 };
+  for (int draw = 0; draw < 1000; ++draw) {
+    const Duration wait = RetryBackoff(1, random);
+    longest = std::max(longest, wait);
+    sum += wait;
+    CHECK(RetryBackoff(1000, random) <= milliseconds(640));
+  }
+  CHECK(longest <= milliseconds(10));
+  CHECK(sum / 1000 > milliseconds(4));
+  CHECK(sum / 1000 < milliseconds(6));
+}
+
+TEST_CASE("Admission keeps a customer's rate and concurrency")
+{
+  rc::prop("never above the limit, never refused below it", [] {
+    std::mt19937_64 random(1);
+    AdmissionControl admission;
+    const CustomerLimit limit{ .requestsPerSecond = 5.0,
+                               .burst = 3.0,
+                               .concurrency = 4 };
+    admission.SetLimit(kCustomer, limit);
+    TimePoint now = kStart;
+    std::uint32_t inProgress = 0;
+    double admitted = 0.0;
+    for (const int action :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4))) {
+      if (action == 0) {
+        now += milliseconds(100);
+      } else if (action == 1 && inProgress > 0) {
+        admission.Release(kCustomer);
+        --inProgress;
+      } else {
+        const auto error = admission.Admit(kCustomer, now, random);
+        if (!error) {
+          ++inProgress;
+          admitted += 1.0;
+        } else {
+          RC_ASSERT(error->disposition == Disposition::NotRun);
+          RC_ASSERT(error->retryAfter > milliseconds(0));
+          RC_ASSERT(error->code == ErrorCode::RateLimited ||
+                    inProgress == limit.concurrency);
+        }
+      }
+      const double passed = Between(kStart, now).count() / 1e6;
+      RC_ASSERT(inProgress <= limit.concurrency);
+      RC_ASSERT(admission.InProgress(kCustomer) == inProgress);
+      RC_ASSERT(admitted <= limit.burst + 5.0 * passed + 1e-6);
+    }
+  });
+}
+
+TEST_CASE("Refused requests are told to come back at the rate that is allowed")
+{
+  // A customer allowed 10 a second sends 200 at once. If all were told the same
+  // Retry-After, 189 would be refused again in the same moment.
+  std::mt19937_64 random(1);
+  AdmissionControl admission;
+  admission.SetLimit(kCustomer, { .requestsPerSecond = 10.0, .burst = 10.0 });
+  std::vector<std::int64_t> returns;
+  for (int request = 0; request < 200; ++request) {
+    if (const auto error = admission.Admit(kCustomer, kStart, random)) {
+      returns.push_back(error->retryAfter.count());
+    }
+  }
+  REQUIRE(returns.size() == 190);
+  std::sort(returns.begin(), returns.end());
+  std::size_t most = 0;
+  for (std::size_t first = 0; first < returns.size(); ++first) {
+    const auto last =
+      std::upper_bound(returns.begin(), returns.end(), returns[first] + 1000);
+    most =
+      std::max(most, static_cast<std::size_t>(last - returns.begin()) - first);
+  }
+  CHECK(most <= 13);
+  CHECK(returns.back() <= 30100);
+}
+
+TEST_CASE("A customer without a limit takes up no memory when idle")
+{
+  std::mt19937_64 random(1);
+  AdmissionControl admission;
+  for (int customer = 0; customer < 100; ++customer) {
+    const CustomerName name(fmt::format("c{}", customer));
+    CHECK_FALSE(admission.Admit(name, kStart, random));
+    admission.Release(name);
+    admission.Release(name);
+  }
+  CHECK(admission.CustomerCount() == 0);
+}
