Count who waits inside the server by Little's law

Change: excess of the median first token times the rate of finishes gives the number waiting inside; the limit comes down by it, holds between a quarter and three quarters of a request, and climbs back quickly to where it came from.

--- a/bench/EngineModel.h
+++ b/bench/EngineModel.h
@@ -29,6 +29,7 @@
   struct Sequence
   {
     RequestId id;
+    int priority = 0;
     std::uint32_t prefillLeft = 0;
     std::uint32_t tokensLeft = 0;
     TimePoint started;
@@ -38,6 +39,16 @@
     bool advanced = false;
   };
 
+  /// Where a sequence of \p aPriority belongs among those before it.
+  template<class Sequences>
+  static auto UpperBound(Sequences& aSequences, int aPriority)
+  {
+    return std::find_if(
+      aSequences.begin(), aSequences.end(), [=](const Sequence& aOther) {
+        return aOther.priority > aPriority;
+      });
+  }
+
   explicit EngineModel(const Options& aOptions)
     : options(aOptions)
   {
@@ -46,14 +57,16 @@
   void Start(RequestId aId,
              std::uint32_t aPrompt,
              std::uint32_t aTokens,
-             TimePoint aNow)
+             TimePoint aNow,
+             int aPriority = 0)
   {
     Sequence sequence;
     sequence.id = aId;
+    sequence.priority = aPriority;
     sequence.prefillLeft = aPrompt;
     sequence.tokensLeft = std::max(aTokens, 1U);
     sequence.started = aNow;
-    this->waiting.push_back(sequence);
+    this->waiting.insert(UpperBound(this->waiting, aPriority), sequence);
   }
 
   /// Takes a request out, wherever it is.
@@ -77,7 +90,8 @@
     std::erase_if(this->batch,
                   [](const Sequence& aSeq) { return aSeq.tokensLeft == 0; });
     while (this->batch.size() < this->options.slots && !this->waiting.empty()) {
-      this->batch.push_back(this->waiting.front());
+      const Sequence& next = this->waiting.front();
+      this->batch.insert(UpperBound(this->batch, next.priority), next);
       this->waiting.pop_front();
     }
     std::uint32_t chunk = this->options.prefillChunk;
--- a/bench/PolicyModel.cpp
+++ b/bench/PolicyModel.cpp
@@ -108,6 +108,8 @@
   static const std::vector<ClassModel> kClasses = UsualClasses();
   ServerModel::Options options;
   options.preempt = aCandidate.preempt;
+  options.passPriority =
+    aCandidate.order == Order::Strict || aCandidate.order == Order::Tiered;
   options.countRequests = aCandidate.countRequests;
   ServerModel server(options,
                      kClasses,
--- a/bench/ServerModel.h
+++ b/bench/ServerModel.h
@@ -84,6 +84,8 @@
   {
     EngineModel::Options engine;
     bool preempt = false;
+    /// Tell the engine the tier, which it honours in its own order.
+    bool passPriority = false;
     /// Charge each request alike, whatever its length: fairness by requests.
     bool countRequests = false;
   };
@@ -292,7 +294,8 @@
   this->engine.Start(aRequest.id,
                      job.arrival.prompt + job.done,
                      job.arrival.answer - job.done,
-                     this->now);
+                     this->now,
+                     this->options.passPriority ? aRequest.tier : 0);
   this->limit->OnStart(this->now);
 }
 
--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
@@ -10,8 +10,10 @@
 
 /// Token samples in a window, per request that may run: as many steps.
 constexpr double kStepsPerWindow = 16;
-/// First tokens needed for a median.
+/// First tokens, or else windows, needed to judge the waiting inside: where
+/// answers are long, first tokens are rare.
 constexpr std::size_t kFirstTokens = 8;
+constexpr std::uint32_t kWindowsPerJudgement = 4;
 /// One window takes the limit down to no less than this share.
 constexpr double kMostDecrease = 0.8;
 /// Below this share of what is allowed the limit may rise.
@@ -22,15 +24,19 @@
 /// A server that misses the target even unloaded may be slowed by this much.
 constexpr double kUnloadedStretch = 1.25;
 
+/// Requests waiting inside the server: below the first the limit may rise,
+/// above the second it comes down. Between them, and while there is nothing to
+/// judge by, it stays.
+constexpr double kFewWaiting = 0.25;
+constexpr double kManyWaiting = 0.75;
+
 double
-TakeMedian(std::vector<double>& aValues)
+MedianOf(std::vector<double>& aValues)
 {
   const auto middle =
     aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
   std::nth_element(aValues.begin(), middle, aValues.end());
-  const double median = *middle;
-  aValues.clear();
-  return median;
+  return *middle;
 }
 
 } // namespace
@@ -64,8 +70,9 @@
 }
 
 void
-AdaptiveConcurrencyLimit::OnStart(TimePoint)
+AdaptiveConcurrencyLimit::OnStart(TimePoint aNow)
 {
+  this->NoteTime(aNow);
   ++this->inFlight;
   this->limitReached |= this->inFlight >= this->Limit();
 }
@@ -79,9 +86,9 @@
     static_cast<std::size_t>(std::bit_width(aPromptTokens)), kPromptSizes - 1);
   double& lowest = this->lowestFirstToken.at(size);
   lowest = lowest == 0 ? wait : std::min(lowest, wait);
-  this->ratios.push_back(wait / lowest);
+  this->firstTokens.push_back({ wait, lowest });
   // Answers of a single token bring no intervals that would close the window.
-  if (this->tokens == 0 && this->ratios.size() >= 2 * kFirstTokens) {
+  if (this->tokens == 0 && this->firstTokens.size() >= 2 * kFirstTokens) {
     this->Adjust();
   }
 }
@@ -95,13 +102,24 @@
 }
 
 void
-AdaptiveConcurrencyLimit::OnFinish(TimePoint)
+AdaptiveConcurrencyLimit::OnFinish(TimePoint aNow)
 {
+  this->NoteTime(aNow);
+  ++this->finishes;
   if (this->inFlight > 0) {
     --this->inFlight;
   }
 }
 
+void
+AdaptiveConcurrencyLimit::NoteTime(TimePoint aNow)
+{
+  if (!this->windowStart) {
+    this->windowStart = aNow;
+  }
+  this->latest = aNow;
+}
+
 void
 AdaptiveConcurrencyLimit::CloseWindowWhenFull()
 {
@@ -113,15 +131,44 @@
 void
 AdaptiveConcurrencyLimit::Adjust()
 {
-  this->signal = std::max(this->StepSignal(), this->FirstTokenSignal());
-  if (this->signal > 1) {
-    this->sawCongestion = true;
-    this->limit *= std::max(kMostDecrease, 1 / this->signal);
-  } else if (this->signal < kHeadroom && this->limitReached) {
-    this->limit += this->sawCongestion ? 1 : this->limit / 2;
+  const double step = this->StepSignal();
+  const double waiting = this->WaitingInside();
+  this->signal = std::max(step, waiting / kManyWaiting);
+  if (step > 1) {
+    this->LowerTo(this->limit / step);
+  } else if (waiting > kManyWaiting) {
+    this->LowerTo(this->limit - waiting + kFewWaiting);
+  } else if (step < kHeadroom && waiting < kFewWaiting && this->limitReached) {
+    this->Raise();
   }
   this->limit = std::clamp<double>(
     this->limit, this->options.minimum, this->options.maximum);
+  this->StartWindow();
+}
+
+void
+AdaptiveConcurrencyLimit::LowerTo(double aLimit)
+{
+  this->beforeLowering = std::max(this->limit, this->beforeLowering - 1);
+  this->limit = std::max(aLimit, kMostDecrease * this->limit);
+}
+
+void
+AdaptiveConcurrencyLimit::Raise()
+{
+  if (this->beforeLowering == 0) {
+    this->limit += this->limit / 2;
+    return;
+  }
+  // Most of the way back is made quickly: a server that has recovered would
+  // else be left half idle for as long as it takes to climb one by one.
+  this->limit += std::max(1.0, (this->beforeLowering - this->limit) / 4);
+}
+
+void
+AdaptiveConcurrencyLimit::StartWindow()
+{
+  ++this->windows;
   this->lowestStep *= kForgetting;
   for (double& lowest : this->lowestFirstToken) {
     lowest *= kForgetting;
@@ -159,18 +206,33 @@
 }
 
 double
-AdaptiveConcurrencyLimit::FirstTokenSignal()
+AdaptiveConcurrencyLimit::WaitingInside()
 {
-  if (this->ratios.size() < kFirstTokens) {
-    return 0;
+  if (this->firstTokens.size() < kFirstTokens &&
+      this->windows < kWindowsPerJudgement) {
+    return (kFewWaiting + kManyWaiting) / 2;
   }
   const double slowdown =
     this->lowestStep == 0
       ? 1
       : std::max(
           1.0, static_cast<double>(this->stepTime.count()) / this->lowestStep);
-  return TakeMedian(this->ratios) / slowdown /
-         this->options.firstTokenTolerance;
+  std::vector<double> extra;
+  for (const FirstToken& token : this->firstTokens) {
+    const double usual = token.lowest * slowdown;
+    extra.push_back(token.wait < this->options.firstTokenTolerance * usual
+                      ? 0
+                      : token.wait - usual);
+  }
+  const double span =
+    static_cast<double>(Between(*this->windowStart, this->latest).count());
+  const double waiting =
+    extra.empty() || span <= 0 ? 0 : MedianOf(extra) * this->finishes / span;
+  this->firstTokens.clear();
+  this->windows = 0;
+  this->finishes = 0;
+  this->windowStart = this->latest;
+  return waiting;
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "ConcurrencyLimit.h"
@@ -11,11 +12,13 @@
 
 /// A limit learned from the server's step time and from waiting inside it.
 ///
-/// Two signs of too much work: the time between tokens exceeds its target, or
-/// first tokens take longer than a multiple of the lowest time seen for prompts
-/// of like size, beyond what the steps themselves have become slower by. Either
-/// brings the limit down by a factor at the end of a window; with neither, and
-/// with the limit in use, it rises by one (by half until the first sign).
+/// Two signs of too much work. The time between tokens exceeds its target: then
+/// the limit comes down in proportion. Or first tokens take longer than the
+/// lowest time seen for prompts of like size, beyond what the steps themselves
+/// have become slower by: by Little's law that excess times the rate of
+/// finishes is the number that wait inside, and the limit comes down by it.
+/// With neither, and with the limit in use, it rises: by half until the first
+/// sign, then quickly to where it came down from, and by one from there.
 ///
 /// So it follows a straggler down, to where its tokens meet the target, and
 /// back up. A server that misses the target even at the minimum is given the
@@ -31,9 +34,9 @@
     std::uint32_t initial = 8;
     /// Between tokens, what the classes were promised.
     Duration tokenTarget = milliseconds(38);
-    /// First token: multiple of the lowest seen that still counts as no
-    /// queueing; above 1.
-    double firstTokenTolerance = 2;
+    /// First token: below this multiple of the lowest seen it did not wait;
+    /// above 1.
+    double firstTokenTolerance = 1.5;
   };
 
   /// \return InvalidArgument unless 1 <= minimum <= initial <= maximum, the
@@ -63,14 +66,19 @@
   void CloseWindowWhenFull();
   void Adjust();
   double StepSignal();
-  double FirstTokenSignal();
+  double WaitingInside();
+  void LowerTo(double aLimit);
+  void Raise();
+  void StartWindow();
+  void NoteTime(TimePoint aNow);
   void NoteUnloadedStep(double aMean);
 
   Options options;
   double limit;
   double signal = 0;
   Duration stepTime{ 0 };
-  bool sawCongestion = false;
+  /// The limit from which it last came down, fading; 0 until it does.
+  double beforeLowering = 0;
   /// Lowest time to first token by prompt size and lowest mean step time, in
   /// microseconds; 0 when none. Slowly forgotten.
   std::array<double, kPromptSizes> lowestFirstToken{};
@@ -82,9 +90,19 @@
   double tokenSum = 0;
   std::uint32_t tokens = 0;
   bool limitReached = false;
-  /// First tokens over the lowest for their size; kept until there are enough
-  /// for a median.
-  std::vector<double> ratios;
+
+  struct FirstToken
+  {
+    double wait = 0;
+    double lowest = 0;
+  };
+  /// Kept until there are enough to judge by, with the finishes and the time
+  /// since the last judgement.
+  std::vector<FirstToken> firstTokens;
+  std::uint32_t windows = 0;
+  std::uint32_t finishes = 0;
+  std::optional<TimePoint> windowStart;
+  TimePoint latest;
 };
 
 } // namespace dogwoodvale
--- a/test/SchedulingFairness.cpp
+++ b/test/SchedulingFairness.cpp
@@ -31,6 +31,8 @@
   double customerWeight;
   std::uint32_t longestPrompt;
   std::uint32_t longestAnswer;
+  /// Answers are all short for a while, then all long, and so on.
+  bool changing = false;
 };
 
 /// A server with a few slots and parties that always have something waiting.
@@ -53,8 +55,7 @@
   {
     const auto started = this->queue.Dequeue(kStart);
     const std::size_t party = this->owners.at(started->id.sequence);
-    const auto answer = static_cast<std::uint32_t>(
-      *rc::gen::inRange<std::uint32_t>(1, started->maxTokens + 1));
+    const std::uint32_t answer = this->DrawAnswer(this->parties.at(party));
     this->served.at(party) +=
       (started->promptTokens + RequestQueue::kOutputTokenCost * answer) /
       (this->parties.at(party).classWeight *
@@ -73,6 +74,15 @@
   double Served(std::size_t aParty) const { return this->served.at(aParty); }
 
 private:
+  std::uint32_t DrawAnswer(const Party& aParty)
+  {
+    const std::uint64_t phase = 100;
+    if (aParty.changing) {
+      return this->sequence / phase % 2 == 0 ? 1 : aParty.longestAnswer;
+    }
+    return *rc::gen::inRange<std::uint32_t>(1, aParty.longestAnswer + 1);
+  }
+
   void Refill(std::size_t aParty)
   {
     const Party& party = this->parties.at(aParty);
@@ -123,6 +133,10 @@
       { { "review", "large", 1, 1, kLongestPrompt, kLongestAnswer },
         { "review", "small", 1, 1, 50, 40 } });
   });
+  rc::prop("lengths that change faster than they are learned", [] {
+    CheckServedAlike({ { "review", "changing", 1, 1, 50, kLongestAnswer, true },
+                       { "review", "small", 1, 1, 50, 40 } });
+  });
   rc::prop("by customer weight", [] {
     CheckServedAlike(
       { { "review", "heavy", 1, 3, kLongestPrompt, kLongestAnswer },
--- a/test/SchedulingQueue.cpp
+++ b/test/SchedulingQueue.cpp
@@ -461,6 +461,11 @@
           EnqueueVerdict::RefusedClassBound);
   second.resumed = true;
   REQUIRE(queue.Enqueue(second, kStart).verdict == EnqueueVerdict::Queued);
+  // The class is now beyond its bound; its newcomers stay out.
+  QueuedRequest third = MakeRequest(3, 0, "note", "a");
+  third.classQueueBound = 1;
+  REQUIRE(queue.Enqueue(third, kStart).verdict ==
+          EnqueueVerdict::RefusedClassBound);
 }
 
 // Two operators' maps of tokens would order alike inputs unlike: a replayed
