Bound who awaits a first token in the server

Cause: an engine that honours priorities held back the lowest tier inside; as those have no first token, no time told of them and the limit rose to 81 on 32 slots; tellers waited 2.9 s in a burst of applicants. Change: requests without a first token count as waiting inside beyond what the usual times account for; OnFinishUnanswered tells them apart; the limit comes down again only when the last lowering has taken effect.

--- a/bench/ServerModel.h
+++ b/bench/ServerModel.h
@@ -109,6 +109,8 @@
     TimePoint started;
     bool running = false;
     bool hasFirst = false;
+    /// No token has come since this start.
+    bool awaitsToken = false;
     bool ended = false;
   };
 
@@ -285,6 +287,7 @@
   job.request = aRequest;
   job.started = this->now;
   job.running = true;
+  job.awaitsToken = true;
   job.doneAtStart = job.done;
   if (!job.hasFirst) {
     Duration& longest = this->ReportOf(job).longestWait;
@@ -351,6 +354,7 @@
     }
     Job& job = this->JobOf(sequence.id);
     ++job.done;
+    job.awaitsToken = false;
     if (!sequence.hasFirst) {
       this->limit->OnFirstToken(Between(sequence.started, this->now),
                                 job.arrival.prompt);
@@ -383,7 +387,11 @@
 {
   aJob.running = false;
   this->running.erase(aJob.request.id.sequence);
-  this->limit->OnFinish(this->now);
+  if (aJob.awaitsToken) {
+    this->limit->OnFinishUnanswered(this->now);
+  } else {
+    this->limit->OnFinish(this->now);
+  }
   const std::uint32_t generated = aJob.done - aJob.doneAtStart;
   this->queue->OnFinished(
     aJob.request.className, aJob.request.customer, generated);
--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
@@ -30,6 +30,11 @@
 constexpr double kFewWaiting = 0.25;
 constexpr double kManyWaiting = 0.75;
 
+/// Requests without a first token are taken as waiting inside beyond this many,
+/// plus this multiple of what the usual times account for.
+constexpr double kUnansweredAlways = 2;
+constexpr double kUnansweredFactor = 4;
+
 double
 MedianOf(std::vector<double>& aValues)
 {
@@ -74,6 +79,7 @@
 {
   this->NoteTime(aNow);
   ++this->inFlight;
+  ++this->unanswered;
   this->limitReached |= this->inFlight >= this->Limit();
 }
 
@@ -81,6 +87,7 @@
 AdaptiveConcurrencyLimit::OnFirstToken(Duration aWait,
                                        std::uint32_t aPromptTokens)
 {
+  this->unanswered -= this->unanswered > 0 ? 1 : 0;
   const double wait = std::max<double>(1, static_cast<double>(aWait.count()));
   const auto size = std::min<std::size_t>(
     static_cast<std::size_t>(std::bit_width(aPromptTokens)), kPromptSizes - 1);
@@ -111,6 +118,13 @@
   }
 }
 
+void
+AdaptiveConcurrencyLimit::OnFinishUnanswered(TimePoint aNow)
+{
+  this->unanswered -= this->unanswered > 0 ? 1 : 0;
+  this->OnFinish(aNow);
+}
+
 void
 AdaptiveConcurrencyLimit::NoteTime(TimePoint aNow)
 {
@@ -149,6 +163,12 @@
 void
 AdaptiveConcurrencyLimit::LowerTo(double aLimit)
 {
+  // Until what runs has come down to the last limit, the signs still tell of
+  // the load before it. Lowering again on them would stop all starts, those of
+  // the highest tier too, for as long as the longest answers run.
+  if (this->inFlight > this->Limit()) {
+    return;
+  }
   this->beforeLowering = std::max(this->limit, this->beforeLowering - 1);
   this->limit = std::max(aLimit, kMostDecrease * this->limit);
 }
@@ -212,22 +232,8 @@
       this->windows < kWindowsPerJudgement) {
     return (kFewWaiting + kManyWaiting) / 2;
   }
-  const double slowdown =
-    this->lowestStep == 0
-      ? 1
-      : std::max(
-          1.0, static_cast<double>(this->stepTime.count()) / this->lowestStep);
-  std::vector<double> extra;
-  for (const FirstToken& token : this->firstTokens) {
-    const double usual = token.lowest * slowdown;
-    extra.push_back(token.wait < this->options.firstTokenTolerance * usual
-                      ? 0
-                      : token.wait - usual);
-  }
-  const double span =
-    static_cast<double>(Between(*this->windowStart, this->latest).count());
   const double waiting =
-    extra.empty() || span <= 0 ? 0 : MedianOf(extra) * this->finishes / span;
+    std::max(this->MedianWaiting(), this->UnansweredWaiting());
   this->firstTokens.clear();
   this->windows = 0;
   this->finishes = 0;
@@ -235,4 +241,56 @@
   return waiting;
 }
 
+double
+AdaptiveConcurrencyLimit::MedianWaiting()
+{
+  const double span = this->JudgedSpan();
+  if (this->firstTokens.empty() || span <= 0) {
+    return 0;
+  }
+  std::vector<double> extra;
+  for (const FirstToken& token : this->firstTokens) {
+    const double usual = token.lowest * this->Slowdown();
+    extra.push_back(token.wait < this->options.firstTokenTolerance * usual
+                      ? 0
+                      : token.wait - usual);
+  }
+  return MedianOf(extra) * this->finishes / span;
+}
+
+double
+AdaptiveConcurrencyLimit::UnansweredWaiting() const
+{
+  const double span = this->JudgedSpan();
+  if (span <= 0) {
+    return 0;
+  }
+  double usual = 0;
+  for (const FirstToken& token : this->firstTokens) {
+    usual += token.lowest * this->Slowdown();
+  }
+  // Prefills that run side by side take several times as long as one alone.
+  return this->unanswered - kUnansweredAlways -
+         kUnansweredFactor * usual / span;
+}
+
+double
+AdaptiveConcurrencyLimit::JudgedSpan() const
+{
+  return this->windowStart
+           ? static_cast<double>(
+               Between(*this->windowStart, this->latest).count())
+           : 0;
+}
+
+double
+AdaptiveConcurrencyLimit::Slowdown() const
+{
+  return this->lowestStep == 0
+           ? 1
+           : std::max(1.0,
+                      static_cast<double>(this->stepTime.count()) /
+                        this->lowestStep);
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
@@ -17,6 +17,8 @@
 /// lowest time seen for prompts of like size, beyond what the steps themselves
 /// have become slower by: by Little's law that excess times the rate of
 /// finishes is the number that wait inside, and the limit comes down by it.
+/// Those that have no first token yet show in no such time; a server that holds
+/// back some of its requests is told by their number.
 /// With neither, and with the limit in use, it rises: by half until the first
 /// sign, then quickly to where it came down from, and by one from there.
 ///
@@ -49,6 +51,7 @@
   void OnFirstToken(Duration aWait, std::uint32_t aPromptTokens) override;
   void OnToken(Duration aInterval) override;
   void OnFinish(TimePoint aNow) override;
+  void OnFinishUnanswered(TimePoint aNow) override;
   double QueueingSignal() const override { return this->signal; }
 
   /// Mean time between tokens of the last whole window; zero before one.
@@ -67,6 +70,10 @@
   void Adjust();
   double StepSignal();
   double WaitingInside();
+  double MedianWaiting();
+  double UnansweredWaiting() const;
+  double JudgedSpan() const;
+  double Slowdown() const;
   void LowerTo(double aLimit);
   void Raise();
   void StartWindow();
@@ -101,6 +108,8 @@
   std::vector<FirstToken> firstTokens;
   std::uint32_t windows = 0;
   std::uint32_t finishes = 0;
+  /// In flight, without a first token so far.
+  std::uint32_t unanswered = 0;
   std::optional<TimePoint> windowStart;
   TimePoint latest;
 };
--- a/dogwoodvale/src/Scheduling/ConcurrencyLimit.h
+++ b/dogwoodvale/src/Scheduling/ConcurrencyLimit.h
@@ -26,9 +26,13 @@
   /// A further token came \p aInterval after the one before it.
   virtual void OnToken(Duration aInterval) = 0;
 
-  /// It ended, in whichever way.
+  /// It ended, in whichever way, after its first token.
   virtual void OnFinish(TimePoint aNow) = 0;
 
+  /// It ended without a first token: cancelled, refused or lost. Told apart
+  /// from OnFinish because those that await their first token are counted.
+  virtual void OnFinishUnanswered(TimePoint aNow) = 0;
+
   /// Above 1 when the server is slower than it should be, i.e. requests wait
   /// inside it; 0 before anything was learned.
   virtual double QueueingSignal() const = 0;
--- a/dogwoodvale/src/Scheduling/FixedConcurrencyLimit.cpp
+++ b/dogwoodvale/src/Scheduling/FixedConcurrencyLimit.cpp
@@ -36,4 +36,10 @@
   }
 }
 
+void
+FixedConcurrencyLimit::OnFinishUnanswered(TimePoint aNow)
+{
+  this->OnFinish(aNow);
+}
+
 } // namespace dogwoodvale
