--- a/bench/ServerModel.h
+++ b/bench/ServerModel.h
@@ -84,6 +84,8 @@
   {
     EngineModel::Options engine;
     bool preempt = false;
+    /// Tell the engine the tier, which it honours in its own order.
+    bool passPriority = false;
     /// Charge each request alike, whatever its length: fairness by requests.
     bool countRequests = false;
   };
@@ -107,6 +109,8 @@
     TimePoint started;
     bool running = false;
     bool hasFirst = false;
+    /// No token has come since this start.
+    bool awaitsToken = false;
     bool ended = false;
   };
 
@@ -283,6 +287,7 @@
   job.request = aRequest;
   job.started = this->now;
   job.running = true;
+  job.awaitsToken = true;
   job.doneAtStart = job.done;
   if (!job.hasFirst) {
     Duration& longest = this->ReportOf(job).longestWait;
@@ -292,7 +297,8 @@
   this->engine.Start(aRequest.id,
                      job.arrival.prompt + job.done,
                      job.arrival.answer - job.done,
-                     this->now);
+                     this->now,
+                     this->options.passPriority ? aRequest.tier : 0);
   this->limit->OnStart(this->now);
 }
 
@@ -348,6 +354,7 @@
     }
     Job& job = this->JobOf(sequence.id);
     ++job.done;
+    job.awaitsToken = false;
     if (!sequence.hasFirst) {
       this->limit->OnFirstToken(Between(sequence.started, this->now),
                                 job.arrival.prompt);
@@ -380,7 +387,11 @@
 {
   aJob.running = false;
   this->running.erase(aJob.request.id.sequence);
-  this->limit->OnFinish(this->now);
+  if (aJob.awaitsToken) {
+    this->limit->OnFinishUnanswered(this->now);
+  } else {
+    this->limit->OnFinish(this->now);
+  }
   const std::uint32_t generated = aJob.done - aJob.doneAtStart;
   this->queue->OnFinished(
     aJob.request.className, aJob.request.customer, generated);
