Keep shared grants once and index customers without copies

Each customer held its own copy of its template's grants, read and checked again for each, and both indexes held copies of names and key hashes. Members of a template that refer to no parameter are now shared by all its uses, equal grants are kept once, and the indexes hold positions.

--- a/dogwoodvale/src/Configuration/Configuration.cpp
+++ b/dogwoodvale/src/Configuration/Configuration.cpp
@@ -8,32 +8,11 @@
 
 namespace dogwoodvale {
 
-const RequestClass*
-Service::FindClass(const ClassName& aName) const
-{
-  for (const RequestClass& requestClass : this->classes) {
-    if (requestClass.name == aName) {
-      return &requestClass;
-    }
-  }
-  return nullptr;
-}
-
-const Customer::Grant*
-Customer::FindGrant(const ServiceName& aService) const
-{
-  for (const Grant& grant : this->grants) {
-    if (grant.service == aService) {
-      return &grant;
-    }
-  }
-  return nullptr;
-}
-
 Configuration::Configuration(std::vector<Service> aServices,
                              std::vector<Customer> aCustomers)
   : services(std::move(aServices))
   , customers(std::move(aCustomers))
+  , customerIndex(this->customers)
 {
   for (std::size_t i = 0; i < this->services.size(); ++i) {
     this->serviceOfName.emplace(this->services[i].name.Value(), i);
@@ -41,14 +20,6 @@
       this->serviceOfModel.emplace(placement.model.Value(), i);
     }
   }
-  this->customerOfName.reserve(this->customers.size());
-  this->customerOfKey.reserve(this->customers.size());
-  for (std::size_t i = 0; i < this->customers.size(); ++i) {
-    this->customerOfName.emplace(this->customers[i].name.Value(), i);
-    for (const std::string& hash : this->customers[i].keyHashes) {
-      this->customerOfKey.emplace(hash, i);
-    }
-  }
 }
 
 const Service*
@@ -93,33 +64,13 @@
 const Customer*
 Configuration::FindCustomerOfKey(std::string_view aKeyHash) const
 {
-  const auto found = this->customerOfKey.find(ToAbsl(aKeyHash));
-  return found == this->customerOfKey.end() ? nullptr
-                                            : &this->customers[found->second];
+  return this->customerIndex.FindByKey(aKeyHash);
 }
 
 const Customer*
 Configuration::FindCustomer(const CustomerName& aName) const
 {
-  const auto found = this->customerOfName.find(aName.Value());
-  return found == this->customerOfName.end() ? nullptr
-                                             : &this->customers[found->second];
-}
-
-bool
-Route::Matches(std::string_view aMethod, std::string_view aPath) const
-{
-  if (!this->method.empty() && this->method != aMethod) {
-    return false;
-  }
-  if (aPath.substr(0, this->pathPrefix.size()) != this->pathPrefix) {
-    return false;
-  }
-  // Whole segments only: "/permits" must not take "/permits-old".
-  return aPath.size() == this->pathPrefix.size() ||
-         this->pathPrefix.back() == '/' ||
-         aPath[this->pathPrefix.size()] == '/' ||
-         aPath[this->pathPrefix.size()] == '?';
+  return this->customerIndex.FindByName(aName.Value());
 }
 
 std::string
--- a/dogwoodvale/src/Configuration/CustomerReader.cpp
+++ b/dogwoodvale/src/Configuration/CustomerReader.cpp
@@ -45,7 +45,7 @@
 void
 CheckGrant(const ReadScope& aScope,
            const Json::Value& aValue,
-           const Customer::Grant& aGrant,
+           const Grant& aGrant,
            const ServiceDirectory& aServices)
 {
   if (aGrant.service.IsEmpty()) {
@@ -57,7 +57,7 @@
                fmt::format("no service \"{}\"", aGrant.service.Value()));
     return;
   }
-  std::vector<std::string> known;
+  std::vector<std::string_view> known;
   for (const RequestClass& requestClass : service->classes) {
     known.push_back(requestClass.name.Value());
   }
@@ -73,23 +73,20 @@
     if (service->FindClass(aGrant.classes[i]) != nullptr) {
       continue;
     }
-    const std::string nearest = NearestName(name, known);
     aScope.Add(classes[static_cast<Json::ArrayIndex>(i)],
                fmt::format("service \"{}\" has no class \"{}\"{}",
                            aGrant.service.Value(),
                            name,
-                           nearest.empty()
-                             ? ""
-                             : fmt::format("; did you mean \"{}\"?", nearest)));
+                           Suggestion(name, known)));
   }
 }
 
-Customer::Grant
+Grant
 ReadGrant(const ReadScope& aScope,
           const Json::Value& aValue,
           const ServiceDirectory& aServices)
 {
-  Customer::Grant made;
+  Grant made;
   std::vector<std::string> classes;
   ObjectReader reader(aScope, aValue, "a grant");
   reader.Require("service");
@@ -110,12 +107,12 @@
   return made;
 }
 
-void
-ReadGrants(const ReadScope& aScope,
-           const Json::Value& aList,
-           const ServiceDirectory& aServices,
-           Customer& aCustomer)
+std::vector<Grant>
+ReadGrantList(const ReadScope& aScope,
+              const Json::Value& aList,
+              const ServiceDirectory& aServices)
 {
+  std::vector<Grant> grants;
   if (aList.empty()) {
     aScope.Add(aList, "a customer needs at least one grant");
   }
@@ -123,27 +120,34 @@
     aScope.Add(
       aList,
       fmt::format("{} grants; at most {} allowed", aList.size(), kMaxGrants));
-    return;
+    return grants;
   }
-  aCustomer.grants.reserve(aList.size());
+  grants.reserve(aList.size());
   for (const Json::Value& item : aList) {
-    Customer::Grant grant = ReadGrant(aScope, item, aServices);
-    if (aCustomer.FindGrant(grant.service) != nullptr &&
-        !grant.service.IsEmpty()) {
+    Grant grant = ReadGrant(aScope, item, aServices);
+    const bool isTwice =
+      std::any_of(grants.begin(), grants.end(), [&](const Grant& aOther) {
+        return aOther.service == grant.service;
+      });
+    if (isTwice && !grant.service.IsEmpty()) {
       aScope.Add(
         item,
         fmt::format("service \"{}\" is granted twice", grant.service.Value()));
     }
-    aCustomer.grants.push_back(std::move(grant));
+    grants.push_back(std::move(grant));
   }
+  return grants;
 }
 
 } // namespace
 
+CustomerReader::CustomerReader(const ServiceDirectory& aServices)
+  : services(aServices)
+{
+}
+
 Customer
-ReadCustomer(const ReadScope& aScope,
-             const Json::Value& aValue,
-             const ServiceDirectory& aServices)
+CustomerReader::Read(const ReadScope& aScope, ObjectView aValue)
 {
   Customer made;
   ObjectReader reader(aScope, aValue, "a customer");
@@ -152,10 +156,10 @@
   }
   reader.ReadName("name", made.name);
   if (reader.ReadStrings("key_hashes", made.keyHashes)) {
-    CheckKeyHashes(aScope, aValue["key_hashes"]);
+    CheckKeyHashes(aScope, *aValue.Find("key_hashes"));
   }
-  if (const Json::Value* grants = reader.FindList("grants")) {
-    ReadGrants(aScope, *grants, aServices, made);
+  if (reader.FindList("grants") != nullptr) {
+    made.grants = this->ReadGrants(aScope, aValue);
   }
   reader.ReadNumber("weight", kWeight, made.weight);
   reader.ReadNumber(
@@ -164,15 +168,35 @@
   reader.ReadInteger("concurrency", kConcurrency, made.concurrency);
   reader.Finish();
   if (made.requestsPerSecond > 0 && made.burst == 0) {
-    aScope.Add(aValue,
+    aScope.Add(aValue.own,
                "\"requests_per_second\" needs a \"burst\" of at least 1, or "
                "nothing would be let through");
   }
   if (made.requestsPerSecond == 0 && made.burst > 0) {
-    aScope.Add(aValue["burst"],
+    aScope.Add(*aValue.Find("burst"),
                "\"burst\" has no meaning without \"requests_per_second\"");
   }
   return made;
 }
 
+GrantList
+CustomerReader::ReadGrants(const ReadScope& aScope, ObjectView aCustomer)
+{
+  const Json::Value* list = aCustomer.Find("grants");
+  const bool isOfTemplate = !aCustomer.own.isMember("grants");
+  if (isOfTemplate) {
+    const auto found = this->ofTemplate.find(list);
+    if (found != this->ofTemplate.end()) {
+      return found->second;
+    }
+  }
+  GrantList grants =
+    *this->known.insert(GrantList(ReadGrantList(aScope, *list, this->services)))
+       .first;
+  if (isOfTemplate) {
+    this->ofTemplate.emplace(list, grants);
+  }
+  return grants;
+}
+
 } // namespace dogwoodvale::internal
--- a/dogwoodvale/src/Configuration/ServiceReader.cpp
+++ b/dogwoodvale/src/Configuration/ServiceReader.cpp
@@ -210,7 +210,7 @@
 } // namespace
 
 Service
-ReadService(const ReadScope& aScope, const Json::Value& aValue)
+ReadService(const ReadScope& aScope, ObjectView aValue)
 {
   Service made;
   ObjectReader reader(aScope, aValue, "a service");
--- a/dogwoodvale/src/Configuration/ServiceReader.h
+++ b/dogwoodvale/src/Configuration/ServiceReader.h
@@ -1,7 +1,7 @@
 #ifndef DOGWOODVALE_CONFIGURATION_SERVICEREADER_H
 #define DOGWOODVALE_CONFIGURATION_SERVICEREADER_H
 
-#include "Configuration.h"
+#include "Service.h"
 #include "dogwoodvale/Settings"
 
 namespace dogwoodvale::internal {
@@ -9,7 +9,7 @@
 /// Reads a service with its models, routes and classes, and checks what can
 /// be checked within it.
 Service
-ReadService(const ReadScope& aScope, const Json::Value& aValue);
+ReadService(const ReadScope& aScope, ObjectView aValue);
 
 } // namespace dogwoodvale::internal
 
--- a/dogwoodvale/src/Configuration/TemplateExpander.cpp
+++ b/dogwoodvale/src/Configuration/TemplateExpander.cpp
@@ -1,6 +1,7 @@
 #include "TemplateExpander.h"
 
 #include <algorithm>
+#include <span>
 
 namespace dogwoodvale::internal {
 
@@ -42,21 +43,11 @@
   return { begin, static_cast<std::size_t>(end - begin) };
 }
 
-std::string
-JoinQuoted(const std::vector<std::string>& aNames)
-{
-  std::string joined;
-  for (const std::string& name : aNames) {
-    joined += fmt::format("{}\"{}\"", joined.empty() ? "" : ", ", name);
-  }
-  return joined;
-}
-
 /// Checks that all references are to declared parameters, and notes them.
 void
 CheckReferences(const ReadScope& aScope,
                 const Json::Value& aValue,
-                const std::vector<std::string>& aDeclared,
+                std::span<const std::string_view> aDeclared,
                 std::set<std::string, std::less<>>& aUsed)
 {
   if (aValue.isArray() || aValue.isObject()) {
@@ -72,19 +63,14 @@
   std::size_t from = 0;
   while (const auto reference = NextReference(text, from)) {
     from = reference->end;
-    const std::string name(reference->name);
-    aUsed.insert(name);
-    if (std::find(aDeclared.begin(), aDeclared.end(), name) !=
+    aUsed.emplace(reference->name);
+    if (std::find(aDeclared.begin(), aDeclared.end(), reference->name) ==
         aDeclared.end()) {
-      continue;
+      aScope.Add(aValue,
+                 fmt::format("\"${{{}}}\" is not a parameter of the template{}",
+                             reference->name,
+                             Suggestion(reference->name, aDeclared)));
     }
-    const std::string nearest = NearestName(name, aDeclared);
-    aScope.Add(aValue,
-               fmt::format("\"${{{}}}\" is not a parameter of the template{}",
-                           name,
-                           nearest.empty()
-                             ? ""
-                             : fmt::format("; did you mean \"{}\"?", nearest)));
   }
 }
 
@@ -201,24 +187,23 @@
   if (!IsValidName(aName)) {
     aScope.Add(aValue, fmt::format("\"{}\" is not a name", aName));
   }
-  if (this->templates.contains(aName)) {
+  if (const auto other = this->templates.find(aName);
+      other != this->templates.end()) {
     aScope.Add(aValue,
                fmt::format("a {} template \"{}\" exists already, in {}",
                            this->kind,
                            aName,
-                           this->templates[aName].document->File()));
+                           other->second.document->File()));
   }
   ObjectReader reader(aScope, aValue, "a template");
   Template made;
   made.document = &aScope.document;
-  std::vector<std::string> declared{ std::string(kNameParameter) };
   const Json::Value* parameters = reader.Find("parameters");
   if (parameters != nullptr && !parameters->isObject()) {
     aScope.Add(*parameters, "\"parameters\" must be an object, by name");
   } else if (parameters != nullptr) {
     for (const std::string& parameter : parameters->getMemberNames()) {
       made.parameters.emplace(parameter, (*parameters)[parameter]);
-      declared.push_back(parameter);
       if (parameter == kNameParameter || !IsValidName(parameter)) {
         aScope.AddAt(aScope.document.PlaceOfKey(*parameters, parameter),
                      fmt::format("\"{}\" can't name a parameter", parameter));
@@ -226,24 +211,7 @@
     }
   }
   if (const Json::Value* body = reader.Require(this->kind)) {
-    std::set<std::string, std::less<>> used;
-    CheckReferences(aScope, *body, declared, used);
-    for (const auto& [parameter, standard] : made.parameters) {
-      if (!used.contains(parameter)) {
-        aScope.AddAt(aScope.document.PlaceOfKey(*parameters, parameter),
-                     fmt::format("the template never uses its parameter \"{}\"",
-                                 parameter));
-      }
-    }
-    if (body->isObject() && body->isMember("name")) {
-      aScope.AddAt(aScope.document.PlaceOfKey(*body, "name"),
-                   "a template has no \"name\"; each use of it gives one");
-    }
-    if (body->isObject()) {
-      made.body = *body;
-    } else {
-      aScope.Add(*body, fmt::format("\"{}\" must be an object", this->kind));
-    }
+    this->ReadBody(aScope, *body, parameters, made);
   }
   reader.Finish();
   if (aScope.findings.All().size() > before) {
@@ -252,12 +220,105 @@
   this->templates.emplace(aName, std::move(made));
 }
 
+void
+TemplateSet::ReadBody(const ReadScope& aScope,
+                      const Json::Value& aBody,
+                      const Json::Value* aParameters,
+                      Template& aMade) const
+{
+  if (!aBody.isObject()) {
+    aScope.Add(aBody, fmt::format("\"{}\" must be an object", this->kind));
+    return;
+  }
+  if (aBody.isMember("name")) {
+    aScope.AddAt(aScope.document.PlaceOfKey(aBody, "name"),
+                 "a template has no \"name\"; each use of it gives one");
+  }
+  std::vector<std::string_view> declared{ kNameParameter };
+  for (const auto& [parameter, standard] : aMade.parameters) {
+    declared.push_back(parameter);
+  }
+  aMade.fixed = Json::Value(Json::objectValue);
+  aMade.open = Json::Value(Json::objectValue);
+  std::set<std::string, std::less<>> used;
+  for (const std::string& member : aBody.getMemberNames()) {
+    std::set<std::string, std::less<>> usedHere;
+    CheckReferences(aScope, aBody[member], declared, usedHere);
+    (usedHere.empty() ? aMade.fixed : aMade.open)[member] = aBody[member];
+    used.merge(usedHere);
+  }
+  aMade.fixed.setOffsetStart(aBody.getOffsetStart());
+  aMade.open.setOffsetStart(aBody.getOffsetStart());
+  for (const auto& [parameter, standard] : aMade.parameters) {
+    if (!used.contains(parameter)) {
+      aScope.AddAt(
+        aScope.document.PlaceOfKey(*aParameters, parameter),
+        fmt::format("the template never uses its parameter \"{}\"", parameter));
+    }
+  }
+}
+
+const Template*
+TemplateSet::FindTemplate(const ReadScope& aScope,
+                          const Json::Value& aItem,
+                          std::string_view aName) const
+{
+  const auto found = this->templates.find(aName);
+  if (found != this->templates.end()) {
+    return &found->second;
+  }
+  std::vector<std::string_view> names;
+  for (const auto& [name, unused] : this->templates) {
+    names.push_back(name);
+  }
+  aScope.Add(
+    aItem["template"],
+    fmt::format(
+      "no {} template \"{}\"{}", this->kind, aName, Suggestion(aName, names)));
+  return nullptr;
+}
+
+TemplateSet::Parameters
+TemplateSet::FillParameters(const ReadScope& aScope,
+                            const Json::Value& aItem,
+                            const Json::Value* aGiven,
+                            std::string_view aTemplateName,
+                            const Template& aTemplate)
+{
+  Parameters values = aTemplate.parameters;
+  if (aGiven != nullptr) {
+    for (const std::string& parameter : aGiven->getMemberNames()) {
+      if (aTemplate.parameters.contains(parameter)) {
+        values[parameter] = (*aGiven)[parameter];
+        continue;
+      }
+      std::vector<std::string_view> declared;
+      for (const auto& [known, standard] : aTemplate.parameters) {
+        declared.push_back(known);
+      }
+      aScope.AddAt(aScope.document.PlaceOfKey(*aGiven, parameter),
+                   fmt::format("template \"{}\" has no parameter \"{}\"{}",
+                               aTemplateName,
+                               parameter,
+                               Suggestion(parameter, declared)));
+    }
+  }
+  for (const auto& [parameter, value] : values) {
+    if (value.isNull()) {
+      aScope.Add(aItem,
+                 fmt::format("template \"{}\" needs the parameter \"{}\"",
+                             aTemplateName,
+                             parameter));
+    }
+  }
+  return values;
+}
+
 std::optional<Expansion>
 TemplateSet::Expand(const ReadScope& aScope, const Json::Value& aItem) const
 {
   const std::size_t before = aScope.findings.All().size();
-  ObjectReader reader(
-    aScope, aItem, fmt::format("a {} from a template", this->kind));
+  ObjectReader reader(aScope, aItem, "a use of a template");
   std::string name;
   std::string templateName;
   reader.Require("name");
@@ -269,60 +330,24 @@
     aScope.Add(*given, "\"parameters\" must be an object, by name");
     given = nullptr;
   }
-  const auto found = this->templates.find(templateName);
-  if (found == this->templates.end()) {
-    if (!templateName.empty()) {
-      std::vector<std::string> names;
-      for (const auto& [known, unused] : this->templates) {
-        names.push_back(known);
-      }
-      aScope.Add(aItem["template"],
-                 fmt::format("no {} template \"{}\"; there are: {}",
-                             this->kind,
-                             templateName,
-                             JoinQuoted(names)));
-    }
+  if (templateName.empty()) {
     return std::nullopt;
   }
-  const Template& source = found->second;
-  std::map<std::string, Json::Value, std::less<>> values = source.parameters;
-  std::vector<std::string> declared;
-  for (const auto& [parameter, standard] : source.parameters) {
-    declared.push_back(parameter);
-  }
-  if (given != nullptr) {
-    for (const std::string& parameter : given->getMemberNames()) {
-      if (!source.parameters.contains(parameter)) {
-        const std::string nearest = NearestName(parameter, declared);
-        aScope.AddAt(
-          aScope.document.PlaceOfKey(*given, parameter),
-          fmt::format("template \"{}\" has no parameter \"{}\"{}",
-                      templateName,
-                      parameter,
-                      nearest.empty()
-                        ? ""
-                        : fmt::format("; did you mean \"{}\"?", nearest)));
-        continue;
-      }
-      values[parameter] = (*given)[parameter];
-    }
-  }
-  for (const auto& [parameter, value] : values) {
-    if (value.isNull()) {
-      aScope.Add(aItem,
-                 fmt::format("template \"{}\" needs the parameter \"{}\"",
-                             templateName,
-                             parameter));
-    }
+  const Template* source = this->FindTemplate(aScope, aItem, templateName);
+  if (source == nullptr) {
+    return std::nullopt;
   }
+  Parameters values =
+    FillParameters(aScope, aItem, given, templateName, *source);
   if (this->broken.contains(templateName) ||
       aScope.findings.All().size() > before) {
     return std::nullopt;
   }
   values.emplace(kNameParameter, name);
   const Place use = aScope.document.PlaceOf(aItem);
-  Expansion expansion{ source.body,
-                       { *source.document,
+  Expansion expansion{ source->open,
+                       &source->fixed,
+                       { *source->document,
                          aScope.findings,
                          fmt::format(" (template \"{}\", used for {} \"{}\" at "
                                      "{}:{}:{})",
@@ -332,9 +357,8 @@
                                      use.file,
                                      use.line,
                                      use.column) } };
-  const std::size_t beforeFilling = aScope.findings.All().size();
   Substitution(expansion.scope, values).Apply(expansion.value);
-  if (aScope.findings.All().size() > beforeFilling) {
+  if (aScope.findings.All().size() > before) {
     return std::nullopt;
   }
   Json::Value nameValue(name);
--- a/dogwoodvale/src/Configuration/TemplateExpander.h
+++ b/dogwoodvale/src/Configuration/TemplateExpander.h
@@ -17,7 +17,10 @@
 struct Template
 {
   const JsonDocument* document = nullptr;
-  Json::Value body;
+  /// Members of the body with no reference to a parameter.
+  Json::Value fixed;
+  /// Members that must be filled in.
+  Json::Value open;
   /// Null where the parameter must be given.
   std::map<std::string, Json::Value, std::less<>> parameters;
 };
@@ -27,7 +30,11 @@
 struct Expansion
 {
   Json::Value value;
+  /// Members that all uses of the template share, at the same address.
+  const Json::Value* inherited = nullptr;
   ReadScope scope;
+
+  ObjectView View() const { return { this->value, this->inherited }; }
 };
 
 /// The templates of one kind, by name.
@@ -48,6 +55,21 @@
                                   const Json::Value& aItem) const;
 
 private:
+  using Parameters = std::map<std::string, Json::Value, std::less<>>;
+
+  /// The parameters with what \p aItem gives for them.
+  static Parameters FillParameters(const ReadScope& aScope,
+                                   const Json::Value& aItem,
+                                   const Json::Value* aGiven,
+                                   std::string_view aTemplateName,
+                                   const Template& aTemplate);
+  const Template* FindTemplate(const ReadScope& aScope,
+                               const Json::Value& aItem,
+                               std::string_view aName) const;
+  void ReadBody(const ReadScope& aScope,
+                const Json::Value& aBody,
+                const Json::Value* aParameters,
+                Template& aMade) const;
   void ReadOne(const ReadScope& aScope,
                const std::string& aName,
                const Json::Value& aValue);
--- a/dogwoodvale/src/Settings/ObjectReader.cpp
+++ b/dogwoodvale/src/Settings/ObjectReader.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxExpectedKeys = 16;
+
 std::string_view
 TypeName(const Json::Value& aValue)
 {
@@ -61,29 +63,42 @@
   this->findings.Add(std::move(aPlace), std::string(aMessage) + this->note);
 }
 
+const Json::Value*
+ObjectView::Find(std::string_view aKey) const
+{
+  if (!this->own.isObject()) {
+    return nullptr;
+  }
+  const char* end = aKey.data() + aKey.size();
+  const Json::Value* value = this->own.find(aKey.data(), end);
+  if (value == nullptr && this->inherited != nullptr) {
+    value = this->inherited->find(aKey.data(), end);
+  }
+  return value;
+}
+
 ObjectReader::ObjectReader(const ReadScope& aScope,
-                           const Json::Value& aObject,
+                           ObjectView aObject,
                            std::string_view aWhat)
   : scope(aScope)
   , object(aObject)
   , what(aWhat)
-  , isObject(aObject.isObject())
+  , isObject(aObject.own.isObject())
 {
+  this->known.reserve(kMaxExpectedKeys);
   if (!this->isObject) {
-    this->scope.Add(
-      aObject,
-      fmt::format("{} must be an object, not {}", aWhat, TypeName(aObject)));
+    this->scope.Add(aObject.own,
+                    fmt::format("{} must be an object, not {}",
+                                aWhat,
+                                TypeName(aObject.own)));
   }
 }
 
 const Json::Value*
 ObjectReader::Find(std::string_view aKey)
 {
-  this->known.emplace_back(aKey);
-  if (!this->isObject) {
-    return nullptr;
-  }
-  return this->object.find(aKey.data(), aKey.data() + aKey.size());
+  this->known.push_back(aKey);
+  return this->object.Find(aKey);
 }
 
 const Json::Value*
@@ -91,7 +106,7 @@
 {
   const Json::Value* value = this->Find(aKey);
   if (value == nullptr && this->isObject) {
-    this->scope.Add(this->object,
+    this->scope.Add(this->object.own,
                     fmt::format("{} lacks \"{}\"", this->what, aKey));
   }
   return value;
@@ -307,18 +322,28 @@
   if (!this->isObject) {
     return;
   }
-  for (const std::string& key : this->object.getMemberNames()) {
+  this->ReportUnknown(this->object.own);
+  if (this->object.inherited != nullptr) {
+    this->ReportUnknown(*this->object.inherited);
+  }
+}
+
+void
+ObjectReader::ReportUnknown(const Json::Value& aObject)
+{
+  for (auto member = aObject.begin(); member != aObject.end(); ++member) {
+    const char* end = nullptr;
+    const char* begin = member.memberName(&end);
+    const std::string_view key(begin, static_cast<std::size_t>(end - begin));
     if (std::find(this->known.begin(), this->known.end(), key) !=
         this->known.end()) {
       continue;
     }
-    std::string message = fmt::format("{} has no key \"{}\"", this->what, key);
-    const std::string nearest = NearestName(key, this->known);
-    if (!nearest.empty()) {
-      message += fmt::format("; did you mean \"{}\"?", nearest);
-    }
-    this->scope.AddAt(this->scope.document.PlaceOfKey(this->object, key),
-                      message);
+    this->scope.AddAt(this->scope.document.PlaceOfKey(aObject, key),
+                      fmt::format("{} has no key \"{}\"{}",
+                                  this->what,
+                                  key,
+                                  Suggestion(key, this->known)));
   }
 }
 
@@ -336,7 +361,7 @@
 }
 
 std::string
-NearestName(std::string_view aText, const std::vector<std::string>& aKnown)
+NearestName(std::string_view aText, std::span<const std::string_view> aKnown)
 {
   // Beyond half of its letters changed, a suggestion would mislead.
   constexpr std::size_t kMaxCompared = 64;
@@ -344,8 +369,8 @@
     return "";
   }
   std::size_t best = std::max<std::size_t>(aText.size() / 2, 2);
-  std::string nearest;
-  for (const std::string& candidate : aKnown) {
+  std::string_view nearest;
+  for (const std::string_view candidate : aKnown) {
     const std::size_t distance = EditDistance(aText, candidate);
     if (distance <= best && distance < candidate.size() &&
         (nearest.empty() || distance < best)) {
@@ -353,7 +378,14 @@
       nearest = candidate;
     }
   }
-  return nearest;
+  return std::string(nearest);
+}
+
+std::string
+Suggestion(std::string_view aText, std::span<const std::string_view> aKnown)
+{
+  const std::string nearest = NearestName(aText, aKnown);
+  return nearest.empty() ? "" : fmt::format("; did you mean \"{}\"?", nearest);
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Settings/ObjectReader.h
+++ b/dogwoodvale/src/Settings/ObjectReader.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <span>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -29,6 +30,24 @@
 inline constexpr std::size_t kMaxNameLength = 64;
 inline constexpr std::size_t kMaxTextLength = 4096;
 
+/// A JSON object, and perhaps one of which it inherits the members that it
+/// doesn't have itself; so many objects can share one set of members.
+struct ObjectView
+{
+  // NOLINTNEXTLINE(google-explicit-constructor): any value can be viewed.
+  ObjectView(const Json::Value& aOwn, const Json::Value* aInherited = nullptr)
+    : own(aOwn)
+    , inherited(aInherited)
+  {
+  }
+
+  /// Null if neither has it, or this is no object.
+  const Json::Value* Find(std::string_view aKey) const;
+
+  const Json::Value& own;
+  const Json::Value* inherited;
+};
+
 /// Where findings go, and what is added to each of them.
 struct ReadScope
 {
@@ -49,13 +68,15 @@
 class ObjectReader
 {
 public:
+  /// All three must outlive the reader, and so must the keys asked for.
+  ///
   /// \param aWhat names the object in messages, such as "a class".
   ObjectReader(const ReadScope& aScope,
-               const Json::Value& aObject,
+               ObjectView aObject,
                std::string_view aWhat);
 
   bool IsObject() const { return this->isObject; }
-  const Json::Value& Object() const { return this->object; }
+  const Json::Value& Object() const { return this->object.own; }
   const ReadScope& Scope() const { return this->scope; }
 
   /// The member, or null if it is missing; counts as asked for.
@@ -113,15 +134,16 @@
   bool ReadWhole(std::string_view aKey,
                  IntegerBounds aBounds,
                  std::int64_t& aTarget);
+  void ReportUnknown(const Json::Value& aObject);
   void AddWrongType(std::string_view aKey,
                     const Json::Value& aValue,
                     std::string_view aWanted);
 
   const ReadScope& scope;
-  const Json::Value& object;
-  std::string what;
+  ObjectView object;
+  std::string_view what;
   bool isObject;
-  std::vector<std::string> known;
+  std::vector<std::string_view> known;
 };
 
 /// Whether \p aText may be a name: letters, digits, '.', '_' and '-', at most
@@ -131,7 +153,11 @@
 
 /// The one of \p aKnown with the smallest edit distance; empty if none is near.
 std::string
-NearestName(std::string_view aText, const std::vector<std::string>& aKnown);
+NearestName(std::string_view aText, std::span<const std::string_view> aKnown);
+
+/// "; did you mean ...?" for NearestName(), or nothing.
+std::string
+Suggestion(std::string_view aText, std::span<const std::string_view> aKnown);
 
 } // namespace dogwoodvale
 
