--- a/bench/Configuration.cpp
+++ b/bench/Configuration.cpp
@@ -67,6 +67,16 @@
   return root;
 }
 
+std::vector<PageView>
+Views(const std::vector<Page>& aPages)
+{
+  std::vector<PageView> views;
+  for (const Page& page : aPages) {
+    views.push_back({ page.hash, page.content });
+  }
+  return views;
+}
+
 std::size_t
 TotalBytes(const std::vector<Page>& aPages)
 {
@@ -105,6 +115,25 @@
   aState.counters["page_bytes"] = static_cast<double>(TotalBytes(pages));
 }
 
+void
+BM_ParseAfterChangeOfOneCustomer(benchmark::State& aState)
+{
+  const int count = static_cast<int>(aState.range(0));
+  const auto before = MakePages(MakeSources(count));
+  const auto after = MakePages(MakeSources(count, count / 2));
+  const auto previous =
+    ParsePages(MakeRoot(before).pageHashes, Views(before), nullptr);
+  const ConfigurationRoot root = MakeRoot(after);
+  const auto views = Views(after);
+  for (auto unused : aState) {
+    const auto next = ParsePages(root.pageHashes, views, &*previous);
+    if (!next.ok()) {
+      aState.SkipWithError("refused");
+    }
+    benchmark::DoNotOptimize(next->Customers().data());
+  }
+}
+
 void
 BM_ChangeOfOneCustomer(benchmark::State& aState)
 {
@@ -159,6 +188,11 @@
   ->Arg(1000)
   ->Arg(16000)
   ->Unit(benchmark::kMillisecond);
+BENCHMARK(BM_ParseAfterChangeOfOneCustomer)
+  ->Arg(10)
+  ->Arg(1000)
+  ->Arg(16000)
+  ->Unit(benchmark::kMillisecond);
 BENCHMARK(BM_ChangeOfOneCustomer)
   ->Arg(10)
   ->Arg(1000)
--- a/test/Configuration.cpp
+++ b/test/Configuration.cpp
@@ -111,6 +111,43 @@
   return parsed;
 }
 
+std::vector<PageView>
+Views(const std::vector<Page>& aPages)
+{
+  std::vector<PageView> views;
+  for (const Page& page : aPages) {
+    views.push_back({ page.hash, page.content });
+  }
+  return views;
+}
+
+/// All that requests depend on, in an order that doesn't.
+std::set<std::string>
+Describe(const Configuration& aConfiguration)
+{
+  std::set<std::string> lines;
+  for (const Service& service : aConfiguration.Services()) {
+    for (const RequestClass& requestClass : service.classes) {
+      lines.insert(fmt::format("{} {} {}",
+                               service.name.Value(),
+                               requestClass.name.Value(),
+                               requestClass.tier));
+    }
+  }
+  for (const Customer& customer : aConfiguration.Customers()) {
+    const Customer* ofKey =
+      aConfiguration.FindCustomerOfKey(customer.keyHashes.at(0));
+    const Customer* ofName = aConfiguration.FindCustomer(customer.name);
+    lines.insert(fmt::format("{} {} {} {} {}",
+                             customer.name.Value(),
+                             customer.weight,
+                             customer.grants[0].classes.size(),
+                             ofKey == &customer,
+                             ofName == &customer));
+  }
+  return lines;
+}
+
 } // namespace
 
 TEST_CASE("services come from templates and are found by name, model and route")
@@ -377,6 +414,75 @@
   }
 }
 
+TEST_CASE("customers taken over from the previous configuration are the same")
+{
+  rc::prop("any few changes of customers or services", [] {
+    const auto edit = [](std::vector<ConfigurationSource>& aSources) {
+      if (*rc::gen::inRange(0, 4) == 0) {
+        // Another tier of the services' template: nothing may be taken over.
+        aSources[0].text =
+          Replaced(aSources[0].text, "\"tier\": 0,", "\"tier\": 1,");
+      }
+    };
+    const int count = *rc::gen::inRange(1, 300);
+    auto firstSources = Sources(count, *rc::gen::inRange(0, count));
+    auto secondSources =
+      Sources(count + *rc::gen::inRange(0, 3), *rc::gen::inRange(0, count));
+    edit(firstSources);
+    edit(secondSources);
+    const auto firstPages = MakePages(firstSources);
+    const auto secondPages = MakePages(secondSources);
+    const auto first =
+      ParsePages(Hashes(firstPages), Views(firstPages), nullptr);
+    RC_ASSERT(first.ok());
+    const auto second =
+      ParsePages(Hashes(secondPages), Views(secondPages), &*first);
+    RC_ASSERT(second.ok());
+    const Configuration whole = Parse(secondSources);
+    RC_ASSERT(Describe(*second) == Describe(whole));
+  });
+}
+
+// Operators see: a customer with the key of another, in a page that changed
+// while the other's page did not. Taking the other over without a comparison
+// would accept it, and each process would bill whichever it met first.
+TEST_CASE("a new customer is compared with those taken over")
+{
+  const auto before = MakePages(Sources(500));
+  auto sources = Sources(500);
+  sources[1].text =
+    Replaced(sources[1].text, Sha256Hex("key-c-250"), Sha256Hex("key-c-100"));
+  const auto after = MakePages(sources);
+  const auto previous = ParsePages(Hashes(before), Views(before), nullptr);
+  REQUIRE(previous.ok());
+  const auto next = ParsePages(Hashes(after), Views(after), &*previous);
+  REQUIRE(next.status().code() == absl::StatusCode::kInvalidArgument);
+  CHECK(MessageOf(next.status()).find("stands already at") !=
+        std::string_view::npos);
+}
+
+TEST_CASE("pages that the previous configuration has need not be given")
+{
+  const auto before = MakePages(Sources(500));
+  const auto after = MakePages(Sources(500, 3));
+  const auto previous = ParsePages(Hashes(before), Views(before), nullptr);
+  REQUIRE(previous.ok());
+  std::vector<Page> needed;
+  for (const Page& page : after) {
+    if (page.content.substr(0, 12) != "{\"customers\"" ||
+        CountNew(before, { page }) == 1) {
+      needed.push_back(page);
+    }
+  }
+  REQUIRE(needed.size() < after.size());
+  CHECK(ParsePages(Hashes(after), Views(needed), &*previous).ok());
+  CHECK(ParsePages(Hashes(after), Views(needed), nullptr).status().code() ==
+        absl::StatusCode::kNotFound);
+  needed.back().content += " ";
+  CHECK(ParsePages(Hashes(after), Views(needed), &*previous).status().code() ==
+        absl::StatusCode::kDataLoss);
+}
+
 TEST_CASE("a root survives its text form, within bounds")
 {
   ConfigurationRoot root;
