--- a/test/PeerConnection.cpp
+++ b/test/PeerConnection.cpp
@@ -281,10 +281,9 @@
 
 TEST_CASE("garbage closes its own connection and is counted")
 {
+  // Where bytes came that are wrong, none waits for the hello's deadline.
   PeerOptions options;
-  options.connectTimeout = milliseconds(150);
-  Pair pair(options);
-  pair.ConnectReady();
+  options.connectTimeout = seconds(10);
   std::string bytes(kMagic);
   SECTION("another protocol")
   {
@@ -309,6 +308,8 @@
       bytes += "\0\0\0\x04\0\0\0\0\0"sv;
     }
   }
+  Pair pair(options);
+  pair.ConnectReady();
   RawPeer raw(*pair.loop, pair.listener->Address());
   raw.Write(bytes);
   REQUIRE(pair.Until([&] { return raw.gone; }, seconds(1)));
@@ -422,14 +423,30 @@
   REQUIRE(first->stream->QueuedBytes() == 0);
 }
 
-TEST_CASE("a refused connection is told by OnClosed, not by Connect")
+TEST_CASE("a failure to connect is told by OnClosed, not inside Connect")
 {
   Pair pair;
-  pair.listener->StopAccepting();
-  pair.Connect(MakeHello("client"));
+  SocketAddress address = pair.listener->Address();
+  absl::StatusCode code = absl::StatusCode::kUnavailable;
+  SECTION("refused")
+  {
+    pair.listener->StopAccepting();
+  }
+  SECTION("not an address")
+  {
+    address.ip = "localhost";
+    code = absl::StatusCode::kInvalidArgument;
+  }
+  // A link-local address that names no link fails in the system call itself.
+  SECTION("refused by this system")
+  {
+    address.ip = "fe80::1";
+  }
+  pair.client.connection = PeerConnection::Connect(
+    *pair.loop, address, {}, MakeHello("client"), pair.client);
   REQUIRE_FALSE(pair.client.closed);
   REQUIRE(pair.Until([&] { return pair.client.closed.has_value(); }));
-  REQUIRE(absl::IsUnavailable(*pair.client.closed));
+  REQUIRE(pair.client.closed->code() == code);
 }
 
 TEST_CASE("idle connections stay, silent peers do not")
@@ -462,6 +479,14 @@
     REQUIRE(call->messages.size() > 10);
     REQUIRE(pair.client.notices.size() <= 2);
   }
+  SECTION("a process that was stopped itself does not blame its peer")
+  {
+    pair.ConnectReady();
+    usleep(300000);
+    REQUIRE_FALSE(pair.Until([&] { return pair.client.closed.has_value(); },
+                             milliseconds(300)));
+    REQUIRE_FALSE(pair.server.closed);
+  }
   SECTION("a peer that says nothing any more")
   {
     // A process that was stopped: its kernel still takes what is sent.
@@ -678,6 +703,6 @@
   calls.clear();
   REQUIRE(
     pair.Until([&] { return pair.server.connection->StreamCount() == 0; }));
+  const auto next = pair.Open();
   REQUIRE_FALSE(pair.client.closed);
-  REQUIRE(pair.client.connection->OpenStream() != nullptr);
 }
--- a/test/PeerMessages.cpp
+++ b/test/PeerMessages.cpp
@@ -217,6 +217,21 @@
   REQUIRE(got.empty());
 }
 
+TEST_CASE("a frame of countless values is refused before they are built")
+{
+  // A byte each on the wire, 24 each once built: at the bound on a message
+  // that would be 200 MB. Lists of lists keep each within the bound on lists.
+  using namespace std::string_view_literals;
+  std::string body("\x93\x09\x00\xdc\x04\x00"sv);
+  for (int list = 0; list < 1024; ++list) {
+    body += "\xdc\x04\0"sv;
+    body.append(1024, '\xc0');
+  }
+  std::vector<Message> got;
+  const absl::Status status = Decode(Frame(body), got);
+  REQUIRE(MessageOf(status) == "malformed message: too many values");
+}
+
 TEST_CASE("peers of two releases understand each other")
 {
   using namespace std::string_view_literals;
