Refuse early where another server may be free

Change: RunRequest.refusalsLeft, Failed.early and LoadReport.fromReader carry ShouldRefuseEarly and AllowedRefusals between entry and sidecar; least_loaded is the default chooser; unanswered ends are told to the concurrency limit. Conclusion: wired, to be judged on real processes.

--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -111,6 +111,8 @@
 {
   this->admitted = true;
   this->deadline.StartOnce(this->BudgetLeft(Now()));
+  this->refusalsLeft =
+    this->host.Servers().EarlyRefusals(this->resolved.service);
   this->TryNext();
 }
 
@@ -223,6 +225,7 @@
   run.budgetMicros = this->BudgetLeft(now).count();
   run.maxWaitMicros = spec.maxWait.count();
   run.classQueueBound = spec.queueBound;
+  run.refusalsLeft = this->refusalsLeft;
   run.preemptions = static_cast<std::uint32_t>(this->outcome.preemptions);
   run.method = http.method;
   run.path = http.path;
@@ -354,6 +357,10 @@
                                        aFailed.disposition);
   this->host.Servers().OnLoad(
     this->resolved.service, this->running->server, aFailed.load);
+  if (aFailed.early && this->refusalsLeft > 0) {
+    this->Hop();
+    return;
+  }
   if (aFailed.resumable && aFailed.code == ErrorCode::Evicted) {
     // Preempted: nothing is wrong with the server, and it may go on there.
     ++this->outcome.preemptions;
@@ -370,6 +377,20 @@
                  false);
 }
 
+void
+CallerRequest::Hop()
+{
+  --this->refusalsLeft;
+  ++this->outcome.hops;
+  this->excluded.push_back(this->running->server);
+  this->StopAttempt(SendResult::Refused);
+  if (this->refusalsLeft == 0) {
+    // Their reports are fresh now, so that they are worth choosing again.
+    this->excluded.clear();
+  }
+  this->pause.StartOnce(Duration(0));
+}
+
 void
 CallerRequest::OnEnd()
 {
@@ -488,7 +509,8 @@
   allowance.hasBudget = budget.Available(now) >= cost;
   allowance.deadlineLeft = this->BudgetLeft(now);
   allowance.leastUseful = kLeastUseful;
-  allowance.attempts = static_cast<std::uint32_t>(this->outcome.attempts);
+  allowance.attempts =
+    static_cast<std::uint32_t>(this->outcome.attempts - this->outcome.hops);
   allowance.maxAttempts =
     static_cast<std::uint32_t>(this->host.Bounds().maxAttempts);
   const RetryVerdict verdict = DecideRetry(last, allowance);
--- a/dogwoodvale/src/Entry/CallerRequest.h
+++ b/dogwoodvale/src/Entry/CallerRequest.h
@@ -32,6 +32,8 @@
   /// Tokens received that did not become part of a complete answer.
   std::uint64_t wastedTokens = 0;
   int attempts = 0;
+  /// Early refusals, which cost the engines nothing.
+  int hops = 0;
   int resumes = 0;
   int preemptions = 0;
 };
@@ -113,6 +115,8 @@
   void OnFailed(const Failed& aFailed);
   void NoteTokens(std::uint32_t aTokens);
 
+  /// Another server may be free: goes there at once.
+  void Hop();
   /// The attempt is over without a whole answer; what next.
   void Conclude(RequestError aError, SendResult aResult, bool aSettle);
   void StopAttempt(SendResult aResult);
@@ -140,7 +144,9 @@
   RequestError pendingError;
   std::unique_ptr<ProbeStream> probe;
   std::unique_ptr<ProbeStream> endedProbe;
+  /// Servers that failed it, or refused it.
   std::vector<InstanceName> excluded;
+  std::uint32_t refusalsLeft = 0;
   /// Streams that ended inside their own callback.
   std::unique_ptr<PeerStream> endedStream;
   Timer deadline;
--- a/dogwoodvale/src/Entry/Fleet.cpp
+++ b/dogwoodvale/src/Entry/Fleet.cpp
@@ -177,7 +177,8 @@
 Fleet::Judge(const ServiceName& aService, TimePoint aNow)
 {
   ServiceState& state = this->StateOf(aService);
-  for (const HealthChange& change : state.health.Evaluate(aNow)) {
+  for (const HealthChange& change :
+       state.health.Evaluate(aNow, state.table.MeanLoad())) {
     state.table.SetStanding(change.name, change.standing);
     Log(change.standing == Standing::Ejected ? LogLevel::Warning
                                              : LogLevel::Info,
@@ -199,6 +200,14 @@
   return this->chooser->Choose(state->table, aRequest, Now(), this->random);
 }
 
+std::uint32_t
+Fleet::EarlyRefusals(const ServiceName& aService) const
+{
+  const auto found = this->services.find(aService);
+  return found == this->services.end() ? 0
+                                       : AllowedRefusals(found->second.table);
+}
+
 SidecarLink*
 Fleet::FindLink(const InstanceName& aName)
 {
--- a/dogwoodvale/src/Entry/Fleet.h
+++ b/dogwoodvale/src/Entry/Fleet.h
@@ -47,6 +47,8 @@
   /// The server for a request; nothing when none of the service is usable.
   std::optional<InstanceName> Choose(const ServiceName& aService,
                                      const ChoiceRequest& aRequest);
+  /// How many early refusals to allow a new request.
+  std::uint32_t EarlyRefusals(const ServiceName& aService) const;
   /// nullptr if there is no such link.
   SidecarLink* FindLink(const InstanceName& aName);
 
--- a/dogwoodvale/src/Peer/Message.h
+++ b/dogwoodvale/src/Peer/Message.h
@@ -79,6 +79,8 @@
   std::uint32_t classQueueBound = 0;
   std::uint32_t promptTokens = 0;
   std::uint32_t maxTokens = 0;
+  /// How often a sidecar may still refuse it early; see ShouldRefuseEarly.
+  std::uint32_t refusalsLeft = 0;
   /// How often it was preempted before.
   std::uint32_t preemptions = 0;
   std::string method;
@@ -125,6 +127,8 @@
   Disposition disposition = Disposition::MayHaveRun;
   std::string detail;
   std::uint32_t retryAfterMillis = 0;
+  /// Refused early: another server is likely to be free.
+  bool early = false;
   /// Preempted: what was delivered stays valid, go on from there.
   bool resumable = false;
   LoadReport load;
--- a/dogwoodvale/src/Peer/MessageFields.h
+++ b/dogwoodvale/src/Peer/MessageFields.h
@@ -24,7 +24,8 @@
                   aValue.queuedTokens,
                   aValue.firstTokenMicros,
                   aValue.stepMicros,
-                  aValue.queuedByTier);
+                  aValue.queuedByTier,
+                  aValue.fromReader);
 }
 
 template<MaybeConst<HeaderField> M>
@@ -98,7 +99,8 @@
                   aValue.headers,
                   aValue.body,
                   aValue.epoch,
-                  aValue.preemptions);
+                  aValue.preemptions,
+                  aValue.refusalsLeft);
 }
 
 template<MaybeConst<Started> M>
@@ -137,7 +139,8 @@
                   aValue.detail,
                   aValue.retryAfterMillis,
                   aValue.resumable,
-                  aValue.load);
+                  aValue.load,
+                  aValue.early);
 }
 
 template<MaybeConst<Probe> M>
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -39,7 +39,7 @@
   std::size_t maxConnections = 10000;
   /// Sidecars connected to, for each service.
   std::size_t subsetSize = 20;
-  std::string chooser = "least_loaded_of_two";
+  std::string chooser = "least_loaded";
   /// Tries of one request in all.
   int maxAttempts = 4;
   /// How long an entry that stops still accepts, so that the balancer notices.
--- a/dogwoodvale/src/Sidecar/Dispatcher.cpp
+++ b/dogwoodvale/src/Sidecar/Dispatcher.cpp
@@ -127,6 +127,13 @@
       aAttempt, ErrorCode::QueueFull, "could not start within budget", now);
     return;
   }
+  if (ShouldRefuseEarly(this->Load(aAttempt.Entry()),
+                        aAttempt.Request().refusalsLeft)) {
+    ++this->counters.refusedEarly;
+    this->Refuse(
+      aAttempt, ErrorCode::QueueFull, "busy, others may not be", now, true);
+    return;
+  }
   this->Enqueue(aAttempt, now);
 }
 
@@ -177,10 +184,12 @@
 {
   const QueuedRequest queued = this->Describe(aAttempt);
   this->waiting[queued.id] = &aAttempt;
+  ++this->byEntry[aAttempt.Entry()];
   const EnqueueResult result = this->queue->Enqueue(queued, aNow);
   this->Evict(result.evicted, aNow);
   if (result.verdict != EnqueueVerdict::Queued) {
     this->waiting.erase(queued.id);
+    this->Forget(aAttempt);
     this->Refuse(aAttempt, ErrorCode::QueueFull, "queue is full", aNow);
     return;
   }
@@ -197,6 +206,7 @@
   for (const RequestId& id : aEvicted) {
     SidecarAttempt* attempt = this->waiting.at(id);
     this->waiting.erase(id);
+    this->Forget(*attempt);
     ++this->counters.evicted;
     this->Refuse(*attempt, ErrorCode::Evicted, "made room", aNow);
   }
@@ -215,7 +225,8 @@
 Dispatcher::Refuse(SidecarAttempt& aAttempt,
                    ErrorCode aCode,
                    std::string_view aDetail,
-                   TimePoint aNow)
+                   TimePoint aNow,
+                   bool aEarly)
 {
   ++this->counters.refused;
   RequestError error;
@@ -225,7 +236,7 @@
   error.disposition = this->record.Bar(aAttempt.Request().id, aNow);
   error.detail = std::string(aDetail);
   error.retryAfter = this->ComeBackAfter(aAttempt.Request().tier, aNow);
-  aAttempt.Refuse(error);
+  aAttempt.Refuse(error, aEarly);
 }
 
 void
@@ -256,6 +267,7 @@
   const bool expired = left <= Duration(0);
   if (expired || !this->record.Begin(aNext.id, left, aNow)) {
     this->queue->OnFinished(aNext.className, aNext.customer, 0);
+    this->Forget(*attempt);
     this->Refuse(*attempt,
                  expired ? ErrorCode::DeadlineExceeded : ErrorCode::Barred,
                  "not started",
@@ -316,6 +328,7 @@
   if (waits != this->waiting.end() && waits->second == &aAttempt) {
     this->queue->Remove(run.id);
     this->waiting.erase(waits);
+    this->Forget(aAttempt);
     ++this->counters.withdrawnQueued;
     return;
   }
@@ -324,7 +337,12 @@
     return;
   }
   this->running.erase(runs);
-  this->limit->OnFinish(Now());
+  this->Forget(aAttempt);
+  if (aAttempt.HasFirstToken()) {
+    this->limit->OnFinish(Now());
+  } else {
+    this->limit->OnFinishUnanswered(Now());
+  }
   this->CountEnd(aAttempt, aEnd);
   const ClassName className(run.className);
   const CustomerName customer(run.customer);
@@ -335,6 +353,15 @@
   this->Dispatch();
 }
 
+void
+Dispatcher::Forget(const SidecarAttempt& aAttempt)
+{
+  const auto found = this->byEntry.find(aAttempt.Entry());
+  if (--found->second == 0) {
+    this->byEntry.erase(found);
+  }
+}
+
 void
 Dispatcher::CountEnd(const SidecarAttempt& aAttempt, AttemptEnd aEnd)
 {
@@ -389,6 +416,7 @@
     SidecarAttempt* attempt = waits->second;
     this->queue->Remove(aId);
     this->waiting.erase(waits);
+    this->Forget(*attempt);
     ++this->counters.barred;
     this->Refuse(*attempt, ErrorCode::Barred, "barred by a probe", now);
   }
@@ -403,6 +431,7 @@
   for (const RequestId& id : this->queue->DrainAll()) {
     SidecarAttempt* attempt = this->waiting.at(id);
     this->waiting.erase(id);
+    this->Forget(*attempt);
     ++this->counters.handedBack;
     this->Refuse(*attempt, ErrorCode::Draining, "handed back", now);
   }
@@ -415,7 +444,7 @@
 }
 
 LoadReport
-Dispatcher::Load() const
+Dispatcher::Load(const InstanceName& aReader) const
 {
   LoadReport load;
   load.running = static_cast<std::uint32_t>(this->running.size());
@@ -423,6 +452,8 @@
   load.limit = this->limit->Limit();
   load.firstTokenMicros = static_cast<std::uint32_t>(this->firstTokenMicros);
   load.stepMicros = static_cast<std::uint32_t>(this->stepMicros);
+  const auto own = this->byEntry.find(aReader);
+  load.fromReader = own == this->byEntry.end() ? 0 : own->second;
   std::size_t above = 0;
   for (Tier tier = 0; tier < kTierCount && above < load.queued; ++tier) {
     const std::size_t upTo = this->queue->SizeAtOrAbove(tier);
--- a/dogwoodvale/src/Sidecar/Dispatcher.h
+++ b/dogwoodvale/src/Sidecar/Dispatcher.h
@@ -17,6 +17,7 @@
 {
   std::uint64_t started = 0;
   std::uint64_t refused = 0;
+  std::uint64_t refusedEarly = 0;
   std::uint64_t evicted = 0;
   std::uint64_t preempted = 0;
   std::uint64_t handedBack = 0;
@@ -60,7 +61,8 @@
   std::size_t Running() const { return this->running.size(); }
   std::size_t Queued() const { return this->queue->Size(); }
   std::uint32_t Limit() const { return this->limit->Limit(); }
-  LoadReport Load() const;
+  /// The load as told to \p aReader, an entry.
+  LoadReport Load(const InstanceName& aReader) const;
   const DispatcherCounters& Counters() const { return this->counters; }
 
 private:
@@ -80,12 +82,14 @@
   void Refuse(SidecarAttempt& aAttempt,
               ErrorCode aCode,
               std::string_view aDetail,
-              TimePoint aNow);
+              TimePoint aNow,
+              bool aEarly = false);
   void Dispatch();
   void StartNext(const QueuedRequest& aNext, TimePoint aNow);
   void PreemptFor(const QueuedRequest& aHead, TimePoint aNow);
   std::vector<RunningRequest> DescribeRunning() const;
   milliseconds ComeBackAfter(Tier aTier, TimePoint aNow);
+  void Forget(const SidecarAttempt& aAttempt);
   void CountEnd(const SidecarAttempt& aAttempt, AttemptEnd aEnd);
 
   struct Started
@@ -105,6 +109,8 @@
   std::mt19937_64 random;
   absl::flat_hash_map<RequestId, SidecarAttempt*> waiting;
   absl::flat_hash_map<RequestId, Started> running;
+  /// Requests here, queued and running, by the entry that sent them.
+  absl::flat_hash_map<InstanceName, std::uint32_t> byEntry;
   DispatcherCounters counters;
   bool draining = false;
   bool backendUp = true;
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -92,12 +92,12 @@
 }
 
 Notice
-Sidecar::MakeNotice() const
+Sidecar::MakeNotice(const InstanceName& aEntry) const
 {
   Notice notice;
   notice.draining = this->dispatcher->IsDraining();
   notice.backendUp = this->dispatcher->IsBackendUp();
-  notice.load = this->dispatcher->Load();
+  notice.load = this->dispatcher->Load(aEntry);
   notice.epoch = this->control->Keeper().CurrentEpoch();
   notice.rootHash = this->control->Keeper().CurrentHash();
   notice.storeContactAgeMillis = this->control->ContactAgeMillis();
@@ -107,10 +107,10 @@
 void
 Sidecar::TellPeers(bool aNow)
 {
-  const Notice notice = this->MakeNotice();
   for (const auto& session : this->sessions) {
     if (!session->IsClosed()) {
-      session->Connection().SetNotice(notice, aNow);
+      const InstanceName entry(session->Peer().instance);
+      session->Connection().SetNotice(this->MakeNotice(entry), aNow);
     }
   }
 }
@@ -122,7 +122,8 @@
   this->sessions.push_back(
     std::make_unique<SidecarSession>(*this, std::move(aConnection), aPeer));
   SidecarSession& session = *this->sessions.back();
-  session.Connection().SetNotice(this->MakeNotice(), true);
+  session.Connection().SetNotice(this->MakeNotice(InstanceName(aPeer.instance)),
+                                 true);
   return session;
 }
 
@@ -239,9 +240,9 @@
 }
 
 LoadReport
-Sidecar::CurrentLoad() const
+Sidecar::CurrentLoad(const InstanceName& aEntry) const
 {
-  return this->dispatcher->Load();
+  return this->dispatcher->Load(aEntry);
 }
 
 void
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -55,7 +55,7 @@
   void OnTokens(SidecarAttempt& aAttempt,
                 std::uint32_t aTokens,
                 Duration aInterval) override;
-  LoadReport CurrentLoad() const override;
+  LoadReport CurrentLoad(const InstanceName& aEntry) const override;
   void OnEnded(SidecarAttempt& aAttempt, AttemptEnd aEnd) override;
 
   void OnConfiguration(const AcceptedConfiguration& aAccepted) override;
@@ -79,7 +79,7 @@
   Sidecar(EventLoop& aLoop, const DaemonSettings& aSettings);
   absl::Status Open();
   Hello MakeHello() const;
-  Notice MakeNotice() const;
+  Notice MakeNotice(const InstanceName& aEntry) const;
   void TellPeers(bool aNow);
   void Sweep();
   void CheckStopped();
--- a/dogwoodvale/src/Sidecar/SidecarAttempt.cpp
+++ b/dogwoodvale/src/Sidecar/SidecarAttempt.cpp
@@ -103,10 +103,11 @@
 }
 
 void
-SidecarAttempt::Refuse(const RequestError& aError)
+SidecarAttempt::Refuse(const RequestError& aError, bool aEarly)
 {
   Failed failure;
   failure.code = aError.code;
+  failure.early = aEarly;
   failure.disposition = aError.disposition;
   failure.detail = aError.detail;
   failure.retryAfterMillis =
@@ -249,7 +250,7 @@
   finished.finishReason = std::string(this->tokenStream.FinishReason());
   finished.promptTokens = this->tokenStream.PromptTokens();
   finished.completionTokens = this->tokens;
-  finished.load = this->host.CurrentLoad();
+  finished.load = this->host.CurrentLoad(this->entry);
   this->stream->Send(finished);
   this->stream->FinishSending();
   this->End(AttemptEnd::Completed);
@@ -276,7 +277,7 @@
 void
 SidecarAttempt::Fail(Failed aFailure, AttemptEnd aEnd)
 {
-  aFailure.load = this->host.CurrentLoad();
+  aFailure.load = this->host.CurrentLoad(this->entry);
   this->stream->Send(aFailure);
   this->stream->FinishSending();
   this->End(aEnd);
--- a/dogwoodvale/src/Sidecar/SidecarAttempt.h
+++ b/dogwoodvale/src/Sidecar/SidecarAttempt.h
@@ -45,7 +45,8 @@
   virtual void OnTokens(SidecarAttempt& aAttempt,
                         std::uint32_t aTokens,
                         Duration aInterval) = 0;
-  virtual LoadReport CurrentLoad() const = 0;
+  /// The load as told to \p aEntry.
+  virtual LoadReport CurrentLoad(const InstanceName& aEntry) const = 0;
   /// Nothing more comes of it; the host destroys it later, not in this call.
   virtual void OnEnded(SidecarAttempt& aAttempt, AttemptEnd aEnd) = 0;
 };
@@ -72,13 +73,16 @@
   bool HasEnded() const { return this->ended; }
   TimePoint StartedAt() const { return this->started; }
   std::uint32_t Tokens() const { return this->tokens; }
+  /// Whether the backend server has begun to answer.
+  bool HasFirstToken() const { return this->nextSequence > 0; }
   /// It failed because no connection to the backend server came about.
   bool WasUnreached() const { return this->unreached; }
 
   /// Calls the backend server. \pre the host's record says that it may start.
   void Start(BackendClient& aBackend, TimePoint aNow);
   /// Ends it without calling the backend server.
-  void Refuse(const RequestError& aError);
+  /// \param aEarly another server is likely to be free.
+  void Refuse(const RequestError& aError, bool aEarly = false);
   /// On an offered stream: asks for the configuration.
   void Ask(const FetchConfiguration& aRequest);
   /// Stops it in favour of a higher tier; what was sent stays valid.
--- a/dogwoodvale/src/Sidecar/SidecarMetrics.cpp
+++ b/dogwoodvale/src/Sidecar/SidecarMetrics.cpp
@@ -44,6 +44,7 @@
   this->attempts.At({ "started" }) = counters.started;
   this->attempts.At({ "completed" }) = counters.completed;
   this->attempts.At({ "refused" }) = counters.refused;
+  this->attempts.At({ "refused_early" }) = counters.refusedEarly;
   this->attempts.At({ "evicted" }) = counters.evicted;
   this->attempts.At({ "preempted" }) = counters.preempted;
   this->attempts.At({ "handed_back" }) = counters.handedBack;
