--- a/tools/load/CheckTool.cpp
+++ b/tools/load/CheckTool.cpp
@@ -120,8 +120,8 @@
       aReader.Fail("--records", std::string(MessageOf(record.status())));
     }
   }
-  if (!aReader.Found().IsEmpty()) {
-    return aReader.Found().ToStatus();
+  if (!aReader.Status().ok()) {
+    return aReader.Status();
   }
   return made;
 }
--- a/tools/load/LoadRun.cpp
+++ b/tools/load/LoadRun.cpp
@@ -233,6 +233,7 @@
   call.expectedTokens = aArrival.outputTokens;
   this->active.push_back(
     std::make_unique<ActiveCall>(*this, aArrival, std::move(call)));
+  this->mostOpenCalls = std::max(this->mostOpenCalls, this->active.size());
   this->active.back()->Send();
 }
 
--- a/tools/load/LoadRun.h
+++ b/tools/load/LoadRun.h
@@ -58,7 +58,8 @@
   /// By how much the latest call left after its time; if this grows, the tool
   /// itself is too slow for the load and its figures are worth less.
   double LongestLagMs() const { return this->longestLagMs; }
-  std::size_t OpenCalls() const { return this->active.size(); }
+  /// The most calls that were under way at once.
+  std::size_t MostOpenCalls() const { return this->mostOpenCalls; }
 
 private:
   class ActiveCall;
@@ -83,6 +84,7 @@
   std::optional<Arrival> next;
   std::uint64_t nextNonce = 0;
   double longestLagMs = 0;
+  std::size_t mostOpenCalls = 0;
   bool arrivalsEnded = false;
   bool isDone = false;
   std::list<std::unique_ptr<ActiveCall>> active;
--- a/tools/load/LoadTool.cpp
+++ b/tools/load/LoadTool.cpp
@@ -97,8 +97,8 @@
   if (made.run.noncePrefix.empty()) {
     made.run.noncePrefix = fmt::format("r{:x}n", DrawIncarnation() >> 32U);
   }
-  if (!aReader.Found().IsEmpty()) {
-    return aReader.Found().ToStatus();
+  if (!aReader.Status().ok()) {
+    return aReader.Status();
   }
   return made;
 }
@@ -177,6 +177,7 @@
     std::chrono::duration<double>(aArguments.run.duration).count();
   Report report = MakeReport(aPlan, recorder.Calls(), startMs, seconds);
   report.longestLagMs = run.LongestLagMs();
+  report.mostOpenCalls = run.MostOpenCalls();
   const absl::Status fetched =
     AddEngineWork(**loop, aArguments, recorder.Calls(), report);
   fmt::print("{}", RenderText(report));
--- a/tools/load/Options.cpp
+++ b/tools/load/Options.cpp
@@ -121,9 +121,16 @@
 }
 
 void
-OptionReader::Fail(const std::string& aName, std::string aMessage)
+OptionReader::Fail(const std::string& aName, std::string_view aMessage)
 {
-  this->findings.Add({ aName, 0, 0 }, std::move(aMessage));
+  this->problems += fmt::format("{}: {}\n", aName, aMessage);
+}
+
+absl::Status
+OptionReader::Status() const
+{
+  return this->problems.empty() ? absl::OkStatus()
+                                : absl::InvalidArgumentError(this->problems);
 }
 
 } // namespace dogwoodvale::load
--- a/tools/load/Options.h
+++ b/tools/load/Options.h
@@ -42,12 +42,13 @@
   /// IP:PORT[,IP:PORT...].
   std::vector<SocketAddress> Addresses(const std::string& aName);
 
-  void Fail(const std::string& aName, std::string aMessage);
-  const Findings& Found() const { return this->findings; }
+  void Fail(const std::string& aName, std::string_view aMessage);
+  /// OK, or all that is wrong, one option a line.
+  absl::Status Status() const;
 
 private:
   std::map<std::string, docopt::value> values;
-  Findings findings;
+  std::string problems;
 };
 
 } // namespace dogwoodvale::load
--- a/tools/load/RecordFetch.cpp
+++ b/tools/load/RecordFetch.cpp
@@ -72,15 +72,15 @@
     },
     kFetchLimit);
   std::vector<Execution> all;
-  Findings findings;
+  std::string missing;
   for (const auto& fetch : fetches) {
     const std::string name = FileName(fetch->Target());
     const absl::StatusOr<std::vector<Execution>> record =
       fetch->IsGood() ? ParseRecord(name, fetch->Body())
                       : absl::UnavailableError("no record came");
     if (!record.ok()) {
-      findings.Add({ fetch->Target().ToString(), 0, 0 },
-                   std::string(MessageOf(record.status())));
+      missing += fmt::format(
+        "{}: {}\n", fetch->Target().ToString(), MessageOf(record.status()));
       continue;
     }
     all.insert(all.end(), record->begin(), record->end());
@@ -89,8 +89,8 @@
         << fetch->Body();
     }
   }
-  if (!findings.IsEmpty()) {
-    return findings.ToStatus();
+  if (!missing.empty()) {
+    return absl::UnavailableError(missing);
   }
   return all;
 }
--- a/tools/load/Report.cpp
+++ b/tools/load/Report.cpp
@@ -361,8 +361,11 @@
                         aReport.engines->usefulTokens,
                         aReport.engines->wastedShare * 100);
   }
-  text += fmt::format("load tool: latest call left {:.1f} ms after its time\n",
-                      aReport.longestLagMs);
+  text +=
+    fmt::format("load tool: {} calls open at most; the latest left {:.1f} "
+                "ms after its time\n",
+                aReport.mostOpenCalls,
+                aReport.longestLagMs);
   return text;
 }
 
@@ -372,6 +375,7 @@
   Json::Value made(Json::objectValue);
   made["duration_s"] = aReport.durationSeconds;
   made["longest_lag_ms"] = aReport.longestLagMs;
+  made["most_open_calls"] = Json::UInt64(aReport.mostOpenCalls);
   made["classes"] = Json::Value(Json::arrayValue);
   for (const ClassReport& each : aReport.classes) {
     made["classes"].append(ToJson(each));
--- a/tools/load/Report.h
+++ b/tools/load/Report.h
@@ -84,7 +84,9 @@
   ClassReport overall;
   std::optional<EngineWork> engines;
   double durationSeconds = 0;
+  /// \sa LoadRun::LongestLagMs, LoadRun::MostOpenCalls
   double longestLagMs = 0;
+  std::size_t mostOpenCalls = 0;
 };
 
 /// Sums up the calls of a run of \p aDurationSeconds that began at
--- a/tools/load/TierOrder.cpp
+++ b/tools/load/TierOrder.cpp
@@ -148,6 +148,7 @@
       return;
     }
     std::vector<const Placed*> witnesses;
+    witnesses.reserve(overtakers.size());
     for (const auto& [server, witness] : overtakers) {
       witnesses.push_back(witness);
     }
