--- a/standins/JsonServer.cpp
+++ b/standins/JsonServer.cpp
@@ -108,6 +108,12 @@
   return path == nullptr ? "" : path;
 }
 
+std::string
+Exchange::Target() const
+{
+  return evhttp_request_get_uri(this->request);
+}
+
 std::string
 Exchange::Query(std::string_view aName) const
 {
--- a/standins/JsonServer.h
+++ b/standins/JsonServer.h
@@ -33,6 +33,8 @@
   std::string Method() const;
   /// Without the query.
   std::string Path() const;
+  /// Path and query, as they were sent.
+  std::string Target() const;
   std::string Query(std::string_view aName) const;
   std::string Header(const char* aName) const;
   std::string Body() const;
--- a/standins/PlainService.cpp
+++ b/standins/PlainService.cpp
@@ -117,6 +117,9 @@
   ServiceExecution execution;
   execution.id = aExchange.Header("X-Request-Id");
   execution.nonce = Directive(body, "nonce");
+  if (execution.nonce.empty()) {
+    execution.nonce = Directive(aExchange.Target(), "nonce");
+  }
   execution.started = Now();
   execution.number = this->journal.Next();
   execution.idempotencyKey = aExchange.Header("Idempotency-Key");
@@ -144,7 +147,7 @@
   Json::Value body;
   body["execution"] = Json::UInt64(entry);
   body["method"] = aExchange.Method();
-  body["path"] = aExchange.Path();
+  body["path"] = aExchange.Target();
   body["body"] = aExchange.Body();
   aExchange.AddHeader("X-Execution", std::to_string(entry));
   aExchange.ReplyJson(200, body);
--- a/tools/load/RecordFetch.cpp
+++ b/tools/load/RecordFetch.cpp
@@ -1,6 +1,7 @@
 #include "tools/load/RecordFetch.h"
 
 #include <algorithm>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 
@@ -59,6 +60,10 @@
              std::span<const SocketAddress> aStandIns,
              const std::string& aDirectory)
 {
+  if (!aDirectory.empty()) {
+    std::error_code ignored;
+    std::filesystem::create_directories(aDirectory, ignored);
+  }
   HttpClient client(aLoop);
   std::vector<std::unique_ptr<Fetch>> fetches;
   for (const SocketAddress& target : aStandIns) {
