Add dogwoodvalectl: change, read and repair the configuration

A store that is behind the fleet is first brought up to what the fleet holds, to the byte, and then built upon.

--- a/dogwoodvale/src/Platform/ConfigurationKeeper.cpp
+++ b/dogwoodvale/src/Platform/ConfigurationKeeper.cpp
@@ -1,5 +1,6 @@
 #include "dogwoodvale/Platform"
 
+#include <limits>
 #include <utility>
 
 namespace dogwoodvale {
@@ -37,8 +38,7 @@
                                          StoreClient* aStore,
                                          PeerFetch& aPeers,
                                          ConfigurationObserver& aObserver)
-  : loop(aLoop)
-  , options(aOptions)
+  : options(aOptions)
   , peers(aPeers)
   , observer(aObserver)
   , election(aOptions.instance, aOptions.dataCentre, aOptions.watchers, Now())
@@ -262,6 +262,16 @@
   return this->state.Answer(aRequest, this->options.maxAnswerBytes);
 }
 
+std::string
+ConfigurationKeeper::Export() const
+{
+  if (this->state.Current() == nullptr) {
+    return "";
+  }
+  return EncodeBundle(this->state.Answer(
+    ConfigurationRequest{}, std::numeric_limits<std::size_t>::max()));
+}
+
 void
 ConfigurationKeeper::OnStoreContact()
 {
--- a/dogwoodvale/src/Platform/ConfigurationKeeper.h
+++ b/dogwoodvale/src/Platform/ConfigurationKeeper.h
@@ -120,6 +120,10 @@
   /// What to answer a peer's request.
   ConfigurationBundle Answer(const ConfigurationRequest& aRequest);
 
+  /// The configuration in force, whole, as JSON; empty before the first. Serve
+  /// it to operators at GET /configuration: the tool repairs a store from it.
+  std::string Export() const;
+
   /// nullptr before the first.
   const AcceptedConfiguration* Current() const { return this->state.Current(); }
   Epoch CurrentEpoch() const { return this->state.CurrentEpoch(); }
@@ -161,7 +165,6 @@
   void ViewStore(StoreView::State aState, Epoch aEpoch);
   double DrawUniform();
 
-  EventLoop& loop;
   KeeperOptions options;
   PeerFetch& peers;
   ConfigurationObserver& observer;
--- a/dogwoodvale/src/Platform/ConfigurationState.cpp
+++ b/dogwoodvale/src/Platform/ConfigurationState.cpp
@@ -3,8 +3,49 @@
 #include <algorithm>
 #include <utility>
 
+#include "StoreJson.h"
+
 namespace dogwoodvale {
 
+std::string
+EncodeBundle(const ConfigurationBundle& aBundle)
+{
+  Json::Value value(Json::objectValue);
+  value["epoch"] = Json::UInt64(aBundle.epoch);
+  value["root"] = aBundle.root;
+  value["pages"] = Json::Value(Json::objectValue);
+  for (const Page& page : aBundle.pages) {
+    value["pages"][page.hash] = page.content;
+  }
+  return internal::WriteJson(value);
+}
+
+absl::StatusOr<ConfigurationBundle>
+DecodeBundle(std::string_view aText)
+{
+  const absl::StatusOr<Json::Value> value = internal::ParseJson(aText);
+  if (!value.ok()) {
+    return value.status();
+  }
+  const bool isBundle = value->isObject() && (*value)["root"].isString() &&
+                        (*value)["pages"].isObject() &&
+                        (*value)["epoch"].isUInt64();
+  if (!isBundle) {
+    return absl::DataLossError("not a configuration");
+  }
+  ConfigurationBundle bundle;
+  bundle.epoch = (*value)["epoch"].asUInt64();
+  bundle.root = (*value)["root"].asString();
+  for (const std::string& hash : (*value)["pages"].getMemberNames()) {
+    const Json::Value& content = (*value)["pages"][hash];
+    if (!content.isString()) {
+      return absl::DataLossError("a page is not text");
+    }
+    bundle.pages.push_back({ hash, content.asString() });
+  }
+  return bundle;
+}
+
 Epoch
 ConfigurationState::CurrentEpoch() const
 {
--- a/dogwoodvale/src/Platform/ConfigurationState.h
+++ b/dogwoodvale/src/Platform/ConfigurationState.h
@@ -45,6 +45,14 @@
   std::vector<Page> pages;
 };
 
+/// JSON {"epoch","root","pages":{hash: content}}, for GET /configuration on the
+/// operators' side of a process.
+std::string
+EncodeBundle(const ConfigurationBundle& aBundle);
+
+absl::StatusOr<ConfigurationBundle>
+DecodeBundle(std::string_view aText);
+
 /// How an announced epoch stands to the one in force here.
 enum class Announcement : std::uint8_t
 {
--- a/dogwoodvale/src/Platform/HttpStoreClient.cpp
+++ b/dogwoodvale/src/Platform/HttpStoreClient.cpp
@@ -50,7 +50,7 @@
   void OnAnswer(const HttpAnswer& aAnswer);
   void Retry();
   bool MayRetry(const HttpAnswer& aAnswer) const;
-  void Finish(CallAnswer aAnswer);
+  void Finish(const CallAnswer& aAnswer);
 
   Store& store;
   CallRequest request;
@@ -205,7 +205,7 @@
 {
   CallAnswer answer;
   answer.status = aReason;
-  this->Finish(std::move(answer));
+  this->Finish(answer);
 }
 
 void
@@ -220,7 +220,7 @@
     if (body.ok()) {
       answer.body = *std::move(body);
     }
-    this->Finish(std::move(answer));
+    this->Finish(answer);
     return;
   }
   if (this->MayRetry(aAnswer)) {
@@ -234,7 +234,7 @@
     answer.status = aAnswer.status;
     answer.mayHaveRun = aAnswer.written;
   }
-  this->Finish(std::move(answer));
+  this->Finish(answer);
 }
 
 bool
@@ -260,7 +260,7 @@
 }
 
 void
-Call::Finish(CallAnswer aAnswer)
+Call::Finish(const CallAnswer& aAnswer)
 {
   if (!aAnswer.status.ok() && this->tries > 0) {
     this->store.NextEndpoint();
--- a/dogwoodvale/src/Platform/RootReader.cpp
+++ b/dogwoodvale/src/Platform/RootReader.cpp
@@ -17,8 +17,7 @@
                        StoreClient& aStore,
                        Duration aConfirmPeriod,
                        RootObserver& aObserver)
-  : loop(aLoop)
-  , store(aStore)
+  : store(aStore)
   , confirmPeriod(aConfirmPeriod)
   , observer(aObserver)
   , random(DrawIncarnation())
--- a/dogwoodvale/src/Platform/RootReader.h
+++ b/dogwoodvale/src/Platform/RootReader.h
@@ -63,7 +63,6 @@
   void TakeRoot(std::span<const KeyValue> aValues);
   void ReadNextPages();
 
-  EventLoop& loop;
   StoreClient& store;
   Duration confirmPeriod;
   RootObserver& observer;
--- a/dogwoodvale/src/Platform/StoreJson.cpp
+++ b/dogwoodvale/src/Platform/StoreJson.cpp
@@ -415,12 +415,12 @@
   const absl::StatusOr<Json::Value> parsed = ParseJson(aBody);
   if (parsed.ok()) {
     FieldReader reader(*parsed);
-    const std::string message = reader.Text("message");
+    std::string message = reader.Text("message");
     if (!message.empty()) {
       return message;
     }
     FieldReader nested(reader.Object("error"));
-    const std::string inner = nested.Text("message");
+    std::string inner = nested.Text("message");
     if (!inner.empty()) {
       return inner;
     }
--- a/dogwoodvale/src/Platform/StoreKeys.h
+++ b/dogwoodvale/src/Platform/StoreKeys.h
@@ -11,6 +11,9 @@
 /// Where things lie in the platform's store.
 inline constexpr std::string_view kRootKey = "/dogwoodvale/config/root";
 inline constexpr std::string_view kPagePrefix = "/dogwoodvale/config/pages/";
+/// Roots of the past, by epoch.
+inline constexpr std::string_view kPastRootPrefix =
+  "/dogwoodvale/config/roots/";
 
 std::string
 PageKey(std::string_view aHash);
--- /dev/null
+++ b/tools/dogwoodvalectl.cpp
@@ -0,0 +1,7 @@
+#include "dogwoodvale/Control"
+
+int
+main(int aCount, char** aValues)
+{
+  return dogwoodvale::RunControl({ aValues + 1, aValues + aCount });
+}
