Refuse early by class, so that waits stay about the bound

Cause: under lasting overload the late ones of a class waited behind timely newcomers for up to five times the class's bound; the estimate by tier would refuse a quiet class beside a burst in its tier.

--- a/bench/PolicyModel.cpp
+++ b/bench/PolicyModel.cpp
@@ -51,16 +51,18 @@
   bool limited = true;
   bool countRequests = false;
   bool preempt = false;
+  bool refuseEarly = false;
 };
 
-constexpr std::array<Candidate, 7> kCandidates{ {
+constexpr std::array<Candidate, 8> kCandidates{ {
   { "fifo, no limit", Order::Fifo, false },
   { "fifo", Order::Fifo },
   { "earliest target", Order::Deadline },
   { "strict", Order::Strict },
   { "tiered by requests", Order::Tiered, true, true },
   { "tiered by tokens", Order::Tiered },
-  { "tiered, preempting", Order::Tiered, true, false, true },
+  { "  + preemption", Order::Tiered, true, false, true },
+  { "  + early refusal", Order::Tiered, true, false, true, true },
 } };
 
 template<class Value>
@@ -108,6 +110,7 @@
   static const std::vector<ClassModel> kClasses = UsualClasses();
   ServerModel::Options options;
   options.preempt = aCandidate.preempt;
+  options.refuseEarly = aCandidate.refuseEarly;
   options.passPriority =
     aCandidate.order == Order::Strict || aCandidate.order == Order::Tiered;
   options.countRequests = aCandidate.countRequests;
--- a/bench/ServerModel.h
+++ b/bench/ServerModel.h
@@ -67,7 +67,7 @@
 struct Report
 {
   std::vector<ClassReport> classes;
-  /// Tokens generated for requests that completed, a second.
+  /// Tokens of requests that completed while the load lasted, a second.
   double goodput = 0;
   /// Share of the engine's tokens (prefilled at a tenth and generated) that
   /// were for requests that did not complete, or were done again.
@@ -84,6 +84,8 @@
   {
     EngineModel::Options engine;
     bool preempt = false;
+    /// Refuse at once who would not start within its class's bound.
+    bool refuseEarly = false;
     /// Tell the engine the tier, which it honours in its own order.
     bool passPriority = false;
     /// Charge each request alike, whatever its length: fairness by requests.
@@ -121,6 +123,7 @@
   }
   QueuedRequest MakeRequest(const Arrival& aArrival, std::uint64_t aId) const;
   void Arrive(const Arrival& aArrival);
+  bool WouldWaitTooLong(const QueuedRequest& aRequest) const;
   void Enqueue(Job& aJob);
   void AbandonLate();
   void StartWhatFits();
@@ -137,6 +140,8 @@
   std::unique_ptr<AbstractRequestQueue> queue;
   std::unique_ptr<ConcurrencyLimit> limit;
   EngineModel engine;
+  WaitEstimator starts = *WaitEstimator::Create(seconds(10));
+  EarlyRefusal refusal = *EarlyRefusal::Create({});
   std::optional<PreemptionPolicy> preemption;
   std::map<std::uint64_t, Job> jobs;
   std::set<std::uint64_t> running;
@@ -147,6 +152,7 @@
   double spent = 0;
   double useful = 0;
   double completedTokens = 0;
+  TimePoint lastArrival;
   Report report;
 };
 
@@ -175,6 +181,7 @@
   std::size_t next = 0;
   this->now = aArrivals.empty() ? TimePoint() : aArrivals.front().at;
   const TimePoint begin = this->now;
+  this->lastArrival = aArrivals.empty() ? begin : aArrivals.back().at;
   while (next < aArrivals.size() || this->queue->Size() > 0 ||
          !this->running.empty()) {
     while (next < aArrivals.size() && aArrivals[next].at <= this->now) {
@@ -191,8 +198,8 @@
     this->AdvanceBatch();
   }
   const double span =
-    std::chrono::duration<double>(aArrivals.back().at - begin).count();
-  this->report.goodput = this->completedTokens / span;
+    std::chrono::duration<double>(this->lastArrival - begin).count();
+  this->report.goodput = span > 0 ? this->completedTokens / span : 0;
   this->report.wasted = this->spent == 0 ? 0 : 1 - this->useful / this->spent;
   return this->report;
 }
@@ -230,9 +237,28 @@
   ++this->ReportOf(job).requests;
   this->deadlines.emplace(
     aArrival.at + this->classes[aArrival.classIndex].deadline, id);
+  if (this->options.refuseEarly && this->WouldWaitTooLong(job.request)) {
+    ++this->ReportOf(job).refused;
+    this->End(job);
+    return;
+  }
   this->Enqueue(job);
 }
 
+inline bool
+ServerModel::WouldWaitTooLong(const QueuedRequest& aRequest) const
+{
+  const TimePoint deadline =
+    aRequest.enqueued +
+    this->classes[this->jobs.at(aRequest.id.sequence).arrival.classIndex]
+      .deadline;
+  return this->refusal.Refuses(*this->queue,
+                               this->starts,
+                               aRequest,
+                               Between(this->now, deadline),
+                               this->now);
+}
+
 inline void
 ServerModel::Enqueue(Job& aJob)
 {
@@ -300,6 +326,7 @@
                      this->now,
                      this->options.passPriority ? aRequest.tier : 0);
   this->limit->OnStart(this->now);
+  this->starts.OnStart(aRequest, this->now);
 }
 
 inline void
@@ -377,7 +404,9 @@
     this->FinishRunning(job);
     ++this->ReportOf(job).completed;
     this->useful += 0.1 * job.arrival.prompt + job.done;
-    this->completedTokens += job.done;
+    if (this->now <= this->lastArrival) {
+      this->completedTokens += job.done;
+    }
     this->End(job);
   }
 }
--- a/test/SchedulingEstimates.cpp
+++ b/test/SchedulingEstimates.cpp
@@ -139,27 +139,82 @@
 }
 
 // A lower-tier caller is held until its deadline and then told that there was
-// no room; it could have been told at once. Ten starts a second, of which six
-// are of the top tier.
+// no room; it could have been told at once. Ten starts a second: six of the top
+// tier, three of reviews, one of notes in the same tier as those.
 TEST_CASE("the expected wait counts who is before and what they leave")
 {
   auto starts = *WaitEstimator::Create(seconds(5));
   RequestQueue queue = MakeQueue(kRoomy);
+  const QueuedRequest teller = MakeRequest(1000, 0, "teller", "a");
+  const QueuedRequest review = MakeRequest(1001, 2, "review", "a");
+  const QueuedRequest note = MakeRequest(1002, 2, "note", "a");
   TimePoint now = kStart;
   for (int start = 0; start < 500; ++start) {
     now += milliseconds(100);
-    starts.OnStart(start % 10 < 6 ? 0 : 2, now);
+    const int kind = start % 10;
+    starts.OnStart(kind < 6 ? teller : kind < 9 ? review : note, now);
   }
   REQUIRE(starts.StartRate(now) == Approx(10).epsilon(0.1));
-  REQUIRE(EstimatedWait(queue, starts, 2, now) == 0);
+  REQUIRE(EstimatedWait(queue, starts, review, now) == 0);
   for (std::uint64_t sequence = 1; sequence <= 20; ++sequence) {
-    queue.Enqueue(MakeRequest(sequence, 2, "note", "a"), now);
+    queue.Enqueue(MakeRequest(sequence, 2, "review", "a", now), now);
   }
-  REQUIRE(EstimatedWait(queue, starts, 2, now) == Approx(5).epsilon(0.2));
+  // By tier 20 over 4 a second; once the backlog has lasted, by class 20
+  // over 3.
+  REQUIRE(EstimatedWait(queue, starts, review, now) == Approx(5).epsilon(0.15));
+  REQUIRE(EstimatedWait(queue, starts, review, now + milliseconds(1300)) > 6);
+  // The burst of reviews is not before the first note.
+  REQUIRE(EstimatedWait(queue, starts, note, now) == 0);
+  queue.Enqueue(MakeRequest(30, 2, "note", "a", now), now);
+  REQUIRE(EstimatedWait(queue, starts, note, now) < 3);
   // A burst below does not count for a higher tier.
-  REQUIRE(EstimatedWait(queue, starts, 0, now) == 0);
-  REQUIRE(
-    std::isinf(EstimatedWait(queue, starts, 2, now + std::chrono::hours(24))));
+  REQUIRE(EstimatedWait(queue, starts, teller, now) == 0);
+  queue.Enqueue(MakeRequest(31, 0, "teller", "a", now), now);
+  REQUIRE(EstimatedWait(queue, starts, teller, now) < 0.3);
+  REQUIRE(std::isinf(
+    EstimatedWait(queue, starts, review, now + std::chrono::hours(24))));
+}
+
+// A class whose oldest request is beyond its bound is still given newcomers,
+// which are timely and go before the late ones; these wait without end.
+TEST_CASE("a class beyond its bound takes no newcomers, others do")
+{
+  const EarlyRefusal refusal = *EarlyRefusal::Create({});
+  auto starts = *WaitEstimator::Create(seconds(5));
+  RequestQueue queue = MakeQueue(kRoomy);
+  const QueuedRequest review = MakeRequest(1000, 2, "review", "a");
+  const QueuedRequest note = MakeRequest(1001, 2, "note", "a");
+  TimePoint now = kStart;
+  for (int start = 0; start < 100; ++start) {
+    now += milliseconds(50);
+    starts.OnStart(review, now);
+  }
+  queue.Enqueue(MakeRequest(1, 2, "review", "a", now), now);
+  const auto refuses = [&](const QueuedRequest& aNewcomer, TimePoint aAt) {
+    starts.OnStart(review, aAt);
+    return refusal.Refuses(queue, starts, aNewcomer, seconds(600), aAt);
+  };
+  REQUIRE_FALSE(refuses(review, now));
+  REQUIRE(refuses(review, now + seconds(61)));
+  REQUIRE_FALSE(refuses(note, now + seconds(61)));
+  // One waits and 20 start in a second: not within a millisecond.
+  REQUIRE(refusal.Refuses(queue, starts, review, milliseconds(1), now));
+  REQUIRE_FALSE(EarlyRefusal::Create({ 0 }).ok());
+}
+
+// A sidecar that has just started has few starts to tell a rate by, and must
+// not refuse what the server could serve.
+TEST_CASE("a young estimate is not too low")
+{
+  auto starts = *WaitEstimator::Create(seconds(10));
+  RequestQueue queue = MakeQueue(kRoomy);
+  const QueuedRequest note = MakeRequest(1000, 2, "note", "a");
+  TimePoint now = kStart;
+  for (int start = 0; start < 10; ++start) {
+    now += milliseconds(100);
+    starts.OnStart(note, now);
+  }
+  REQUIRE(starts.StartRate(now) > 8);
 }
 
 TEST_CASE("the refused are told to come back spread out")
