Forget starts whose end was not told

Cause: a caller of the limit that ends an unanswered request by OnFinish left it counted for ever; the limit would sink to its minimum. Change: starts without a first token are forgotten after 10 s.

--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
@@ -34,6 +34,7 @@
 /// plus this multiple of what the usual times account for.
 constexpr double kUnansweredAlways = 2;
 constexpr double kUnansweredFactor = 4;
+constexpr Duration kLongestUnanswered = seconds(10);
 
 double
 MedianOf(std::vector<double>& aValues)
@@ -79,7 +80,7 @@
 {
   this->NoteTime(aNow);
   ++this->inFlight;
-  ++this->unanswered;
+  this->unanswered.push_back(aNow);
   this->limitReached |= this->inFlight >= this->Limit();
 }
 
@@ -87,7 +88,7 @@
 AdaptiveConcurrencyLimit::OnFirstToken(Duration aWait,
                                        std::uint32_t aPromptTokens)
 {
-  this->unanswered -= this->unanswered > 0 ? 1 : 0;
+  this->DropUnanswered();
   const double wait = std::max<double>(1, static_cast<double>(aWait.count()));
   const auto size = std::min<std::size_t>(
     static_cast<std::size_t>(std::bit_width(aPromptTokens)), kPromptSizes - 1);
@@ -121,7 +122,7 @@
 void
 AdaptiveConcurrencyLimit::OnFinishUnanswered(TimePoint aNow)
 {
-  this->unanswered -= this->unanswered > 0 ? 1 : 0;
+  this->DropUnanswered();
   this->OnFinish(aNow);
 }
 
@@ -259,21 +260,37 @@
 }
 
 double
-AdaptiveConcurrencyLimit::UnansweredWaiting() const
+AdaptiveConcurrencyLimit::UnansweredWaiting()
 {
   const double span = this->JudgedSpan();
   if (span <= 0) {
     return 0;
   }
+  // A start whose end was not told would count for ever and hold the limit at
+  // the minimum; no engine makes a request wait this long.
+  while (!this->unanswered.empty() &&
+         Between(this->unanswered.front(), this->latest) > kLongestUnanswered) {
+    this->unanswered.pop_front();
+  }
   double usual = 0;
   for (const FirstToken& token : this->firstTokens) {
     usual += token.lowest * this->Slowdown();
   }
   // Prefills that run side by side take several times as long as one alone.
-  return this->unanswered - kUnansweredAlways -
+  return static_cast<double>(this->unanswered.size()) - kUnansweredAlways -
          kUnansweredFactor * usual / span;
 }
 
+void
+AdaptiveConcurrencyLimit::DropUnanswered()
+{
+  // Which one was answered does not matter for their number. Taking the newest
+  // leaves those whose end was not told in front, where they are forgotten.
+  if (!this->unanswered.empty()) {
+    this->unanswered.pop_back();
+  }
+}
+
 double
 AdaptiveConcurrencyLimit::JudgedSpan() const
 {
--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -71,7 +72,8 @@
   double StepSignal();
   double WaitingInside();
   double MedianWaiting();
-  double UnansweredWaiting() const;
+  double UnansweredWaiting();
+  void DropUnanswered();
   double JudgedSpan() const;
   double Slowdown() const;
   void LowerTo(double aLimit);
@@ -108,8 +110,8 @@
   std::vector<FirstToken> firstTokens;
   std::uint32_t windows = 0;
   std::uint32_t finishes = 0;
-  /// In flight, without a first token so far.
-  std::uint32_t unanswered = 0;
+  /// Starts of those in flight without a first token, oldest first.
+  std::deque<TimePoint> unanswered;
   std::optional<TimePoint> windowStart;
   TimePoint latest;
 };
--- a/test/SchedulingLimit.cpp
+++ b/test/SchedulingLimit.cpp
@@ -23,6 +23,10 @@
 
   void SetSlowdown(double aFactor) { this->engine.SetSlowdown(aFactor); }
 
+  /// From now on every second request is of a lower tier, which the engine
+  /// admits and prefills last.
+  void HoldBackOdd() { this->holdsBack = true; }
+
   /// Runs for \p aSpan of the model's time. \return mean limit of its last
   /// third.
   double Run(Duration aSpan)
@@ -49,8 +53,11 @@
       this->draw = this->draw * 1664525U + 1013904223U;
       const std::uint32_t prompt = 128 + (this->draw >> 8U) % 128;
       const std::uint32_t answer = 50 + (this->draw >> 16U) % 100;
-      this->engine.Start(
-        { prompt, ++this->started }, prompt, answer, this->now);
+      this->engine.Start({ prompt, ++this->started },
+                         prompt,
+                         answer,
+                         this->now,
+                         this->holdsBack && this->started % 2 == 1 ? 1 : 0);
       this->limit.OnStart(this->now);
     }
     this->now = this->engine.Step(this->now);
@@ -81,6 +88,7 @@
   TimePoint now = kStart;
   std::uint64_t started = 0;
   std::uint32_t draw = 1;
+  bool holdsBack = false;
 };
 
 } // namespace
@@ -146,6 +154,50 @@
   REQUIRE(settled > 2);
 }
 
+// An engine that honours priorities holds the lowest tier back inside. As those
+// have no first token, no time tells of them; the limit would rise without end
+// and the tellers' requests compete with hundreds inside.
+TEST_CASE("requests that are held back inside bound the limit")
+{
+  SaturatedServer server({}, {});
+  server.HoldBackOdd();
+  server.Run(seconds(30));
+  REQUIRE(server.Run(seconds(30)) < 45);
+}
+
+// Callers leave before their first token and nobody tells the limit so.
+TEST_CASE("starts without an end are forgotten")
+{
+  auto limit = *AdaptiveConcurrencyLimit::Create({});
+  TimePoint now = kStart;
+  const auto answerSome = [&](int aRequests) {
+    for (int request = 0; request < aRequests; ++request) {
+      for (int slot = 0; slot < 8; ++slot) {
+        limit.OnStart(now);
+      }
+      for (int slot = 0; slot < 8; ++slot) {
+        limit.OnFirstToken(milliseconds(20), 100);
+        for (int token = 0; token < 20; ++token) {
+          limit.OnToken(milliseconds(6));
+        }
+      }
+      now += milliseconds(140);
+      for (int slot = 0; slot < 8; ++slot) {
+        limit.OnFinish(now);
+      }
+    }
+  };
+  for (int lost = 0; lost < 20; ++lost) {
+    limit.OnStart(now);
+    limit.OnFinish(now);
+  }
+  answerSome(20);
+  const std::uint32_t during = limit.Limit();
+  answerSome(200);
+  REQUIRE(during < 8);
+  REQUIRE(limit.Limit() >= 8);
+}
+
 TEST_CASE("an idle server's limit stays where it is")
 {
   auto limit = *AdaptiveConcurrencyLimit::Create({});
