--- a/dogwoodvale/src/Requests/IdempotencyClaim.h
+++ b/dogwoodvale/src/Requests/IdempotencyClaim.h
@@ -59,7 +59,8 @@
   Read,
   /// The claim is held: the request may be sent, by this entry only.
   Proceed,
-  /// Another request holds the claim, see Owner(): answer DuplicateKey.
+  /// Another request holds the claim, see Owner(): answer DuplicateKey, as
+  /// MayHaveRun, for that other one may have.
   Duplicate,
   /// Not run: the store can't tell. Answer StoreUnavailable.
   Refuse,
--- a/dogwoodvale/src/Requests/StartRecord.cpp
+++ b/dogwoodvale/src/Requests/StartRecord.cpp
@@ -87,6 +87,9 @@
     known->second.lastSeen = aNow;
     return &known->second;
   }
+  if (this->entries.size() >= this->settings.maxEntries) {
+    this->ForgetGoneEntries(aNow);
+  }
   if (this->entries.size() >= this->settings.maxEntries) {
     return nullptr;
   }
@@ -95,4 +98,14 @@
   return &added;
 }
 
+void
+StartRecord::ForgetGoneEntries(TimePoint aNow)
+{
+  absl::erase_if(this->entries, [&](const auto& aKnown) {
+    const Entry& entry = aKnown.second;
+    return entry.fates.empty() &&
+           Between(entry.lastSeen, aNow) > this->settings.entryLife;
+  });
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Requests/StartRecord.h
+++ b/dogwoodvale/src/Requests/StartRecord.h
@@ -18,8 +18,12 @@
   Duration window = seconds(900);
   /// The most ids held one by one.
   std::size_t maxIds = 65536;
-  /// The most entry incarnations held.
+  /// The most entry incarnations held. When all are in use, requests of a new
+  /// one are refused.
   std::size_t maxEntries = 8192;
+  /// An entry incarnation that was silent for so long is gone for good, and so
+  /// are its connections and all that it wrote to them.
+  seconds entryLife{ 24 * 3600 };
 };
 
 /// The truth on which requests were started at one backend server, kept by its
@@ -76,6 +80,7 @@
   void Forget(TimePoint aNow);
   void ForgetOldest();
   Entry* FindOrAddEntry(Incarnation aEntry, TimePoint aNow);
+  void ForgetGoneEntries(TimePoint aNow);
 
   StartRecordSettings settings;
   absl::flat_hash_map<Incarnation, Entry> entries;
