Tighten the tests that a removed safeguard passed

Taking out the sequence check, the count check and the rule against sending a streamed answer twice stayed green: the random cases hardly ever met them. The answer's mutations now hit the end message every time, what was delivered must be a true beginning, and the retry verdict is checked over all cases.

--- a/test/RequestsAnswer.cpp
+++ b/test/RequestsAnswer.cpp
@@ -97,6 +97,7 @@
     const auto texts = *Texts();
     const auto whole = WriteAnswer({ 1, 1 }, texts);
     auto messages = whole;
+    bool textIsOwn = true;
     const auto at = *rc::gen::inRange<std::size_t>(0, messages.size());
     const auto other = *rc::gen::inRange<std::size_t>(0, messages.size());
     const auto here = messages.begin() + static_cast<std::ptrdiff_t>(at);
@@ -114,6 +115,7 @@
       case 3:
         RC_PRE(!here->isEnd);
         here->chunk.text += 'x';
+        textIsOwn = false;
         break;
       case 4:
         // The sidecar's stream ends early, and its end says so truly of
@@ -124,8 +126,7 @@
         }
         break;
       case 5:
-        RC_PRE(here->isEnd);
-        --here->count;
+        --messages.back().count;
         break;
       default:
         messages.resize(at);
@@ -141,6 +142,8 @@
     // The one case that is harmless: all was there, and more came after it.
     const bool wholeFirst = taken == whole.size();
     RC_ASSERT(!assembler.IsComplete() || (wholeFirst && everWrong));
+    // What a streaming caller has got by then is at least a true beginning.
+    RC_ASSERT(!textIsOwn || Join(texts).starts_with(assembler.Delivered()));
   });
 }
 
--- a/test/RoutingRetries.cpp
+++ b/test/RoutingRetries.cpp
@@ -99,41 +99,31 @@
 
 TEST_CASE("Only what was not run, or may be repeated, is ever sent again")
 {
-  rc::prop("the verdict keeps every rule", [] {
-    AttemptOutcome outcome;
-    outcome.disposition =
-      *rc::gen::element(Disposition::NotRun, Disposition::MayHaveRun);
-    outcome.idempotent = *rc::gen::arbitrary<bool>();
-    outcome.deliveredTokens = *rc::gen::inRange<std::uint64_t>(0, 3);
-    outcome.streaming = *rc::gen::arbitrary<bool>();
-    outcome.canResume = *rc::gen::arbitrary<bool>();
-    RetryAllowance allowance;
-    allowance.hasBudget = *rc::gen::arbitrary<bool>();
-    allowance.deadlineLeft = seconds(*rc::gen::inRange(-1, 4));
-    allowance.leastUseful = seconds(1);
-    allowance.attempts = *rc::gen::inRange<std::uint32_t>(1, 5);
-    const RetryVerdict verdict = DecideRetry(outcome, allowance);
-    if (verdict == RetryVerdict::GiveUp) {
-      const bool harmless =
-        outcome.idempotent || (outcome.disposition == Disposition::NotRun &&
-                               outcome.deliveredTokens == 0);
-      const bool canGoOn =
-        outcome.deliveredTokens == 0 || outcome.canResume || !outcome.streaming;
-      RC_ASSERT(!(harmless && canGoOn && allowance.hasBudget &&
-                  allowance.deadlineLeft > allowance.leastUseful &&
-                  allowance.attempts < allowance.maxAttempts));
-      return;
-    }
-    RC_ASSERT(allowance.hasBudget);
-    RC_ASSERT(allowance.deadlineLeft > allowance.leastUseful);
-    RC_ASSERT(allowance.attempts < allowance.maxAttempts);
-    RC_ASSERT(outcome.idempotent || outcome.disposition == Disposition::NotRun);
-    RC_ASSERT(outcome.idempotent || outcome.deliveredTokens == 0);
-    const bool resumes = verdict == RetryVerdict::Resume;
-    RC_ASSERT(!resumes || (outcome.canResume && outcome.deliveredTokens > 0));
+  const bool isNotRun = GENERATE(true, false);
+  const bool idempotent = GENERATE(true, false);
+  const std::uint64_t delivered = GENERATE(0, 3);
+  const bool streaming = GENERATE(true, false);
+  const bool canResume = GENERATE(true, false);
+  const bool hasBudget = GENERATE(true, false);
+  const Duration left = GENERATE(seconds(1), seconds(2));
+  const std::uint32_t attempts = GENERATE(2U, 3U);
+  const AttemptOutcome outcome{ isNotRun ? Disposition::NotRun
+                                         : Disposition::MayHaveRun,
+                                idempotent,
+                                delivered,
+                                streaming,
+                                canResume };
+  const RetryAllowance allowance{ hasBudget, left, seconds(1), attempts, 3 };
+  const bool isAllowed = hasBudget && left > seconds(1) && attempts < 3;
+  const bool isHarmless = idempotent || (isNotRun && delivered == 0);
+  RetryVerdict expected = RetryVerdict::GiveUp;
+  if (isAllowed && isHarmless && delivered > 0 && canResume) {
+    expected = RetryVerdict::Resume;
+  } else if (isAllowed && isHarmless && (delivered == 0 || !streaming)) {
     // What the caller already has is never sent a second time.
-    RC_ASSERT(resumes || outcome.deliveredTokens == 0 || !outcome.streaming);
-  });
+    expected = RetryVerdict::Retry;
+  }
+  CHECK(DecideRetry(outcome, allowance) == expected);
 }
 
 TEST_CASE("Backoff is spread and bounded")
