Read the instance list without ending the process

Cause: the answer's OK status was made into a StatusOr, which absl ends the process for; no test read a list through the client. Quickstart showed it: all 18 daemons ended on their first list. Conclusion: mended.

--- a/dogwoodvale/src/Platform/InstanceListClient.cpp
+++ b/dogwoodvale/src/Platform/InstanceListClient.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr int kHttpOk = 200;
+
 constexpr double kJitter = 0.2;
 
 std::string
@@ -43,6 +45,20 @@
   return result;
 }
 
+absl::StatusOr<std::vector<ListedInstance>>
+ReadAnswer(const HttpAnswer& aAnswer)
+{
+  if (!aAnswer.status.ok()) {
+    return aAnswer.status;
+  }
+  if (aAnswer.code != kHttpOk) {
+    return MakeError(absl::StatusCode::kUnavailable,
+                     "the list answered with HTTP {}",
+                     aAnswer.code);
+  }
+  return ParseInstanceList(aAnswer.body);
+}
+
 } // namespace
 
 absl::StatusOr<std::vector<ListedInstance>>
@@ -104,13 +120,7 @@
 InstanceListClient::OnAnswer(const HttpAnswer& aAnswer)
 {
   this->ScheduleNext();
-  absl::StatusOr<std::vector<ListedInstance>> list = aAnswer.status;
-  if (aAnswer.status.ok()) {
-    list = aAnswer.code == 200 ? ParseInstanceList(aAnswer.body)
-                               : MakeError(absl::StatusCode::kUnavailable,
-                                           "the list answered with HTTP {}",
-                                           aAnswer.code);
-  }
+  const absl::StatusOr<std::vector<ListedInstance>> list = ReadAnswer(aAnswer);
   if (list.ok()) {
     if (this->failing) {
       Log(LogLevel::Info, "instance_list_back", "instances", list->size());
