Claim idempotency keys in the store before a request is sent on

Cause: a repeat of a non-idempotent request after a lost answer ran twice. Store calls of a process: 20 a second by default, since claims come on top of configuration.

--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kProbeTimeout = milliseconds(250);
 /// A second hop after an early refusal costs the engines nothing.
 constexpr double kHopCost = 0.1;
+constexpr milliseconds kReleaseTime{ 1000 };
+constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
 RequestError
 MakeRequestError(const Failed& aFailed)
@@ -113,7 +115,58 @@
   this->deadline.StartOnce(this->BudgetLeft(Now()));
   this->refusalsLeft =
     this->host.Servers().EarlyRefusals(this->resolved.service);
-  this->TryNext();
+  if (this->IsKeyed()) {
+    this->OpenClaim();
+  } else {
+    this->TryNext();
+  }
+}
+
+bool
+CallerRequest::IsKeyed() const
+{
+  return !this->resolved.requestClass.idempotent &&
+         !FindHeader(this->Http().headers, kIdempotencyKeyHeader).empty();
+}
+
+void
+CallerRequest::OpenClaim()
+{
+  RequestError error;
+  this->claim = this->host.Claims().Open(
+    this->resolved.customer,
+    FindHeader(this->Http().headers, kIdempotencyKeyHeader),
+    this->id,
+    [this](ClaimStep aStep) { this->OnClaim(aStep); },
+    error);
+  if (this->claim == nullptr) {
+    this->GiveUp(error);
+    return;
+  }
+  this->claim->Start();
+}
+
+void
+CallerRequest::OnClaim(ClaimStep aStep)
+{
+  if (this->done) {
+    return;
+  }
+  if (aStep == ClaimStep::Proceed) {
+    this->TryNext();
+    return;
+  }
+  if (aStep == ClaimStep::Duplicate) {
+    this->GiveUp({ ErrorCode::DuplicateKey,
+                   Disposition::NotRun,
+                   "a request with this Idempotency-Key was accepted before",
+                   milliseconds(0) });
+    return;
+  }
+  this->GiveUp({ ErrorCode::StoreUnavailable,
+                 Disposition::NotRun,
+                 "the key could not be claimed",
+                 SpreadRetryAfter(seconds(1), this->host.Random()) });
 }
 
 Duration
@@ -583,6 +636,12 @@
     final.disposition = Disposition::MayHaveRun;
   }
   this->outcome.error = final;
+  if (this->claim && this->claim->Claim().NeedsRelease(final.disposition)) {
+    this->host.Claims().Release(this->claim->Claim());
+    // A repeat that comes before the release took effect would be told that
+    // it is a duplicate.
+    final.retryAfter = std::max(final.retryAfter, kReleaseTime);
+  }
   const bool told = this->writer->Fail(final);
   if (!told) {
     this->exchange.reset();
--- a/dogwoodvale/src/Entry/CallerRequest.h
+++ b/dogwoodvale/src/Entry/CallerRequest.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "AnswerWriter.h"
+#include "ClaimStore.h"
 #include "Fleet.h"
 #include "RequestResolver.h"
 #include "dogwoodvale/Http"
@@ -45,6 +46,7 @@
   virtual ~CallerRequestHost() = default;
   virtual EventLoop& Loop() = 0;
   virtual Fleet& Servers() = 0;
+  virtual ClaimStore& Claims() = 0;
   virtual RequestId NextId() = 0;
   virtual Epoch CurrentEpoch() const = 0;
   virtual RetryBudget& BudgetOf(const ResolvedRequest& aRequest) = 0;
@@ -103,6 +105,10 @@
   class ProbeStream;
 
   void CreateWriter();
+  /// Whether a repeat of it must be recognised by its key.
+  bool IsKeyed() const;
+  void OpenClaim();
+  void OnClaim(ClaimStep aStep);
   void TryNext();
   bool SendTo(const InstanceName& aServer);
   RunRequest MakeRun(const RequestId& aAttemptId) const;
@@ -142,6 +148,7 @@
   /// The last attempt, while its outcome is being asked for.
   std::optional<Attempt> unclear;
   RequestError pendingError;
+  std::unique_ptr<ClaimRun> claim;
   std::unique_ptr<ProbeStream> probe;
   std::unique_ptr<ProbeStream> endedProbe;
   /// Servers that failed it, or refused it.
--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -69,6 +69,8 @@
   }
   this->control = *std::move(plane);
   this->sync->SetKeeper(this->control->Keeper());
+  this->claims =
+    std::make_unique<ClaimStore>(this->loop, this->control->Store());
   if (!this->settings.configurationFile.empty()) {
     const absl::Status loaded = this->LoadConfigurationFile();
     if (!loaded.ok()) {
@@ -164,6 +166,7 @@
   notice.rootHash = this->control->Keeper().CurrentHash();
   notice.storeContactAgeMillis = this->control->ContactAgeMillis();
   this->fleet->SetNotice(notice, aNow);
+  this->claims->SetCollecting(this->control->Keeper().IsWatching());
 }
 
 Hello
--- a/dogwoodvale/src/Entry/Entry.h
+++ b/dogwoodvale/src/Entry/Entry.h
@@ -39,6 +39,7 @@
 
   EventLoop& Loop() override { return this->loop; }
   Fleet& Servers() override { return *this->fleet; }
+  ClaimStore& Claims() override { return *this->claims; }
   RequestId NextId() override;
   Epoch CurrentEpoch() const override;
   RetryBudget& BudgetOf(const ResolvedRequest& aRequest) override;
@@ -94,6 +95,7 @@
   std::unique_ptr<Fleet> fleet;
   std::unique_ptr<ConfigurationSync> sync;
   std::unique_ptr<ControlPlane> control;
+  std::unique_ptr<ClaimStore> claims;
   absl::flat_hash_map<RequestId, std::unique_ptr<CallerRequest>> requests;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<OperatorServer> operators;
--- a/dogwoodvale/src/Entry/Fleet.cpp
+++ b/dogwoodvale/src/Entry/Fleet.cpp
@@ -327,7 +327,9 @@
   Json::Value all(Json::arrayValue);
   for (const auto& [service, state] : this->services) {
     Json::Value one;
-    one["service"] = service.Value();
+    one["name"] = service.Value();
+    one["usable"] = Json::UInt64(state.table.UsableCount());
+    one["ejected"] = Json::UInt64(state.health.OutCount());
     one["backend_servers"] = Json::arrayValue;
     for (const Backend& backend : state.table.All()) {
       Json::Value server;
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -28,7 +28,7 @@
   Duration listPeriod = seconds(5);
   Duration storeTimeout = milliseconds(1000);
   /// Bound on this process's own calls to the store.
-  double storeCallsPerSecond = 2;
+  double storeCallsPerSecond = 20;
 };
 
 /// Settings of an entry.
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -398,9 +398,10 @@
   status["ready"] = this->Ready().ok();
   status["stopping"] = this->dispatcher->IsDraining();
   status["backend_up"] = this->dispatcher->IsBackendUp();
-  status["running"] = Json::UInt64(this->dispatcher->Running());
-  status["queued"] = Json::UInt64(this->dispatcher->Queued());
-  status["limit"] = this->dispatcher->Limit();
+  Json::Value& load = status["load"];
+  load["running"] = Json::UInt64(this->dispatcher->Running());
+  load["queued"] = Json::UInt64(this->dispatcher->Queued());
+  load["limit"] = this->dispatcher->Limit();
   status["entries"] = Json::UInt64(this->sessions.size());
   return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
 }
