--- a/dogwoodvale/src/Scheduling/OrderedQueue.h
+++ b/dogwoodvale/src/Scheduling/OrderedQueue.h
@@ -44,7 +44,12 @@
   {
     std::int64_t rank;
     std::uint64_t sequence;
-    auto operator<=>(const Key&) const = default;
+
+    bool operator<(const Key& aOther) const
+    {
+      return this->rank != aOther.rank ? this->rank < aOther.rank
+                                       : this->sequence < aOther.sequence;
+    }
   };
   using Line = std::map<Key, QueuedRequest>;
 
--- a/dogwoodvale/src/Scheduling/RequestQueue.h
+++ b/dogwoodvale/src/Scheduling/RequestQueue.h
@@ -18,7 +18,8 @@
 ///
 /// Among customers (and classes) that always have something waiting, the
 /// tokens served over weight differ by at most the largest charge of one
-/// request, plus what the estimates of the running ones are off by.
+/// request plus, for each request that runs, four times the longest answer (an
+/// estimate is corrected only at the end); all over the smaller weight.
 ///
 /// Each operation takes logarithmic time in what waits; there are no scans.
 class RequestQueue : public AbstractRequestQueue
