--- a/bench/Routing.cpp
+++ b/bench/Routing.cpp
@@ -28,7 +28,7 @@
     report.limit = 16;
     report.running = static_cast<std::uint32_t>(index % 16);
     report.queued = static_cast<std::uint32_t>(index % 3);
-    report.queuedTokens = 200 * report.queued;
+    report.queuedTokens = std::uint64_t{ 200 } * report.queued;
     report.stepMicros = 6000;
     report.queuedByTier = { 0, report.queued };
     table.OnLoadReport(name, report, aNow);
--- a/bench/RoutingModel.cpp
+++ b/bench/RoutingModel.cpp
@@ -423,6 +423,8 @@
   { "load_0.9", 0.9, 0, Duration{ 0 } },
   { "load_0.5,late_2s", 0.5, 0, seconds(2) },
   { "load_0.9,late_2s", 0.9, 0, seconds(2) },
+  { "load_0.5,straggler", 0.5, 1, Duration{ 0 } },
+  { "load_0.9,straggler", 0.9, 1, Duration{ 0 } },
   { "load_0.5,straggler,late_2s", 0.5, 1, seconds(2) },
   { "load_0.9,straggler,late_2s", 0.9, 1, seconds(2) },
 };
@@ -434,6 +436,7 @@
         const Policy& aPolicy)
 {
   ModelSettings settings;
+  settings.seed = static_cast<std::uint64_t>(aState.range(0));
   settings.entries = aFleet.entries;
   settings.servers = aFleet.servers;
   settings.subset = aFleet.subset;
@@ -465,6 +468,9 @@
                                      [&](benchmark::State& aState) {
                                        Measure(aState, fleet, load, policy);
                                      })
+          ->Arg(1)
+          ->Arg(2)
+          ->Arg(3)
           ->Iterations(1)
           ->Unit(benchmark::kMillisecond);
       }
--- a/dogwoodvale/src/Routing/LeastLoadedChooser.cpp
+++ b/dogwoodvale/src/Routing/LeastLoadedChooser.cpp
@@ -149,8 +149,9 @@
     const Backend* backend = aTable.Find(holder.server);
     if (backend != nullptr && prefixes.IsCurrent(holder, aNow) &&
         internal::IsCandidate(*backend, aRequest)) {
-      aTrust = holder.confidence == PrefixConfidence::Reported ? kReportedTrust
-                                                               : kLikelyTrust;
+      aTrust = prefixes.ConfidenceIn(holder) == PrefixConfidence::Reported
+                 ? kReportedTrust
+                 : kLikelyTrust;
       return backend;
     }
   }
--- a/dogwoodvale/src/Routing/LoadReport.h
+++ b/dogwoodvale/src/Routing/LoadReport.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "dogwoodvale/Core"
+
 namespace dogwoodvale {
 
 /// What a sidecar tells of its backend server; travels in peer messages.
@@ -31,6 +33,18 @@
   bool operator==(const LoadReport&) const = default;
 };
 
+/// How long the queue takes to drain, each slot giving one token a step; the
+/// least that a refused caller should be told to wait. Zero while unknown.
+inline Duration
+ExpectedDrain(const LoadReport& aReport)
+{
+  if (aReport.limit == 0) {
+    return Duration{ 0 };
+  }
+  return Duration{ static_cast<Duration::rep>(
+    aReport.queuedTokens * aReport.stepMicros / aReport.limit) };
+}
+
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Routing/PrefixIndex.cpp
+++ b/dogwoodvale/src/Routing/PrefixIndex.cpp
@@ -1,6 +1,7 @@
 #include "PrefixIndex.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodvale {
 
@@ -15,7 +16,7 @@
                       TimePoint aNow)
 {
   if (aPrefix != 0) {
-    this->Note(aPrefix, { aServer, PrefixConfidence::Likely, aNow });
+    this->Note(aPrefix, { aServer, aNow, 0 });
   }
 }
 
@@ -25,9 +26,9 @@
                       std::span<const PrefixHash> aPrefixes,
                       TimePoint aNow)
 {
-  this->NoteSequence(aServer, aSequence);
+  const std::uint64_t generation = this->NoteSequence(aServer, aSequence);
   for (const PrefixHash prefix : aPrefixes) {
-    this->Note(prefix, { aServer, PrefixConfidence::Reported, aNow });
+    this->Note(prefix, { aServer, aNow, generation });
   }
 }
 
@@ -45,7 +46,7 @@
 void
 PrefixIndex::Forget(const InstanceName& aServer)
 {
-  this->sequences.erase(aServer);
+  this->events.erase(aServer);
   for (auto& [prefix, known] : this->prefixes) {
     std::erase_if(known.holders, [&](const PrefixHolder& aHolder) {
       return aHolder.server == aServer;
@@ -63,12 +64,22 @@
   return found->second.holders;
 }
 
+PrefixConfidence
+PrefixIndex::ConfidenceIn(const PrefixHolder& aHolder) const
+{
+  const auto known = this->events.find(aHolder.server);
+  const bool isReported = known != this->events.end() &&
+                          aHolder.generation == known->second.generation;
+  return isReported ? PrefixConfidence::Reported : PrefixConfidence::Likely;
+}
+
 bool
 PrefixIndex::IsCurrent(const PrefixHolder& aHolder, TimePoint aNow) const
 {
-  const Duration life = aHolder.confidence == PrefixConfidence::Reported
-                          ? this->settings.reportedLife
-                          : this->settings.likelyLife;
+  const Duration life =
+    this->ConfidenceIn(aHolder) == PrefixConfidence::Reported
+      ? this->settings.reportedLife
+      : this->settings.likelyLife;
   return Between(aHolder.seen, aNow) <= life;
 }
 
@@ -81,38 +92,33 @@
       return aOld.server == aHolder.server;
     });
   if (same != holders.end()) {
-    aHolder.confidence = std::max(aHolder.confidence, same->confidence);
+    aHolder.generation = std::max(aHolder.generation, same->generation);
     holders.erase(same);
   }
   holders.insert(holders.begin(), std::move(aHolder));
+  std::stable_sort(
+    holders.begin(),
+    holders.end(),
+    [this](const PrefixHolder& aLeft, const PrefixHolder& aRight) {
+      return this->ConfidenceIn(aLeft) > this->ConfidenceIn(aRight);
+    });
   if (holders.size() > this->settings.maxHoldersPerPrefix) {
     holders.pop_back();
   }
-  std::stable_sort(holders.begin(),
-                   holders.end(),
-                   [](const PrefixHolder& aLeft, const PrefixHolder& aRight) {
-                     return aLeft.confidence > aRight.confidence;
-                   });
 }
 
-void
+std::uint64_t
 PrefixIndex::NoteSequence(const InstanceName& aServer, std::uint64_t aSequence)
 {
-  std::uint64_t& last = this->sequences[aServer];
-  const bool hasGap = last != 0 && aSequence > last + 1;
-  last = std::max(last, aSequence);
-  if (!hasGap) {
-    return;
-  }
-  // A lost event may have been an eviction: what the server reported before is
-  // a guess from now on, and lapses as soon as one.
-  for (auto& [prefix, known] : this->prefixes) {
-    for (PrefixHolder& holder : known.holders) {
-      if (holder.server == aServer) {
-        holder.confidence = PrefixConfidence::Likely;
-      }
-    }
+  Events& known = this->events[aServer];
+  const bool hasGap = known.sequence != 0 && aSequence > known.sequence + 1;
+  known.sequence = std::max(known.sequence, aSequence);
+  if (hasGap) {
+    // A lost event may have been an eviction: what the server reported before
+    // is a guess from now on, and lapses as soon as one.
+    ++known.generation;
   }
+  return known.generation;
 }
 
 void
--- a/dogwoodvale/src/Routing/PrefixIndex.h
+++ b/dogwoodvale/src/Routing/PrefixIndex.h
@@ -29,8 +29,9 @@
 struct PrefixHolder
 {
   InstanceName server;
-  PrefixConfidence confidence = PrefixConfidence::Likely;
   TimePoint seen{};
+  /// The server's generation that reported it; 0 if none did.
+  std::uint64_t generation = 0;
 };
 
 /// Bounds of a PrefixIndex.
@@ -73,6 +74,8 @@
   /// call that is not const.
   std::span<const PrefixHolder> Find(PrefixHash aPrefix) const;
 
+  PrefixConfidence ConfidenceIn(const PrefixHolder& aHolder) const;
+
   /// Whether a holder's hint still counts at \p aNow.
   bool IsCurrent(const PrefixHolder& aHolder, TimePoint aNow) const;
 
@@ -85,8 +88,19 @@
     std::list<PrefixHash>::iterator age;
   };
 
+  /// What is known of a server's cache events.
+  struct Events
+  {
+    std::uint64_t sequence = 0;
+    /// Rises with each gap, so that a gap costs the same however many prefixes
+    /// the server has reported.
+    std::uint64_t generation = 1;
+  };
+
   void Note(PrefixHash aPrefix, PrefixHolder aHolder);
-  void NoteSequence(const InstanceName& aServer, std::uint64_t aSequence);
+  /// \return the server's generation.
+  std::uint64_t NoteSequence(const InstanceName& aServer,
+                             std::uint64_t aSequence);
   void Drop(PrefixHash aPrefix, const InstanceName& aServer);
   Known& FindOrAdd(PrefixHash aPrefix);
 
@@ -94,7 +108,7 @@
   absl::flat_hash_map<PrefixHash, Known> prefixes;
   /// Least recently noted first.
   std::list<PrefixHash> ages;
-  absl::flat_hash_map<InstanceName, std::uint64_t> sequences;
+  absl::flat_hash_map<InstanceName, Events> events;
 };
 
 } // namespace dogwoodvale
--- a/test/RoutingChoice.cpp
+++ b/test/RoutingChoice.cpp
@@ -178,6 +178,14 @@
   CHECK_FALSE(ShouldRefuseEarly(MakeReport(10), 0));
 }
 
+TEST_CASE("A queue drains at one token a step and slot")
+{
+  LoadReport report = MakeReport(10);
+  report.queuedTokens = 5000;
+  CHECK(ExpectedDrain(report) == seconds(3));
+  CHECK(ExpectedDrain({}) == Duration{ 0 });
+}
+
 TEST_CASE("No early refusals are allowed where all servers are full")
 {
   // In an overload every sidecar refuses. Allowed hops would treble the
--- a/test/RoutingPrefixes.cpp
+++ b/test/RoutingPrefixes.cpp
@@ -42,8 +42,8 @@
   PrefixIndex index;
   index.OnStored(kOne, 1, Hashes(5), kStart);
   index.OnStored(kOne, 3, Hashes(6), kStart);
-  CHECK(index.Find(5)[0].confidence == PrefixConfidence::Likely);
-  CHECK(index.Find(6)[0].confidence == PrefixConfidence::Reported);
+  CHECK(index.ConfidenceIn(index.Find(5)[0]) == PrefixConfidence::Likely);
+  CHECK(index.ConfidenceIn(index.Find(6)[0]) == PrefixConfidence::Reported);
   CHECK(index.IsCurrent(index.Find(6)[0], kStart + seconds(300)));
   CHECK_FALSE(index.IsCurrent(index.Find(5)[0], kStart + seconds(300)));
 }
@@ -55,7 +55,7 @@
   index.Forget(kOne);
   CHECK(index.Find(5).empty());
   index.OnStored(kOne, 1, Hashes(6), kStart);
-  CHECK(index.Find(6)[0].confidence == PrefixConfidence::Reported);
+  CHECK(index.ConfidenceIn(index.Find(6)[0]) == PrefixConfidence::Reported);
 }
 
 TEST_CASE("Prefix hints stay within their bounds and are only what was noted")
--- a/test/RoutingRetries.cpp
+++ b/test/RoutingRetries.cpp
@@ -13,6 +13,12 @@
 const TimePoint kStart{ seconds(100) };
 const CustomerName kCustomer{ "kilimo" };
 
+double
+SecondsSince(TimePoint aStart, TimePoint aNow)
+{
+  return std::chrono::duration<double>(aNow - aStart).count();
+}
+
 RetryVerdict
 DecideWithBudget(RetryBudget& aBudget, TimePoint aNow, std::uint32_t aAttempts)
 {
@@ -90,7 +96,7 @@
       } else {
         taken += budget.TryTake(now) ? 1.0 : 0.0;
       }
-      const double passed = Between(kStart, now).count() / 1e6;
+      const double passed = SecondsSince(kStart, now);
       RC_ASSERT(taken <= settings.initial + settings.perSuccess * successes +
                            settings.floorPerSecond * passed + 1e-6);
     }
@@ -173,7 +179,7 @@
                     inProgress == limit.concurrency);
         }
       }
-      const double passed = Between(kStart, now).count() / 1e6;
+      const double passed = SecondsSince(kStart, now);
       RC_ASSERT(inProgress <= limit.concurrency);
       RC_ASSERT(admission.InProgress(kCustomer) == inProgress);
       RC_ASSERT(admitted <= limit.burst + 5.0 * passed + 1e-6);
