Give orders to engines under a lease on their slot

A holder looks at its own clock right before each order; a lease counts from when its renewal was sent. A process that never heard of a contact with the store says so instead of passing its own start off as one.

--- a/dogwoodvale/src/Membership/WatcherElection.cpp
+++ b/dogwoodvale/src/Membership/WatcherElection.cpp
@@ -11,6 +11,7 @@
 /// A peer's contact must be newer than one's own by more than the rounding of
 /// ages in notices, else it may be an echo of one's own.
 constexpr Duration kEchoMargin = milliseconds(20);
+constexpr Duration kLongestAge = std::chrono::hours(24);
 
 std::uint64_t
 RankOf(const InstanceName& aName)
@@ -57,6 +58,9 @@
 void
 WatcherElection::OnPeerContact(Duration aAge, TimePoint aNow)
 {
+  if (aAge >= kLongestAge) {
+    return;
+  }
   const TimePoint when = aNow - aAge;
   if (!this->peerContact || *this->peerContact < when) {
     this->peerContact = when;
@@ -78,12 +82,23 @@
 Duration
 WatcherElection::ContactAge(TimePoint aNow) const
 {
-  TimePoint newest = this->startedAt;
-  newest = std::max(newest, this->ownContact.value_or(newest));
-  newest = std::max(newest, this->peerContact.value_or(newest));
+  if (!this->ownContact && !this->peerContact) {
+    return kUnknownContact;
+  }
+  const TimePoint newest =
+    std::max(this->ownContact.value_or(TimePoint::min()),
+             this->peerContact.value_or(TimePoint::min()));
   return std::max(Duration(0), Between(newest, aNow));
 }
 
+bool
+WatcherElection::IsStale(TimePoint aNow) const
+{
+  const Duration sinceStart = Between(this->startedAt, aNow);
+  return std::min(sinceStart, this->ContactAge(aNow)) >=
+         this->bounds.staleAfter;
+}
+
 void
 WatcherElection::Tick(TimePoint aNow, double aUniform)
 {
@@ -97,7 +112,7 @@
     }
     return;
   }
-  if (this->ranked || this->ContactAge(aNow) < this->bounds.staleAfter) {
+  if (this->ranked || !this->IsStale(aNow)) {
     return;
   }
   const double share = static_cast<double>(this->bounds.watchers) /
--- a/dogwoodvale/src/Membership/WatcherElection.h
+++ b/dogwoodvale/src/Membership/WatcherElection.h
@@ -42,7 +42,8 @@
   /// There is no list to come: a small site, where every process watches.
   void SetNoList();
   void OnList(std::span<const ListedInstance> aList);
-  /// A peer knows of a contact with the store that is \p aAge old.
+  /// A peer knows of a contact with the store that is \p aAge old; nothing
+  /// happens if that is kUnknownContact.
   void OnPeerContact(Duration aAge, TimePoint aNow);
   /// This process got an answer from the store.
   void OnOwnContact(TimePoint aNow);
@@ -55,10 +56,15 @@
 
   bool ShouldWatch() const { return this->ranked || this->volunteer; }
   bool IsVolunteer() const { return this->volunteer; }
-  /// For notices: the age of the newest contact known here.
+  /// For notices: the age of the newest contact known here; kUnknownContact if
+  /// none is. A fresh process must not pass its own start off as a contact.
   Duration ContactAge(TimePoint aNow) const;
 
+  static constexpr Duration kUnknownContact = Duration::max();
+
 private:
+  bool IsStale(TimePoint aNow) const;
+
   InstanceName self;
   DataCentreName dataCentre;
   WatcherBounds bounds;
--- a/dogwoodvale/src/Platform/ConfigurationKeeper.h
+++ b/dogwoodvale/src/Platform/ConfigurationKeeper.h
@@ -131,7 +131,8 @@
   {
     return std::string(this->state.CurrentHash());
   }
-  /// For notices: age of the newest contact with the store known here.
+  /// For notices: age of the newest contact with the store known here, or
+  /// WatcherElection::kUnknownContact.
   Duration StoreContactAge() const;
   bool IsWatching() const;
   const StoreView& Store() const { return this->storeView; }
--- /dev/null
+++ b/dogwoodvale/src/Platform/SlotLease.cpp
@@ -0,0 +1,227 @@
+#include "dogwoodvale/Platform"
+
+#include <utility>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr int kRenewalsPerTtl = 3;
+constexpr int kRetriesPerTtl = 10;
+
+} // namespace
+
+SlotLease::SlotLease(EventLoop& aLoop,
+                     StoreClient& aStore,
+                     const std::string& aKey,
+                     const std::string& aHolder,
+                     const SlotLeaseOptions& aOptions,
+                     SlotLeaseObserver& aObserver)
+  : store(aStore)
+  , key(aKey)
+  , holder(aHolder)
+  , options(aOptions)
+  , observer(aObserver)
+  , random(DrawIncarnation())
+  , timer(aLoop,
+          [this] {
+            if (this->state == State::Held) {
+              this->Renew();
+            } else {
+              this->Look();
+            }
+          })
+  , backoff(aOptions.ttl / kRetriesPerTtl, aOptions.ttl)
+{
+}
+
+SlotLease::~SlotLease() = default;
+
+std::string_view
+SlotLease::StateName() const
+{
+  switch (this->state) {
+    case State::Idle:
+      return "idle";
+    case State::Waiting:
+      return "waiting";
+    case State::Held:
+      return "held";
+  }
+  return "idle";
+}
+
+double
+SlotLease::DrawUniform()
+{
+  return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
+void
+SlotLease::Acquire()
+{
+  if (this->state == State::Idle) {
+    this->state = State::Waiting;
+    this->backoff.Reset();
+    this->Look();
+  }
+}
+
+void
+SlotLease::Release()
+{
+  this->state = State::Idle;
+  this->timer.Stop();
+  this->call.reset();
+  this->DropLease();
+}
+
+bool
+SlotLease::MayOrder(TimePoint aNow) const
+{
+  return this->state == State::Held &&
+         aNow + this->options.margin < this->expiresAt;
+}
+
+void
+SlotLease::DropLease()
+{
+  // Also ends a creation whose reply was lost: the key goes with its lease.
+  if (this->lease != 0) {
+    this->revokeCall = this->store.RevokeLease(std::exchange(this->lease, 0),
+                                               [](const WriteResult&) {});
+  }
+  this->fencing = 0;
+}
+
+void
+SlotLease::TryLater()
+{
+  this->timer.StartOnce(this->backoff.Next(this->DrawUniform()));
+}
+
+void
+SlotLease::Look()
+{
+  this->call = this->store.Range(
+    { .key = this->key }, [this](const absl::StatusOr<RangeResult>& aResult) {
+      this->OnLooked(aResult);
+    });
+}
+
+void
+SlotLease::OnLooked(const absl::StatusOr<RangeResult>& aResult)
+{
+  if (!aResult.ok()) {
+    this->TryLater();
+    return;
+  }
+  if (aResult->values.empty()) {
+    this->Grant();
+    return;
+  }
+  const KeyValue& slot = aResult->values.front();
+  const bool isOwn =
+    slot.value == this->holder && this->lease != 0 && slot.lease == this->lease;
+  if (isOwn) {
+    // The reply to the creation was lost; reading settles it.
+    this->Hold(slot.createRevision);
+    return;
+  }
+  this->DropLease();
+  this->TryLater();
+}
+
+void
+SlotLease::Grant()
+{
+  this->DropLease();
+  const TimePoint sentAt = Now();
+  this->call = this->store.GrantLease(
+    this->options.ttl,
+    [this, sentAt](const absl::StatusOr<LeaseGrant>& aResult) {
+      if (!aResult.ok()) {
+        this->TryLater();
+        return;
+      }
+      this->lease = aResult->id;
+      this->expiresAt = sentAt + aResult->ttl;
+      this->Create();
+    });
+}
+
+void
+SlotLease::Create()
+{
+  this->call = this->store.CreateIfAbsent(
+    this->key, this->holder, this->lease, [this](const WriteResult& aResult) {
+      this->OnCreated(aResult);
+    });
+}
+
+void
+SlotLease::OnCreated(const WriteResult& aResult)
+{
+  switch (aResult.outcome) {
+    case WriteOutcome::Applied:
+      this->Hold(aResult.revision);
+      return;
+    case WriteOutcome::NotApplied:
+      this->DropLease();
+      this->TryLater();
+      return;
+    case WriteOutcome::Unknown:
+      this->Look();
+      return;
+  }
+}
+
+void
+SlotLease::Hold(Revision aFencing)
+{
+  this->state = State::Held;
+  this->fencing = aFencing;
+  this->acquiredAt = Now();
+  this->backoff.Reset();
+  this->timer.StartOnce(this->options.ttl / kRenewalsPerTtl);
+  Log(LogLevel::Info, "slot_acquired", "key", this->key, "fencing", aFencing);
+  this->observer.OnSlotAcquired();
+}
+
+void
+SlotLease::Renew()
+{
+  const TimePoint sentAt = Now();
+  this->call = this->store.KeepAlive(
+    this->lease, [this, sentAt](const absl::StatusOr<LeaseGrant>& aResult) {
+      this->OnRenewed(aResult, sentAt);
+    });
+}
+
+void
+SlotLease::OnRenewed(const absl::StatusOr<LeaseGrant>& aResult,
+                     TimePoint aSentAt)
+{
+  if (aResult.ok()) {
+    this->expiresAt = aSentAt + aResult->ttl;
+    this->timer.StartOnce(this->options.ttl / kRenewalsPerTtl);
+  } else if (absl::IsNotFound(aResult.status())) {
+    this->Lose();
+  } else {
+    this->timer.StartOnce(this->options.ttl / kRetriesPerTtl);
+  }
+}
+
+void
+SlotLease::Lose()
+{
+  Log(
+    LogLevel::Warning, "slot_lost", "key", this->key, "fencing", this->fencing);
+  this->state = State::Waiting;
+  this->lease = 0;
+  this->fencing = 0;
+  this->TryLater();
+  this->observer.OnSlotLost();
+}
+
+} // namespace dogwoodvale
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -68,6 +68,7 @@
                   nullptr);
     }
   }
+  std::size_t GrantedLeases() const { return this->leases.size(); }
   std::size_t Watchers() const { return this->watchers.size(); }
 
   std::unique_ptr<StoreCall> Range(const RangeQuery& aQuery,
