--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// How much of an answer is read ahead of its handler.
-constexpr std::size_t kReadAhead = 64U << 10U;
-
 timeval
 ToTimeval(Duration aDuration)
 {
@@ -48,7 +45,6 @@
       static_cast<BackendConnection*>(aSelf)->OnEvent(aWhat);
     },
     this);
-  bufferevent_setwatermark(this->stream, EV_READ, 0, kReadAhead);
   const timeval limit = ToTimeval(this->owner.Options().connectTimeout);
   bufferevent_set_timeouts(this->stream, nullptr, &limit);
   bufferevent_enable(this->stream, EV_READ | EV_WRITE);
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <ctime>
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include "RawSockets.h"
 #include "dogwoodvale/Http"
@@ -348,6 +350,35 @@
   REQUIRE(f.HasRequests(2));
 }
 
+TEST_CASE("a caller that never closes is closed after its last answer")
+{
+  Fixture f;
+  RawSocket caller = f.Connect("NONSENSE\r\n\r\n");
+  REQUIRE(f.Until([&] { return caller.Has("HTTP/1.1 400 "); }));
+  REQUIRE(f.server->OpenConnections() == 1);
+  REQUIRE(f.Until([&] { return f.server->OpenConnections() == 0; }));
+}
+
+TEST_CASE("with no descriptor left the loop does not spin, and goes on later")
+{
+  Fixture f;
+  RawSocket caller = RawSocket::Unconnected();
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int next = dup(0);
+  close(next);
+  const rlimit none{ rlim_t(next), before.rlim_max };
+  setrlimit(RLIMIT_NOFILE, &none);
+  caller.ConnectTo(f.server->Address());
+  caller.Send(kGet);
+  const std::clock_t start = std::clock();
+  f.Until([] { return false; }, milliseconds(200));
+  const double cpuSeconds = double(std::clock() - start) / CLOCKS_PER_SEC;
+  setrlimit(RLIMIT_NOFILE, &before);
+  REQUIRE(cpuSeconds < 0.1);
+  REQUIRE(f.HasRequests(1));
+}
+
 TEST_CASE("a planned stop finishes what is begun and closes then")
 {
   Fixture f;
--- a/test/RawSockets.h
+++ b/test/RawSockets.h
@@ -40,14 +40,24 @@
   }
   ~RawSocket() { this->Close(); }
 
+  static RawSocket Unconnected()
+  {
+    return RawSocket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  }
+
   static RawSocket Connect(const SocketAddress& aAddress)
   {
-    RawSocket made(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in to = Loopback(aAddress.port);
-    connect(made.descriptor, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+    RawSocket made = Unconnected();
+    made.ConnectTo(aAddress);
     return made;
   }
 
+  void ConnectTo(const SocketAddress& aAddress) const
+  {
+    sockaddr_in to = Loopback(aAddress.port);
+    connect(this->descriptor, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  }
+
   static RawSocket Listen(int aBacklog = 16)
   {
     RawSocket made(
