Refuse unknown policies and choosers by name in the settings

A misspelt "chooser" or "policy" passed the check of the settings and stopped the daemon later with no place. They are findings now, with the names allowed; a test holds the list against those that Routing and Scheduling can make.

--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -100,7 +100,7 @@
     "max_request_bytes", kRequestBytes, aEntry.maxRequestBytes);
   reader.ReadInteger("max_connections", kConnections, aEntry.maxConnections);
   reader.ReadInteger("subset_size", kSubsetSize, aEntry.subsetSize);
-  reader.ReadName("chooser", aEntry.chooser);
+  reader.ReadChoice("chooser", kChooserNames, aEntry.chooser);
   reader.ReadInteger("max_attempts", kAttempts, aEntry.maxAttempts);
   reader.ReadMilliseconds("drain_grace_ms", kDrainGraceMs, aEntry.drainGrace);
   reader.ReadInteger(
@@ -118,7 +118,7 @@
   reader.ReadAddress("backend", aSidecar.backend);
   reader.Require("service");
   reader.ReadName("service", aSidecar.service);
-  reader.ReadName("policy", aSidecar.policy);
+  reader.ReadChoice("policy", kQueuePolicyNames, aSidecar.policy);
   reader.ReadInteger("queue_bytes", kQueueBytes, aSidecar.queueBytes);
   reader.ReadInteger("queue_requests", kQueueRequests, aSidecar.queueRequests);
   reader.ReadInteger("max_concurrency", kConcurrency, aSidecar.maxConcurrency);
@@ -207,19 +207,14 @@
 bool
 ReadRole(ObjectReader& aReader, Role& aRole)
 {
-  const Json::Value* value = aReader.Require("role");
+  constexpr std::array<std::string_view, 2> kRoles{ "entry", "sidecar" };
   std::string text;
-  if (value == nullptr || !aReader.ReadString("role", text)) {
+  aReader.Require("role");
+  if (!aReader.ReadChoice("role", kRoles, text)) {
     return false;
   }
-  for (const Role role : { Role::Entry, Role::Sidecar }) {
-    if (text == RoleName(role)) {
-      aRole = role;
-      return true;
-    }
-  }
-  aReader.Scope().Add(*value, "\"role\" must be \"entry\" or \"sidecar\"");
-  return false;
+  aRole = text == RoleName(Role::Entry) ? Role::Entry : Role::Sidecar;
+  return true;
 }
 
 void
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_SETTINGS_DAEMONSETTINGS_H
 #define DOGWOODVALE_SETTINGS_DAEMONSETTINGS_H
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +21,18 @@
 std::string_view
 RoleName(Role aRole);
 
+/// The names that settings may give to a chooser of backend servers and to the
+/// order of a queue; Routing and Scheduling make them.
+inline constexpr std::array<std::string_view, 4> kChooserNames{
+  "least_loaded_of_two",
+  "least_connections",
+  "round_robin",
+  "random"
+};
+inline constexpr std::array<std::string_view, 3> kQueuePolicyNames{ "tiered",
+                                                                    "fifo",
+                                                                    "strict" };
+
 /// Where the platform's services are.
 struct PlatformSettings
 {
--- a/dogwoodvale/src/Settings/ObjectReader.cpp
+++ b/dogwoodvale/src/Settings/ObjectReader.cpp
@@ -170,6 +170,28 @@
   return true;
 }
 
+bool
+ObjectReader::ReadChoice(std::string_view aKey,
+                         std::span<const std::string_view> aChoices,
+                         std::string& aTarget)
+{
+  std::string text;
+  if (!this->ReadString(aKey, text)) {
+    return false;
+  }
+  if (std::find(aChoices.begin(), aChoices.end(), text) == aChoices.end()) {
+    std::string all;
+    for (const std::string_view choice : aChoices) {
+      all += fmt::format("{}\"{}\"", all.empty() ? "" : ", ", choice);
+    }
+    this->scope.Add(*this->Find(aKey),
+                    fmt::format("\"{}\" must be one of {}", aKey, all));
+    return false;
+  }
+  aTarget = std::move(text);
+  return true;
+}
+
 bool
 ObjectReader::ReadBoolean(std::string_view aKey, bool& aTarget)
 {
--- a/dogwoodvale/src/Settings/ObjectReader.h
+++ b/dogwoodvale/src/Settings/ObjectReader.h
@@ -89,6 +89,10 @@
                   IntegerBounds aLength = { 1, kMaxTextLength });
   /// A name: letters, digits, '.', '_' and '-'.
   bool ReadName(std::string_view aKey, std::string& aTarget);
+  /// One of \p aChoices.
+  bool ReadChoice(std::string_view aKey,
+                  std::span<const std::string_view> aChoices,
+                  std::string& aTarget);
   bool ReadBoolean(std::string_view aKey, bool& aTarget);
   bool ReadNumber(std::string_view aKey, NumberBounds aBounds, double& aTarget);
   bool ReadAddress(std::string_view aKey, SocketAddress& aTarget);
--- a/test/Settings.cpp
+++ b/test/Settings.cpp
@@ -6,6 +6,8 @@
 #include <filesystem>
 #include <fstream>
 
+#include "dogwoodvale/Routing"
+#include "dogwoodvale/Scheduling"
 #include "dogwoodvale/Settings"
 
 using namespace dogwoodvale;
@@ -101,6 +103,19 @@
     FindingsOf(With("\"peers\"", "\"role\": \"entry\", \"peers\"")).empty());
 }
 
+TEST_CASE("a policy's name is one that can be made")
+{
+  for (const std::string_view name : kChooserNames) {
+    CHECK(CreateChooser(name).ok());
+  }
+  for (const std::string_view name : kQueuePolicyNames) {
+    CHECK(ParseQueuePolicy(name).ok());
+  }
+  CHECK(FindingsOf(With("\"callers\"", R"("chooser": "best", "callers")")) ==
+        "s.json:10:25: \"chooser\" must be one of \"least_loaded_of_two\", "
+        "\"least_connections\", \"round_robin\", \"random\"\n");
+}
+
 TEST_CASE("whole numbers are whole and in range, whatever their spelling")
 {
   const auto attempts = [](std::string_view aNumber) {
