Read the plain stand-in's records and carry a nonce in the path

Change: a call without a body carries nonce=W as the last part of its path; records and answers are read in the stand-in's form.

--- a/test/LoadTool.cpp
+++ b/test/LoadTool.cpp
@@ -106,7 +106,7 @@
     const std::string nonce =
       this->fault == Fault::Cross ? "other" : Between(aBody, "nonce=", ' ');
     this->Reply(
-      aRequest, 200, R"({"execution":"1","body":"nonce=)" + nonce + R"("})");
+      aRequest, 200, R"({"execution":1,"body":"nonce=)" + nonce + R"("})");
   }
 
   void Reply(evhttp_request* aRequest, int aStatus, const std::string& aBody)
@@ -395,6 +395,24 @@
   REQUIRE_FALSE(ParseCall("[]").ok());
 }
 
+TEST_CASE("records of engines and of plain services are read")
+{
+  const auto record = ParseRecord("s", R"({"executions":[
+    {"end":"complete","ended_ms":9.5,"id":"e-1","nonce":"w1",
+     "started_ms":1.5,"tokens":3},
+    {"end":"cancelled","ended_ms":9,"execution":1,"id":"e-2",
+     "idempotency_key":"k","method":"GET","nonce":"",
+     "path":"/mandates/nonce=w2","started_ms":2}]})");
+  REQUIRE(record.ok());
+  REQUIRE(record->at(0).tokens == 3);
+  REQUIRE(record->at(0).server == "s");
+  REQUIRE(record->at(1).nonce == "w2");
+  REQUIRE(record->at(1).key == "k");
+  REQUIRE(record->at(1).end == ExecutionEnd::Cancelled);
+  REQUIRE_FALSE(ParseRecord("s", R"({"executions":[{}]})").ok());
+  REQUIRE_FALSE(ParseRecord("s", "{").ok());
+}
+
 TEST_CASE("attainment counts a caller's retries as one call")
 {
   // A teller is refused, comes back and gets its first token 600 ms after it
--- a/tools/load/Answer.cpp
+++ b/tools/load/Answer.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "tools/load/JsonReader.h"
+#include "tools/load/Prompt.h"
 
 namespace dogwoodvale::load {
 
@@ -11,7 +12,6 @@
 
 constexpr int kFirstErrorStatus = 400;
 constexpr std::size_t kDetailLength = 120;
-constexpr std::string_view kNonceMark = "nonce=";
 
 std::string
 Shorten(std::string_view aText)
@@ -36,13 +36,6 @@
   return choice["text"].isString() ? choice["text"].asString() : std::string();
 }
 
-bool
-IsNonceByte(char aByte)
-{
-  return (aByte >= 'a' && aByte <= 'z') || (aByte >= 'A' && aByte <= 'Z') ||
-         (aByte >= '0' && aByte <= '9');
-}
-
 } // namespace
 
 Answer::Answer(Call& aCall, bool aStream)
@@ -200,22 +193,16 @@
 void
 Answer::JudgePlain(const Json::Value& aBody)
 {
-  bool isOwn = false;
-  for (std::size_t at = this->body.find(kNonceMark); at != std::string::npos;
-       at = this->body.find(kNonceMark, at + 1)) {
-    const std::size_t begin = at + kNonceMark.size();
-    std::size_t end = begin;
-    while (end < this->body.size() && IsNonceByte(this->body[end])) {
-      ++end;
-    }
-    if (this->body.compare(begin, end - begin, this->call.nonce) != 0) {
-      this->Spoil(Ending::Crossed,
-                  "another's answer: " + Shorten(this->body.substr(at)));
+  const std::vector<std::string_view> nonces = NoncesIn(this->body);
+  for (const std::string_view nonce : nonces) {
+    if (nonce != this->call.nonce) {
+      this->Spoil(Ending::Crossed, "another's answer: " + Shorten(this->body));
       return;
     }
-    isOwn = true;
   }
-  if (!isOwn || aBody["execution"].isNull()) {
+  const bool isOwn = !nonces.empty();
+  const Json::Value& execution = aBody["execution"];
+  if (!isOwn || !(execution.isString() || execution.isIntegral())) {
     this->Spoil(Ending::Truncated,
                 "no execution and echo in it: " + Shorten(this->body));
     return;
--- a/tools/load/Answer.h
+++ b/tools/load/Answer.h
@@ -15,7 +15,8 @@
 ///
 /// The stand-in engine answers `nonce=W len=N` with the tokens `W.0 ` to
 /// `W.(N-1) `, so each token tells whose it is and where it belongs. A plain
-/// service echoes what it was sent, with `nonce=W`.
+/// service tells the execution's number and echoes what it was sent, with
+/// `nonce=W`.
 class Answer : private SseSink
 {
 public:
--- a/tools/load/Execution.cpp
+++ b/tools/load/Execution.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 
 #include "tools/load/JsonReader.h"
+#include "tools/load/Prompt.h"
 
 namespace dogwoodvale::load {
 
@@ -22,6 +23,12 @@
   { ExecutionEnd::Running, "running" },
 } };
 
+std::string
+Text(const Json::Value& aFrom, const char* aKey)
+{
+  return aFrom[aKey].isString() ? aFrom[aKey].asString() : std::string();
+}
+
 absl::StatusOr<Execution>
 ParseExecution(std::string_view aServer, const Json::Value& aFrom)
 {
@@ -36,7 +43,13 @@
   made.id = aFrom["id"].isString() ? aFrom["id"].asString()
                                    : WriteJsonLine(aFrom["id"]);
   made.nonce = aFrom["nonce"].asString();
-  made.key = aFrom["key"].isString() ? aFrom["key"].asString() : std::string();
+  made.key = Text(aFrom, "key") + Text(aFrom, "idempotency_key");
+  // A call without a body carries its nonce in its path.
+  const std::string path = Text(aFrom, "path");
+  const std::vector<std::string_view> inPath = NoncesIn(path);
+  if (made.nonce.empty() && !inPath.empty()) {
+    made.nonce = std::string(inPath.front());
+  }
   made.startedMs = aFrom["started_ms"].asDouble();
   made.endedMs =
     aFrom["ended_ms"].isNumeric() ? aFrom["ended_ms"].asDouble() : 0;
--- a/tools/load/Prompt.cpp
+++ b/tools/load/Prompt.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+constexpr std::string_view kNonceMark = "nonce=";
+
+bool
+IsNonceByte(char aByte)
+{
+  return (aByte >= 'a' && aByte <= 'z') || (aByte >= 'A' && aByte <= 'Z') ||
+         (aByte >= '0' && aByte <= '9');
+}
+
 constexpr std::array<std::string_view, 8> kWords = {
   "cheque", "mandate", "amount", "branch", "permit", "kerb", "shade", "review",
 };
@@ -83,7 +92,7 @@
   if (aClass.kind != Kind::Plain) {
     made.body = ModelBody(aClass, aArrival, aCall);
   } else if (aClass.method == "GET" || aClass.method == "DELETE") {
-    made.path += "?nonce=" + aCall.nonce;
+    made.path += "/nonce=" + aCall.nonce;
   } else {
     Json::Value body(Json::objectValue);
     body["reference"] = "nonce=" + aCall.nonce;
@@ -92,4 +101,18 @@
   return made;
 }
 
+std::vector<std::string_view>
+NoncesIn(std::string_view aText)
+{
+  std::vector<std::string_view> found;
+  for (std::size_t at = aText.find(kNonceMark); at != std::string_view::npos;
+       at = aText.find(kNonceMark, at + 1)) {
+    const std::string_view rest = aText.substr(at + kNonceMark.size());
+    const auto end = std::find_if_not(rest.begin(), rest.end(), IsNonceByte);
+    found.push_back(
+      rest.substr(0, static_cast<std::size_t>(end - rest.begin())));
+  }
+  return found;
+}
+
 } // namespace dogwoodvale::load
