--- a/bench/Peer.cpp
+++ b/bench/Peer.cpp
@@ -137,7 +137,7 @@
   notice.epoch = 1000;
   notice.rootHash = std::string(64, 'f');
   notice.storeContactAgeMillis = 2000;
-  notice.load = { 48, 12, 64, 20000, 150000, 20000, { 0, 4, 8, 0 } };
+  notice.load = { 48, 12, 15, 64, 20000, 150000, 20000, { 0, 4, 8, 0 } };
   const Message message = notice;
   std::string out;
   for (auto _ : aState) {
