--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.cpp
@@ -154,7 +154,7 @@
   } else if (waiting > kManyWaiting) {
     this->LowerTo(this->limit - waiting + kFewWaiting);
   } else if (step < kHeadroom && waiting < kFewWaiting && this->limitReached) {
-    this->Raise();
+    this->limit += this->wasLowered ? 1 : this->limit / 2;
   }
   this->limit = std::clamp<double>(
     this->limit, this->options.minimum, this->options.maximum);
@@ -170,22 +170,10 @@
   if (this->inFlight > this->Limit()) {
     return;
   }
-  this->beforeLowering = std::max(this->limit, this->beforeLowering - 1);
+  this->wasLowered = true;
   this->limit = std::max(aLimit, kMostDecrease * this->limit);
 }
 
-void
-AdaptiveConcurrencyLimit::Raise()
-{
-  if (this->beforeLowering == 0) {
-    this->limit += this->limit / 2;
-    return;
-  }
-  // Most of the way back is made quickly: a server that has recovered would
-  // else be left half idle for as long as it takes to climb one by one.
-  this->limit += std::max(1.0, (this->beforeLowering - this->limit) / 4);
-}
-
 void
 AdaptiveConcurrencyLimit::StartWindow()
 {
--- a/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
+++ b/dogwoodvale/src/Scheduling/AdaptiveConcurrencyLimit.h
@@ -20,8 +20,8 @@
 /// finishes is the number that wait inside, and the limit comes down by it.
 /// Those that have no first token yet show in no such time; a server that holds
 /// back some of its requests is told by their number.
-/// With neither, and with the limit in use, it rises: by half until the first
-/// sign, then quickly to where it came down from, and by one from there.
+/// With neither, and with the limit in use, it rises by half until the first
+/// sign, and by one from there.
 ///
 /// So it follows a straggler down, to where its tokens meet the target, and
 /// back up. A server that misses the target even at the minimum is given the
@@ -77,7 +77,6 @@
   double JudgedSpan() const;
   double Slowdown() const;
   void LowerTo(double aLimit);
-  void Raise();
   void StartWindow();
   void NoteTime(TimePoint aNow);
   void NoteUnloadedStep(double aMean);
@@ -86,8 +85,7 @@
   double limit;
   double signal = 0;
   Duration stepTime{ 0 };
-  /// The limit from which it last came down, fading; 0 until it does.
-  double beforeLowering = 0;
+  bool wasLowered = false;
   /// Lowest time to first token by prompt size and lowest mean step time, in
   /// microseconds; 0 when none. Slowly forgotten.
   std::array<double, kPromptSizes> lowestFirstToken{};
--- a/test/SchedulingEstimates.cpp
+++ b/test/SchedulingEstimates.cpp
@@ -169,6 +169,7 @@
   REQUIRE(EstimatedWait(queue, starts, note, now) < 3);
   // A burst below does not count for a higher tier.
   REQUIRE(EstimatedWait(queue, starts, teller, now) == 0);
+  REQUIRE(EstimatedWait(queue, starts, Tier{ 0 }, now) == 0);
   queue.Enqueue(MakeRequest(31, 0, "teller", "a", now), now);
   REQUIRE(EstimatedWait(queue, starts, teller, now) < 0.3);
   REQUIRE(std::isinf(
@@ -195,6 +196,15 @@
     return refusal.Refuses(queue, starts, aNewcomer, seconds(600), aAt);
   };
   REQUIRE_FALSE(refuses(review, now));
+  // The bound is 60 s. 20 start a second: 100 are 5 s, 500 are 25 s.
+  for (std::uint64_t sequence = 2; sequence <= 100; ++sequence) {
+    queue.Enqueue(MakeRequest(sequence, 2, "review", "a", now), now);
+  }
+  REQUIRE_FALSE(refuses(review, now));
+  for (std::uint64_t sequence = 101; sequence <= 500; ++sequence) {
+    queue.Enqueue(MakeRequest(sequence, 2, "review", "a", now), now);
+  }
+  REQUIRE(refuses(review, now));
   REQUIRE(refuses(review, now + seconds(61)));
   REQUIRE_FALSE(refuses(note, now + seconds(61)));
   // One waits and 20 start in a second: not within a millisecond.
--- a/test/SchedulingLimit.cpp
+++ b/test/SchedulingLimit.cpp
@@ -25,6 +25,8 @@
 
   void SetPrefill(Duration aPerToken) { this->engine.SetPrefill(aPerToken); }
 
+  void AnswerShortly() { this->shortness = 5; }
+
   /// From now on every second request is of a lower tier, which the engine
   /// admits and prefills last.
   void HoldBackOdd() { this->holdsBack = true; }
@@ -54,7 +56,8 @@
     while (this->limit.HasRoom()) {
       this->draw = this->draw * 1664525U + 1013904223U;
       const std::uint32_t prompt = 128 + (this->draw >> 8U) % 128;
-      const std::uint32_t answer = 50 + (this->draw >> 16U) % 100;
+      const std::uint32_t answer =
+        (50 + (this->draw >> 16U) % 100) / this->shortness;
       this->engine.Start({ prompt, ++this->started },
                          prompt,
                          answer,
@@ -90,6 +93,7 @@
   TimePoint now = kStart;
   std::uint64_t started = 0;
   std::uint32_t draw = 1;
+  std::uint32_t shortness = 1;
   bool holdsBack = false;
 };
 
@@ -154,9 +158,38 @@
   AdaptiveConcurrencyLimit::Options options;
   options.tokenTarget = milliseconds(60);
   SaturatedServer server({}, options);
+  server.AnswerShortly();
+  server.SetPrefill(Duration(1));
   server.Run(seconds(20));
   server.SetSlowdown(5);
-  REQUIRE(server.Run(seconds(30)) > 24);
+  REQUIRE(server.Run(seconds(9)) > 24);
+}
+
+// After a first lowering the signs still tell of the load before it. Lowered on
+// each of them, the limit falls to its minimum, and until the long answers that
+// run have ended nothing starts, not even of the highest tier.
+TEST_CASE("the limit waits for its last lowering to take effect")
+{
+  AdaptiveConcurrencyLimit::Options options;
+  options.initial = 32;
+  options.maximum = 32;
+  auto limit = *AdaptiveConcurrencyLimit::Create(options);
+  const auto runSlowly = [&limit] {
+    for (int token = 0; token < 5000; ++token) {
+      limit.OnToken(milliseconds(60));
+    }
+  };
+  for (int request = 0; request < 32; ++request) {
+    limit.OnStart(kStart);
+    limit.OnFirstToken(milliseconds(20), 100);
+  }
+  runSlowly();
+  REQUIRE(limit.Limit() == 25);
+  for (int request = 0; request < 7; ++request) {
+    limit.OnFinish(kStart);
+  }
+  runSlowly();
+  REQUIRE(limit.Limit() == 20);
 }
 
 // Prefilling becomes far slower for good, as with another model. The lowest
