Know the chooser least_loaded in the settings' check

The default chooser became least_loaded while the list of names allowed was written; after both were merged the example settings were refused (test Settings, "the example settings are right", red).

--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -23,7 +23,8 @@
 
 /// The names that settings may give to a chooser of backend servers and to the
 /// order of a queue; Routing and Scheduling make them.
-inline constexpr std::array<std::string_view, 4> kChooserNames{
+inline constexpr std::array<std::string_view, 5> kChooserNames{
+  "least_loaded",
   "least_loaded_of_two",
   "least_connections",
   "round_robin",
