Size an entry's subset so that every server is in some subset

Cause: entries choose subsets independently; with 24 entries of 20 over 216 servers a share of (1 - 20/216)^24 = 10 % of the servers would be in none, idle and without configuration.

--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -391,6 +391,9 @@
   status["ready"] = this->Ready().ok();
   status["stopping"] = this->stopping;
   status["requests"] = Json::UInt64(this->requests.size());
+  status["links"] = Json::UInt64(this->fleet->LinkCount());
+  status["peer_bytes_sent"] = Json::UInt64(this->fleet->BytesSent());
+  status["peer_bytes_received"] = Json::UInt64(this->fleet->BytesReceived());
   status["services"] = this->fleet->Describe();
   return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
 }
--- a/dogwoodvale/src/Entry/Fleet.cpp
+++ b/dogwoodvale/src/Entry/Fleet.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr Duration kMaintainPeriod = milliseconds(100);
+/// Entries that each server should have on average. Entries choose their
+/// subsets each for itself; with c on average, a share of about exp(-c) of the
+/// servers is in nobody's subset and stands idle: 0.03 % with 8.
+constexpr std::size_t kEntriesPerServer = 8;
 
 std::optional<Duration>
 ContactAgeOf(const Notice& aNotice)
@@ -64,6 +68,11 @@
 Fleet::OnList(std::span<const ListedInstance> aList)
 {
   this->directory.OnList(aList, Now());
+  const auto live = std::count_if(
+    aList.begin(), aList.end(), [](const ListedInstance& aListed) {
+      return aListed.role == Role::Entry && aListed.state == ListedState::Live;
+    });
+  this->entries = std::max<std::size_t>(static_cast<std::size_t>(live), 1);
   this->Maintain();
 }
 
@@ -107,13 +116,21 @@
   }
 }
 
+std::size_t
+Fleet::SubsetSize(std::size_t aCandidates) const
+{
+  const std::size_t covering =
+    (aCandidates * kEntriesPerServer + this->entries - 1) / this->entries;
+  return std::max(this->settings.entry.subsetSize, covering);
+}
+
 void
 Fleet::FollowSubset(const ServiceName& aService, TimePoint aNow)
 {
   const std::vector<InstanceName> candidates =
     this->directory.Candidates(aService, aNow);
   std::vector<InstanceName> wanted = ChooseSubset(
-    this->settings.instance, candidates, this->settings.entry.subsetSize);
+    this->settings.instance, candidates, this->SubsetSize(candidates.size()));
   // Leaving ones are looked at now and then, since only a hello shows that a
   // new incarnation stands there.
   const std::vector<InstanceName> trials =
@@ -321,6 +338,16 @@
   return bytes;
 }
 
+std::uint64_t
+Fleet::BytesReceived() const
+{
+  std::uint64_t bytes = 0;
+  for (const auto& [name, link] : this->links) {
+    bytes += link->IsReady() ? link->Connection()->BytesReceived() : 0;
+  }
+  return bytes;
+}
+
 Json::Value
 Fleet::Describe() const
 {
--- a/dogwoodvale/src/Entry/Fleet.h
+++ b/dogwoodvale/src/Entry/Fleet.h
@@ -74,7 +74,9 @@
   const BackendDirectory& Directory() const { return this->directory; }
   /// For /statusz.
   Json::Value Describe() const;
+  /// On the links that stand now.
   std::uint64_t BytesSent() const;
+  std::uint64_t BytesReceived() const;
 
   void OnLinkUp(SidecarLink& aLink) override;
   void OnLinkNotice(SidecarLink& aLink, const Notice& aNotice) override;
@@ -96,6 +98,8 @@
 
   ServiceState& StateOf(const ServiceName& aService);
   ServiceState* FindState(const ServiceName& aService);
+  /// Servers to connect to of \p aCandidates.
+  std::size_t SubsetSize(std::size_t aCandidates) const;
   /// Connects to the subset, drops what left it; runs several times a second.
   void Maintain();
   void FollowSubset(const ServiceName& aService, TimePoint aNow);
@@ -115,6 +119,8 @@
   std::map<ServiceName, ServiceState> services;
   absl::flat_hash_map<InstanceName, std::unique_ptr<SidecarLink>> links;
   Timer maintainTimer;
+  /// Live entries by the list, this one included.
+  std::size_t entries = 1;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -403,6 +403,14 @@
   load["queued"] = Json::UInt64(this->dispatcher->Queued());
   load["limit"] = this->dispatcher->Limit();
   status["entries"] = Json::UInt64(this->sessions.size());
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+  for (const auto& session : this->sessions) {
+    sent += session->Connection().BytesSent();
+    received += session->Connection().BytesReceived();
+  }
+  status["peer_bytes_sent"] = Json::UInt64(sent);
+  status["peer_bytes_received"] = Json::UInt64(received);
   return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
 }
 
