Close a connection that nghttp2 has given up; weigh and measure Peer

After too many resets nghttp2 1.52 sends a go-away and ignores new streams, yet still wants to read: the connection stayed open, its heartbeats went on and every later request hung. Found by the new test, which was red before. A go-away, sent or received, now closes the connection. Used-up stream ids end a connection with its last stream (no test: it takes 2^30 streams).

--- a/bench/Peer.cpp
+++ b/bench/Peer.cpp
@@ -38,7 +38,7 @@
     this->stream->SetHandler(this);
   }
   void OnMessage(Message aMessage) override { this->stream->Send(aMessage); }
-  void OnEnd() override {}
+  void OnEnd() override { this->stream->FinishSending(); }
   void OnLost(const absl::Status& /*aReason*/) override {}
 
 private:
@@ -49,10 +49,11 @@
 {
 public:
   void OnMessage(Message /*aMessage*/) override { ++this->count; }
-  void OnEnd() override {}
+  void OnEnd() override { ++this->ended; }
   void OnLost(const absl::Status& /*aReason*/) override {}
 
   std::int64_t count = 0;
+  std::int64_t ended = 0;
 };
 
 class Ends
@@ -190,6 +191,35 @@
 }
 BENCHMARK(RoundTrip)->Arg(1)->Arg(100)->Arg(1000);
 
+/// The same with a stream opened for the chunk and ended both ways after it.
+/// Its difference from RoundTrip is what a stream for each request costs.
+void
+StreamPerRequest(benchmark::State& aState)
+{
+  Ends ends;
+  ends.Connect(1);
+  const std::int64_t streams = aState.range(0);
+  std::vector<std::unique_ptr<PeerStream>> calls;
+  Counter counter;
+  const Message message = MakeChunk();
+  for (auto _ : aState) {
+    counter.ended = 0;
+    calls.clear();
+    ends.echoes.clear();
+    for (std::int64_t i = 0; i < streams; ++i) {
+      calls.push_back(ends.First().OpenStream());
+      calls.back()->SetHandler(&counter);
+      calls.back()->Send(message);
+      calls.back()->FinishSending();
+    }
+    while (counter.ended < streams) {
+      ends.Turn();
+    }
+  }
+  aState.SetItemsProcessed(aState.iterations() * streams);
+}
+BENCHMARK(StreamPerRequest)->Arg(1)->Arg(100)->Arg(1000);
+
 /// Heap bytes of one idle connection, per end.
 void
 MemoryPerConnection(benchmark::State& aState)
--- a/dogwoodvale/src/Peer/Http2Callbacks.cpp
+++ b/dogwoodvale/src/Peer/Http2Callbacks.cpp
@@ -42,8 +42,9 @@
       break;
     case NGHTTP2_RST_STREAM:
     case NGHTTP2_WINDOW_UPDATE:
-    case NGHTTP2_GOAWAY:
       return 0;
+    case NGHTTP2_GOAWAY:
+      return Result(self.OnGoAway());
     default:
       return Result(self.OnControlFrame());
   }
@@ -90,9 +91,12 @@
             const nghttp2_frame* aFrame,
             void* aSession)
 {
-  if (aFrame->hd.type == NGHTTP2_DATA &&
-      (aFrame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
-    Self(aSession).OnEndSent(aFrame->hd.stream_id);
+  const nghttp2_frame_hd& head = aFrame->hd;
+  if (head.type == NGHTTP2_GOAWAY) {
+    Self(aSession).OnGoAwaySent();
+  } else if (head.type == NGHTTP2_DATA &&
+             (head.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+    Self(aSession).OnEndSent(head.stream_id);
   }
   return 0;
 }
--- a/dogwoodvale/src/Peer/Http2Control.cpp
+++ b/dogwoodvale/src/Peer/Http2Control.cpp
@@ -125,8 +125,8 @@
 Http2Session::OnTimer()
 {
   const Scope scope(*this);
-  if (!this->connectFailure.ok()) {
-    this->Close(this->connectFailure);
+  if (!this->failure.ok()) {
+    this->Close(this->failure);
     return;
   }
   const TimePoint now = Now();
@@ -154,6 +154,15 @@
   this->ArmTimer();
 }
 
+/// A planned stop is told by a Notice; a go-away of HTTP/2 comes only from a
+/// session that has ended, while its socket may stay open.
+bool
+Http2Session::OnGoAway()
+{
+  this->Close(absl::UnavailableError("the peer gave the connection up"));
+  return false;
+}
+
 bool
 Http2Session::OnControlFrame()
 {
--- a/dogwoodvale/src/Peer/Http2Session.cpp
+++ b/dogwoodvale/src/Peer/Http2Session.cpp
@@ -120,25 +120,29 @@
 void
 Http2Session::Connect(const SocketAddress& aAddress)
 {
-  const Scope scope(*this);
   auto address = SystemAddress::Create(aAddress);
-  if (address.ok()) {
-    bufferevent* const created =
-      bufferevent_socket_new(this->loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    this->SetUpSocket(created);
-    if (bufferevent_socket_connect(created, address->Data(), address->Size()) !=
-        0) {
-      this->connectFailure = absl::UnavailableError("connecting failed");
-    }
-  } else {
-    this->connectFailure = address.status();
+  if (!address.ok()) {
+    this->FailLater(address.status());
+    return;
   }
-  // The caller holds no connection yet that OnClosed could be about.
-  if (!this->connectFailure.ok()) {
-    this->timer.StartOnce(Duration(0));
+  bufferevent* const created =
+    bufferevent_socket_new(this->loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  this->SetUpSocket(created);
+  if (bufferevent_socket_connect(created, address->Data(), address->Size()) !=
+      0) {
+    this->FailLater(absl::UnavailableError("connecting failed"));
   }
 }
 
+/// For failures inside a call from outside: the caller may not yet hold what
+/// OnClosed would be about.
+void
+Http2Session::FailLater(const absl::Status& aReason)
+{
+  this->failure = aReason;
+  this->timer.StartOnce(Duration(0));
+}
+
 void
 Http2Session::Accept(int aSocket, std::shared_ptr<std::uint64_t> aRejections)
 {
@@ -247,8 +251,7 @@
   }
   this->WriteOut();
   this->TellWritable();
-  if (!this->closed && nghttp2_session_want_read(this->session) == 0 &&
-      nghttp2_session_want_write(this->session) == 0) {
+  if (!this->closed && this->gaveUp) {
     this->Close(
       absl::InvalidArgumentError("the peer broke the protocol's rules"));
   }
--- a/dogwoodvale/src/Peer/Http2Session.h
+++ b/dogwoodvale/src/Peer/Http2Session.h
@@ -76,6 +76,8 @@
   bool OnRemoteEnd(std::int32_t aId);
   bool OnStreamClose(std::int32_t aId, std::uint32_t aError);
   bool OnControlFrame();
+  bool OnGoAway();
+  void OnGoAwaySent() { this->gaveUp = true; }
   void OnBeforeFrame(std::int32_t aId);
   void OnEndSent(std::int32_t aId);
   ssize_t Provide(std::int32_t aId,
@@ -96,6 +98,7 @@
   void WriteOut();
   void WriteBytes(std::string_view aBytes, bool aMayWriteNow);
   void TellWritable();
+  void FailLater(const absl::Status& aReason);
   void Close(const absl::Status& aReason);
   void LoseStreams(const absl::Status& aReason);
 
@@ -141,7 +144,8 @@
   /// Held of messages that have not come whole, all streams.
   std::size_t partialBytes = 0;
 
-  absl::Status connectFailure;
+  /// Closes the connection on the next turn.
+  absl::Status failure;
   TimePoint opened;
   TimePoint lastSent;
   TimePoint lastReceived;
@@ -156,6 +160,8 @@
   bool closed = false;
   bool abandoned = false;
   bool flushScheduled = false;
+  /// nghttp2 has ended the session, for something that the peer did.
+  bool gaveUp = false;
 };
 
 } // namespace dogwoodvale::internal
--- a/dogwoodvale/src/Peer/Http2Streams.cpp
+++ b/dogwoodvale/src/Peer/Http2Streams.cpp
@@ -68,8 +68,12 @@
   }
   auto stream = std::make_unique<Http2Stream>(*this, kMaxMessageBytes);
   stream->id = SubmitRequest(*this->session, "/stream");
-  // Stream ids are used up after 2^30; a new connection has new ones.
+  // After 2^30 streams, which is 12 days at 1,000 a second, the ids are used
+  // up. A new connection has new ones, so this one ends with its last stream.
   if (stream->id < 0) {
+    if (this->streams.empty()) {
+      this->FailLater(absl::UnavailableError("stream ids are used up"));
+    }
     return nullptr;
   }
   this->streams.emplace(stream->id, stream.get());
--- a/test/PeerConnection.cpp
+++ b/test/PeerConnection.cpp
@@ -716,3 +716,26 @@
   const auto next = pair.Open();
   REQUIRE_FALSE(pair.client.closed);
 }
+
+TEST_CASE("a peer that opens and resets without end is closed")
+{
+  // The bound on open streams does not bound how many are opened: each reset
+  // makes room for the next, and each costs the listening side a request.
+  PeerOptions options;
+  options.maxStreams = 100;
+  Pair pair(options);
+  pair.ConnectReady();
+  for (int round = 0; round < 30 && !pair.client.closed; ++round) {
+    std::vector<std::unique_ptr<StreamLog>> calls;
+    while (auto stream = pair.client.connection->OpenStream()) {
+      calls.push_back(End::Adopt(std::move(stream)));
+      calls.back()->stream->Send(RunRequest{});
+    }
+    const auto count = [&] { return pair.server.connection->StreamCount(); };
+    pair.Until([&] { return pair.client.closed || count() == 100; });
+    calls.clear();
+    pair.Until([&] { return pair.client.closed || count() == 0; });
+  }
+  REQUIRE(pair.Until([&] { return pair.client.closed.has_value(); }));
+  REQUIRE(pair.listener->RejectedCount() == 1);
+}
