--- a/dogwoodvale/src/Entry/RequestResolver.cpp
+++ b/dogwoodvale/src/Entry/RequestResolver.cpp
@@ -34,13 +34,15 @@
           const ClassName& aRouteClass,
           const Customer::Grant& aGrant)
 {
+  // The route says whether a call may be repeated. If a caller's header could
+  // choose an idempotent class for it, a posting could run twice.
+  if (!aRouteClass.IsEmpty()) {
+    return Holds(aGrant, aRouteClass) ? aRouteClass : ClassName();
+  }
   if (!aWanted.empty()) {
     const ClassName wanted(aWanted);
     return Holds(aGrant, wanted) ? wanted : ClassName();
   }
-  if (!aRouteClass.IsEmpty()) {
-    return Holds(aGrant, aRouteClass) ? aRouteClass : ClassName();
-  }
   return aGrant.classes.empty() ? ClassName() : aGrant.classes.front();
 }
 
--- a/dogwoodvale/src/Entry/RequestResolver.h
+++ b/dogwoodvale/src/Entry/RequestResolver.h
@@ -26,8 +26,8 @@
 
 /// Names customer, service and class of a request, or the reason to refuse it.
 ///
-/// The class is the one in kClassHeader if the customer has it, else the
-/// route's, else the customer's first for the service.
+/// The class is the route's; of a model service the one in kClassHeader if the
+/// customer has it, else the customer's first.
 std::variant<ResolvedRequest, RequestError>
 ResolveRequest(const HttpRequest& aRequest,
                const Configuration& aConfiguration);
--- a/dogwoodvale/src/Platform/ConfigurationState.cpp
+++ b/dogwoodvale/src/Platform/ConfigurationState.cpp
@@ -164,19 +164,15 @@
     return false;
   }
   Pending whole = *std::exchange(this->pending, std::nullopt);
-  std::vector<Page> pages;
+  std::vector<PageView> pages;
   pages.reserve(whole.pages.size());
   for (const auto& [hash, content] : whole.pages) {
     pages.push_back({ hash, content });
   }
-  const auto sources = JoinPages(whole.root, pages);
-  absl::Status status = sources.status();
-  Configuration configuration;
-  if (sources.ok()) {
-    Findings findings;
-    configuration = ParseConfiguration(*sources, findings);
-    status = findings.ToStatus();
-  }
+  const Configuration* previous =
+    this->current ? &this->current->configuration : nullptr;
+  auto configuration = ParsePages(whole.root.pageHashes, pages, previous);
+  const absl::Status status = configuration.status();
   if (!status.ok()) {
     this->refused.push_back(whole.rootHash);
     if (this->refused.size() > kMaxRefused) {
@@ -187,7 +183,7 @@
                      whole.root.epoch,
                      MessageOf(status));
   }
-  this->Install(std::move(whole), std::move(configuration));
+  this->Install(std::move(whole), *std::move(configuration));
   return true;
 }
 
