--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t kProtocolVersion = 1;
 /// How often what heartbeats repeat is made anew.
+constexpr Duration kLeastTellPeriod = seconds(3);
 constexpr Duration kNoticePeriod = milliseconds(1000);
 constexpr Duration kStopCheckPeriod = milliseconds(20);
 constexpr std::string_view kModelsPath = "/v1/models";
@@ -47,7 +48,7 @@
   , incarnation(DrawIncarnation())
   , random(DrawIncarnation())
   , sweepTimer(aLoop, [this] { this->Sweep(); })
-  , noticeTimer(aLoop, [this] { this->TellPeers(false); })
+  , noticeTimer(aLoop, [this] { this->TellPeersInTurn(); })
   , stopTimer(aLoop, [this] { this->CheckStopped(); })
 {
 }
@@ -158,6 +159,21 @@
   this->fleet->OnList(aList);
 }
 
+void
+Entry::TellPeersInTurn()
+{
+  const Duration period = std::max(
+    kLeastTellPeriod,
+    Duration(milliseconds(IdlePeriodMillis(this->fleet->LinkCount()))));
+  this->control->Keeper().SetContactPeriod(period);
+  const TimePoint now = Now();
+  const bool due = now - this->lastTold >= period;
+  if (due) {
+    this->lastTold = now;
+  }
+  this->TellPeers(due);
+}
+
 void
 Entry::TellPeers(bool aNow)
 {
@@ -165,6 +181,7 @@
   notice.epoch = this->CurrentEpoch();
   notice.rootHash = this->control->Keeper().CurrentHash();
   notice.storeContactAgeMillis = this->control->ContactAgeMillis();
+  notice.idlePeriodMillis = IdlePeriodMillis(this->fleet->LinkCount());
   this->fleet->SetNotice(notice, aNow);
   this->claims->SetCollecting(this->control->Keeper().IsWatching());
 }
--- a/dogwoodvale/src/Entry/Entry.h
+++ b/dogwoodvale/src/Entry/Entry.h
@@ -73,6 +73,9 @@
   /// configuration costs nothing for the thousands that are silent.
   void FollowLimit(const CustomerName& aName);
   void TellPeers(bool aNow);
+  /// Tells peers what has changed little by little (the load, the age of the
+  /// newest contact with the store), as often as the control budget allows.
+  void TellPeersInTurn();
   Hello MakeHello() const;
   void RespondModels(CallerExchange& aExchange);
   /// Refuses a request that has no class yet.
@@ -102,6 +105,7 @@
   Timer sweepTimer;
   Timer noticeTimer;
   Timer stopTimer;
+  TimePoint lastTold;
   bool stopping = false;
   bool accepting = true;
   TimePoint graceEnd;
--- a/dogwoodvale/src/Membership/WatcherElection.cpp
+++ b/dogwoodvale/src/Membership/WatcherElection.cpp
@@ -96,7 +96,7 @@
 {
   const Duration sinceStart = Between(this->startedAt, aNow);
   return std::min(sinceStart, this->ContactAge(aNow)) >=
-         this->bounds.staleAfter;
+         std::max(this->bounds.staleAfter, 4 * this->contactPeriod);
 }
 
 void
--- a/dogwoodvale/src/Membership/WatcherElection.h
+++ b/dogwoodvale/src/Membership/WatcherElection.h
@@ -39,6 +39,9 @@
                   const WatcherBounds& aBounds,
                   TimePoint aNow);
 
+  /// Peers tell their contacts this often; a contact counts as stale only
+  /// after several of these periods.
+  void SetContactPeriod(Duration aPeriod) { this->contactPeriod = aPeriod; }
   /// There is no list to come: a small site, where every process watches.
   void SetNoList();
   void OnList(std::span<const ListedInstance> aList);
@@ -68,6 +71,7 @@
   InstanceName self;
   DataCentreName dataCentre;
   WatcherBounds bounds;
+  Duration contactPeriod{ 0 };
   bool ranked = false;
   bool volunteer = false;
   std::size_t instances = 1;
--- a/dogwoodvale/src/Peer/Http2Control.cpp
+++ b/dogwoodvale/src/Peer/Http2Control.cpp
@@ -66,6 +66,7 @@
   }
   if (const auto* news = std::get_if<Notice>(&aMessage);
       news != nullptr && this->ready) {
+    this->peerIdlePeriod = milliseconds(news->idlePeriodMillis);
     this->handler->OnNotice(*news);
     return !this->closed;
   }
@@ -109,14 +110,43 @@
   }
 }
 
+Duration
+Http2Session::HeartbeatPeriod() const
+{
+  const Duration idle = milliseconds(this->notice.idlePeriodMillis);
+  return this->streams.empty() ? std::max(this->options.heartbeatPeriod, idle)
+                               : this->options.heartbeatPeriod;
+}
+
+Duration
+Http2Session::SilenceBound() const
+{
+  return this->streams.empty()
+           ? std::max(this->options.heartbeatTimeout, 3 * this->peerIdlePeriod)
+           : this->options.heartbeatTimeout;
+}
+
+void
+Http2Session::OnStreamOpened()
+{
+  if (this->streams.size() != 1) {
+    return;
+  }
+  // Up to now the peer was allowed a longer silence, and it may not have seen
+  // the stream yet: counted from its last byte, a healthy connection would be
+  // closed on the spot.
+  this->lastReceived = Now();
+  this->ArmTimer();
+}
+
 /// Sleeps until something can be due; traffic does not move the timer.
 void
 Http2Session::ArmTimer()
 {
-  this->timerDue =
-    this->ready ? std::min(this->lastSent + this->options.heartbeatPeriod,
-                           this->lastReceived + this->options.heartbeatTimeout)
-                : this->opened + this->options.connectTimeout;
+  this->timerDue = this->ready
+                     ? std::min(this->lastSent + this->HeartbeatPeriod(),
+                                this->lastReceived + this->SilenceBound())
+                     : this->opened + this->options.connectTimeout;
   this->timer.StartOnce(std::max(Between(Now(), this->timerDue), Duration(0)) +
                         milliseconds(1));
 }
@@ -140,13 +170,13 @@
   if (now - this->timerDue > this->options.heartbeatTimeout / 2) {
     this->lastReceived = now;
   }
-  if (now - this->lastReceived >= this->options.heartbeatTimeout) {
+  if (now - this->lastReceived >= this->SilenceBound()) {
     this->Close(MakeError(absl::StatusCode::kDeadlineExceeded,
                           "the peer was silent for {} ms",
                           Between(this->lastReceived, now).count() / 1000));
     return;
   }
-  if (now - this->lastSent >= this->options.heartbeatPeriod) {
+  if (now - this->lastSent >= this->HeartbeatPeriod()) {
     // Stamped here as well: what waits behind a full socket is not sent.
     this->lastSent = now;
     this->SendControl(this->notice);
--- a/dogwoodvale/src/Peer/Http2Session.h
+++ b/dogwoodvale/src/Peer/Http2Session.h
@@ -109,7 +109,10 @@
   void SendControl(const Message& aMessage);
   void OnTimer();
   void ArmTimer();
-
+  Duration HeartbeatPeriod() const;
+  Duration SilenceBound() const;
+  /// Call when a stream was opened: silence counts from now on.
+  void OnStreamOpened();
   Http2Stream* Find(std::int32_t aId);
   /// The stream is closed, or its owner has let go.
   void Forget(Http2Stream& aStream);
@@ -150,6 +153,8 @@
   TimePoint lastSent;
   TimePoint lastReceived;
   TimePoint timerDue;
+  /// From the peer's last notice.
+  Duration peerIdlePeriod{ 0 };
   TimePoint floodWindowStart;
   std::uint32_t controlFrames = 0;
   std::shared_ptr<std::uint64_t> rejections;
--- a/dogwoodvale/src/Peer/Http2Streams.cpp
+++ b/dogwoodvale/src/Peer/Http2Streams.cpp
@@ -77,6 +77,7 @@
     return nullptr;
   }
   this->streams.emplace(stream->id, stream.get());
+  this->OnStreamOpened();
   return std::make_unique<Http2StreamHandle>(std::move(stream));
 }
 
@@ -95,6 +96,7 @@
   auto stream = std::make_unique<Http2Stream>(*this, kMaxMessageBytes);
   stream->id = aId;
   this->streams.emplace(aId, stream.get());
+  this->OnStreamOpened();
   this->handler->OnStream(
     std::make_unique<Http2StreamHandle>(std::move(stream)));
   return !this->closed;
--- a/dogwoodvale/src/Peer/Message.h
+++ b/dogwoodvale/src/Peer/Message.h
@@ -40,6 +40,9 @@
   bool backendUp = true;
   /// Age of the newest contact with the store that the sender knows of.
   std::uint32_t storeContactAgeMillis = 0;
+  /// How long the sender may be silent on this connection while no stream is
+  /// open; 0 means no longer than while one is.
+  std::uint32_t idlePeriodMillis = 0;
   /// Set by sidecars.
   LoadReport load;
 };
--- a/dogwoodvale/src/Peer/MessageFields.h
+++ b/dogwoodvale/src/Peer/MessageFields.h
@@ -72,7 +72,8 @@
                   aValue.draining,
                   aValue.storeContactAgeMillis,
                   aValue.load,
-                  aValue.backendUp);
+                  aValue.backendUp,
+                  aValue.idlePeriodMillis);
 }
 
 template<MaybeConst<RunRequest> M>
--- a/dogwoodvale/src/Peer/PeerConnection.h
+++ b/dogwoodvale/src/Peer/PeerConnection.h
@@ -30,15 +30,24 @@
 struct PeerOptions
 {
   Duration connectTimeout = milliseconds(1000);
-  /// Silence after which a connection that waits for something is given up.
+  /// Silence after which a connection with open streams is given up; without
+  /// any, three of the peer's idle periods if that is longer.
   Duration heartbeatTimeout = seconds(3);
-  /// Sent only when nothing else went out for that long.
+  /// Sent only when nothing else went out for that long; without open streams
+  /// Notice::idlePeriodMillis counts if it is longer.
   Duration heartbeatPeriod = seconds(1);
   std::uint32_t maxStreams = 10000;
   std::size_t streamWindowBytes = 64U << 10U;
   std::size_t lowWaterBytes = 64U << 10U;
 };
 
+/// How long a process with \p aConnections may be silent on each while it is
+/// idle: so long that its heartbeats stay within a budget of bytes a second
+/// for all of them together, whatever the size of the fleet.
+/// \return for Notice::idlePeriodMillis.
+std::uint32_t
+IdlePeriodMillis(std::size_t aConnections);
+
 /// One nghttp2 session to a peer, either side.
 ///
 /// Opens with a control stream on which both sides send Hello, then Notices.
--- a/dogwoodvale/src/Platform/ConfigurationKeeper.h
+++ b/dogwoodvale/src/Platform/ConfigurationKeeper.h
@@ -131,6 +131,11 @@
   {
     return std::string(this->state.CurrentHash());
   }
+  /// How often peers tell their contacts; see WatcherElection.
+  void SetContactPeriod(Duration aPeriod)
+  {
+    this->election.SetContactPeriod(aPeriod);
+  }
   /// For notices: age of the newest contact with the store known here, or
   /// WatcherElection::kUnknownContact.
   Duration StoreContactAge() const;
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t kProtocolVersion = 1;
 /// How often a load report goes out on connections with no answers to carry it.
+constexpr Duration kLeastTellPeriod = seconds(3);
 constexpr Duration kNoticePeriod = milliseconds(1000);
 constexpr Duration kStopCheckPeriod = milliseconds(20);
 constexpr Duration kBackendTrialPeriod = milliseconds(250);
@@ -32,7 +33,7 @@
   , settings(aSettings)
   , incarnation(DrawIncarnation())
   , sweepTimer(aLoop, [this] { this->Sweep(); })
-  , noticeTimer(aLoop, [this] { this->TellPeers(false); })
+  , noticeTimer(aLoop, [this] { this->TellPeersInTurn(); })
   , stopTimer(aLoop, [this] { this->CheckStopped(); })
   , backendTimer(aLoop, [this] { this->TryBackend(); })
 {
@@ -100,10 +101,26 @@
   notice.load = this->dispatcher->Load(aEntry);
   notice.epoch = this->control->Keeper().CurrentEpoch();
   notice.rootHash = this->control->Keeper().CurrentHash();
+  notice.idlePeriodMillis = IdlePeriodMillis(this->sessions.size());
   notice.storeContactAgeMillis = this->control->ContactAgeMillis();
   return notice;
 }
 
+void
+Sidecar::TellPeersInTurn()
+{
+  const Duration period =
+    std::max(kLeastTellPeriod,
+             Duration(milliseconds(IdlePeriodMillis(this->sessions.size()))));
+  this->control->Keeper().SetContactPeriod(period);
+  const TimePoint now = Now();
+  const bool due = now - this->lastTold >= period;
+  if (due) {
+    this->lastTold = now;
+  }
+  this->TellPeers(due);
+}
+
 void
 Sidecar::TellPeers(bool aNow)
 {
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -81,6 +81,9 @@
   Hello MakeHello() const;
   Notice MakeNotice(const InstanceName& aEntry) const;
   void TellPeers(bool aNow);
+  /// Tells peers what has changed little by little (the load, the age of the
+  /// newest contact with the store), as often as the control budget allows.
+  void TellPeersInTurn();
   void Sweep();
   void CheckStopped();
   void SetBackendUp(bool aUp);
@@ -103,6 +106,7 @@
   Timer stopTimer;
   Timer backendTimer;
   std::unique_ptr<BackendCall> trial;
+  TimePoint lastTold;
   bool stopping = false;
   TimePoint stopDeadline;
 };
--- a/test/PeerConnection.cpp
+++ b/test/PeerConnection.cpp
@@ -478,6 +478,27 @@
     REQUIRE(pair.client.notices.back().epoch == 9);
     REQUIRE(pair.client.notices.back().draining);
   }
+  SECTION("an idle connection is silent for as long as its notice says")
+  {
+    pair.ConnectReady();
+    Notice notice;
+    notice.idlePeriodMillis = 60;
+    pair.server.connection->SetNotice(notice, true);
+    pair.client.connection->SetNotice(notice, true);
+    pair.Until([] { return false; }, milliseconds(50));
+    pair.client.notices.clear();
+    REQUIRE_FALSE(pair.Until([&] { return pair.client.closed.has_value(); },
+                             milliseconds(400)));
+    REQUIRE(pair.client.notices.size() >= 3);
+    REQUIRE(pair.client.notices.size() <= 7);
+    // With a stream open a silence of 100 ms is too long again, and the
+    // heartbeats come every 20 ms.
+    pair.client.notices.clear();
+    const auto call = pair.Open();
+    REQUIRE_FALSE(pair.Until([&] { return pair.client.closed.has_value(); },
+                             milliseconds(300)));
+    REQUIRE(pair.client.notices.size() >= 5);
+  }
   SECTION("no heartbeat while other bytes go out")
   {
     pair.ConnectReady();
