--- a/dogwoodvale/src/Routing/EarlyRefusal.h
+++ b/dogwoodvale/src/Routing/EarlyRefusal.h
@@ -15,8 +15,8 @@
 /// would have to wait here and may not have to elsewhere.
 ///
 /// An entry's picture of the load is seconds old where it sends little. The
-/// sidecar's is exact, and a hop costs a round trip, against the wait for a
-/// slot, which is most of a second.
+/// sidecar's is exact, and a hop costs a round trip of a few milliseconds,
+/// against the wait for a slot.
 ///
 /// \param aOwn the sidecar's load as it is now.
 /// \param aRefusalsLeft what the entry allowed, with the request.
