--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -157,8 +157,9 @@
     return;
   }
   if (aStep == ClaimStep::Duplicate) {
+    // This repeat was not run, but the request that it repeats may have been.
     this->GiveUp({ ErrorCode::DuplicateKey,
-                   Disposition::NotRun,
+                   Disposition::MayHaveRun,
                    "a request with this Idempotency-Key was accepted before",
                    milliseconds(0) });
     return;
@@ -420,9 +421,10 @@
     this->Conclude(MakeRequestError(aFailed), SendResult::Refused, false);
     return;
   }
-  this->excluded.push_back(this->running->server);
   const bool broke = aFailed.code == ErrorCode::BackendFailed;
+  this->excluded.push_back(this->running->server);
   if (broke) {
+    this->failed.push_back(this->running->server);
     this->host.Servers().OnCrash(this->resolved.service, this->running->server);
   }
   this->Conclude(MakeRequestError(aFailed),
@@ -439,7 +441,7 @@
   this->StopAttempt(SendResult::Refused);
   if (this->refusalsLeft == 0) {
     // Their reports are fresh now, so that they are worth choosing again.
-    this->excluded.clear();
+    this->excluded = this->failed;
   }
   this->pause.StartOnce(Duration(0));
 }
@@ -459,6 +461,7 @@
     return;
   }
   this->excluded.push_back(this->running->server);
+  this->failed.push_back(this->running->server);
   if (this->running->stream->WasWritten()) {
     this->running->attempt.OnWriting();
   }
--- a/dogwoodvale/src/Entry/CallerRequest.h
+++ b/dogwoodvale/src/Entry/CallerRequest.h
@@ -153,6 +153,8 @@
   std::unique_ptr<ProbeStream> endedProbe;
   /// Servers that failed it, or refused it.
   std::vector<InstanceName> excluded;
+  /// Those that failed it, which are not chosen again.
+  std::vector<InstanceName> failed;
   std::uint32_t refusalsLeft = 0;
   /// Streams that ended inside their own callback.
   std::unique_ptr<PeerStream> endedStream;
