--- /dev/null
+++ b/test/system/engine_crash.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# A caller streams an answer while the engine that writes it crashes: the
+# sidecar sees its connection cut and tells the entry, which asks another engine
+# to go on from what was delivered. The caller sees a pause, then the rest of its
+# own answer. It happens twice, to two engines, so that some answers are moved
+# while other engines hold more than their share. Without the resume the caller
+# would get the beginning of an answer and an error.
+source "$(dirname "$0")/lib.sh"
+
+export SITE_NO_PLATFORM=1
+site_make nairobi "$SITE" 22000 --scale 0.25 --static --no-platform \
+  --configuration-file "$ROOT/examples/nairobi/configuration"
+site_start "$SITE" "$BUILD"
+expect "entries become ready" site_wait_ready "$SITE" 15
+
+write_plan "$SITE/plan.json" "$(stream_class teller 0 15 60)" "$(stream_class desk 1 5 150)"
+start_load "$SITE/plan.json" 7
+sleep 2
+fault "$(backend_of sidecar-cheque-reading-01)" '{"crash":true}'
+sleep 2
+fault "$(backend_of sidecar-cheque-reading-02)" '{"crash":true}'
+expect "the load ends" wait_load
+
+echo "outcomes: $(outcomes)"
+expect "promises are kept" promises_kept
+history_says "both crashes cut answers in the middle" \
+  'len({e["server"] for e in x if e["end"] == "crashed" and e["tokens"] > 0}) == 2'
+history_says "every caller has its own whole answer" \
+  'all(e["outcome"] == "complete" for e in c) and len(c) > 100'
+# A few tokens may be lost on the way out of the crashing engine.
+history_says "cut answers went on elsewhere from what was delivered" \
+  'all(any(f["nonce"] == e["nonce"] and f["resumed_tokens"] >= e["tokens"] - 4 for f in x) for e in x if e["end"] == "crashed" and e["tokens"] > 4)'
+expect "all processes stop as planned" site_stop "$SITE"
+finish
