--- a/tools/load/Balancer.cpp
+++ b/tools/load/Balancer.cpp
@@ -59,7 +59,10 @@
   if (this->options.readyPath.empty()) {
     return;
   }
-  for (const SocketAddress& target : this->targets) {
+  const std::vector<SocketAddress>& asked = this->options.readyTargets.empty()
+                                              ? this->targets
+                                              : this->options.readyTargets;
+  for (const SocketAddress& target : asked) {
     this->checks.push_back(
       std::make_unique<Check>(aClient, target, this->options.readyPath));
   }
--- a/tools/load/Balancer.h
+++ b/tools/load/Balancer.h
@@ -13,6 +13,9 @@
 {
   /// Asked of each target again and again; empty for no checks.
   std::string readyPath;
+  /// Where to ask, one for each target in the same order; empty to ask the
+  /// targets themselves.
+  std::vector<SocketAddress> readyTargets;
   Duration period = milliseconds(200);
 };
 
--- a/tools/load/LoadTool.cpp
+++ b/tools/load/LoadTool.cpp
@@ -39,6 +39,8 @@
   --records-dir DIR      Save those records there, one file a stand-in.
   --ready-path PATH      Ask the targets this and leave out those not ready,
                          as the platform's balancer does.
+  --ready-targets LIST   Where to ask that instead, IP:PORT[,IP:PORT...], one
+                         for each target in the same order.
   --nonce-prefix WORD    Begins each nonce; letters and digits; by default
                          drawn anew for each run.
   --help                 Show this.
@@ -87,6 +89,11 @@
   made.run.drain = FromSeconds(aReader.Number("--drain", kMaxSeconds));
   made.run.rateScale = aReader.Number("--rate-scale", kMaxRateScale);
   made.run.balancer.readyPath = aReader.Text("--ready-path");
+  made.run.balancer.readyTargets = aReader.Addresses("--ready-targets");
+  const std::size_t asked = made.run.balancer.readyTargets.size();
+  if (asked != 0 && asked != made.run.targets.size()) {
+    aReader.Fail("--ready-targets", "names not one for each target");
+  }
   made.run.noncePrefix = aReader.Text("--nonce-prefix");
   for (const char byte : made.run.noncePrefix) {
     if (std::isalnum(static_cast<unsigned char>(byte)) == 0) {
