Tell the tokens that wait in a queue, so that a long one isn't free

Cause: the sidecar never filled LoadReport::queuedTokens, so the chooser counted a queue of any length as no wait. Found by test/system/burst.sh: from second 6 on one engine of three served everything (105 queued there, 0 running at the others), 500-700 tokens/s of some 1,800, and the longest wait of the middle class was 20.9 s.

Change: the sidecar reports the expected tokens of its queue; a report without them counts as the default per request.

The new case in RoutingChoice failed before the change in the chooser.

--- a/dogwoodvale/src/Routing/LeastLoadedChooser.cpp
+++ b/dogwoodvale/src/Routing/LeastLoadedChooser.cpp
@@ -98,9 +98,10 @@
   if (load < 1.0) {
     return step * (1.0 + load) + prefill;
   }
-  // Each slot gives one token a step, so the queue drains at slots per step.
+  // Each slot gives one token a step, so the queue drains at slots per step. A
+  // report without an estimate must not make a long queue look free.
   const double tokensPerRequest =
-    report.queued == 0
+    report.queued == 0 || report.queuedTokens == 0
       ? this->settings.defaultTokens
       : static_cast<double>(report.queuedTokens) / report.queued;
   const double ahead = (load - 1.0) * ShareAhead(report, aRequest.tier);
--- a/dogwoodvale/src/Sidecar/Dispatcher.cpp
+++ b/dogwoodvale/src/Sidecar/Dispatcher.cpp
@@ -183,6 +183,7 @@
 Dispatcher::Enqueue(SidecarAttempt& aAttempt, TimePoint aNow)
 {
   const QueuedRequest queued = this->Describe(aAttempt);
+  this->queuedTokens = Smooth(this->queuedTokens, queued.maxTokens);
   this->waiting[queued.id] = &aAttempt;
   ++this->byEntry[aAttempt.Entry()];
   const EnqueueResult result = this->queue->Enqueue(queued, aNow);
@@ -449,6 +450,8 @@
   LoadReport load;
   load.running = static_cast<std::uint32_t>(this->running.size());
   load.queued = static_cast<std::uint32_t>(this->queue->Size());
+  load.queuedTokens =
+    static_cast<std::uint64_t>(this->queuedTokens * load.queued);
   load.limit = this->limit->Limit();
   load.firstTokenMicros = static_cast<std::uint32_t>(this->firstTokenMicros);
   load.stepMicros = static_cast<std::uint32_t>(this->stepMicros);
--- a/dogwoodvale/src/Sidecar/Dispatcher.h
+++ b/dogwoodvale/src/Sidecar/Dispatcher.h
@@ -118,6 +118,8 @@
   /// Smoothed, for load reports.
   double firstTokenMicros = 0;
   double stepMicros = 0;
+  /// Expected tokens of one queued request.
+  double queuedTokens = 0;
 };
 
 } // namespace dogwoodvale
--- a/test/RoutingChoice.cpp
+++ b/test/RoutingChoice.cpp
@@ -153,6 +153,25 @@
   CHECK_FALSE(counts.contains(ServerName(0)));
 }
 
+TEST_CASE("A queue of unknown length in tokens is not taken for free")
+{
+  // A sidecar that doesn't tell the tokens that wait there looked as if its
+  // queue took no time: with a slightly faster step it got all the work while
+  // its neighbours stood idle.
+  BackendTable table = MakeTable(2);
+  for (int sent = 0; sent < 50; ++sent) {
+    table.OnSent(ServerName(0), 200, 0);
+  }
+  LoadReport swamped = MakeReport(10, 50);
+  swamped.queued = 40;
+  swamped.queuedByTier = { 40 };
+  swamped.stepMicros = 2000;
+  table.OnLoadReport(ServerName(0), swamped, kStart);
+  table.OnLoadReport(ServerName(1), MakeReport(0), kStart);
+  LeastLoadedChooser chooser;
+  CHECK_FALSE(CountChoices(table, chooser, {}, kStart).contains(ServerName(0)));
+}
+
 TEST_CASE("The prefix's holder wins while its queue costs less than it saves")
 {
   BackendTable table = MakeTable(4);
