Let preempted and resumed answers go on whatever the retry budget

Cause: giving way to a higher tier and going on after a crash each took a whole retry from the class's budget (2 at first, 0.08 a success). Besides, the sidecar didn't mark a preempted request as resumed, so that its own class's full queue refused it after it had run (5 of 114 notes).

Change: preemption costs neither budget nor a try (the sidecar bounds how often); a resume costs a tenth of a retry, as it costs a prefill and redoes nothing; the dispatcher sets QueuedRequest::resumed.

--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -17,6 +17,24 @@
 constexpr Duration kProbeTimeout = milliseconds(250);
 /// A second hop after an early refusal costs the engines nothing.
 constexpr double kHopCost = 0.1;
+/// Giving way to a higher tier was the system's choice. If it were charged to
+/// the class's retry budget, a busy hour would use that up, and preempted
+/// answers would end in the middle instead of going on. Sidecars bound how
+/// often one request gives way (PreemptionPolicy::Options::maxPreemptions).
+constexpr double kPreemptionCost = 0.0;
+
+/// Going on from what was delivered costs the next engine a prefill and none of
+/// the work again. At the price of a whole retry one crash, which cuts many
+/// answers at once, would empty the budget, and the rest of them would end in
+/// the middle.
+constexpr double kResumeCost = 0.1;
+
+/// What a further attempt takes from the class's retry budget.
+double
+RetryCost(const RequestError& aError)
+{
+  return aError.disposition == Disposition::NotRun ? kHopCost : 1.0;
+}
 
 RequestError
 MakeRequestError(const Failed& aFailed)
@@ -364,7 +382,8 @@
   if (aFailed.resumable && aFailed.code == ErrorCode::Evicted) {
     // Preempted: nothing is wrong with the server, and it may go on there.
     ++this->outcome.preemptions;
-    this->Conclude(MakeRequestError(aFailed), SendResult::Refused, false);
+    this->StopAttempt(SendResult::Refused);
+    this->Decide(MakeRequestError(aFailed), kPreemptionCost);
     return;
   }
   this->excluded.push_back(this->running->server);
@@ -447,7 +466,7 @@
     return;
   }
   this->StopAttempt(aResult);
-  this->Decide(aError);
+  this->Decide(aError, RetryCost(aError));
 }
 
 bool
@@ -485,11 +504,11 @@
   error.disposition = this->unclear->CurrentDisposition();
   this->unclear.reset();
   this->endedProbe = std::move(this->probe);
-  this->Decide(error);
+  this->Decide(error, RetryCost(error));
 }
 
 void
-CallerRequest::Decide(const RequestError& aError)
+CallerRequest::Decide(const RequestError& aError, double aCost)
 {
   const TimePoint now = Now();
   this->pendingError = aError;
@@ -502,15 +521,15 @@
   last.streaming = this->writer->HasBegun();
   last.canResume =
     this->IsTokens() && !this->passedOn && this->assembler.CanResume();
+  const bool resumes = last.canResume && last.deliveredTokens > 0;
+  const double cost = resumes ? std::min(aCost, kResumeCost) : aCost;
   RetryBudget& budget = this->host.BudgetOf(this->resolved);
-  const bool refused = aError.disposition == Disposition::NotRun;
-  const double cost = refused ? kHopCost : 1.0;
   RetryAllowance allowance;
   allowance.hasBudget = budget.Available(now) >= cost;
   allowance.deadlineLeft = this->BudgetLeft(now);
   allowance.leastUseful = kLeastUseful;
-  allowance.attempts =
-    static_cast<std::uint32_t>(this->outcome.attempts - this->outcome.hops);
+  allowance.attempts = static_cast<std::uint32_t>(
+    this->outcome.attempts - this->outcome.hops - this->outcome.preemptions);
   allowance.maxAttempts =
     static_cast<std::uint32_t>(this->host.Bounds().maxAttempts);
   const RetryVerdict verdict = DecideRetry(last, allowance);
@@ -524,10 +543,11 @@
   } else {
     this->StartOver();
   }
-  // Not run elsewhere is tried at once; a failure may be the whole service's.
+  // Not run or preempted is tried at once; a failure may be the whole
+  // service's.
   const Duration wait =
-    refused ? Duration(0)
-            : RetryBackoff(allowance.attempts, this->host.Random());
+    aCost < 1.0 ? Duration(0)
+                : RetryBackoff(allowance.attempts, this->host.Random());
   this->pause.StartOnce(std::min(wait, allowance.deadlineLeft));
 }
 
--- a/dogwoodvale/src/Entry/CallerRequest.h
+++ b/dogwoodvale/src/Entry/CallerRequest.h
@@ -120,7 +120,8 @@
   /// The attempt is over without a whole answer; what next.
   void Conclude(RequestError aError, SendResult aResult, bool aSettle);
   void StopAttempt(SendResult aResult);
-  void Decide(const RequestError& aError);
+  /// \param aCost what a further attempt takes from the retry budget.
+  void Decide(const RequestError& aError, double aCost);
   /// Asks the sidecar about \p aLast; false if it can't be asked.
   bool AskAbout(const Running& aLast, const RequestError& aError);
   void OnProbeEnd(std::optional<Disposition> aWord);
--- a/dogwoodvale/src/Sidecar/Dispatcher.cpp
+++ b/dogwoodvale/src/Sidecar/Dispatcher.cpp
@@ -174,6 +174,7 @@
   queued.bytes = run.body.size() + kRequestOverheadBytes;
   queued.idempotent = run.idempotent;
   queued.classQueueBound = run.classQueueBound;
+  queued.resumed = run.preemptions > 0;
   queued.expectedFirstToken =
     Duration(static_cast<Duration::rep>(this->firstTokenMicros));
   return queued;
