--- a/test/system/planned_stop.sh
+++ b/test/system/planned_stop.sh
@@ -37,7 +37,9 @@
 edit_settings 'sidecar-teller*' \
   's["sidecar"].update(max_concurrency=2, adaptive_concurrency=False)'
 edit_settings 'sidecar-cheque*' \
-  's["sidecar"].update(max_concurrency=3, adaptive_concurrency=False)'
+  's["sidecar"].update(max_concurrency=5, adaptive_concurrency=False)'
+# Shorter than the longest answers, so that the entry has to wait for them.
+edit_settings 'entry*' 's["entry"]["drain_grace_ms"] = 1000'
 site_start "$SITE" "$BUILD"
 expect "entries become ready" site_wait_ready "$SITE" 15
 
@@ -47,8 +49,8 @@
 plain=sidecar-teller-application-01
 server_name() { backend_of "$1" | tr : -; }
 
-write_plan "$SITE/plan.json" "$(stream_class teller 0 18 60)" \
-  "$(stream_class desk 1 6 150)" "$(posting_class 12)"
+write_plan "$SITE/plan.json" "$(stream_class teller 0 15 60)" \
+  "$(stream_class desk 1 4 250)" "$(posting_class 12)"
 start_load "$SITE/plan.json" 8 --ready-path /readyz \
   --ready-targets "$(site_query "$SITE" '",".join(e["operators"] for e in s["entries"])')"
 sleep 1.5
@@ -67,8 +69,8 @@
   --left "$(server_name "$engine")=$engine_left,$(server_name "$drained")=$drain_left,$(server_name "$plain")=$plain_left"
 history_says "every call has its own whole answer" \
   "all(e['outcome'] == 'complete' for e in c)"
-history_says "the entry had calls when it was told to stop" \
-  "any(e['target'] == '$(site_query "$SITE" "s['entries'][1]['callers']")' and e['sent_ms'] < $engine_left < e['ended_ms'] for e in c)"
+history_says "the entry had calls that outlasted its grace time" \
+  "any(e['target'] == '$(site_query "$SITE" "s['entries'][1]['callers']")' and e['sent_ms'] < $engine_left + 1000 and e['ended_ms'] > $engine_left + 1100 for e in c)"
 for server in "$engine" "$drained" "$plain"; do
   history_says "$server had work when it was told to leave" \
     "any(e['server'] == '$(server_name "$server")' and e['started_ms'] < $drain_left and e['ended_ms'] > $engine_left for e in x)"
--- a/test/system/sidecar_kill.sh
+++ b/test/system/sidecar_kill.sh
@@ -26,10 +26,14 @@
 write_plan "$SITE/plan.json" "$(stream_class teller 0 15 50)" \
   "$(posting_class 45 ', "keyed": 0.5, "retry": { "max": 3 }')"
 start_load "$SITE/plan.json" 8
-sleep 2
+sleep 1.5
+# Slow, so that there are surely postings under way when its sidecar dies.
+fault "$(backend_of "$plain")" '{"slow":10}'
+sleep 0.5
 killed=$(now_ms)
 kill_sidecar "$plain"
 kill_sidecar "$engine"
+fault "$(backend_of "$plain")" '{"clear":true}'
 sleep 1
 restarted=$(now_ms)
 site_start_daemon "$SITE" "$BUILD" "$plain"
