Silence a false finding of clang-tidy 14 on a defaulted comparison

Cause: modernize-use-nullptr takes the 0 of the defaulted comparison's own code for a null pointer; with warnings as errors it failed the lint.

Change: one NOLINT with its reason at ClassLabels.

--- a/dogwoodvale/src/Metrics/ClassMetrics.h
+++ b/dogwoodvale/src/Metrics/ClassMetrics.h
@@ -15,6 +15,8 @@
   ServiceName service;
   ClassName className;
 
+  // clang-tidy 14 takes the defaulted comparison's 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const ClassLabels&) const = default;
   std::array<Label, 2> Pairs() const
   {
