--- a/test/LoadTool.cpp
+++ b/test/LoadTool.cpp
@@ -346,7 +346,7 @@
 TEST_CASE("the example plans are sound")
 {
   const auto examples =
-    std::filesystem::path(__FILE__).parent_path().parent_path() / "examples";
+    std::filesystem::path(DOGWOODVALE_SOURCE_DIR) / "examples";
   for (const char* name : { "nairobi/load.json",
                             "nairobi/month-end.json",
                             "muscat/load.json",
--- a/tools/load/Prompt.cpp
+++ b/tools/load/Prompt.cpp
@@ -92,7 +92,7 @@
   if (aClass.kind != Kind::Plain) {
     made.body = ModelBody(aClass, aArrival, aCall);
   } else if (aClass.method == "GET" || aClass.method == "DELETE") {
-    made.path += "/nonce=" + aCall.nonce;
+    made.path += "?nonce=" + aCall.nonce;
   } else {
     Json::Value body(Json::objectValue);
     body["reference"] = "nonce=" + aCall.nonce;
--- a/tools/load/Prompt.h
+++ b/tools/load/Prompt.h
@@ -19,8 +19,8 @@
 
 /// Renders the request for \p aCall: the shared opening of its prompt, then
 /// `pad=P nonce=W len=N`, where P stands for the prompt tokens that aren't
-/// written out. A plain call carries `nonce=W` in its body, or as the last
-/// part of its path if it has none.
+/// written out. A plain call carries `nonce=W` in its body, or in its query
+/// if it has none.
 RequestText
 RenderRequest(const ClassPlan& aClass,
               const Arrival& aArrival,
