Check that every member of a message travels

Members and a kind of message were added since, and the test took the new kind for one that does not exist; it now takes the first number past the last kind, which is as strict. A member that FieldsOf leaves out would arrive as its default, unnoticed: the test now counts members at compile time (seen red with Notice::backendUp left out).

--- a/bench/Peer.cpp
+++ b/bench/Peer.cpp
@@ -138,7 +138,14 @@
   notice.epoch = 1000;
   notice.rootHash = std::string(64, 'f');
   notice.storeContactAgeMillis = 2000;
-  notice.load = { 48, 12, 15, 64, 20000, 150000, 20000, { 0, 4, 8, 0 } };
+  notice.load.running = 48;
+  notice.load.queued = 12;
+  notice.load.fromReader = 15;
+  notice.load.limit = 64;
+  notice.load.queuedTokens = 20000;
+  notice.load.firstTokenMicros = 150000;
+  notice.load.stepMicros = 20000;
+  notice.load.queuedByTier = { 0, 4, 8, 0 };
   const Message message = notice;
   std::string out;
   for (auto _ : aState) {
--- a/test/PeerMessages.cpp
+++ b/test/PeerMessages.cpp
@@ -8,6 +8,36 @@
 
 namespace {
 
+/// Converts to any member, so that members can be counted.
+struct AnyMember
+{
+  template<class T>
+  operator T() const; // NOLINT: implicit by purpose
+};
+
+template<class T, class... Members>
+constexpr std::size_t
+CountMembers()
+{
+  if constexpr (requires { T{ Members{}..., AnyMember{} }; }) {
+    return CountMembers<T, Members..., AnyMember>();
+  } else {
+    return sizeof...(Members);
+  }
+}
+
+/// A member that FieldsOf leaves out would arrive as its default, unnoticed.
+template<class T>
+constexpr bool kTravelsWhole =
+  CountMembers<T>() ==
+  std::tuple_size_v<decltype(internal::FieldsOf(std::declval<T&>()))>;
+
+static_assert([]<std::size_t... kIndices>(std::index_sequence<kIndices...>) {
+  return (kTravelsWhole<std::variant_alternative_t<kIndices, Message>> && ...);
+}(std::make_index_sequence<std::variant_size_v<Message>>{}));
+static_assert(kTravelsWhole<LoadReport> && kTravelsWhole<HeaderField> &&
+              kTravelsWhole<RequestId> && kTravelsWhole<ConfigurationPage>);
+
 template<class T>
 T
 Draw();
@@ -196,11 +226,13 @@
 TEST_CASE("bodies that are no message are refused")
 {
   using namespace std::string_view_literals;
+  const std::string nextKind{ '\x91',
+                              static_cast<char>(std::variant_size_v<Message>) };
   std::vector<Message> got;
   for (const std::string_view bad : {
          ""sv,
          "\x90"sv,                         // an empty list
-         "\x91\x0d"sv,                     // the first kind that does not exist
+         std::string_view(nextKind),       // the first kind that does not exist
          "\x91\xcc\xff"sv,                 // unknown kind
          "\x91\xa1x"sv,                    // a kind that is no number
          "\x92\x03\xa1x"sv,                // Started with text for a number
