--- a/dogwoodvale/src/Control/ConfigurationDiff.cpp
+++ b/dogwoodvale/src/Control/ConfigurationDiff.cpp
@@ -91,7 +91,7 @@
     }
   }
   for (const std::string& name : names) {
-    CompareValues(aPath.empty() ? name : aPath + "/" + name,
+    CompareValues(aPath.empty() ? name : fmt::format("{}/{}", aPath, name),
                   before.isMember(name) ? &before[name] : nullptr,
                   after.isMember(name) ? &after[name] : nullptr,
                   aOut);
--- a/dogwoodvale/src/Control/ConfigurationStore.cpp
+++ b/dogwoodvale/src/Control/ConfigurationStore.cpp
@@ -167,7 +167,7 @@
     const bool isFull = write.then.size() >= kOperationsPerWrite ||
                         bytes + page.content.size() > kBytesPerWrite;
     if (isFull && !write.then.empty()) {
-      if (const absl::Status status = flush(); !status.ok()) {
+      if (absl::Status status = flush(); !status.ok()) {
         return status;
       }
     }
