--- a/dogwoodvale/src/Entry/Fleet.cpp
+++ b/dogwoodvale/src/Entry/Fleet.cpp
@@ -257,6 +257,13 @@
   ServiceState& state = this->StateOf(aService);
   state.table.OnEnded(aServer, aTokens, aTier, aResult, aFirstToken, Now());
   if (aResult == SendResult::Completed) {
+    // The step time is judged with answers only. An idle server's notices
+    // repeat the step time of its last answer, so that a straggler which has
+    // recovered would fail its trial before a single request reached it.
+    const Backend* backend = state.table.Find(aServer);
+    if (backend != nullptr) {
+      state.health.OnStepTime(aServer, Duration(backend->report.stepMicros));
+    }
     state.health.OnSuccess(aServer);
   } else if (aResult == SendResult::Failed) {
     state.health.OnFailure(aServer);
@@ -270,7 +277,6 @@
 {
   ServiceState& state = this->StateOf(aService);
   state.table.OnLoadReport(aServer, aLoad, Now());
-  state.health.OnStepTime(aServer, Duration(aLoad.stepMicros));
 }
 
 void
--- a/dogwoodvale/src/Sidecar/Dispatcher.cpp
+++ b/dogwoodvale/src/Sidecar/Dispatcher.cpp
@@ -68,8 +68,11 @@
   PreemptionPolicy::Options options;
   options.costs = { kPrefillPerToken, kPreemptionOverhead };
   auto preemption = PreemptionPolicy::Create(options);
-  for (const absl::Status& status :
-       { lengths.status(), starts.status(), preemption.status() }) {
+  auto refusal = EarlyRefusal::Create({});
+  for (const absl::Status& status : { lengths.status(),
+                                      starts.status(),
+                                      preemption.status(),
+                                      refusal.status() }) {
     if (!status.ok()) {
       return status;
     }
@@ -80,7 +83,8 @@
                                                     *std::move(limit),
                                                     *std::move(lengths),
                                                     *std::move(starts),
-                                                    *std::move(preemption)));
+                                                    *std::move(preemption),
+                                                    *std::move(refusal)));
 }
 
 Dispatcher::Dispatcher(const SidecarSettings& aSettings,
@@ -89,7 +93,8 @@
                        std::unique_ptr<ConcurrencyLimit> aLimit,
                        LengthEstimator aLengths,
                        WaitEstimator aStarts,
-                       PreemptionPolicy aPreemption)
+                       PreemptionPolicy aPreemption,
+                       EarlyRefusal aEarlyRefusal)
   : settings(aSettings)
   , backend(aBackend)
   , queue(std::move(aQueue))
@@ -97,6 +102,7 @@
   , lengths(std::move(aLengths))
   , starts(std::move(aStarts))
   , preemption(std::move(aPreemption))
+  , earlyRefusal(std::move(aEarlyRefusal))
   , random(DrawIncarnation())
 {
 }
@@ -146,10 +152,11 @@
       this->limit->Limit()) {
     return false;
   }
-  const double wait =
-    EstimatedWait(*this->queue, this->starts, aAttempt.Request().tier, aNow);
-  const std::chrono::duration<double> left = aAttempt.Deadline() - aNow;
-  return wait > left.count();
+  return this->earlyRefusal.Refuses(*this->queue,
+                                    this->starts,
+                                    this->Describe(aAttempt),
+                                    Between(aNow, aAttempt.Deadline()),
+                                    aNow);
 }
 
 QueuedRequest
@@ -176,7 +183,7 @@
   queued.classQueueBound = run.classQueueBound;
   queued.resumed = run.preemptions > 0;
   queued.expectedFirstToken =
-    Duration(static_cast<Duration::rep>(this->firstTokenMicros));
+    Duration(static_cast<Duration::rep>(this->serverMicros));
   return queued;
 }
 
@@ -279,7 +286,7 @@
   ++this->counters.started;
   this->running[aNext.id] = { attempt, aNext.startedOverdue };
   this->limit->OnStart(aNow);
-  this->starts.OnStart(aNext.tier, aNow);
+  this->starts.OnStart(aNext, aNow);
   attempt->Start(this->backend, aNow);
 }
 
@@ -393,6 +400,8 @@
 Dispatcher::OnFirstToken(SidecarAttempt& aAttempt, Duration aSinceStart)
 {
   this->limit->OnFirstToken(aSinceStart, aAttempt.Request().promptTokens);
+  this->serverMicros =
+    Smooth(this->serverMicros, static_cast<double>(aSinceStart.count()));
   const Duration sinceArrival = Between(aAttempt.Arrived(), Now());
   this->firstTokenMicros =
     Smooth(this->firstTokenMicros, static_cast<double>(sinceArrival.count()));
--- a/dogwoodvale/src/Sidecar/Dispatcher.h
+++ b/dogwoodvale/src/Sidecar/Dispatcher.h
@@ -72,11 +72,13 @@
              std::unique_ptr<ConcurrencyLimit> aLimit,
              LengthEstimator aLengths,
              WaitEstimator aStarts,
-             PreemptionPolicy aPreemption);
+             PreemptionPolicy aPreemption,
+             EarlyRefusal aEarlyRefusal);
 
   void Enqueue(SidecarAttempt& aAttempt, TimePoint aNow);
   QueuedRequest Describe(const SidecarAttempt& aAttempt) const;
-  /// Whether it could not start before its budget is spent.
+  /// Whether it could not start before its budget is spent, or its class's
+  /// bound on waiting is out of reach.
   bool WouldExpire(const SidecarAttempt& aAttempt, TimePoint aNow) const;
   void Evict(std::span<const RequestId> aEvicted, TimePoint aNow);
   void Refuse(SidecarAttempt& aAttempt,
@@ -105,6 +107,7 @@
   LengthEstimator lengths;
   WaitEstimator starts;
   PreemptionPolicy preemption;
+  EarlyRefusal earlyRefusal;
   StartRecord record;
   std::mt19937_64 random;
   absl::flat_hash_map<RequestId, SidecarAttempt*> waiting;
@@ -117,6 +120,8 @@
   bool dispatching = false;
   /// Smoothed, for load reports.
   double firstTokenMicros = 0;
+  /// Smoothed, from start to first token: what the server itself takes.
+  double serverMicros = 0;
   double stepMicros = 0;
   /// Expected tokens of one queued request.
   double queuedTokens = 0;
