--- a/dogwoodvale/src/Core/SocketAddress.h
+++ b/dogwoodvale/src/Core/SocketAddress.h
@@ -16,6 +16,8 @@
   std::string ip;
   std::uint16_t port = 0;
 
+  // clang-tidy 14 takes the zero inside the comparison for a pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const SocketAddress&) const = default;
 
   /// Parses "1.2.3.4:80" or "[::1]:80".
--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -511,7 +511,9 @@
 }
 
 void
-CallerRequest::Conclude(RequestError aError, SendResult aResult, bool aSettle)
+CallerRequest::Conclude(const RequestError& aError,
+                        SendResult aResult,
+                        bool aSettle)
 {
   const bool repeatable = this->resolved.requestClass.idempotent;
   const bool mustAsk = aSettle && !repeatable &&
--- a/dogwoodvale/src/Entry/CallerRequest.h
+++ b/dogwoodvale/src/Entry/CallerRequest.h
@@ -124,7 +124,7 @@
   /// Another server may be free: goes there at once.
   void Hop();
   /// The attempt is over without a whole answer; what next.
-  void Conclude(RequestError aError, SendResult aResult, bool aSettle);
+  void Conclude(const RequestError& aError, SendResult aResult, bool aSettle);
   void StopAttempt(SendResult aResult);
   /// \param aCost what a further attempt takes from the retry budget.
   void Decide(const RequestError& aError, double aCost);
--- a/dogwoodvale/src/Entry/ClaimStore.cpp
+++ b/dogwoodvale/src/Entry/ClaimStore.cpp
@@ -104,8 +104,7 @@
 }
 
 ClaimStore::ClaimStore(EventLoop& aLoop, StoreClient* aStore)
-  : loop(aLoop)
-  , store(aStore)
+  : store(aStore)
   , random(DrawIncarnation())
   , collectTimer(aLoop, [this] { this->CollectOne(); })
   , reapTimer(aLoop, [this] { this->ended.clear(); })
--- a/dogwoodvale/src/Entry/ClaimStore.h
+++ b/dogwoodvale/src/Entry/ClaimStore.h
@@ -67,7 +67,6 @@
   void CommitKept(const Transaction& aTransaction);
   void ReapLater(Calls::iterator aCall);
 
-  EventLoop& loop;
   StoreClient* store;
   IdempotencyClaims claims;
   std::mt19937_64 random;
--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -73,7 +73,7 @@
   this->claims =
     std::make_unique<ClaimStore>(this->loop, this->control->Store());
   if (!this->settings.configurationFile.empty()) {
-    const absl::Status loaded = this->LoadConfigurationFile();
+    absl::Status loaded = this->LoadConfigurationFile();
     if (!loaded.ok()) {
       return loaded;
     }
--- a/dogwoodvale/src/Metrics/MetricsRegistry.h
+++ b/dogwoodvale/src/Metrics/MetricsRegistry.h
@@ -13,6 +13,7 @@
 
 struct NoLabels
 {
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14's false finding.
   auto operator<=>(const NoLabels&) const = default;
   std::array<Label, 0> Pairs() const { return {}; }
 };
@@ -21,6 +22,7 @@
 {
   std::string reason;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14's false finding.
   auto operator<=>(const ReasonLabels&) const = default;
   std::array<Label, 1> Pairs() const
   {
@@ -32,6 +34,7 @@
 {
   InstanceName instance;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14's false finding.
   auto operator<=>(const InstanceLabels&) const = default;
   std::array<Label, 1> Pairs() const
   {
--- a/dogwoodvale/src/Sidecar/Dispatcher.cpp
+++ b/dogwoodvale/src/Sidecar/Dispatcher.cpp
@@ -101,8 +101,8 @@
   , limit(std::move(aLimit))
   , lengths(std::move(aLengths))
   , starts(std::move(aStarts))
-  , preemption(std::move(aPreemption))
-  , earlyRefusal(std::move(aEarlyRefusal))
+  , preemption(aPreemption)
+  , earlyRefusal(aEarlyRefusal)
   , random(DrawIncarnation())
 {
 }
--- a/dogwoodvale/src/Sidecar/TokenStream.cpp
+++ b/dogwoodvale/src/Sidecar/TokenStream.cpp
@@ -35,12 +35,12 @@
 TokenStream::Feed(std::string_view aBytes, TokenBatch& aOut)
 {
   std::vector<SseEvent> events;
-  const absl::Status parsed = this->parser.Feed(aBytes, events);
+  absl::Status parsed = this->parser.Feed(aBytes, events);
   if (!parsed.ok()) {
     return parsed;
   }
   for (const SseEvent& event : events) {
-    const absl::Status taken = this->Take(event, aOut);
+    absl::Status taken = this->Take(event, aOut);
     if (!taken.ok()) {
       return taken;
     }
