--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -61,6 +61,7 @@
     return plane.status();
   }
   this->control = *std::move(plane);
+  this->OpenOrders();
   auto operatorServer =
     OperatorServer::Create(this->loop, this->settings.operators, *this);
   if (!operatorServer.ok()) {
@@ -78,6 +79,25 @@
   return absl::OkStatus();
 }
 
+void
+Sidecar::OpenOrders()
+{
+  StoreClient* store = this->control->Store();
+  if (store == nullptr) {
+    return;
+  }
+  const OrderOptions options;
+  this->engineOrders = std::make_unique<HttpEngineOrders>(
+    this->loop, this->settings.sidecar.backend, options.longestOrder);
+  this->orders = std::make_unique<OrderKeeper>(this->loop,
+                                               *store,
+                                               this->settings.instance,
+                                               this->incarnation,
+                                               options,
+                                               *this->engineOrders);
+  this->orders->Start();
+}
+
 Hello
 Sidecar::MakeHello() const
 {
@@ -206,12 +226,11 @@
 {
   this->listener->SetHello(this->MakeHello());
   this->TellPeers(true);
-  Log(LogLevel::Info,
-      "configuration_in_force",
-      "epoch",
-      aAccepted.epoch,
-      "change",
-      aAccepted.root.changeId);
+  const Service* service = aAccepted.configuration.FindService(
+    ServiceName(this->settings.sidecar.service));
+  if (this->orders && service != nullptr) {
+    this->orders->SetWanted(service->models, service->checksFencing);
+  }
 }
 
 void
@@ -308,6 +327,9 @@
   this->stopping = true;
   this->stopDeadline = Now() + this->settings.stopTimeout;
   this->Drain();
+  if (this->orders) {
+    this->orders->Stop();
+  }
   this->stopTimer.StartRepeating(kStopCheckPeriod);
 }
 
@@ -413,6 +435,9 @@
   status["change_id"] = accepted == nullptr ? "" : accepted->root.changeId;
   status["store"] = this->control->Describe();
   status["service"] = this->settings.sidecar.service;
+  if (this->orders) {
+    status["orders"] = this->orders->Describe();
+  }
   status["ready"] = this->Ready().ok();
   status["stopping"] = this->dispatcher->IsDraining();
   status["backend_up"] = this->dispatcher->IsBackendUp();
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -88,6 +88,7 @@
   void CheckStopped();
   void SetBackendUp(bool aUp);
   void TryBackend();
+  void OpenOrders();
 
   EventLoop& loop;
   const DaemonSettings settings;
@@ -97,6 +98,9 @@
   std::unique_ptr<PeerListener> listener;
   std::unique_ptr<OperatorServer> operators;
   std::unique_ptr<ControlPlane> control;
+  /// Orders to the backend server; none without a store, whose lease they need.
+  std::unique_ptr<HttpEngineOrders> engineOrders;
+  std::unique_ptr<OrderKeeper> orders;
   SidecarMetrics metrics;
   std::vector<std::unique_ptr<SidecarSession>> sessions;
   /// Configurations that entries offer at this moment.
