Ask a peer as soon as it can be asked

A sidecar opens no streams and fetches over what an entry offers. It waited for the entry to hear of its epoch in a regular notice, and its keeper counted the peer that could not be asked yet as failed and put it off by a second. Now it tells the entry at once, and a peer that was not asked is not put off.

--- a/dogwoodvale/src/Platform/ConfigurationKeeper.cpp
+++ b/dogwoodvale/src/Platform/ConfigurationKeeper.cpp
@@ -1,5 +1,6 @@
 #include "dogwoodvale/Platform"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -177,12 +178,15 @@
 }
 
 const InstanceName*
-ConfigurationKeeper::ChoosePeer(TimePoint aNow)
+ConfigurationKeeper::ChoosePeer(TimePoint aNow,
+                                std::span<const InstanceName> aBut) const
 {
   const InstanceName* best = nullptr;
   Epoch highest = 0;
-  for (auto& [name, peer] : this->peerStates) {
-    if (peer.epoch > highest && aNow >= peer.askAgainAt) {
+  for (const auto& [name, peer] : this->peerStates) {
+    const bool isLeftOut =
+      std::find(aBut.begin(), aBut.end(), name) != aBut.end();
+    if (peer.epoch > highest && aNow >= peer.askAgainAt && !isLeftOut) {
       highest = peer.epoch;
       best = &name;
     }
@@ -204,14 +208,17 @@
   this->askedForAll = std::exchange(this->askAllPages, false);
   const ConfigurationRequest request =
     this->state.MakeRequest(this->askedForAll);
-  while (const InstanceName* peer = this->ChoosePeer(now)) {
-    this->peerStates[*peer].askAgainAt = now + this->options.askAgain;
+  std::vector<InstanceName> closed;
+  while (const InstanceName* peer = this->ChoosePeer(now, closed)) {
     this->asked = *peer;
-    this->fetchTimer.StartOnce(this->options.fetchTimeout);
     if (this->peers.Fetch(this->asked, request)) {
+      this->peerStates[this->asked].askAgainAt = now + this->options.askAgain;
+      this->fetchTimer.StartOnce(this->options.fetchTimeout);
       ++this->counters.fetchesSent;
       return;
     }
+    // It has not been asked, so it may be as soon as it says something again.
+    closed.push_back(this->asked);
     this->EndFetch(true);
   }
 }
--- a/dogwoodvale/src/Platform/ConfigurationKeeper.h
+++ b/dogwoodvale/src/Platform/ConfigurationKeeper.h
@@ -163,7 +163,9 @@
   void FollowElection();
   void Bootstrap();
   void FetchFromPeers();
-  const InstanceName* ChoosePeer(TimePoint aNow);
+  /// The one furthest ahead that may be asked; nullptr if there is none.
+  const InstanceName* ChoosePeer(TimePoint aNow,
+                                 std::span<const InstanceName> aBut) const;
   void EndFetch(bool aFailed);
   /// Puts what was collected into force if it is whole.
   void Settle();
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -189,6 +189,12 @@
 Sidecar::OnOffer(SidecarAttempt& aAttempt, const ConfigurationOffer& aOffer)
 {
   this->offers[aAttempt.Entry()] = &aAttempt;
+  if (this->awaitedOffer && this->awaitedOffer->entry == aAttempt.Entry()) {
+    const ConfigurationRequest request =
+      std::exchange(this->awaitedOffer, std::nullopt)->request;
+    aAttempt.Ask({ request.epoch, request.have });
+    return;
+  }
   this->control->Keeper().OnPeerEpoch(
     aAttempt.Entry(), aOffer.epoch, aOffer.rootHash, std::nullopt);
 }
@@ -214,10 +220,21 @@
 Sidecar::Fetch(const InstanceName& aPeer, const ConfigurationRequest& aRequest)
 {
   const auto found = this->offers.find(aPeer);
-  if (found == this->offers.end()) {
+  if (found != this->offers.end()) {
+    found->second->Ask({ aRequest.epoch, aRequest.have });
+    return true;
+  }
+  const auto session = std::find_if(
+    this->sessions.begin(), this->sessions.end(), [&](const auto& aOne) {
+      return !aOne->IsClosed() && aOne->Peer().instance == aPeer.Value();
+    });
+  if (session == this->sessions.end()) {
     return false;
   }
-  found->second->Ask({ aRequest.epoch, aRequest.have });
+  // The entry offers once it hears that this process is behind. Left to the
+  // next regular notice, a change would take as long as those are apart.
+  this->awaitedOffer = { aPeer, aRequest };
+  (*session)->Connection().SetNotice(this->MakeNotice(aPeer), true);
   return true;
 }
 
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -105,6 +105,13 @@
   std::vector<std::unique_ptr<SidecarSession>> sessions;
   /// Configurations that entries offer at this moment.
   absl::flat_hash_map<InstanceName, SidecarAttempt*> offers;
+  /// What to ask an entry as soon as it offers.
+  struct AwaitedOffer
+  {
+    InstanceName entry;
+    ConfigurationRequest request;
+  };
+  std::optional<AwaitedOffer> awaitedOffer;
   Timer sweepTimer;
   Timer noticeTimer;
   Timer stopTimer;
--- a/test/ConfigurationKeeper.cpp
+++ b/test/ConfigurationKeeper.cpp
@@ -442,6 +442,35 @@
   REQUIRE(site.Until([&] { return site.cluster.AllAt(2); }));
 }
 
+// A sidecar opens no streams: it can fetch only over what the entry opens for
+// it a moment later. Counted as a failed try, that moment cost every change a
+// second.
+TEST_CASE("a peer that can't be asked yet is asked as soon as it speaks again")
+{
+  const auto loop = *EventLoop::Create();
+  struct Peers : PeerFetch
+  {
+    bool Fetch(const InstanceName&, const ConfigurationRequest&) override
+    {
+      ++this->tries;
+      return this->isOpen;
+    }
+    bool isOpen = false;
+    int tries = 0;
+  } peers;
+  KeeperOptions options;
+  options.askAgain = seconds(10);
+  Process process(*loop, options, nullptr, peers);
+  const InstanceName peer("e1");
+  process.keeper.OnPeerEpoch(peer, 3, "hash", std::nullopt);
+  CHECK(peers.tries == 1);
+  peers.isOpen = true;
+  process.keeper.OnPeerEpoch(peer, 3, "hash", std::nullopt);
+  CHECK(peers.tries == 2);
+  process.keeper.OnPeerEpoch(peer, 3, "hash", std::nullopt);
+  CHECK(peers.tries == 2);
+}
+
 TEST_CASE("a bad change is reported, and the next good one taken")
 {
   Site site(4);
