--- a/test/support/ScriptedServer.h
+++ b/test/support/ScriptedServer.h
@@ -41,7 +41,12 @@
                 &length);
     this->address = { "127.0.0.1", ntohs(name.sin_port) };
   }
-  ~ScriptedServer() { evhttp_free(this->server); }
+  ~ScriptedServer()
+  {
+    // Frees those whose reader has left, too.
+    this->EndStreams();
+    evhttp_free(this->server);
+  }
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
