--- a/test/Settings.cpp
+++ b/test/Settings.cpp
@@ -46,8 +46,7 @@
 std::filesystem::path
 Examples()
 {
-  return std::filesystem::path(DOGWOODVALE_SOURCE_DIR) /
-         "examples";
+  return std::filesystem::path(DOGWOODVALE_SOURCE_DIR) / "examples";
 }
 
 } // namespace
