--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -140,17 +140,11 @@
 }
 
 void
-Entry::OnConfiguration(const AcceptedConfiguration& aAccepted)
+Entry::OnConfiguration(const AcceptedConfiguration& /*aAccepted*/)
 {
   this->fileConfiguration.reset();
   this->fleet->SetHello(this->MakeHello());
   this->TellPeers(true);
-  Log(LogLevel::Info,
-      "configuration_in_force",
-      "epoch",
-      aAccepted.epoch,
-      "change",
-      aAccepted.root.changeId);
 }
 
 void
--- a/test/HttpMessage.cpp
+++ b/test/HttpMessage.cpp
@@ -29,8 +29,11 @@
     REQUIRE(notRun != mayHaveRun);
     REQUIRE(notRun >= 400);
     // A repeat of a key is the caller's doing, though the first may have run.
-    const int least = code == ErrorCode::DuplicateKey ? 409 : 500;
-    REQUIRE(mayHaveRun >= least);
+    if (code == ErrorCode::DuplicateKey) {
+      REQUIRE(mayHaveRun == 409);
+    } else {
+      REQUIRE(mayHaveRun >= 500);
+    }
   }
   REQUIRE(HttpStatusOf(
             { ErrorCode::DeadlineExceeded, Disposition::MayHaveRun, "", {} }) ==
