Rename the module Platform to Store, which is what it is

Cause: the users' platform is met by the folder platform/, which needs that name; the module holds the clients of the key-value store and what is kept by their help. A range read may now say that an old answer will do (allowStale).

--- a/dogwoodvale/src/Control/FleetView.h
+++ b/dogwoodvale/src/Control/FleetView.h
@@ -8,7 +8,7 @@
 
 #include <json/json.h>
 
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Control/StoreSession.h
+++ b/dogwoodvale/src/Control/StoreSession.h
@@ -4,7 +4,7 @@
 #include <span>
 #include <string>
 
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Entry/ClaimStore.h
+++ b/dogwoodvale/src/Entry/ClaimStore.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <random>
 
-#include "dogwoodvale/Platform"
 #include "dogwoodvale/Requests"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Entry/ConfigurationSync.h
+++ b/dogwoodvale/src/Entry/ConfigurationSync.h
@@ -6,7 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "Fleet.h"
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Entry/SidecarLink.h
+++ b/dogwoodvale/src/Entry/SidecarLink.h
@@ -6,7 +6,7 @@
 
 #include "dogwoodvale/Membership"
 #include "dogwoodvale/Peer"
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Peer/ConfigurationMessages.h
+++ b/dogwoodvale/src/Peer/ConfigurationMessages.h
@@ -2,7 +2,7 @@
 #define DOGWOODVALE_PEER_CONFIGURATIONMESSAGES_H
 
 #include "Message.h"
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -9,8 +9,8 @@
 #include "SidecarSession.h"
 #include "dogwoodvale/Http"
 #include "dogwoodvale/Peer"
-#include "dogwoodvale/Platform"
 #include "dogwoodvale/Settings"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Platform/RootReader.cpp
+++ b/dogwoodvale/src/Store/RootReader.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 
 #include <algorithm>
 #include <utility>
--- a/dogwoodvale/src/Platform/StoreTypes.h
+++ b/dogwoodvale/src/Store/StoreTypes.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODVALE_PLATFORM_STORETYPES_H
-#define DOGWOODVALE_PLATFORM_STORETYPES_H
+#ifndef DOGWOODVALE_STORE_STORETYPES_H
+#define DOGWOODVALE_STORE_STORETYPES_H
 
 #include <cstdint>
 #include <string>
@@ -34,6 +34,8 @@
   bool isPrefix = false;
   /// 0: no bound.
   std::int64_t limit = 0;
+  /// The answer may be some seconds old; cheaper for the store.
+  bool allowStale = false;
   /// Answer with keys alone.
   bool keysOnly = false;
 };
--- a/test/ConfigurationKeeper.cpp
+++ b/test/ConfigurationKeeper.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <list>
 
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 #include "support/FakeStore.h"
 
 using namespace dogwoodvale;
--- a/test/InstanceList.cpp
+++ b/test/InstanceList.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 #include "standins/Platform.h"
 
 using namespace dogwoodvale;
--- a/test/Orders.cpp
+++ b/test/Orders.cpp
@@ -3,7 +3,7 @@
 
 #include <deque>
 
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 #include "standins/EngineOrders.h"
 #include "standins/Platform.h"
 #include "support/FakeStore.h"
--- a/test/StoreClient.cpp
+++ b/test/StoreClient.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <sstream>
 
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 #include "standins/Platform.h"
 #include "support/ScriptedServer.h"
 
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "dogwoodvale/Platform"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale::test {
 
