--- a/daemon/dogwoodvaled.cpp
+++ b/daemon/dogwoodvaled.cpp
@@ -5,14 +5,16 @@
 #include <docopt/docopt.h>
 
 #include "dogwoodvale/Entry"
+#include "dogwoodvale/Gateway"
 #include "dogwoodvale/Sidecar"
+#include "platform/Adapters.h"
 
 namespace {
 
 using namespace dogwoodvale;
 
 constexpr const char* kUsage =
-  R"(dogwoodvaled: routes language-model traffic, as an entry or as a sidecar.
+  R"(dogwoodvaled: routes language-model traffic: an entry, a sidecar or a gateway.
 
 Usage:
   dogwoodvaled --settings FILE [--check]
@@ -34,44 +36,100 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitUsage = 64;
 
+void
+LogStart(const DaemonSettings& aSettings)
+{
+  Log(LogLevel::Info,
+      "started",
+      "role",
+      RoleName(aSettings.role),
+      "instance",
+      aSettings.instance.Value(),
+      "version",
+      DOGWOODVALE_VERSION);
+}
+
+int
+FailToStart(const absl::Status& aStatus)
+{
+  Log(LogLevel::Error, "start_failed", "reason", MessageOf(aStatus));
+  return kExitFailed;
+}
+
 template<class Daemon>
 int
 RunDaemon(EventLoop& aLoop, const DaemonSettings& aSettings)
 {
   auto daemon = Daemon::Create(aLoop, aSettings);
   if (!daemon.ok()) {
-    Log(LogLevel::Error, "start_failed", "reason", MessageOf(daemon.status()));
-    return kExitFailed;
+    return FailToStart(daemon.status());
   }
   const auto stop = [&] { (*daemon)->BeginStop(); };
   const SignalWatch onTerminate(aLoop, SIGTERM, stop);
   const SignalWatch onInterrupt(aLoop, SIGINT, stop);
-  Log(LogLevel::Info,
-      "started",
-      "role",
-      RoleName(aSettings.role),
-      "instance",
-      aSettings.instance.Value(),
-      "version",
-      DOGWOODVALE_VERSION);
+  LogStart(aSettings);
+  aLoop.Run();
+  return 0;
+}
+
+/// Reads the settings anew; wrong ones change nothing.
+void
+ReloadGateway(Gateway& aGateway, const std::string& aPath)
+{
+  Findings findings;
+  const DaemonSettings settings = LoadDaemonSettings(aPath, findings);
+  if (!findings.IsEmpty()) {
+    Log(LogLevel::Error, "reload_failed", "reason", findings.Render());
+    return;
+  }
+  aGateway.Reload(settings);
+  Log(LogLevel::Info, "reloaded", "path", aPath);
+}
+
+int
+RunGateway(EventLoop& aLoop,
+           const DaemonSettings& aSettings,
+           const std::string& aPath)
+{
+  SetLogFlush(LogFlush::Batched);
+  auto ports = platform::CreatePorts(aLoop, aSettings);
+  if (!ports.ok()) {
+    return FailToStart(ports.status());
+  }
+  auto gateway = Gateway::Create(aLoop, aSettings, *std::move(ports));
+  if (!gateway.ok()) {
+    return FailToStart(gateway.status());
+  }
+  const auto stop = [&] { (*gateway)->BeginStop(); };
+  const auto reload = [&] { ReloadGateway(**gateway, aPath); };
+  const SignalWatch onTerminate(aLoop, SIGTERM, stop);
+  const SignalWatch onInterrupt(aLoop, SIGINT, stop);
+  const SignalWatch onHangUp(aLoop, SIGHUP, reload);
+  const SettingsFileWatch onChange(aLoop, aPath, reload);
+  LogStart(aSettings);
   aLoop.Run();
+  FlushLog();
   return 0;
 }
 
 int
-RunRole(const DaemonSettings& aSettings)
+RunRole(const DaemonSettings& aSettings, const std::string& aPath)
 {
   // A peer that closes while we write must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   auto loop = EventLoop::Create();
   if (!loop.ok()) {
-    Log(LogLevel::Error, "start_failed", "reason", MessageOf(loop.status()));
-    return kExitFailed;
+    return FailToStart(loop.status());
   }
-  if (aSettings.role == Role::Entry) {
-    return RunDaemon<Entry>(**loop, aSettings);
+  switch (aSettings.role) {
+    case Role::Entry:
+      return RunDaemon<Entry>(**loop, aSettings);
+    case Role::Sidecar:
+      return RunDaemon<Sidecar>(**loop, aSettings);
+    case Role::Gateway:
+      return RunGateway(**loop, aSettings, aPath);
   }
-  return RunDaemon<Sidecar>(**loop, aSettings);
+  return kExitFailed;
 }
 
 } // namespace
@@ -94,8 +152,8 @@
     return kExitUsage;
   }
   Findings findings;
-  const DaemonSettings settings =
-    LoadDaemonSettings(arguments.at("--settings").asString(), findings);
+  const std::string path = arguments.at("--settings").asString();
+  const DaemonSettings settings = LoadDaemonSettings(path, findings);
   if (!findings.IsEmpty()) {
     fmt::print(stderr, "{}", findings.Render());
     return kExitSettings;
@@ -103,5 +161,5 @@
   if (arguments.at("--check").asBool()) {
     return 0;
   }
-  return RunRole(settings);
+  return RunRole(settings, path);
 }
--- a/dogwoodvale/src/Core/Log.h
+++ b/dogwoodvale/src/Core/Log.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_CORE_LOG_H
 #define DOGWOODVALE_CORE_LOG_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -15,13 +16,36 @@
   Error,
 };
 
-/// Writes one line "time level event key=value ..." to standard error.
+/// Writes one line "time level event key=value ..." to standard output.
 ///
-/// For changes of state only; what happens per request is counted in Metrics.
+/// Never waits: a reader that stops reading (a full pipe) would otherwise stop
+/// the whole process. Lines that can't be written are held up to a bound, then
+/// dropped and counted; the next line that gets out tells how many.
 /// \param aFields already in key=value form, see Field().
 void
 WriteLog(LogLevel aLevel, std::string_view aEvent, std::string_view aFields);
 
+/// How lines reach standard output.
+enum class LogFlush
+{
+  /// Each line at once.
+  EachLine,
+  /// Held until FlushLog() or until a pipe's worth has gathered, so that a
+  /// busy process makes one system call for many lines.
+  Batched,
+};
+
+void
+SetLogFlush(LogFlush aFlush);
+
+/// Writes what is held, as far as the reader takes it.
+void
+FlushLog();
+
+/// Lines dropped since the start because the reader did not take them.
+std::uint64_t
+DroppedLogLines();
+
 /// "key=value", quoted where the value has blanks, quotes or control bytes.
 std::string
 Field(std::string_view aKey, std::string_view aValue);
--- /dev/null
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -0,0 +1,260 @@
+#include "BackendPool.h"
+
+#include <algorithm>
+
+namespace dogwoodvale {
+
+namespace {
+
+/// Shares of failed requests from which a server is taken out, and how long:
+/// a gateway sees one server's failures within a second or two, and one that
+/// has recovered should be of use again soon.
+HealthSettings
+MakeHealthSettings()
+{
+  HealthSettings settings;
+  settings.failureShare = 0.3;
+  settings.firstEjection = seconds(2);
+  settings.longestEjection = seconds(10);
+  return settings;
+}
+
+} // namespace
+
+BackendPool::BackendPool(EventLoop& aLoop, Options aOptions)
+  : loop(aLoop)
+  , options(aOptions)
+{
+}
+
+void
+BackendPool::Add(const DirectInstance& aInstance)
+{
+  BackendClientOptions client;
+  client.connectTimeout = this->options.connectTimeout;
+  client.silentLinkTimeout = this->options.silentLinkTimeout;
+  // Silence is the request's own to bound: routes differ.
+  client.idleTimeout = seconds(3600);
+  auto made = BackendClient::Create(this->loop, aInstance.address, client);
+  if (!made.ok()) {
+    Log(LogLevel::Warning,
+        "instance_unusable",
+        "instance",
+        aInstance.name.Value(),
+        "reason",
+        MessageOf(made.status()));
+    return;
+  }
+  this->members[aInstance.name] = { aInstance, *std::move(made), true };
+  this->health.try_emplace(aInstance.service, MakeHealthSettings())
+    .first->second.Add(aInstance.name);
+  Log(LogLevel::Info,
+      "instance_added",
+      "instance",
+      aInstance.name.Value(),
+      "service",
+      aInstance.service.Value(),
+      "address",
+      aInstance.address.ToString());
+}
+
+void
+BackendPool::SetInstances(std::span<const DirectInstance> aInstances)
+{
+  for (auto& [name, member] : this->members) {
+    member.isListed = false;
+  }
+  for (const DirectInstance& instance : aInstances) {
+    const auto found = this->members.find(instance.name);
+    if (found == this->members.end()) {
+      this->Add(instance);
+      continue;
+    }
+    Member& member = found->second;
+    member.isListed = true;
+    // A server that has said that it leaves does not come back under the same
+    // name; an older list must not bring it back either.
+    const bool leaving = member.instance.leaving || instance.leaving;
+    if (leaving && !member.instance.leaving) {
+      Log(
+        LogLevel::Info, "instance_leaving", "instance", instance.name.Value());
+    }
+    member.instance = instance;
+    member.instance.leaving = leaving;
+  }
+  this->byService.clear();
+  for (const auto& [name, member] : this->members) {
+    this->byService[member.instance.service].push_back(name);
+  }
+}
+
+void
+BackendPool::Tend(TimePoint aNow)
+{
+  for (const InstanceName& gateway : this->work.Expire(aNow)) {
+    Log(LogLevel::Warning, "gateway_silent", "gateway", gateway.Value());
+  }
+  for (auto& [service, tracker] : this->health) {
+    const Occupancy now = this->OccupancyOf(service);
+    const double load = now.slots == 0 ? 0.0
+                                       : static_cast<double>(now.requests) /
+                                           static_cast<double>(now.slots);
+    for (const HealthChange& change : tracker.Evaluate(aNow, load)) {
+      Log(LogLevel::Info,
+          "instance_health",
+          "instance",
+          change.name.Value(),
+          "reason",
+          change.reason,
+          "load",
+          load);
+    }
+  }
+  for (auto it = this->members.begin(); it != this->members.end();) {
+    Member& member = it->second;
+    if (!this->TakesWork(member)) {
+      member.client->CloseIdleConnections();
+    }
+    if (member.isListed || member.client->OpenConnections() > 0 ||
+        !this->work.Own(it->first).IsNothing()) {
+      ++it;
+      continue;
+    }
+    Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
+    this->prefixes.Forget(it->first);
+    this->health[member.instance.service].Remove(it->first);
+    std::erase(this->byService[member.instance.service], it->first);
+    it = this->members.erase(it);
+  }
+}
+
+void
+BackendPool::CloseIdleConnections()
+{
+  for (auto& [name, member] : this->members) {
+    member.client->CloseIdleConnections();
+  }
+}
+
+bool
+BackendPool::TakesWork(const Member& aMember) const
+{
+  return aMember.isListed && !aMember.instance.leaving;
+}
+
+bool
+BackendPool::HasConnection(const Member& aMember,
+                           const DirectService& aService,
+                           std::uint32_t aSlots) const
+{
+  // Each gateway has its part of the server's connections. Callers are spread
+  // unevenly, so as long as the work that all gateways tell of leaves room, one
+  // may go beyond its part.
+  const std::size_t busy =
+    aMember.client->OpenConnections() - aMember.client->IdleConnections();
+  const std::size_t part =
+    aService.maxConnections / std::max<std::size_t>(this->gateways, 1);
+  const std::uint32_t all = this->work.Total(aMember.instance.name).requests;
+  const std::uint32_t reserve = std::max<std::uint32_t>(aSlots / 2, 1);
+  return busy < std::max<std::size_t>(part, 1) ||
+         all + reserve < aService.maxConnections;
+}
+
+std::vector<DirectCandidate>
+BackendPool::Candidates(const DirectService& aService,
+                        const DirectDemand& aDemand,
+                        std::span<const InstanceName> aExcluded,
+                        TimePoint aNow) const
+{
+  std::vector<DirectCandidate> found;
+  const auto listed = this->byService.find(aService.name);
+  if (listed == this->byService.end()) {
+    return found;
+  }
+  const auto tracker = this->health.find(aService.name);
+  for (const InstanceName& name : listed->second) {
+    const Member& member = this->members.at(name);
+    const std::uint32_t slots =
+      member.instance.slots > 0 ? member.instance.slots : aService.slots;
+    if (!this->TakesWork(member) ||
+        std::ranges::find(aExcluded, name) != aExcluded.end() ||
+        !this->HasConnection(member, aService, slots)) {
+      continue;
+    }
+    DirectCandidate candidate;
+    candidate.name = name;
+    candidate.work = this->work.Total(name);
+    candidate.slots = slots;
+    candidate.cacheTokens = aService.cacheTokens;
+    candidate.standing = tracker->second.StandingOf(name);
+    candidate.cachedTokens =
+      CachedTokens(this->prefixes, aDemand.steps, name, aNow);
+    found.push_back(std::move(candidate));
+  }
+  return found;
+}
+
+BackendClient*
+BackendPool::ClientOf(const InstanceName& aInstance)
+{
+  const auto found = this->members.find(aInstance);
+  return found == this->members.end() ? nullptr : found->second.client.get();
+}
+
+BackendPool::Occupancy
+BackendPool::OccupancyOf(const ServiceName& aService) const
+{
+  Occupancy sum;
+  const auto listed = this->byService.find(aService);
+  if (listed == this->byService.end()) {
+    return sum;
+  }
+  for (const InstanceName& name : listed->second) {
+    const Member& member = this->members.at(name);
+    if (this->TakesWork(member)) {
+      ++sum.servers;
+      sum.slots += member.instance.slots;
+      sum.requests += this->work.Total(name).requests;
+    }
+  }
+  return sum;
+}
+
+void
+BackendPool::OnSent(const InstanceName& aInstance,
+                    const BackendWork& aWork,
+                    std::span<const PromptStep> aSteps,
+                    TimePoint aNow)
+{
+  this->work.AddOwn(aInstance, aWork);
+  for (const PromptStep& step : aSteps) {
+    this->prefixes.OnRouted(step.hash, aInstance, aNow);
+  }
+}
+
+void
+BackendPool::OnDone(const InstanceName& aInstance, const BackendWork& aWork)
+{
+  this->work.RemoveOwn(aInstance, aWork);
+}
+
+HealthTracker*
+BackendPool::HealthOf(const InstanceName& aInstance)
+{
+  const auto found = this->members.find(aInstance);
+  return found == this->members.end()
+           ? nullptr
+           : &this->health.at(found->second.instance.service);
+}
+
+void
+BackendPool::OnWrongInstance(const InstanceName& aInstance)
+{
+  const auto found = this->members.find(aInstance);
+  if (found != this->members.end() && !found->second.instance.leaving) {
+    found->second.instance.leaving = true;
+    Log(LogLevel::Warning, "instance_replaced", "instance", aInstance.Value());
+  }
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -0,0 +1,178 @@
+#include "DirectAttempt.h"
+
+#include <utility>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr std::string_view kEventStream = "text/event-stream";
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+} // namespace
+
+std::string_view
+AttemptFailureName(AttemptFailure aFailure)
+{
+  switch (aFailure) {
+    case AttemptFailure::NotSent:
+      return "not_sent";
+    case AttemptFailure::Refused:
+      return "refused";
+    case AttemptFailure::WrongInstance:
+      return "wrong_instance";
+    case AttemptFailure::Lost:
+      return "lost";
+    case AttemptFailure::Silent:
+      return "silent";
+    case AttemptFailure::Garbled:
+      return "garbled";
+  }
+  return "garbled";
+}
+
+bool
+IsNotRun(AttemptFailure aFailure)
+{
+  return aFailure == AttemptFailure::NotSent ||
+         aFailure == AttemptFailure::Refused ||
+         aFailure == AttemptFailure::WrongInstance;
+}
+
+DirectAttempt::DirectAttempt(EventLoop& aLoop,
+                             const BackendDialect& aDialect,
+                             Plan aPlan,
+                             AttemptListener& aListener)
+  : dialect(aDialect)
+  , plan(std::move(aPlan))
+  , listener(aListener)
+  , splitter(this->plan.resumeAfter)
+  , silence(aLoop, [this] {
+    this->Fail(AttemptFailure::Silent, "no sign of life in time");
+  })
+{
+}
+
+void
+DirectAttempt::Start(BackendClient& aClient, const HttpRequest& aRequest)
+{
+  this->Wait(this->plan.patience.firstSign);
+  this->call = aClient.StartFresh(aRequest, *this, this->plan.freshness);
+}
+
+void
+DirectAttempt::Wait(Duration aPatience)
+{
+  if (aPatience > Duration::zero()) {
+    this->silence.StartOnce(aPatience);
+  } else {
+    this->silence.Stop();
+  }
+}
+
+void
+DirectAttempt::SetReadingPaused(bool aPaused)
+{
+  if (this->call != nullptr) {
+    this->call->SetReadingPaused(aPaused);
+  }
+}
+
+bool
+DirectAttempt::IsOwnAnswer(std::span<const HeaderField> aHeaders)
+{
+  const BackendAnswer head = this->dialect.ReadHead(0, aHeaders);
+  return head.attemptId.empty() || head.attemptId == this->plan.attemptId;
+}
+
+void
+DirectAttempt::OnHead(int aStatus, std::span<const HeaderField> aHeaders)
+{
+  this->answer = this->dialect.ReadHead(aStatus, aHeaders);
+  this->headers = WithoutHopByHop(aHeaders);
+  this->isStream = this->plan.expectsStream && IsSuccess(aStatus) &&
+                   this->answer.mediaType.starts_with(kEventStream);
+}
+
+void
+DirectAttempt::OnBody(std::string_view aBytes)
+{
+  if (!this->isStream) {
+    if (this->body.size() + aBytes.size() > kMaxHeldBytes) {
+      this->Fail(AttemptFailure::Garbled, "the answer is too long");
+      return;
+    }
+    this->body += aBytes;
+    return;
+  }
+  if (!this->answer.isGenuine) {
+    this->Fail(AttemptFailure::Garbled, "a stream with no proof of its server");
+    return;
+  }
+  const absl::StatusOr<std::string_view> events = this->splitter.Feed(aBytes);
+  if (!events.ok()) {
+    this->Fail(AttemptFailure::Garbled, MessageOf(events.status()));
+    return;
+  }
+  if (!events->empty()) {
+    this->Wait(this->plan.patience.betweenEvents);
+    this->listener.OnAttemptEvents(*events);
+  }
+}
+
+void
+DirectAttempt::OnComplete()
+{
+  this->silence.Stop();
+  if (this->answer.notRun) {
+    this->Fail(this->answer.wrongInstance ? AttemptFailure::WrongInstance
+                                          : AttemptFailure::Refused,
+               "the server did not run it");
+    return;
+  }
+  if (this->answer.wrongInstance || this->answer.status == kMisdirected) {
+    this->Fail(AttemptFailure::WrongInstance, "another instance is there");
+    return;
+  }
+  if (!this->isStream) {
+    this->listener.OnAttemptAnswer(this->body);
+    return;
+  }
+  if (this->splitter.HasPartialEvent() || this->splitter.EventCount() == 0) {
+    this->Fail(AttemptFailure::Garbled, "the stream ended inside an event");
+    return;
+  }
+  this->listener.OnAttemptStreamEnd();
+}
+
+void
+DirectAttempt::OnFailed(const absl::Status& aReason, bool aWritten)
+{
+  if (!aWritten) {
+    this->Fail(AttemptFailure::NotSent, MessageOf(aReason));
+    return;
+  }
+  const bool isGarbled = absl::IsDataLoss(aReason) && this->answer.status != 0;
+  this->Fail(isGarbled ? AttemptFailure::Garbled : AttemptFailure::Lost,
+             MessageOf(aReason));
+}
+
+void
+DirectAttempt::Fail(AttemptFailure aFailure, std::string_view aReason)
+{
+  this->silence.Stop();
+  // Closes the connection, so that the server stops working on it before the
+  // request goes elsewhere. Kept alive until the listener is told, which may
+  // destroy this attempt.
+  const std::unique_ptr<BackendCall> ended = std::move(this->call);
+  const std::string reason(aReason);
+  this->listener.OnAttemptFailed(aFailure, reason);
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -0,0 +1,413 @@
+#include "DirectoryKeeper.h"
+
+#include <algorithm>
+
+#include <json/json.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+std::string
+WriteJson(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder writer;
+  writer["indentation"] = "";
+  return Json::writeString(writer, aValue);
+}
+
+bool
+ReadJson(std::string_view aText, Json::Value& aValue)
+{
+  const std::unique_ptr<Json::CharReader> reader(
+    Json::CharReaderBuilder().newCharReader());
+  return reader->parse(
+    aText.data(), aText.data() + aText.size(), &aValue, nullptr);
+}
+
+} // namespace
+
+DirectoryKeeper::DirectoryKeeper(EventLoop& aLoop,
+                                 StoreClient& aStore,
+                                 const DirectoryFormat& aFormat,
+                                 Options aOptions,
+                                 DirectoryObserver& aObserver)
+  : loop(aLoop)
+  , store(aStore)
+  , format(aFormat)
+  , options(std::move(aOptions))
+  , observer(aObserver)
+  , instancesTimer(aLoop, [this] { this->ReadInstances(); })
+  , gatewaysTimer(aLoop, [this] { this->TendMembership(); })
+{
+}
+
+void
+DirectoryKeeper::Start()
+{
+  this->Refresh();
+  this->TendMembership();
+  this->gatewaysTimer.StartRepeating(kGatewaysPeriod);
+}
+
+void
+DirectoryKeeper::Refresh()
+{
+  this->watch = this->store.Watch(this->format.RoutesPrefix(), *this);
+  this->instancesCall.reset();
+  this->ReadInstances();
+}
+
+// Routes.
+
+void
+DirectoryKeeper::OnSnapshot(Revision /*aRevision*/,
+                            std::span<const KeyValue> aValues)
+{
+  this->OnContact();
+  for (const KeyValue& value : aValues) {
+    this->OnRoutesValue(value);
+  }
+}
+
+void
+DirectoryKeeper::OnChanges(Revision /*aRevision*/,
+                           std::span<const StoreChange> aChanges)
+{
+  this->OnContact();
+  for (const StoreChange& change : aChanges) {
+    if (change.kind == StoreChange::Kind::Put) {
+      this->OnRoutesValue(change.value);
+    }
+  }
+}
+
+void
+DirectoryKeeper::OnContact()
+{
+  this->routesHeardAt = Now();
+}
+
+void
+DirectoryKeeper::OnLost(const absl::Status& aReason)
+{
+  Log(LogLevel::Warning, "routes_watch_lost", "reason", MessageOf(aReason));
+}
+
+void
+DirectoryKeeper::OnRoutesValue(const KeyValue& aValue)
+{
+  this->TakeRoutes(aValue.value, "store");
+}
+
+bool
+DirectoryKeeper::TakeRoutes(std::string_view aDocument, std::string_view aFrom)
+{
+  auto parsed = this->format.ParseRoutes(aDocument);
+  if (!parsed.ok()) {
+    Log(LogLevel::Error,
+        "routes_rejected",
+        "from",
+        aFrom,
+        "reason",
+        MessageOf(parsed.status()));
+    return false;
+  }
+  // A store that comes back with older data, or a gateway that is behind, must
+  // not undo a change: only a higher version is taken.
+  if ((*parsed)->Version() <= this->Version()) {
+    return false;
+  }
+  Log(LogLevel::Info,
+      "routes_in_force",
+      "version",
+      (*parsed)->Version(),
+      "before",
+      this->Version(),
+      "from",
+      aFrom,
+      "routes",
+      (*parsed)->RouteCount());
+  this->routes = *std::move(parsed);
+  this->routesDocument = aDocument;
+  this->observer.OnRoutes(this->routes);
+  return true;
+}
+
+Duration
+DirectoryKeeper::RoutesAge(TimePoint aNow) const
+{
+  return Between(this->routesHeardAt, aNow);
+}
+
+// Backend servers.
+
+void
+DirectoryKeeper::ReadInstances()
+{
+  this->instancesTimer.StartOnce(this->options.instanceReadPeriod);
+  if (this->instancesCall != nullptr) {
+    return;
+  }
+  RangeQuery query;
+  query.key = this->format.InstancesPrefix();
+  query.isPrefix = true;
+  this->instancesCall =
+    this->store.Range(query, [this](absl::StatusOr<RangeResult> aResult) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->instancesCall);
+      this->OnInstancesRead(aResult);
+    });
+}
+
+void
+DirectoryKeeper::NoteStore(bool aAnswers, std::string_view aReason)
+{
+  if (aAnswers == this->storeAnswers) {
+    return;
+  }
+  this->storeAnswers = aAnswers;
+  if (aAnswers) {
+    this->returnedAt = Now();
+  }
+  Log(aAnswers ? LogLevel::Info : LogLevel::Warning,
+      aAnswers ? "store_regained" : "store_lost",
+      "reason",
+      aReason);
+}
+
+void
+DirectoryKeeper::OnInstancesRead(const absl::StatusOr<RangeResult>& aResult)
+{
+  this->NoteStore(aResult.ok(), MessageOf(aResult.status()));
+  if (!aResult.ok()) {
+    return;
+  }
+  std::vector<DirectInstance> read;
+  for (const KeyValue& value : aResult->values) {
+    auto parsed = this->format.ParseInstance(value.key, value.value);
+    if (parsed.ok()) {
+      read.push_back(*std::move(parsed));
+    } else {
+      Log(LogLevel::Warning,
+          "instance_rejected",
+          "key",
+          value.key,
+          "reason",
+          MessageOf(parsed.status()));
+    }
+  }
+  const TimePoint now = Now();
+  this->instancesReadAt = now;
+  this->MergeInstances(std::move(read), now);
+}
+
+void
+DirectoryKeeper::MergeInstances(std::vector<DirectInstance> aRead,
+                                TimePoint aNow)
+{
+  std::map<InstanceName, DirectInstance> merged;
+  for (DirectInstance& instance : aRead) {
+    merged[instance.name] = std::move(instance);
+  }
+  // Entries may lapse while the store is away though their servers live. They
+  // are back soon after its return; until then what is missing is kept.
+  if (Between(this->returnedAt, aNow) < kReturnGrace) {
+    for (const auto& [name, instance] : this->instances) {
+      merged.try_emplace(name, instance);
+    }
+  }
+  for (const auto& [name, instance] : this->instances) {
+    const auto found = merged.find(name);
+    if (found != merged.end()) {
+      found->second.leaving = found->second.leaving || instance.leaving;
+    }
+  }
+  if (merged == this->instances) {
+    return;
+  }
+  this->instances = std::move(merged);
+  std::vector<DirectInstance> list;
+  for (const auto& [name, instance] : this->instances) {
+    list.push_back(instance);
+  }
+  this->observer.OnInstances(list);
+}
+
+std::string
+DirectoryKeeper::InstancesDocument() const
+{
+  Json::Value list(Json::arrayValue);
+  for (const auto& [name, instance] : this->instances) {
+    Json::Value one;
+    one["name"] = name.Value();
+    one["service"] = instance.service.Value();
+    one["address"] = instance.address.ToString();
+    one["data_centre"] = instance.dataCentre.Value();
+    one["slots"] = instance.slots;
+    one["leaving"] = instance.leaving;
+    list.append(one);
+  }
+  return WriteJson(list);
+}
+
+void
+DirectoryKeeper::TakeInstances(std::string_view aDocument,
+                               std::string_view aFrom)
+{
+  Json::Value list;
+  if (!ReadJson(aDocument, list) || !list.isArray()) {
+    Log(LogLevel::Warning, "instances_rejected", "from", aFrom);
+    return;
+  }
+  std::vector<DirectInstance> read;
+  for (const Json::Value& one : list) {
+    auto address = SocketAddress::Parse(one["address"].asString());
+    if (!address.ok()) {
+      continue;
+    }
+    read.push_back({ InstanceName(one["name"].asString()),
+                     ServiceName(one["service"].asString()),
+                     *address,
+                     DataCentreName(one["data_centre"].asString()),
+                     one["slots"].asUInt(),
+                     one["leaving"].asBool() });
+  }
+  if (read.empty()) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "instances_from_gateway",
+      "from",
+      aFrom,
+      "count",
+      read.size());
+  this->instancesReadAt = Now();
+  this->MergeInstances(std::move(read), Now());
+}
+
+Duration
+DirectoryKeeper::InstancesAge(TimePoint aNow) const
+{
+  return Between(this->instancesReadAt, aNow);
+}
+
+// Gateways.
+
+void
+DirectoryKeeper::TendMembership()
+{
+  if (this->leaving) {
+    return;
+  }
+  if (this->leaseCall == nullptr) {
+    if (this->lease == 0) {
+      this->Join();
+    } else {
+      this->RenewLease();
+    }
+  }
+  if (this->gatewaysCall == nullptr) {
+    this->ReadGateways();
+  }
+}
+
+void
+DirectoryKeeper::Join()
+{
+  this->leaseCall = this->store.GrantLease(
+    kLeaseTtl, [this](absl::StatusOr<LeaseGrant> aGrant) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
+      if (aGrant.ok()) {
+        this->lease = aGrant->id;
+        this->PutSelf();
+      }
+    });
+}
+
+void
+DirectoryKeeper::PutSelf()
+{
+  Json::Value value;
+  value["peers"] = this->options.self.peers.ToString();
+  Operation put;
+  put.key =
+    fmt::format("{}{}", kGatewaysPrefix, this->options.self.name.Value());
+  put.value = WriteJson(value);
+  put.lease = this->lease;
+  Transaction transaction;
+  transaction.then.push_back(std::move(put));
+  this->leaseCall =
+    this->store.Commit(transaction, [this](const WriteResult& aResult) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
+      if (aResult.outcome != WriteOutcome::Applied) {
+        // Joins anew with the next period; a write that took effect after all
+        // only names this gateway twice under one key.
+        this->lease = 0;
+      }
+    });
+}
+
+void
+DirectoryKeeper::RenewLease()
+{
+  this->leaseCall = this->store.KeepAlive(
+    this->lease, [this](absl::StatusOr<LeaseGrant> aLeft) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
+      if (absl::IsNotFound(aLeft.status())) {
+        this->lease = 0;
+        this->Join();
+      }
+    });
+}
+
+void
+DirectoryKeeper::ReadGateways()
+{
+  RangeQuery query;
+  query.key = kGatewaysPrefix;
+  query.isPrefix = true;
+  // Seconds of age do no harm here, and such a read is cheap for the store.
+  query.allowStale = true;
+  this->gatewaysCall =
+    this->store.Range(query, [this](absl::StatusOr<RangeResult> aResult) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->gatewaysCall);
+      if (aResult.ok()) {
+        this->OnGatewaysRead(*aResult);
+      }
+    });
+}
+
+void
+DirectoryKeeper::OnGatewaysRead(const RangeResult& aResult)
+{
+  std::vector<GatewayMember> read;
+  for (const KeyValue& value : aResult.values) {
+    Json::Value parsed;
+    if (!ReadJson(value.value, parsed) || !parsed.isObject()) {
+      continue;
+    }
+    auto address = SocketAddress::Parse(parsed["peers"].asString());
+    if (address.ok()) {
+      read.push_back(
+        { InstanceName(value.key.substr(kGatewaysPrefix.size())), *address });
+    }
+  }
+  if (read != this->gateways) {
+    this->gateways = std::move(read);
+    Log(LogLevel::Info, "gateways", "count", this->gateways.size());
+    this->observer.OnGateways(this->gateways);
+  }
+}
+
+void
+DirectoryKeeper::Leave()
+{
+  this->leaving = true;
+  this->gatewaysTimer.Stop();
+  if (this->lease != 0) {
+    this->leaseCall =
+      this->store.RevokeLease(this->lease, [](const WriteResult&) {});
+  }
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -0,0 +1,551 @@
+#include "Gateway.h"
+
+#include <algorithm>
+
+#include <json/json.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr Duration kTendPeriod = milliseconds(200);
+constexpr Duration kStopCheckPeriod = milliseconds(20);
+/// The balancer asks once a second and takes a gateway out after two misses;
+/// the rest covers the way there and a busy gateway.
+constexpr Duration kBalancerNotice = milliseconds(2600);
+/// Part of the grace in which a stopping gateway finishes its work; the rest is
+/// for the process to end by itself.
+constexpr double kUsedGrace = 0.92;
+/// The list of backend servers is read this many times in the span within which
+/// a leaving server must get no more work: one read may fail and the next still
+/// be in time.
+constexpr int kReadsPerDrain = 3;
+/// Callers' connections get one part in this many of the descriptors; the rest
+/// is for backend servers, the store, gateways and listeners.
+constexpr std::uint32_t kDescriptorShareForCallers = 2;
+/// Callers may use a connection up to the configured idle time; closing a
+/// little later keeps their last request from crossing the close.
+constexpr int kIdleTimeoutTenths = 13;
+constexpr Duration kLeastReadTimeout = seconds(20);
+constexpr int kHttpOk = 200;
+constexpr int kHttpForbidden = 403;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<Gateway>>
+Gateway::Create(EventLoop& aLoop,
+                const DaemonSettings& aSettings,
+                GatewayPorts aPorts)
+{
+  std::unique_ptr<Gateway> made(
+    new Gateway(aLoop, aSettings, std::move(aPorts)));
+  if (absl::Status status = made->Open(); !status.ok()) {
+    return status;
+  }
+  return made;
+}
+
+Gateway::Gateway(EventLoop& aLoop,
+                 const DaemonSettings& aSettings,
+                 GatewayPorts aPorts)
+  : loop(aLoop)
+  , settings(aSettings)
+  , ports(std::move(aPorts))
+  , incarnation(DrawIncarnation())
+  , random(DrawIncarnation())
+  , pool(aLoop, BackendPool::Options{})
+  , suspensions(aLoop, [this](Duration aLost) { this->OnSuspended(aLost); })
+  , tendTimer(aLoop, [this] { this->Tend(); })
+  , sweepTimer(aLoop, [this] { this->Sweep(); })
+  , stopTimer(aLoop, [this] { this->CheckStopped(); })
+{
+}
+
+Gateway::~Gateway()
+{
+  // Requests use what else is here; they go first.
+  this->requests.clear();
+}
+
+std::vector<SocketAddress>
+Gateway::SeedAddresses() const
+{
+  // All gateways of a site talk on the same port; a seed may name another of
+  // that machine's.
+  std::vector<SocketAddress> seeds = this->settings.gateway.seeds;
+  for (SocketAddress& seed : seeds) {
+    seed.port = this->settings.peers.port;
+  }
+  return seeds;
+}
+
+absl::Status
+Gateway::Open()
+{
+  auto exchange = PeerExchange::Create(
+    this->loop,
+    { this->settings.peers, this->settings.peerSecret, this->SeedAddresses() },
+    *this);
+  if (!exchange.ok()) {
+    return exchange.status();
+  }
+  this->peers = *std::move(exchange);
+  DirectoryKeeper::Options options;
+  options.self = { this->settings.instance, this->settings.peers };
+  options.instanceReadPeriod =
+    this->settings.gateway.instanceDrain / kReadsPerDrain;
+  this->directory = std::make_unique<DirectoryKeeper>(
+    this->loop, *this->ports.store, *this->ports.directory, options, *this);
+  auto operatorServer =
+    OperatorServer::Create(this->loop, this->settings.operators, *this);
+  if (!operatorServer.ok()) {
+    return operatorServer.status();
+  }
+  this->operators = *std::move(operatorServer);
+  auto forPeers =
+    OperatorServer::Create(this->loop, this->settings.peers, *this);
+  if (!forPeers.ok()) {
+    return forPeers.status();
+  }
+  this->peerServer = *std::move(forPeers);
+  CallerBounds bounds;
+  bounds.connections =
+    this->settings.gateway.descriptors / kDescriptorShareForCallers;
+  auto server = CallerServer::Create(
+    this->loop, this->settings.gateway.callers, bounds, *this);
+  if (!server.ok()) {
+    return server.status();
+  }
+  this->callers = *std::move(server);
+  this->directory->Start();
+  this->tendTimer.StartRepeating(kTendPeriod);
+  return absl::OkStatus();
+}
+
+void
+Gateway::Reload(const DaemonSettings& aSettings)
+{
+  this->settings.gateway = aSettings.gateway;
+  this->peers->SetSeeds(this->SeedAddresses());
+  for (auto& [service, window] : this->retries) {
+    window.SetSettings(
+      { this->settings.gateway.retryWindow,
+        this->settings.gateway.retryRatio,
+        static_cast<double>(this->settings.gateway.retryExtra) });
+  }
+}
+
+// Callers.
+
+void
+Gateway::Refuse(CallerExchange& aExchange,
+                const RequestError& aError,
+                std::string_view aId)
+{
+  this->metrics.CountRefusal(aError);
+  Log(LogLevel::Info,
+      "refused",
+      "id",
+      aId,
+      "code",
+      CodeName(aError.code),
+      "status",
+      HttpStatusOf(aError),
+      "reason",
+      aError.detail,
+      "host",
+      FindHeader(aExchange.Request().headers, "host"),
+      "path",
+      aExchange.Request().path,
+      "version",
+      this->directory->Version());
+  aExchange.Respond(HttpStatusOf(aError),
+                    this->ports.callers->ErrorHeaders(aError),
+                    ErrorBody(aError));
+}
+
+std::variant<AdmittedRequest, RequestError>
+Gateway::Admit(const HttpRequest& aRequest)
+{
+  const auto refuse = [](ErrorCode aCode, const char* aDetail) {
+    return RequestError{ aCode, Disposition::NotRun, aDetail, milliseconds(0) };
+  };
+  AdmittedRequest admitted;
+  admitted.routes = this->directory->Routes();
+  admitted.envelope = this->ports.callers->Read(aRequest);
+  if (admitted.routes == nullptr) {
+    RequestError error = refuse(ErrorCode::NotReady, "no configuration yet");
+    error.retryAfter = milliseconds(500);
+    return error;
+  }
+  admitted.route = admitted.routes->FindRoute(
+    FindHeader(aRequest.headers, "host"), aRequest.path);
+  if (admitted.route == nullptr) {
+    return refuse(ErrorCode::UnknownRoute, "no such route");
+  }
+  admitted.tier = admitted.route->tier;
+  if (admitted.routes->NeedsKeys() && !admitted.route->isPublic) {
+    const KeyedCustomer* customer =
+      admitted.routes->FindCustomer(admitted.envelope.key);
+    if (customer == nullptr) {
+      return refuse(ErrorCode::Unauthorized, "no such API key");
+    }
+    admitted.customer = customer->name;
+    admitted.tier = customer->tier.value_or(admitted.tier);
+  }
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  const ServiceName& service = PickService(*admitted.route, draw(this->random));
+  admitted.service = admitted.routes->FindService(service);
+  if (admitted.service == nullptr) {
+    RequestError error =
+      refuse(ErrorCode::NoBackendServer, "the route's service is unknown");
+    error.retryAfter = milliseconds(500);
+    return error;
+  }
+  if (admitted.route->hasPrompts) {
+    admitted.demand.promptTokens = admitted.envelope.promptTokens;
+    admitted.demand.steps = StepsOf(admitted.envelope.prompt);
+  }
+  return admitted;
+}
+
+void
+Gateway::OnRequest(std::unique_ptr<CallerExchange> aExchange)
+{
+  auto result = this->Admit(aExchange->Request());
+  if (const auto* error = std::get_if<RequestError>(&result)) {
+    this->Refuse(*aExchange,
+                 *error,
+                 this->ports.callers->Read(aExchange->Request()).attemptId);
+    return;
+  }
+  auto& admitted = std::get<AdmittedRequest>(result);
+  this->RetriesOf(admitted.service->name).OnRequest(Now());
+  auto request = std::make_unique<GatewayRequest>(
+    *this, std::move(aExchange), std::move(admitted));
+  GatewayRequest& made = *request;
+  this->requests.emplace(&made, std::move(request));
+  made.Start();
+}
+
+RetryWindow&
+Gateway::RetriesOf(const ServiceName& aService)
+{
+  const auto found = this->retries.find(aService);
+  if (found != this->retries.end()) {
+    return found->second;
+  }
+  const GatewaySettings& own = this->settings.gateway;
+  RetryWindow& made =
+    this->retries
+      .emplace(aService,
+               RetryWindow({ own.retryWindow,
+                             own.retryRatio,
+                             static_cast<double>(own.retryExtra) }))
+      .first->second;
+  made.SetGateways(this->GatewayCount());
+  return made;
+}
+
+void
+Gateway::OnSent(const InstanceName& aInstance,
+                std::span<const PromptStep> aSteps)
+{
+  if (aSteps.empty()) {
+    return;
+  }
+  RoutedPrompt prompt{ aInstance, {} };
+  for (const PromptStep& step : aSteps) {
+    prompt.steps.push_back(step.hash);
+  }
+  this->routed.push_back(std::move(prompt));
+}
+
+void
+Gateway::OnDone(GatewayRequest& aRequest)
+{
+  this->metrics.Record(aRequest);
+  const GatewayOutcome& outcome = aRequest.Outcome();
+  const AdmittedRequest& admitted = aRequest.Admitted();
+  Log(LogLevel::Info,
+      "request",
+      "id",
+      admitted.envelope.attemptId,
+      "route",
+      admitted.route->name,
+      "customer",
+      admitted.customer.Value(),
+      "tier",
+      static_cast<int>(admitted.tier),
+      "version",
+      admitted.routes->Version(),
+      "instance",
+      outcome.instance.Value(),
+      "status",
+      outcome.status,
+      "end",
+      outcome.complete    ? "complete"
+      : outcome.abandoned ? "caller_left"
+      : outcome.error     ? CodeName(outcome.error->code)
+                          : "unknown",
+      "run",
+      outcome.error ? DispositionName(outcome.error->disposition) : "ran",
+      "attempts",
+      outcome.attempts,
+      "first_ms",
+      outcome.firstSign.count() / 1000,
+      "total_ms",
+      outcome.total.count() / 1000,
+      "list_age_ms",
+      this->ListAge().count() / 1000);
+  this->sweepTimer.StartOnce(Duration(0));
+}
+
+void
+Gateway::Sweep()
+{
+  std::erase_if(this->requests,
+                [](const auto& aItem) { return aItem.second->IsDone(); });
+}
+
+// What is believed.
+
+Duration
+Gateway::ListAge() const
+{
+  return this->directory->InstancesAge(Now());
+}
+
+std::size_t
+Gateway::GatewayCount() const
+{
+  return this->listedGateways;
+}
+
+void
+Gateway::OnRoutes(std::shared_ptr<const RouteTable> aRoutes)
+{
+  const CallerLimits& limits = aRoutes->Limits();
+  CallerBounds bounds;
+  bounds.connections =
+    this->settings.gateway.descriptors / kDescriptorShareForCallers;
+  if (limits.headerBytes > 0) {
+    bounds.headerBytes = limits.headerBytes;
+  }
+  if (limits.bodyBytes > 0) {
+    bounds.bodyBytes = limits.bodyBytes;
+  }
+  if (limits.idleTimeout > Duration::zero()) {
+    bounds.idleTimeout = limits.idleTimeout * kIdleTimeoutTenths / 10;
+  }
+  bounds.readTimeout = std::max(kLeastReadTimeout, limits.headerTimeout);
+  this->callers->SetBounds(bounds);
+}
+
+void
+Gateway::OnInstances(std::span<const DirectInstance> aInstances)
+{
+  this->pool.SetInstances(aInstances);
+}
+
+void
+Gateway::OnGateways(std::span<const GatewayMember> aGateways)
+{
+  this->peers->SetPeers(aGateways, this->settings.instance);
+  this->listedGateways = std::max<std::size_t>(aGateways.size(), 1);
+  this->pool.SetGateways(this->GatewayCount());
+  for (auto& [service, window] : this->retries) {
+    window.SetGateways(this->GatewayCount());
+  }
+}
+
+PeerDigest
+Gateway::MakeDigest()
+{
+  PeerDigest digest;
+  digest.gateway = this->settings.instance;
+  digest.incarnation = this->incarnation;
+  digest.sequence = ++this->digestSequence;
+  digest.routesVersion = this->directory->Version();
+  digest.work = this->pool.Work().OwnLines();
+  digest.routed = std::move(this->routed);
+  this->routed.clear();
+  return digest;
+}
+
+void
+Gateway::OnDigest(const PeerDigest& aDigest, const SocketAddress& aFrom)
+{
+  auto& [lifetime, sequence] = this->digests[aDigest.gateway];
+  if (lifetime == aDigest.incarnation && aDigest.sequence <= sequence) {
+    return;
+  }
+  lifetime = aDigest.incarnation;
+  sequence = aDigest.sequence;
+  const TimePoint now = Now();
+  this->pool.Work().SetPeer(aDigest.gateway, aDigest.work, now);
+  for (const RoutedPrompt& prompt : aDigest.routed) {
+    for (const PrefixHash step : prompt.steps) {
+      this->pool.Prefixes().OnRouted(step, prompt.instance, now);
+    }
+  }
+  if (aDigest.routesVersion > this->directory->Version()) {
+    this->peers->Fetch(aFrom, std::string(PeerExchange::kRoutesPath));
+  }
+}
+
+void
+Gateway::OnDocument(std::string_view aPath,
+                    std::string_view aDocument,
+                    const SocketAddress& aFrom)
+{
+  if (aPath == PeerExchange::kRoutesPath) {
+    this->directory->TakeRoutes(aDocument, aFrom.ToString());
+  } else if (aPath == PeerExchange::kInstancesPath) {
+    this->directory->TakeInstances(aDocument, aFrom.ToString());
+  }
+}
+
+void
+Gateway::AskGatewaysWhereBehind(TimePoint aNow)
+{
+  // The store may turn this machine away and serve the others.
+  const Duration patience = 2 * this->settings.gateway.instanceDrain;
+  if (!this->directory->HasInstances() ||
+      this->directory->InstancesAge(aNow) > patience) {
+    this->peers->FetchFromAny(std::string(PeerExchange::kInstancesPath),
+                              this->random);
+  }
+  if (this->directory->Routes() == nullptr) {
+    this->peers->FetchFromAny(std::string(PeerExchange::kRoutesPath),
+                              this->random);
+  }
+}
+
+void
+Gateway::Tend()
+{
+  const TimePoint now = Now();
+  this->pool.Tend(now);
+  this->AskGatewaysWhereBehind(now);
+  FlushLog();
+}
+
+void
+Gateway::OnSuspended(Duration aLost)
+{
+  Log(LogLevel::Warning, "suspended", "for_ms", aLost.count() / 1000);
+  this->pool.CloseIdleConnections();
+  this->directory->Refresh();
+}
+
+// Operators and the end.
+
+void
+Gateway::BeginStop()
+{
+  if (this->stopping) {
+    return;
+  }
+  this->stopping = true;
+  const TimePoint now = Now();
+  const Duration grace = this->settings.gateway.stopGrace;
+  this->noticedAt = now + std::min(kBalancerNotice, grace / 2);
+  this->stopDeadline =
+    now + Duration(static_cast<Duration::rep>(
+            kUsedGrace * static_cast<double>(grace.count())));
+  Log(LogLevel::Info, "draining", "requests", this->requests.size());
+  this->callers->AnnounceClosing();
+  this->directory->Leave();
+  this->stopTimer.StartRepeating(kStopCheckPeriod);
+}
+
+void
+Gateway::CheckStopped()
+{
+  const TimePoint now = Now();
+  if (now < this->noticedAt) {
+    return;
+  }
+  this->callers->CloseIdleConnections();
+  const bool isQuiet =
+    this->requests.empty() && this->callers->OpenConnections() == 0;
+  if (isQuiet || now >= this->stopDeadline) {
+    Log(isQuiet ? LogLevel::Info : LogLevel::Warning,
+        "stopped",
+        "requests",
+        this->requests.size());
+    this->loop.Stop();
+  }
+}
+
+absl::Status
+Gateway::Ready()
+{
+  if (this->stopping) {
+    return absl::UnavailableError("stopping");
+  }
+  if (this->directory->Routes() == nullptr) {
+    return absl::UnavailableError("no configuration yet");
+  }
+  if (!this->directory->HasInstances()) {
+    return absl::UnavailableError("no list of backend servers yet");
+  }
+  return absl::OkStatus();
+}
+
+std::string
+Gateway::Metrics()
+{
+  const TimePoint now = Now();
+  GatewayGauges gauges;
+  gauges.requests = this->requests.size();
+  gauges.instances = this->pool.Count();
+  gauges.peers = this->pool.Work().PeerCount();
+  gauges.version = this->directory->Version();
+  gauges.listAge = this->directory->InstancesAge(now);
+  gauges.routesAge = this->directory->RoutesAge(now);
+  return this->metrics.Render(gauges, *this->callers);
+}
+
+std::string
+Gateway::Statusz()
+{
+  Json::Value status;
+  status["role"] = "gateway";
+  status["instance"] = this->settings.instance.Value();
+  status["data_centre"] = this->settings.dataCentre.Value();
+  status["region"] = this->settings.region.Value();
+  status["version"] = DOGWOODVALE_VERSION;
+  status["incarnation"] = fmt::format("{:016x}", this->incarnation);
+  status["routes_version"] = Json::UInt64(this->directory->Version());
+  status["ready"] = this->Ready().ok();
+  status["stopping"] = this->stopping;
+  status["requests"] = Json::UInt64(this->requests.size());
+  status["instances"] = Json::UInt64(this->pool.Count());
+  status["gateways"] = Json::UInt64(this->GatewayCount());
+  status["list_age_ms"] = Json::Int64(this->ListAge().count() / 1000);
+  return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
+}
+
+OperatorResponse
+Gateway::Other(const HttpRequest& aRequest)
+{
+  const std::string path = aRequest.path.substr(0, aRequest.path.find('?'));
+  const bool isRoutes = path == PeerExchange::kRoutesPath;
+  if (!isRoutes && path != PeerExchange::kInstancesPath) {
+    return OperatorHandler::Other(aRequest);
+  }
+  if (!this->peers->IsProven(aRequest.path)) {
+    return { kHttpForbidden, "text/plain; charset=utf-8", "no proof\n" };
+  }
+  const std::string& routes = this->directory->RoutesDocument();
+  if ((isRoutes && routes.empty()) || !this->directory->HasInstances()) {
+    return OperatorHandler::Other(aRequest);
+  }
+  return { kHttpOk,
+           "application/json",
+           isRoutes ? routes : this->directory->InstancesDocument() };
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -0,0 +1,87 @@
+#include "GatewayMetrics.h"
+
+namespace dogwoodvale {
+
+GatewayMetrics::GatewayMetrics()
+  : refusals(this->registry.AddCounter<ReasonLabels>(
+      "gateway_refusals_total",
+      "Requests refused before they had a route."))
+  , gauges(this->registry.AddGauge<ReasonLabels>("gateway_state",
+                                                 "The gateway's state now."))
+  , droppedLines(
+      this->registry.AddCounter("log_lines_dropped_total",
+                                "Log lines that their reader did not take."))
+{
+  this->registry.AddSource(this->classes);
+  this->registry.AddSource(this->customers);
+}
+
+bool
+MeetsTarget(const GatewayRequest& aRequest)
+{
+  const GatewayOutcome& outcome = aRequest.Outcome();
+  const HostRoute& route = *aRequest.Admitted().route;
+  const Duration reached =
+    route.kind == RouteKind::Streaming ? outcome.firstSign : outcome.total;
+  return outcome.complete && reached <= route.target;
+}
+
+void
+GatewayMetrics::Record(const GatewayRequest& aRequest)
+{
+  const GatewayOutcome& outcome = aRequest.Outcome();
+  const AdmittedRequest& admitted = aRequest.Admitted();
+  ClassMetrics& metrics = this->classes.Of(
+    { admitted.service->name, ClassName(admitted.route->name) });
+  if (outcome.firstSign > Duration::zero()) {
+    metrics.firstToken.Record(outcome.firstSign);
+  }
+  metrics.total.Record(outcome.total);
+  metrics.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
+  metrics.resumes += outcome.resumes;
+  metrics.cancels += outcome.abandoned ? 1 : 0;
+  metrics.succeeded += outcome.complete ? 1 : 0;
+  if (outcome.error) {
+    metrics.CountFailure(*outcome.error);
+  }
+  const bool attained = MeetsTarget(aRequest);
+  metrics.attained += attained ? 1 : 0;
+  metrics.missed += attained ? 0 : 1;
+  CustomerSample sample;
+  sample.total = outcome.total;
+  sample.firstToken = outcome.firstSign;
+  sample.tokens = outcome.events;
+  sample.succeeded = outcome.complete;
+  sample.attained = attained;
+  this->customers.Record(admitted.customer, sample);
+}
+
+void
+GatewayMetrics::CountRefusal(const RequestError& aError)
+{
+  ++this->refusals.At({ std::string(CodeName(aError.code)) });
+}
+
+std::string
+GatewayMetrics::Render(const GatewayGauges& aGauges,
+                       const CallerServer& aCallers)
+{
+  const auto set = [this](const char* aName, double aValue) {
+    this->gauges.At({ aName }) = aValue;
+  };
+  constexpr double kMicros = 1e6;
+  set("requests", static_cast<double>(aGauges.requests));
+  set("instances", static_cast<double>(aGauges.instances));
+  set("peers", static_cast<double>(aGauges.peers));
+  set("routes_version", static_cast<double>(aGauges.version));
+  set("list_age_seconds",
+      static_cast<double>(aGauges.listAge.count()) / kMicros);
+  set("routes_age_seconds",
+      static_cast<double>(aGauges.routesAge.count()) / kMicros);
+  this->droppedLines.At() = DroppedLogLines();
+  PrometheusWriter server;
+  aCallers.WriteMetrics(server);
+  return this->registry.Render() + server.Take();
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -0,0 +1,50 @@
+#ifndef DOGWOODVALE_GATEWAY_GATEWAYMETRICS_H
+#define DOGWOODVALE_GATEWAY_GATEWAYMETRICS_H
+
+#include <string>
+
+#include "GatewayRequest.h"
+#include "dogwoodvale/Metrics"
+
+namespace dogwoodvale {
+
+/// Gauges that others count, set before each rendering.
+struct GatewayGauges
+{
+  std::size_t requests = 0;
+  std::size_t instances = 0;
+  std::size_t peers = 0;
+  Epoch version = 0;
+  Duration listAge{ 0 };
+  Duration routesAge{ 0 };
+};
+
+/// What a gateway shows at /metrics: how each route and the busiest customers
+/// were served, and what was refused before it had a route.
+class GatewayMetrics
+{
+public:
+  GatewayMetrics();
+
+  void Record(const GatewayRequest& aRequest);
+  /// A request was refused before it had a route.
+  void CountRefusal(const RequestError& aError);
+  std::string Render(const GatewayGauges& aGauges,
+                     const CallerServer& aCallers);
+
+private:
+  ClassMetricsTable classes;
+  CustomerSketch customers;
+  MetricsRegistry registry;
+  CounterFamily<ReasonLabels>& refusals;
+  GaugeFamily<ReasonLabels>& gauges;
+  CounterFamily<NoLabels>& droppedLines;
+};
+
+/// Whether an answer came whole and within its route's target.
+bool
+MeetsTarget(const GatewayRequest& aRequest);
+
+} // namespace dogwoodvale
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -0,0 +1,487 @@
+#include "GatewayRequest.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace dogwoodvale {
+
+namespace {
+
+/// A first sign that takes this many times a route's target says that the
+/// server hangs: waiting longer would leave no time for another.
+constexpr int kFirstSignTargets = 3;
+/// A pause between events this many times the route's bound says the same.
+constexpr int kGapTargets = 5;
+/// No verdict on silence before this, however short a target is: a lost packet
+/// alone costs a few hundred milliseconds.
+constexpr Duration kLeastPatience = milliseconds(900);
+/// The least time in which another attempt can still be of use.
+constexpr Duration kLeastUseful = milliseconds(20);
+/// What must not be repeated goes only on connections used this lately.
+constexpr Duration kFreshForOnce = milliseconds(500);
+/// A caller that is refused is told to come back after one to two of its
+/// route's targets: by then the work that was ahead of it is done or late.
+constexpr Duration kLeastRetryAfter = milliseconds(100);
+
+bool
+IsServerError(int aStatus)
+{
+  constexpr int kFirst = 500;
+  return aStatus >= kFirst;
+}
+
+/// Statuses that promise that a request has not run.
+bool
+IsPromise(int aStatus)
+{
+  constexpr std::array<int, 4> kPromises{ 408, 421, 429, 503 };
+  return std::ranges::find(kPromises, aStatus) != kPromises.end();
+}
+
+bool
+IsSuccess(int aStatus)
+{
+  return aStatus >= 200 && aStatus < 300;
+}
+
+} // namespace
+
+GatewayRequest::GatewayRequest(GatewayRequestHost& aHost,
+                               std::unique_ptr<CallerExchange> aExchange,
+                               AdmittedRequest aAdmitted)
+  : host(aHost)
+  , exchange(std::move(aExchange))
+  , admitted(std::move(aAdmitted))
+  , accepted(Now())
+  , deadline(aHost.Loop(), [this] { this->OnDeadline(); })
+{
+  const Duration limit =
+    std::min(this->admitted.envelope.timeLimit.value_or(Duration::max()),
+             this->GetRoute().timeout);
+  this->deadlineAt = this->accepted + limit;
+}
+
+GatewayRequest::~GatewayRequest()
+{
+  this->EndAttempt();
+}
+
+void
+GatewayRequest::Start()
+{
+  this->exchange->SetHandler(this);
+  this->deadline.StartOnce(this->TimeLeft(this->accepted));
+  this->TryNext();
+}
+
+Duration
+GatewayRequest::TimeLeft(TimePoint aNow) const
+{
+  return std::max(Between(aNow, this->deadlineAt), Duration::zero());
+}
+
+bool
+GatewayRequest::MayRepeat() const
+{
+  return this->GetRoute().MayRepeat();
+}
+
+// Sending.
+
+void
+GatewayRequest::TryNext()
+{
+  const TimePoint now = Now();
+  BackendPool& pool = this->host.Backends();
+  const std::vector<DirectCandidate> candidates = pool.Candidates(
+    *this->admitted.service, this->admitted.demand, this->excluded, now);
+  const std::optional<std::size_t> chosen =
+    ChooseDirect(candidates, this->admitted.demand, this->host.Random());
+  BackendClient* client =
+    chosen ? pool.ClientOf(candidates[*chosen].name) : nullptr;
+  if (client == nullptr) {
+    this->GiveUp(ErrorCode::NoBackendServer, "no backend server takes it");
+    return;
+  }
+  this->SendTo(candidates[*chosen], *client);
+}
+
+BackendWork
+GatewayRequest::WorkOf(const DirectCandidate& aCandidate) const
+{
+  const DirectDemand& demand = this->admitted.demand;
+  BackendWork work;
+  work.requests = 1;
+  work.prefillTokens = demand.promptTokens -
+                       std::min(demand.promptTokens, aCandidate.cachedTokens);
+  work.memoryTokens =
+    demand.promptTokens + this->admitted.envelope.maxOutputTokens;
+  return work;
+}
+
+AttemptPatience
+GatewayRequest::PatienceFor(TimePoint aNow) const
+{
+  AttemptPatience patience;
+  const bool hasNext = this->MayRepeat() && this->outcome.attempts + 1 <
+                                              this->GetRoute().maxAttempts;
+  if (!hasNext) {
+    return patience;
+  }
+  patience.firstSign = std::min(
+    std::max(kLeastPatience, kFirstSignTargets * this->GetRoute().target),
+    this->TimeLeft(aNow) / 2);
+  patience.betweenEvents =
+    std::max(kLeastPatience, kGapTargets * this->GetRoute().targetGap);
+  return patience;
+}
+
+void
+GatewayRequest::SendTo(const DirectCandidate& aCandidate,
+                       BackendClient& aClient)
+{
+  const TimePoint now = Now();
+  DirectAttempt::Plan plan;
+  plan.instance = aCandidate.name;
+  plan.attemptId = this->admitted.envelope.attemptId;
+  plan.expectsStream = this->GetRoute().kind == RouteKind::Streaming;
+  plan.resumeAfter = this->delivered;
+  plan.patience = this->PatienceFor(now);
+  if (!this->MayRepeat()) {
+    plan.freshness = kFreshForOnce;
+  }
+  BackendOrder order;
+  order.instance = aCandidate.name;
+  order.customer = this->admitted.customer;
+  order.timeLeft = this->TimeLeft(now);
+  order.tier = this->admitted.tier;
+  order.resumeAfter = this->delivered;
+  Sent sending;
+  sending.instance = aCandidate.name;
+  sending.work = this->WorkOf(aCandidate);
+  sending.at = now;
+  sending.lastEvent = now;
+  sending.hadRoom = aCandidate.work.requests < aCandidate.slots;
+  this->sent = std::move(sending);
+  this->outcome.instance = aCandidate.name;
+  this->host.Backends().OnSent(
+    aCandidate.name, this->sent->work, this->admitted.demand.steps, now);
+  this->host.OnSent(aCandidate.name, this->admitted.demand.steps);
+  this->attempt = std::make_unique<DirectAttempt>(
+    this->host.Loop(), *this->host.Ports().backends, std::move(plan), *this);
+  ++this->outcome.attempts;
+  this->attempt->Start(
+    aClient,
+    this->host.Ports().backends->Compose(this->exchange->Request(), order));
+}
+
+// The answer.
+
+void
+GatewayRequest::NoteFirstSign(TimePoint aNow)
+{
+  if (!this->sent || this->sent->firstSign) {
+    return;
+  }
+  this->sent->firstSign = true;
+  if (HealthTracker* health =
+        this->host.Backends().HealthOf(this->sent->instance)) {
+    health->OnFirstToken(this->sent->instance, Between(this->sent->at, aNow));
+  }
+  const BackendWork prefill{ 0, this->sent->work.prefillTokens, 0 };
+  this->host.Backends().OnDone(this->sent->instance, prefill);
+  this->sent->work -= prefill;
+  if (this->outcome.firstSign == Duration::zero()) {
+    this->outcome.firstSign = Between(this->accepted, aNow);
+  }
+}
+
+void
+GatewayRequest::OnAttemptEvents(std::string_view aBytes)
+{
+  this->NoteFirstSign(Now());
+  if (!this->streamBegun) {
+    this->streamBegun = true;
+    this->outcome.status = this->attempt->Answer().status;
+    this->exchange->StartStream(this->outcome.status, this->attempt->Headers());
+  }
+  ++this->outcome.events;
+  this->delivered = this->attempt->LastEvent();
+  this->exchange->SendPart(aBytes);
+  if (this->exchange != nullptr && this->attempt != nullptr &&
+      this->exchange->PendingBytes() > kCallerBufferBytes) {
+    this->attempt->SetReadingPaused(true);
+  }
+}
+
+void
+GatewayRequest::OnDrained()
+{
+  if (this->attempt != nullptr) {
+    this->attempt->SetReadingPaused(false);
+  }
+}
+
+void
+GatewayRequest::OnAttemptStreamEnd()
+{
+  this->outcome.complete = true;
+  this->exchange->EndStream();
+  this->Finish();
+}
+
+void
+GatewayRequest::OnAttemptAnswer(std::string_view aBody)
+{
+  this->NoteFirstSign(Now());
+  const BackendAnswer& answer = this->attempt->Answer();
+  if (!answer.isGenuine) {
+    this->Conclude(AttemptFailure::Garbled, "an answer with no proof");
+    return;
+  }
+  // A stream has begun with another head, so this can't be passed on any more.
+  if (this->streamBegun) {
+    this->Conclude(AttemptFailure::Garbled, "no stream where one was to go on");
+    return;
+  }
+  if (!this->IsToBePassedOn(answer)) {
+    this->Conclude(AttemptFailure::Lost, "the server failed");
+    return;
+  }
+  this->PassOn(aBody);
+}
+
+bool
+GatewayRequest::IsToBePassedOn(const BackendAnswer& aAnswer) const
+{
+  // A server's own word that promises "not run" without being one: only this
+  // gateway's caller would take it for a promise.
+  if (IsPromise(aAnswer.status)) {
+    return false;
+  }
+  if (!IsServerError(aAnswer.status)) {
+    return true;
+  }
+  const bool canRepeat =
+    this->MayRepeat() && this->reads + 1 < this->GetRoute().maxAttempts &&
+    this->host.RetriesOf(this->admitted.service->name).HasRoom(Now());
+  return !canRepeat;
+}
+
+void
+GatewayRequest::PassOn(std::string_view aBody)
+{
+  this->outcome.status = this->attempt->Answer().status;
+  this->outcome.complete = IsSuccess(this->outcome.status);
+  if (!this->outcome.complete) {
+    this->outcome.error = RequestError{ ErrorCode::BackendFailed,
+                                        Disposition::MayHaveRun,
+                                        "the server's own failure",
+                                        milliseconds(0) };
+  }
+  this->exchange->Respond(
+    this->outcome.status, this->attempt->Headers(), aBody);
+  this->Finish();
+}
+
+// Failures.
+
+void
+GatewayRequest::OnAttemptFailed(AttemptFailure aFailure,
+                                std::string_view aReason)
+{
+  this->Conclude(aFailure, aReason);
+}
+
+void
+GatewayRequest::Conclude(AttemptFailure aFailure, std::string_view aReason)
+{
+  const TimePoint now = Now();
+  const InstanceName instance = this->sent->instance;
+  if (HealthTracker* health = this->host.Backends().HealthOf(instance)) {
+    if (aFailure == AttemptFailure::NotSent) {
+      health->OnCrash(instance);
+    } else if (!IsNotRun(aFailure) ||
+               (aFailure == AttemptFailure::Refused && this->sent->hadRoom)) {
+      // One that refuses though it has room is as sick as one that fails.
+      health->OnFailure(instance);
+    }
+  }
+  if (aFailure == AttemptFailure::WrongInstance) {
+    this->host.Backends().OnWrongInstance(instance);
+  }
+  this->mayHaveRun = this->mayHaveRun || !IsNotRun(aFailure);
+  this->reads += aFailure == AttemptFailure::NotSent ? 0 : 1;
+  this->excluded.push_back(instance);
+  const RetryVerdict verdict = this->Decide(aFailure, now);
+  this->LogAttempt(AttemptFailureName(aFailure),
+                   aReason,
+                   verdict == RetryVerdict::GiveUp   ? "give_up"
+                   : verdict == RetryVerdict::Resume ? "resume"
+                                                     : "retry");
+  this->EndAttempt();
+  if (verdict == RetryVerdict::GiveUp) {
+    this->GiveUp(aFailure == AttemptFailure::Refused ? ErrorCode::QueueFull
+                                                     : ErrorCode::BackendFailed,
+                 aReason);
+    return;
+  }
+  this->outcome.resumes += verdict == RetryVerdict::Resume ? 1 : 0;
+  this->TryNext();
+}
+
+RetryVerdict
+GatewayRequest::Decide(AttemptFailure aFailure, TimePoint aNow)
+{
+  RetryWindow& retries = this->host.RetriesOf(this->admitted.service->name);
+  // What was never written reached no server, so it costs none of them a
+  // retry.
+  const bool isFree = aFailure == AttemptFailure::NotSent;
+  AttemptOutcome ended;
+  ended.disposition =
+    this->mayHaveRun ? Disposition::MayHaveRun : Disposition::NotRun;
+  ended.idempotent = this->MayRepeat();
+  ended.deliveredTokens = this->outcome.events;
+  ended.streaming = this->streamBegun;
+  ended.canResume = this->GetRoute().isResumable && this->delivered.has_value();
+  RetryAllowance allowance;
+  allowance.hasBudget = isFree || retries.HasRoom(aNow);
+  allowance.deadlineLeft = this->TimeLeft(aNow);
+  allowance.leastUseful = kLeastUseful;
+  allowance.attempts = this->reads;
+  allowance.maxAttempts = this->GetRoute().maxAttempts;
+  const RetryVerdict verdict = DecideRetry(ended, allowance);
+  if (verdict != RetryVerdict::GiveUp && !isFree) {
+    retries.TryTake(aNow);
+  }
+  return verdict;
+}
+
+milliseconds
+GatewayRequest::RetryAfter() const
+{
+  const Duration least =
+    std::max(kLeastRetryAfter, this->GetRoute().target / 2);
+  std::uniform_int_distribution<Duration::rep> draw(least.count(),
+                                                    2 * least.count());
+  return std::chrono::duration_cast<milliseconds>(
+    Duration(draw(this->host.Random())));
+}
+
+void
+GatewayRequest::GiveUp(ErrorCode aCode, std::string_view aReason)
+{
+  RequestError error;
+  error.code = aCode;
+  error.disposition =
+    this->mayHaveRun ? Disposition::MayHaveRun : Disposition::NotRun;
+  error.detail = aReason;
+  // Without a word that it may have run, a caller would take a failure of what
+  // was sent for one of what was not.
+  if (this->mayHaveRun && aCode != ErrorCode::DeadlineExceeded) {
+    error.code = ErrorCode::BackendFailed;
+  }
+  if (!this->mayHaveRun) {
+    error.retryAfter = this->RetryAfter();
+  }
+  this->outcome.error = error;
+  if (this->streamBegun) {
+    // Only a connection that breaks tells the caller that the stream is cut.
+    this->exchange.reset();
+    this->Finish();
+    return;
+  }
+  this->outcome.status = HttpStatusOf(error);
+  this->exchange->Respond(this->outcome.status,
+                          this->host.Ports().callers->ErrorHeaders(error),
+                          ErrorBody(error));
+  this->Finish();
+}
+
+void
+GatewayRequest::OnDeadline()
+{
+  // What was sent may run on until its connection closes.
+  this->mayHaveRun = this->mayHaveRun || this->attempt != nullptr;
+  if (this->attempt != nullptr) {
+    this->LogAttempt("deadline", "the time limit passed", "give_up");
+  }
+  this->EndAttempt();
+  this->GiveUp(ErrorCode::DeadlineExceeded, "the time limit passed");
+}
+
+void
+GatewayRequest::OnCallerGone()
+{
+  if (this->done) {
+    return;
+  }
+  this->outcome.abandoned = true;
+  this->Finish();
+}
+
+void
+GatewayRequest::EndAttempt()
+{
+  if (this->sent) {
+    this->host.Backends().OnDone(this->sent->instance, this->sent->work);
+    this->sent.reset();
+  }
+  this->attempt.reset();
+}
+
+void
+GatewayRequest::Finish()
+{
+  if (this->done) {
+    return;
+  }
+  this->done = true;
+  this->deadline.Stop();
+  this->outcome.total = Between(this->accepted, Now());
+  if (this->outcome.complete && this->sent) {
+    if (HealthTracker* health =
+          this->host.Backends().HealthOf(this->sent->instance)) {
+      health->OnSuccess(this->sent->instance);
+    }
+  }
+  // Before the attempt goes: the log line names its server.
+  this->host.OnDone(*this);
+  this->EndAttempt();
+}
+
+void
+GatewayRequest::LogAttempt(std::string_view aResult,
+                           std::string_view aReason,
+                           std::string_view aNext) const
+{
+  if (!this->sent) {
+    return;
+  }
+  const TimePoint now = Now();
+  Log(LogLevel::Info,
+      "attempt_failed",
+      "id",
+      this->admitted.envelope.attemptId,
+      "instance",
+      this->sent->instance.Value(),
+      "result",
+      aResult,
+      "reason",
+      aReason,
+      "attempt",
+      this->outcome.attempts,
+      "after_ms",
+      Between(this->sent->at, now).count() / 1000,
+      "left_ms",
+      this->TimeLeft(now).count() / 1000,
+      "events",
+      this->outcome.events,
+      "list_age_ms",
+      this->host.ListAge().count() / 1000,
+      "next",
+      aNext);
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -0,0 +1,151 @@
+#ifndef DOGWOODVALE_GATEWAY_GATEWAYREQUEST_H
+#define DOGWOODVALE_GATEWAY_GATEWAYREQUEST_H
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "BackendPool.h"
+#include "DirectAttempt.h"
+#include "dogwoodvale/Requests"
+
+namespace dogwoodvale {
+
+class GatewayRequest;
+
+/// What a request is served by: fixed when it is accepted.
+struct AdmittedRequest
+{
+  /// Keeps the routes alive under which the request was accepted.
+  std::shared_ptr<const RouteTable> routes;
+  const HostRoute* route = nullptr;
+  const DirectService* service = nullptr;
+  CustomerName customer;
+  Tier tier = 0;
+  CallerEnvelope envelope;
+  DirectDemand demand;
+};
+
+/// How a request ended, for logs and metrics.
+struct GatewayOutcome
+{
+  /// HTTP status that the caller got; 0 if none.
+  int status = 0;
+  bool complete = false;
+  bool abandoned = false;
+  std::optional<RequestError> error;
+  /// The last server it was sent to.
+  InstanceName instance;
+  Duration firstSign{ 0 };
+  Duration total{ 0 };
+  std::uint32_t attempts = 0;
+  std::uint32_t resumes = 0;
+  std::uint64_t events = 0;
+};
+
+/// What a request needs of its gateway.
+class GatewayRequestHost
+{
+public:
+  virtual ~GatewayRequestHost() = default;
+  virtual EventLoop& Loop() = 0;
+  virtual BackendPool& Backends() = 0;
+  virtual const GatewayPorts& Ports() const = 0;
+  virtual RetryWindow& RetriesOf(const ServiceName& aService) = 0;
+  virtual std::mt19937_64& Random() = 0;
+  /// Age of the list of backend servers, for logs.
+  virtual Duration ListAge() const = 0;
+  virtual void OnSent(const InstanceName& aInstance,
+                      std::span<const PromptStep> aSteps) = 0;
+  /// The request is done; the host destroys it later, not in this call.
+  virtual void OnDone(GatewayRequest& aRequest) = 0;
+};
+
+/// One caller's request from its acceptance to its final answer.
+///
+/// What may be sent again is decided by DecideRetry() alone; this class finds
+/// out the facts and carries the verdict out.
+class GatewayRequest final
+  : public CallerExchangeHandler
+  , public AttemptListener
+{
+public:
+  GatewayRequest(GatewayRequestHost& aHost,
+                 std::unique_ptr<CallerExchange> aExchange,
+                 AdmittedRequest aAdmitted);
+  ~GatewayRequest() override;
+
+  void Start();
+
+  const AdmittedRequest& Admitted() const { return this->admitted; }
+  const GatewayOutcome& Outcome() const { return this->outcome; }
+  bool IsDone() const { return this->done; }
+
+  void OnCallerGone() override;
+  void OnDrained() override;
+
+  void OnAttemptEvents(std::string_view aBytes) override;
+  void OnAttemptStreamEnd() override;
+  void OnAttemptAnswer(std::string_view aBody) override;
+  void OnAttemptFailed(AttemptFailure aFailure,
+                       std::string_view aReason) override;
+
+  /// Answer bytes that may wait for a slow caller before reading stops.
+  static constexpr std::size_t kCallerBufferBytes = 256U << 10U;
+
+private:
+  struct Sent
+  {
+    InstanceName instance;
+    BackendWork work;
+    TimePoint at{};
+    TimePoint lastEvent{};
+    /// Fewer requests than slots were there, as far as was known.
+    bool hadRoom = false;
+    bool firstSign = false;
+  };
+
+  const HostRoute& GetRoute() const { return *this->admitted.route; }
+  Duration TimeLeft(TimePoint aNow) const;
+  bool MayRepeat() const;
+  void TryNext();
+  void SendTo(const DirectCandidate& aCandidate, BackendClient& aClient);
+  AttemptPatience PatienceFor(TimePoint aNow) const;
+  BackendWork WorkOf(const DirectCandidate& aCandidate) const;
+  void NoteFirstSign(TimePoint aNow);
+  void EndAttempt();
+  /// The attempt failed, or its answer is not one to pass on: what next.
+  void Conclude(AttemptFailure aFailure, std::string_view aReason);
+  RetryVerdict Decide(AttemptFailure aFailure, TimePoint aNow);
+  bool IsToBePassedOn(const BackendAnswer& aAnswer) const;
+  void PassOn(std::string_view aBody);
+  void GiveUp(ErrorCode aCode, std::string_view aReason);
+  milliseconds RetryAfter() const;
+  void OnDeadline();
+  void Finish();
+  void LogAttempt(std::string_view aResult,
+                  std::string_view aReason,
+                  std::string_view aNext) const;
+
+  GatewayRequestHost& host;
+  std::unique_ptr<CallerExchange> exchange;
+  AdmittedRequest admitted;
+  const TimePoint accepted;
+  TimePoint deadlineAt;
+  Timer deadline;
+  std::unique_ptr<DirectAttempt> attempt;
+  std::optional<Sent> sent;
+  /// Servers that failed or refused it.
+  std::vector<InstanceName> excluded;
+  /// Servers that read it.
+  std::uint32_t reads = 0;
+  bool mayHaveRun = false;
+  bool streamBegun = false;
+  std::optional<std::uint64_t> delivered;
+  GatewayOutcome outcome;
+  bool done = false;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -0,0 +1,127 @@
+#include "PeerDigest.h"
+
+#include <array>
+
+#include <msgpack.hpp>
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr std::size_t kProofBytes = 16;
+/// A digest that claims more is refused before memory is given to it.
+constexpr std::size_t kMaxItems = 65'536;
+
+using Proof = std::array<unsigned char, EVP_MAX_MD_SIZE>;
+
+std::string_view
+Hmac(std::string_view aText, std::string_view aSecret, Proof& aProof)
+{
+  unsigned int size = 0;
+  HMAC(EVP_sha256(),
+       aSecret.data(),
+       static_cast<int>(aSecret.size()),
+       reinterpret_cast<const unsigned char*>(aText.data()),
+       aText.size(),
+       aProof.data(),
+       &size);
+  return { reinterpret_cast<const char*>(aProof.data()), kProofBytes };
+}
+
+using PackedWork =
+  std::tuple<std::string, std::uint32_t, std::uint64_t, std::uint64_t>;
+using PackedPrompt = std::tuple<std::string, std::vector<std::uint64_t>>;
+using PackedDigest = std::tuple<std::string,
+                                std::uint64_t,
+                                std::uint64_t,
+                                std::uint64_t,
+                                std::vector<PackedWork>,
+                                std::vector<PackedPrompt>>;
+
+} // namespace
+
+std::string
+ProofOf(std::string_view aText, std::string_view aSecret)
+{
+  Proof proof{};
+  std::string text;
+  for (const unsigned char byte : Hmac(aText, aSecret, proof)) {
+    text += fmt::format("{:02x}", byte);
+  }
+  return text;
+}
+
+std::string
+WriteDigest(const PeerDigest& aDigest, std::string_view aSecret)
+{
+  std::vector<PackedWork> work;
+  for (const WorkLine& line : aDigest.work) {
+    work.emplace_back(line.instance.Value(),
+                      line.work.requests,
+                      line.work.prefillTokens,
+                      line.work.memoryTokens);
+  }
+  std::vector<PackedPrompt> routed;
+  for (const RoutedPrompt& prompt : aDigest.routed) {
+    routed.emplace_back(prompt.instance.Value(), prompt.steps);
+  }
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer,
+                PackedDigest(aDigest.gateway.Value(),
+                             aDigest.incarnation,
+                             aDigest.sequence,
+                             aDigest.routesVersion,
+                             std::move(work),
+                             std::move(routed)));
+  const std::string_view packed(buffer.data(), buffer.size());
+  Proof proof{};
+  std::string bytes(Hmac(packed, aSecret, proof));
+  bytes += packed;
+  return bytes;
+}
+
+absl::StatusOr<PeerDigest>
+ReadDigest(std::string_view aBytes, std::string_view aSecret)
+{
+  if (aBytes.size() <= kProofBytes) {
+    return absl::InvalidArgumentError("a digest that is too short");
+  }
+  const std::string_view packed = aBytes.substr(kProofBytes);
+  Proof proof{};
+  if (CRYPTO_memcmp(
+        Hmac(packed, aSecret, proof).data(), aBytes.data(), kProofBytes) != 0) {
+    return absl::PermissionDeniedError("a digest made with another secret");
+  }
+  PackedDigest read;
+  try {
+    constexpr std::size_t kMaxDepth = 8;
+    const msgpack::unpack_limit limit(
+      kMaxItems, kMaxItems, kMaxItems, kMaxItems, kMaxItems, kMaxDepth);
+    msgpack::unpack(packed.data(), packed.size(), nullptr, nullptr, limit)
+      .get()
+      .convert(read);
+  } catch (const std::exception& error) {
+    return MakeError(
+      absl::StatusCode::kInvalidArgument, "not a digest: {}", error.what());
+  }
+  PeerDigest digest;
+  digest.gateway = InstanceName(std::get<0>(read));
+  digest.incarnation = std::get<1>(read);
+  digest.sequence = std::get<2>(read);
+  digest.routesVersion = std::get<3>(read);
+  for (auto& [name, requests, prefill, memory] : std::get<4>(read)) {
+    digest.work.push_back(
+      { InstanceName(std::move(name)), { requests, prefill, memory } });
+  }
+  for (auto& [name, steps] : std::get<5>(read)) {
+    digest.routed.push_back(
+      { InstanceName(std::move(name)), std::move(steps) });
+  }
+  return digest;
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -0,0 +1,49 @@
+#ifndef DOGWOODVALE_GATEWAY_PEERDIGEST_H
+#define DOGWOODVALE_GATEWAY_PEERDIGEST_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodvale/Routing"
+
+namespace dogwoodvale {
+
+/// A prompt that a gateway has just sent to a backend server, whose cache will
+/// hold these steps.
+struct RoutedPrompt
+{
+  InstanceName instance;
+  std::vector<PrefixHash> steps;
+};
+
+/// What a gateway tells the others, a few times a second, in one datagram. It
+/// replaces what the same lifetime of that gateway told before.
+struct PeerDigest
+{
+  InstanceName gateway;
+  Incarnation incarnation = 0;
+  /// Rises with each digest of one lifetime, so that one that was overtaken is
+  /// told from a newer one.
+  std::uint64_t sequence = 0;
+  /// Version of the routes in force there.
+  Epoch routesVersion = 0;
+  std::vector<WorkLine> work;
+  std::vector<RoutedPrompt> routed;
+};
+
+/// \param aSecret shared by all gateways; a digest made with another is refused
+/// by ReadDigest().
+std::string
+WriteDigest(const PeerDigest& aDigest, std::string_view aSecret);
+
+absl::StatusOr<PeerDigest>
+ReadDigest(std::string_view aBytes, std::string_view aSecret);
+
+/// Proof of knowing the secret for one text, in hexadecimal.
+std::string
+ProofOf(std::string_view aText, std::string_view aSecret);
+
+} // namespace dogwoodvale
+
+#endif
--- /dev/null
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -0,0 +1,123 @@
+#ifndef DOGWOODVALE_GATEWAY_PORTS_H
+#define DOGWOODVALE_GATEWAY_PORTS_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dogwoodvale/Configuration"
+#include "dogwoodvale/Http"
+#include "dogwoodvale/Routing"
+#include "dogwoodvale/Store"
+
+namespace dogwoodvale {
+
+/// A backend server that is spoken to directly.
+struct DirectInstance
+{
+  /// Names one lifetime of it; a restart has another.
+  InstanceName name;
+  ServiceName service;
+  SocketAddress address;
+  DataCentreName dataCentre;
+  /// Requests that it works on at once; 0 while unknown.
+  std::uint32_t slots = 0;
+  /// It takes no new work.
+  bool leaving = false;
+
+  bool operator==(const DirectInstance&) const = default;
+};
+
+/// Where the store keeps what a gateway needs to know, and in which form.
+class DirectoryFormat
+{
+public:
+  virtual ~DirectoryFormat() = default;
+  /// Prefix of the one key that holds the routes.
+  virtual std::string RoutesPrefix() const = 0;
+  /// Prefix of the keys of backend servers, one key each.
+  virtual std::string InstancesPrefix() const = 0;
+  virtual absl::StatusOr<std::shared_ptr<const RouteTable>> ParseRoutes(
+    std::string_view aValue) const = 0;
+  virtual absl::StatusOr<DirectInstance> ParseInstance(
+    std::string_view aKey,
+    std::string_view aValue) const = 0;
+};
+
+/// What a caller's request says beside its method, path and body.
+struct CallerEnvelope
+{
+  /// Names one try of the caller; empty if it names none.
+  std::string attemptId;
+  /// How long the caller waits.
+  std::optional<Duration> timeLimit;
+  std::string key;
+  std::uint32_t promptTokens = 0;
+  std::uint32_t maxOutputTokens = 0;
+  std::vector<PromptPart> prompt;
+};
+
+/// How callers speak.
+class CallerDialect
+{
+public:
+  virtual ~CallerDialect() = default;
+  virtual CallerEnvelope Read(const HttpRequest& aRequest) const = 0;
+  /// Headers of an answer that this process gives by itself.
+  virtual std::vector<HeaderField> ErrorHeaders(
+    const RequestError& aError) const = 0;
+};
+
+/// What a backend server is told beside the caller's request.
+struct BackendOrder
+{
+  InstanceName instance;
+  /// Empty when the request needs no key.
+  CustomerName customer;
+  Duration timeLeft{ 0 };
+  Tier tier = 0;
+  /// A stream goes on after this event.
+  std::optional<std::uint64_t> resumeAfter;
+};
+
+/// What the head of a backend server's answer says.
+struct BackendAnswer
+{
+  int status = 0;
+  std::string attemptId;
+  /// Its word that it did not run the request and never will.
+  bool notRun = false;
+  /// Another instance has the address; it has not run the request.
+  bool wrongInstance = false;
+  /// It carries the mark that only a backend server can give.
+  bool isGenuine = false;
+  /// Empty, or the media type of the body.
+  std::string mediaType;
+};
+
+/// How backend servers speak.
+class BackendDialect
+{
+public:
+  virtual ~BackendDialect() = default;
+  /// The caller's request as the backend server gets it.
+  virtual HttpRequest Compose(const HttpRequest& aRequest,
+                              const BackendOrder& aOrder) const = 0;
+  virtual BackendAnswer ReadHead(
+    int aStatus,
+    std::span<const HeaderField> aHeaders) const = 0;
+};
+
+/// Everything that depends on the site a gateway runs at.
+struct GatewayPorts
+{
+  std::unique_ptr<StoreClient> store;
+  std::unique_ptr<DirectoryFormat> directory;
+  std::unique_ptr<CallerDialect> callers;
+  std::unique_ptr<BackendDialect> backends;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- a/dogwoodvale/src/Http/BackendClient.cpp
+++ b/dogwoodvale/src/Http/BackendClient.cpp
@@ -81,6 +81,13 @@
 
   std::unique_ptr<BackendCall> Start(const HttpRequest& aRequest,
                                      BackendCallHandler& aHandler) override
+  {
+    return this->StartFresh(aRequest, aHandler, Duration::max());
+  }
+
+  std::unique_ptr<BackendCall> StartFresh(const HttpRequest& aRequest,
+                                          BackendCallHandler& aHandler,
+                                          Duration aFreshness) override
   {
     auto call = std::make_unique<BackendCallImpl>(aHandler);
     auto text = Serialize(aRequest, this->host);
@@ -92,18 +99,41 @@
       call->failure->StartOnce(Duration::zero());
       return call;
     }
-    this->Take().Begin(*call, aRequest.method == "HEAD", *text);
+    this->Take(aFreshness).Begin(*call, aRequest.method == "HEAD", *text);
     return call;
   }
 
   std::size_t IdleConnections() const override { return this->idle.size(); }
+  std::size_t OpenConnections() const override
+  {
+    return this->connections.size();
+  }
+
+  void CloseIdleConnections() override
+  {
+    while (!this->idle.empty()) {
+      BackendConnection& last = *this->idle.back();
+      last.Close();
+      this->Retire(last);
+    }
+  }
 
 private:
-  BackendConnection& Take()
+  BackendConnection& Take(Duration aFreshness)
   {
+    const TimePoint now = Now();
     while (!this->idle.empty()) {
       BackendConnection& candidate = *this->idle.back();
+      // The last is the most recently used: no other is fresher.
+      if (Between(candidate.IdleSince(), now) > aFreshness) {
+        break;
+      }
       this->idle.pop_back();
+      if (candidate.IsExpired(now)) {
+        candidate.Close();
+        this->Retire(candidate);
+        continue;
+      }
       // The server may have closed it and the loop not have told us yet; a
       // request written into it would be lost, and MayHaveRun for nothing.
       if (candidate.IsCleanNow()) {
--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -12,6 +12,13 @@
 {
 public:
   virtual ~BackendCallHandler() = default;
+  /// Whether the answer that begins is this call's own. A server may send a
+  /// second answer to an earlier request, late, where the next is expected;
+  /// what is not one's own is read over, and the call waits on.
+  virtual bool IsOwnAnswer(std::span<const HeaderField> /*aHeaders*/)
+  {
+    return true;
+  }
   virtual void OnHead(int aStatus, std::span<const HeaderField> aHeaders) = 0;
   virtual void OnBody(std::string_view aBytes) = 0;
   /// The answer is whole by HTTP's own rules (length or last chunk).
@@ -36,6 +43,10 @@
   /// Silence from the server after which the call is given up.
   Duration idleTimeout = seconds(60);
   std::size_t headerBytes = 32U << 10U;
+  /// Longest time that bytes may stay unacknowledged, or that an idle link may
+  /// stay without a sign of life; 0 leaves it to the system (minutes). Without
+  /// it a link that fell silent (no reset) looks open for good.
+  Duration silentLinkTimeout{ 0 };
 };
 
 /// HTTP/1.1 client to one backend server, with a pool.
@@ -54,7 +65,16 @@
   virtual ~BackendClient() = default;
   virtual std::unique_ptr<BackendCall> Start(const HttpRequest& aRequest,
                                              BackendCallHandler& aHandler) = 0;
+  /// As Start(), on a kept connection only if it was used within
+  /// \p aFreshness: one that has been idle may be closed by the server just
+  /// now, and a request lost in it counts as one that may have run.
+  virtual std::unique_ptr<BackendCall> StartFresh(const HttpRequest& aRequest,
+                                                  BackendCallHandler& aHandler,
+                                                  Duration aFreshness) = 0;
   virtual std::size_t IdleConnections() const = 0;
+  virtual std::size_t OpenConnections() const = 0;
+  /// Closes the connections that serve no call.
+  virtual void CloseIdleConnections() = 0;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -1,6 +1,8 @@
 #include "BackendConnection.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 
 #include <event2/buffer.h>
@@ -94,6 +96,7 @@
     HttpParser::Kind::Response, this->owner.Options().headerBytes, *this);
   this->untilClose = false;
   this->headOnly = false;
+  this->isForeign = false;
 }
 
 void
@@ -132,14 +135,19 @@
   this->headOnly = this->isHead || status == 204 || status == 304;
   this->untilClose = !this->headOnly && !this->parser->IsChunked() &&
                      !this->parser->ContentLength();
-  this->call->handler.OnHead(status, this->parser->Headers());
+  this->isForeign = !this->call->handler.IsOwnAnswer(this->parser->Headers());
+  if (!this->isForeign) {
+    this->call->handler.OnHead(status, this->parser->Headers());
+  }
   return this->call != nullptr && !this->untilClose && !this->headOnly;
 }
 
 bool
 BackendConnection::OnParsedBody(std::string_view aBytes)
 {
-  this->call->handler.OnBody(aBytes);
+  if (!this->isForeign) {
+    this->call->handler.OnBody(aBytes);
+  }
   return this->call != nullptr;
 }
 
@@ -172,7 +180,9 @@
 BackendConnection::ReadAnswer(std::string_view aBytes)
 {
   if (this->untilClose) {
-    this->call->handler.OnBody(aBytes);
+    if (!this->isForeign) {
+      this->call->handler.OnBody(aBytes);
+    }
     return aBytes.size();
   }
   const std::size_t taken = this->parser->Run(aBytes);
@@ -182,6 +192,13 @@
   const bool hasMore =
     taken < aBytes.size() ||
     evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+  const bool isWhole =
+    this->parser->GetState() == HttpParser::State::Complete ||
+    (this->parser->GetState() == HttpParser::State::Stopped && this->headOnly);
+  if (isWhole && this->isForeign) {
+    this->ResetParser();
+    return taken;
+  }
   switch (this->parser->GetState()) {
     case HttpParser::State::Reading:
       break;
@@ -213,6 +230,7 @@
                TCP_NODELAY,
                &on,
                sizeof(on));
+    this->SetLinkTimeout();
     const timeval limit = ToTimeval(this->owner.Options().idleTimeout);
     bufferevent_set_timeouts(this->stream, &limit, &limit);
     return;
@@ -225,7 +243,8 @@
     this->Fail(absl::DeadlineExceededError(
       this->connected ? "the server was silent for too long"
                       : "the server took too long to accept"));
-  } else if ((aWhat & BEV_EVENT_EOF) != 0 && this->untilClose) {
+  } else if ((aWhat & BEV_EVENT_EOF) != 0 && this->untilClose &&
+             !this->isForeign) {
     this->Complete(false);
   } else if ((aWhat & BEV_EVENT_EOF) != 0) {
     this->Fail(absl::DataLossError("closed before the answer was whole"));
@@ -235,6 +254,52 @@
   }
 }
 
+void
+BackendConnection::SetLinkTimeout()
+{
+  const Duration limit = this->owner.Options().silentLinkTimeout;
+  if (limit <= Duration::zero()) {
+    return;
+  }
+  const int descriptor = bufferevent_getfd(this->stream);
+  const auto set = [descriptor](int aLevel, int aOption, int aValue) {
+    setsockopt(descriptor, aLevel, aOption, &aValue, sizeof(aValue));
+  };
+  // The system counts probes in whole seconds, one at least.
+  const auto whole = std::max<Duration::rep>(
+    1, std::chrono::duration_cast<seconds>(limit).count());
+  set(
+    IPPROTO_TCP,
+    TCP_USER_TIMEOUT,
+    static_cast<int>(std::chrono::duration_cast<milliseconds>(limit).count()));
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(whole));
+  set(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  set(IPPROTO_TCP, TCP_KEEPCNT, 1);
+}
+
+void
+BackendConnection::NoteKeepAlive()
+{
+  this->idleSince = Now();
+  this->expires = TimePoint::max();
+  const std::string_view value =
+    FindHeader(this->parser->Headers(), "keep-alive");
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = value.find(kTimeout);
+  int whole = 0;
+  if (at == std::string_view::npos ||
+      std::from_chars(
+        value.data() + at + kTimeout.size(), value.data() + value.size(), whole)
+          .ec != std::errc()) {
+    return;
+  }
+  // A request sent in the last moment would cross the server's close; a fifth
+  // is many times what it takes to get there.
+  constexpr int kKeptFifths = 4;
+  this->expires = this->idleSince + seconds(whole) * kKeptFifths / 5;
+}
+
 void
 BackendConnection::Complete(bool aKeep)
 {
@@ -242,6 +307,7 @@
   done.connection = nullptr;
   const bool sent =
     evbuffer_get_length(bufferevent_get_output(this->stream)) == 0;
+  this->NoteKeepAlive();
   this->parser.reset();
   if (aKeep && sent) {
     bufferevent_enable(this->stream, EV_READ);
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -44,6 +44,10 @@
   bool IsCleanNow() const;
   /// Closes, with no call told.
   void Close();
+  /// When it was pooled.
+  TimePoint IdleSince() const { return this->idleSince; }
+  /// Whether the server, by its own word, may close it from now on.
+  bool IsExpired(TimePoint aNow) const { return aNow >= this->expires; }
 
 private:
   bool OnParsedHead() override;
@@ -54,6 +58,8 @@
   /// \return how many bytes are dealt with.
   std::size_t ReadAnswer(std::string_view aBytes);
   void ResetParser();
+  void SetLinkTimeout();
+  void NoteKeepAlive();
   void Complete(bool aKeep);
   void Fail(const absl::Status& aReason);
 
@@ -68,6 +74,10 @@
   bool untilClose = false;
   /// The answer's head says that no body follows, whatever its length says.
   bool headOnly = false;
+  /// The answer under way belongs to an earlier request.
+  bool isForeign = false;
+  TimePoint idleSince{};
+  TimePoint expires = TimePoint::max();
 };
 
 /// The handle that the caller of Start() holds.
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -267,13 +267,15 @@
   if (this->isHead || aBytes.empty()) {
     return;
   }
-  if (this->chunked) {
-    this->Write(fmt::format("{:x}\r\n", aBytes.size()));
-  }
-  this->Write(aBytes);
-  if (this->chunked) {
-    this->Write("\r\n");
+  if (!this->chunked) {
+    this->Write(aBytes);
+    return;
   }
+  // One piece, so that it is one system call and one segment.
+  std::string chunk = fmt::format("{:x}\r\n", aBytes.size());
+  chunk += aBytes;
+  chunk += "\r\n";
+  this->Write(chunk);
 }
 
 void
@@ -282,7 +284,19 @@
   if (this->stream == nullptr) {
     return;
   }
-  bufferevent_write(this->stream, aBytes.data(), aBytes.size());
+  std::string_view rest = aBytes;
+  if (this->PendingBytes() == 0) {
+    // The socket mostly has room. Writing at once saves the loop's turn and
+    // its two calls to arm and disarm the socket; errors show on the rest.
+    const ssize_t sent = send(bufferevent_getfd(this->stream),
+                              rest.data(),
+                              rest.size(),
+                              MSG_DONTWAIT | MSG_NOSIGNAL);
+    rest.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
+  }
+  if (!rest.empty()) {
+    bufferevent_write(this->stream, rest.data(), rest.size());
+  }
   if (this->PendingBytes() > this->owner.Bounds().lowWaterBytes) {
     this->aboveLowWater = true;
   }
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -105,6 +105,13 @@
     aWriter.Sample({}, std::uint64_t(this->connections.size()));
   }
 
+  void SetBounds(const CallerBounds& aBounds) override
+  {
+    this->bounds = aBounds;
+  }
+
+  void AnnounceClosing() override { this->stopping = true; }
+
   void StopAccepting() override
   {
     this->stopping = true;
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -89,6 +89,10 @@
 
   virtual SocketAddress Address() const = 0;
   virtual const CallerServerCounters& Counters() const = 0;
+  /// Bounds for what is read from now on.
+  virtual void SetBounds(const CallerBounds& aBounds) = 0;
+  /// From now on each connection closes after its next answer, which says so.
+  virtual void AnnounceClosing() = 0;
   /// Closes the listening socket; open connections go on, and each closes
   /// after the answer to its current request.
   virtual void StopAccepting() = 0;
--- a/dogwoodvale/src/Http/HttpParser.cpp
+++ b/dogwoodvale/src/Http/HttpParser.cpp
@@ -383,6 +383,8 @@
       return "Request Timeout";
     case 409:
       return "Conflict";
+    case 421:
+      return "Misdirected Request";
     case 413:
       return "Content Too Large";
     case 429:
--- /dev/null
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -0,0 +1,127 @@
+#include "DirectChoice.h"
+
+#include <algorithm>
+
+namespace dogwoodvale {
+
+namespace {
+
+/// Prefill that one request beyond the slots is taken to stand for: it waits
+/// for another to end, which takes many steps.
+constexpr double kTokensPerQueuedRequest = 2000.0;
+/// Prefill that one running request is taken to stand for: each slows every
+/// step a little.
+constexpr double kTokensPerRunningRequest = 8.0;
+/// Share of the cache above which running requests begin to preempt others.
+constexpr double kFullCacheShare = 0.85;
+
+std::uint64_t
+Mix(std::uint64_t aSeed, std::uint64_t aValue)
+{
+  // A 64-bit finalizer; any good mixing does.
+  std::uint64_t bits = aSeed * 0x9e3779b97f4a7c15ULL + aValue;
+  bits ^= bits >> 32U;
+  bits *= 0xd6e8feb86659fd93ULL;
+  bits ^= bits >> 32U;
+  return bits;
+}
+
+double
+ModelCost(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+{
+  const BackendWork& work = aCandidate.work;
+  const std::uint32_t own =
+    aDemand.promptTokens -
+    std::min(aDemand.promptTokens, aCandidate.cachedTokens);
+  double tokens = static_cast<double>(work.prefillTokens) + own;
+  tokens += kTokensPerRunningRequest * work.requests;
+  if (aCandidate.slots > 0 && work.requests >= aCandidate.slots) {
+    tokens += kTokensPerQueuedRequest * (work.requests - aCandidate.slots + 1);
+  }
+  const auto memory =
+    static_cast<double>(work.memoryTokens + aDemand.promptTokens);
+  const double room =
+    kFullCacheShare * static_cast<double>(aCandidate.cacheTokens);
+  if (aCandidate.cacheTokens > 0 && memory > room) {
+    tokens += memory - room;
+  }
+  return tokens;
+}
+
+} // namespace
+
+std::vector<PromptStep>
+StepsOf(std::span<const PromptPart> aParts)
+{
+  std::vector<PromptStep> steps;
+  PrefixHash hash = 0;
+  for (const PromptPart& part : aParts) {
+    hash = Mix(hash + 1, part.id);
+    steps.push_back({ hash, part.tokens });
+  }
+  return steps;
+}
+
+std::uint32_t
+CachedTokens(const PrefixIndex& aIndex,
+             std::span<const PromptStep> aSteps,
+             const InstanceName& aInstance,
+             TimePoint aNow)
+{
+  std::uint32_t tokens = 0;
+  for (const PromptStep& step : aSteps) {
+    const std::span<const PrefixHolder> holders = aIndex.Find(step.hash);
+    const bool holds =
+      std::ranges::any_of(holders, [&](const PrefixHolder& aHolder) {
+        return aHolder.server == aInstance && aIndex.IsCurrent(aHolder, aNow);
+      });
+    if (!holds) {
+      break;
+    }
+    tokens += step.tokens;
+  }
+  return tokens;
+}
+
+double
+DirectCost(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+{
+  if (aDemand.promptTokens > 0) {
+    return ModelCost(aCandidate, aDemand) * aCandidate.slowness;
+  }
+  const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
+  return (aCandidate.work.requests + 1) / slots * aCandidate.slowness;
+}
+
+std::optional<std::size_t>
+ChooseDirect(std::span<const DirectCandidate> aCandidates,
+             const DirectDemand& aDemand,
+             std::mt19937_64& aRandom)
+{
+  std::optional<std::size_t> best;
+  double bestCost = 0;
+  bool bestIsOut = false;
+  std::uint32_t ties = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const DirectCandidate& candidate = aCandidates[i];
+    const bool isOut =
+      candidate.standing == Standing::Ejected ||
+      (candidate.standing == Standing::OnTrial && candidate.work.requests > 0);
+    const double cost = DirectCost(candidate, aDemand);
+    const bool isBetter =
+      !best || (bestIsOut && !isOut) || (bestIsOut == isOut && cost < bestCost);
+    if (isBetter) {
+      best = i;
+      bestCost = cost;
+      bestIsOut = isOut;
+      ties = 1;
+    } else if (bestIsOut == isOut && cost == bestCost &&
+               std::uniform_int_distribution<std::uint32_t>(0, ties++)(
+                 aRandom) == 0) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Routing/WorkTable.cpp
@@ -0,0 +1,129 @@
+#include "WorkTable.h"
+
+#include <algorithm>
+
+namespace dogwoodvale {
+
+namespace {
+
+template<class Number>
+Number
+Less(Number aFrom, Number aTaken)
+{
+  return aFrom - std::min(aFrom, aTaken);
+}
+
+} // namespace
+
+BackendWork&
+BackendWork::operator+=(const BackendWork& aOther)
+{
+  this->requests += aOther.requests;
+  this->prefillTokens += aOther.prefillTokens;
+  this->memoryTokens += aOther.memoryTokens;
+  return *this;
+}
+
+BackendWork&
+BackendWork::operator-=(const BackendWork& aOther)
+{
+  this->requests = Less(this->requests, aOther.requests);
+  this->prefillTokens = Less(this->prefillTokens, aOther.prefillTokens);
+  this->memoryTokens = Less(this->memoryTokens, aOther.memoryTokens);
+  return *this;
+}
+
+void
+WorkTable::AddOwn(const InstanceName& aInstance, const BackendWork& aWork)
+{
+  this->entries[aInstance].own += aWork;
+}
+
+void
+WorkTable::RemoveOwn(const InstanceName& aInstance, const BackendWork& aWork)
+{
+  this->entries[aInstance].own -= aWork;
+  this->DropIfEmpty(aInstance);
+}
+
+void
+WorkTable::SetPeer(const InstanceName& aGateway,
+                   std::span<const WorkLine> aLines,
+                   TimePoint aNow)
+{
+  Peer& peer = this->peers[aGateway];
+  this->Forget(peer);
+  peer.lines.assign(aLines.begin(), aLines.end());
+  peer.heard = aNow;
+  for (const WorkLine& line : peer.lines) {
+    this->entries[line.instance].others += line.work;
+  }
+}
+
+std::vector<InstanceName>
+WorkTable::Expire(TimePoint aNow)
+{
+  std::vector<InstanceName> gone;
+  for (const auto& [name, peer] : this->peers) {
+    if (Between(peer.heard, aNow) > kPeerLife) {
+      gone.push_back(name);
+    }
+  }
+  for (const InstanceName& name : gone) {
+    this->Forget(this->peers[name]);
+    this->peers.erase(name);
+  }
+  return gone;
+}
+
+void
+WorkTable::Forget(const Peer& aPeer)
+{
+  for (const WorkLine& line : aPeer.lines) {
+    this->entries[line.instance].others -= line.work;
+    this->DropIfEmpty(line.instance);
+  }
+}
+
+void
+WorkTable::DropIfEmpty(const InstanceName& aInstance)
+{
+  const auto found = this->entries.find(aInstance);
+  if (found != this->entries.end() && found->second.own.IsNothing() &&
+      found->second.others.IsNothing()) {
+    this->entries.erase(found);
+  }
+}
+
+BackendWork
+WorkTable::Total(const InstanceName& aInstance) const
+{
+  const auto found = this->entries.find(aInstance);
+  if (found == this->entries.end()) {
+    return {};
+  }
+  BackendWork sum = found->second.own;
+  sum += found->second.others;
+  return sum;
+}
+
+BackendWork
+WorkTable::Own(const InstanceName& aInstance) const
+{
+  const auto found = this->entries.find(aInstance);
+  return found == this->entries.end() ? BackendWork{} : found->second.own;
+}
+
+std::vector<WorkLine>
+WorkTable::OwnLines() const
+{
+  std::vector<WorkLine> lines;
+  for (const auto& [name, entry] : this->entries) {
+    if (!entry.own.IsNothing()) {
+      lines.push_back({ name, entry.own });
+    }
+  }
+  return lines;
+}
+
+} // namespace dogwoodvale
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -27,6 +27,12 @@
 constexpr IntegerBounds kBackendIdleMs{ 100, 3'600'000 };
 constexpr NumberBounds kOverdueShare{ 0, 0.5 };
 
+constexpr NumberBounds kRetryRatio{ 0, 10 };
+constexpr NumberBounds kBoundSeconds{ 0.001, 3600 };
+constexpr IntegerBounds kRetryExtra{ 0, 1'000'000 };
+constexpr IntegerBounds kBoundMs{ 1, 3'600'000 };
+constexpr IntegerBounds kDescriptors{ 64, 10'000'000 };
+
 constexpr std::size_t kMaxStaticInstances = 100'000;
 constexpr std::size_t kMaxStoreAddresses = 16;
 
@@ -51,6 +57,30 @@
   return !stream.bad();
 }
 
+void
+ReadAddressList(const ReadScope& aScope,
+                const Json::Value& aList,
+                std::string_view aKey,
+                std::vector<SocketAddress>& aTarget)
+{
+  if (aList.size() > kMaxStoreAddresses) {
+    aScope.Add(aList,
+               fmt::format("\"{}\" has {} addresses; at most {} allowed",
+                           aKey,
+                           aList.size(),
+                           kMaxStoreAddresses));
+  }
+  for (const Json::Value& item : aList) {
+    auto address =
+      SocketAddress::Parse(item.isString() ? item.asString() : std::string());
+    if (address.ok()) {
+      aTarget.push_back(*std::move(address));
+    } else {
+      aScope.Add(item, std::string(address.status().message()));
+    }
+  }
+}
+
 void
 ReadPlatform(const ReadScope& aScope,
              const Json::Value& aValue,
@@ -58,21 +88,7 @@
 {
   ObjectReader reader(aScope, aValue, "\"platform\"");
   if (const Json::Value* list = reader.FindList("store")) {
-    if (list->size() > kMaxStoreAddresses) {
-      aScope.Add(*list,
-                 fmt::format("\"store\" has {} addresses; at most {} allowed",
-                             list->size(),
-                             kMaxStoreAddresses));
-    }
-    for (const Json::Value& item : *list) {
-      auto address =
-        SocketAddress::Parse(item.isString() ? item.asString() : std::string());
-      if (address.ok()) {
-        aPlatform.store.push_back(*std::move(address));
-      } else {
-        aScope.Add(item, std::string(address.status().message()));
-      }
-    }
+    ReadAddressList(aScope, *list, "store", aPlatform.store);
   }
   SocketAddress list;
   if (reader.ReadAddress("instance_list", list)) {
@@ -108,6 +124,40 @@
   reader.Finish();
 }
 
+/// A number of seconds, whole or not.
+void
+ReadSeconds(ObjectReader& aReader, std::string_view aKey, Duration& aTarget)
+{
+  constexpr double kMicros = 1e6;
+  double value = 0;
+  if (aReader.ReadNumber(aKey, kBoundSeconds, value)) {
+    aTarget = Duration(static_cast<Duration::rep>(value * kMicros));
+  }
+}
+
+void
+ReadGateway(const ReadScope& aScope,
+            const Json::Value& aValue,
+            GatewaySettings& aGateway)
+{
+  ObjectReader reader(aScope, aValue, "\"gateway\"");
+  reader.Require("callers");
+  reader.ReadAddress("callers", aGateway.callers);
+  if (const Json::Value* list = reader.FindList("seeds")) {
+    ReadAddressList(aScope, *list, "seeds", aGateway.seeds);
+  }
+  reader.ReadNumber("retry_ratio", kRetryRatio, aGateway.retryRatio);
+  ReadSeconds(reader, "retry_window_s", aGateway.retryWindow);
+  reader.ReadInteger("retry_extra", kRetryExtra, aGateway.retryExtra);
+  reader.ReadMilliseconds(
+    "instance_drain_ms", kBoundMs, aGateway.instanceDrain);
+  reader.ReadMilliseconds(
+    "configuration_apply_ms", kBoundMs, aGateway.configurationApply);
+  ReadSeconds(reader, "stop_grace_s", aGateway.stopGrace);
+  reader.ReadInteger("descriptors", kDescriptors, aGateway.descriptors);
+  reader.Finish();
+}
+
 void
 ReadSidecar(const ReadScope& aScope,
             const Json::Value& aValue,
@@ -207,13 +257,19 @@
 bool
 ReadRole(ObjectReader& aReader, Role& aRole)
 {
-  constexpr std::array<std::string_view, 2> kRoles{ "entry", "sidecar" };
+  constexpr std::array<std::string_view, 3> kRoles{ "entry",
+                                                    "sidecar",
+                                                    "gateway" };
   std::string text;
   aReader.Require("role");
   if (!aReader.ReadChoice("role", kRoles, text)) {
     return false;
   }
-  aRole = text == RoleName(Role::Entry) ? Role::Entry : Role::Sidecar;
+  for (const Role role : { Role::Entry, Role::Sidecar, Role::Gateway }) {
+    if (text == RoleName(role)) {
+      aRole = role;
+    }
+  }
   return true;
 }
 
@@ -225,23 +281,27 @@
   const ReadScope& scope = aReader.Scope();
   const Json::Value* entry = aReader.Find("entry");
   const Json::Value* sidecar = aReader.Find("sidecar");
+  const Json::Value* gateway = aReader.Find("gateway");
   if (entry != nullptr) {
     ReadEntry(scope, *entry, aSettings.entry);
   }
   if (sidecar != nullptr) {
     ReadSidecar(scope, *sidecar, aSettings.sidecar);
   }
+  if (gateway != nullptr) {
+    ReadGateway(scope, *gateway, aSettings.gateway);
+  }
   if (!aRoleKnown) {
     return;
   }
-  const bool isEntry = aSettings.role == Role::Entry;
   const std::string_view own = RoleName(aSettings.role);
-  const std::string_view other =
-    RoleName(isEntry ? Role::Sidecar : Role::Entry);
-  if ((isEntry ? sidecar : entry) != nullptr) {
-    scope.AddAt(
-      scope.document.PlaceOfKey(aReader.Object(), other),
-      fmt::format("section \"{}\" has no meaning for role \"{}\"", other, own));
+  for (const std::string_view other : { "entry", "sidecar", "gateway" }) {
+    if (other != own && aReader.Object().isMember(std::string(other))) {
+      scope.AddAt(scope.document.PlaceOfKey(aReader.Object(), other),
+                  fmt::format("section \"{}\" has no meaning for role \"{}\"",
+                              other,
+                              own));
+    }
   }
   aReader.Require(own);
 }
@@ -251,7 +311,15 @@
 std::string_view
 RoleName(Role aRole)
 {
-  return aRole == Role::Entry ? "entry" : "sidecar";
+  switch (aRole) {
+    case Role::Entry:
+      return "entry";
+    case Role::Sidecar:
+      return "sidecar";
+    case Role::Gateway:
+      return "gateway";
+  }
+  return "entry";
 }
 
 DaemonSettings
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -16,6 +16,8 @@
 {
   Entry,
   Sidecar,
+  /// An entry that speaks to backend servers directly, with no sidecar.
+  Gateway,
 };
 
 std::string_view
@@ -82,6 +84,27 @@
   double overdueShare = 0.1;
 };
 
+/// Settings of a gateway.
+struct GatewaySettings
+{
+  SocketAddress callers;
+  /// Other gateways that may be asked while the store gives no answer.
+  std::vector<SocketAddress> seeds;
+  /// Retries that all gateways together may add to a service in any window:
+  /// this share of its requests, and a fixed number besides.
+  double retryRatio = 0.1;
+  Duration retryWindow = seconds(10);
+  std::uint32_t retryExtra = 10;
+  /// A backend server that has said that it leaves gets no new work after this.
+  Duration instanceDrain = seconds(2);
+  /// A change of the configuration must be in force after this.
+  Duration configurationApply = seconds(2);
+  /// From the order to stop until the process is killed.
+  Duration stopGrace = seconds(8);
+  /// File descriptors that the process may hold.
+  std::uint32_t descriptors = 4096;
+};
+
 /// A sidecar that the settings name.
 struct StaticInstance
 {
@@ -114,6 +137,7 @@
   Duration stopTimeout = seconds(600);
   EntrySettings entry;
   SidecarSettings sidecar;
+  GatewaySettings gateway;
 };
 
 /// Parses and checks settings.
