--- a/dogwoodvale/src/Configuration/RouteTable.cpp
+++ b/dogwoodvale/src/Configuration/RouteTable.cpp
@@ -87,6 +87,33 @@
       this->keys[key] = &customer;
     }
   }
+  this->RankTiers();
+}
+
+void
+RouteTable::RankTiers()
+{
+  for (const HostRoute& route : this->parts.routes) {
+    this->ranks.emplace_back(route.tier, route.tier);
+    for (const KeyedCustomer& customer : this->parts.customers) {
+      this->ranks.emplace_back(route.tier, customer.tier.value_or(route.tier));
+    }
+  }
+  std::ranges::sort(this->ranks);
+  const auto rest = std::ranges::unique(this->ranks);
+  this->ranks.erase(rest.begin(), rest.end());
+}
+
+std::uint32_t
+RouteTable::RankOf(const HostRoute& aRoute,
+                   const KeyedCustomer* aCustomer) const
+{
+  const Tier own = aCustomer == nullptr
+                     ? aRoute.tier
+                     : aCustomer->tier.value_or(aRoute.tier);
+  const auto place = std::ranges::lower_bound(
+    this->ranks, std::pair<Tier, Tier>(aRoute.tier, own));
+  return static_cast<std::uint32_t>(place - this->ranks.begin());
 }
 
 const HostRoute*
--- a/dogwoodvale/src/Configuration/RouteTable.h
+++ b/dogwoodvale/src/Configuration/RouteTable.h
@@ -120,6 +120,16 @@
                              std::string_view aPath) const;
   const DirectService* FindService(const ServiceName& aName) const;
   const KeyedCustomer* FindCustomer(std::string_view aKey) const;
+  /// Place of a request in the order of service, 0 first: by its route's tier,
+  /// and among requests of one tier by its customer's, where it has one.
+  ///
+  /// Backend servers that run out of memory stop the newest of the last in this
+  /// order. With customers first, a drafted note of one customer was stopped
+  /// for another's long review, which its route ranks below. The places are
+  /// those that this configuration uses, without gaps, so that they fit into
+  /// few numbers.
+  std::uint32_t RankOf(const HostRoute& aRoute,
+                       const KeyedCustomer* aCustomer) const;
   /// Whether requests need a key, unless their route is public.
   bool NeedsKeys() const { return !this->parts.customers.empty(); }
 
@@ -127,12 +137,15 @@
   explicit RouteTable(RouteTableParts aParts);
   void Check(class Findings& aFindings) const;
   void Index();
+  void RankTiers();
 
   RouteTableParts parts;
   /// By host, the longest prefix first.
   absl::flat_hash_map<std::string, std::vector<const HostRoute*>> byHost;
   absl::flat_hash_map<ServiceName, const DirectService*> services;
   absl::flat_hash_map<std::string, const KeyedCustomer*> keys;
+  /// Pairs of tiers (the route's, the customer's) that can occur, sorted.
+  std::vector<std::pair<Tier, Tier>> ranks;
 };
 
 /// Divides requests among a route's services by weight.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -183,16 +183,15 @@
   if (admitted.route == nullptr) {
     return refuse(ErrorCode::UnknownRoute, "no such route");
   }
-  admitted.tier = admitted.route->tier;
+  const KeyedCustomer* customer = nullptr;
   if (admitted.routes->NeedsKeys() && !admitted.route->isPublic) {
-    const KeyedCustomer* customer =
-      admitted.routes->FindCustomer(admitted.envelope.key);
+    customer = admitted.routes->FindCustomer(admitted.envelope.key);
     if (customer == nullptr) {
       return refuse(ErrorCode::Unauthorized, "no such API key");
     }
     admitted.customer = customer->name;
-    admitted.tier = customer->tier.value_or(admitted.tier);
   }
+  admitted.rank = admitted.routes->RankOf(*admitted.route, customer);
   std::uniform_real_distribution<double> draw(0.0, 1.0);
   const ServiceName& service = PickService(*admitted.route, draw(this->random));
   admitted.service = admitted.routes->FindService(service);
@@ -275,8 +274,8 @@
       admitted.route->name,
       "customer",
       admitted.customer.Value(),
-      "tier",
-      static_cast<int>(admitted.tier),
+      "rank",
+      admitted.rank,
       "version",
       admitted.routes->Version(),
       "instance",
@@ -467,6 +466,13 @@
   if (now < this->noticedAt) {
     return;
   }
+  // The balancer may have nobody else and go on sending. What is accepted late
+  // in the grace would be cut off at its end, so nothing is: a caller whose
+  // connection is refused knows that its request was not read.
+  if (this->accepting) {
+    this->accepting = false;
+    this->callers->StopAccepting();
+  }
   this->callers->CloseIdleConnections();
   const bool isQuiet =
     this->requests.empty() && this->callers->OpenConnections() == 0;
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -105,6 +105,7 @@
   std::size_t listedGateways = 1;
   std::uint64_t digestSequence = 0;
   bool stopping = false;
+  bool accepting = true;
   TimePoint noticedAt{};
   TimePoint stopDeadline{};
   SuspensionWatch suspensions;
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -155,7 +155,7 @@
   order.instance = aCandidate.name;
   order.customer = this->admitted.customer;
   order.timeLeft = this->TimeLeft(now);
-  order.tier = this->admitted.tier;
+  order.rank = this->admitted.rank;
   order.resumeAfter = this->delivered;
   Sent sending;
   sending.instance = aCandidate.name;
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -21,7 +21,8 @@
   const HostRoute* route = nullptr;
   const DirectService* service = nullptr;
   CustomerName customer;
-  Tier tier = 0;
+  /// Place in the order of service, see RouteTable::RankOf().
+  std::uint32_t rank = 0;
   CallerEnvelope envelope;
   DirectDemand demand;
 };
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -76,7 +76,8 @@
   /// Empty when the request needs no key.
   CustomerName customer;
   Duration timeLeft{ 0 };
-  Tier tier = 0;
+  /// Place in the order of service, 0 first.
+  std::uint32_t rank = 0;
   /// A stream goes on after this event.
   std::optional<std::uint64_t> resumeAfter;
 };
