Place model requests by the delay to themselves and to others

Change: PrefillFlow learns which prompts are long (above the service's mean) and what each engine has read of them lately; a long prompt counts the delay to every answer that runs at an engine, a short one the long prompts read there. Prefixes may have 64 holders (4 lost the common first parts).

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -19,11 +19,22 @@
   return settings;
 }
 
+/// A short first part may lie on every server of a large service.
+PrefixIndexSettings
+MakePrefixSettings()
+{
+  PrefixIndexSettings settings;
+  settings.maxPrefixes = 16'384;
+  settings.maxHoldersPerPrefix = 64;
+  return settings;
+}
+
 } // namespace
 
 BackendPool::BackendPool(EventLoop& aLoop, Options aOptions)
   : loop(aLoop)
   , options(aOptions)
+  , prefixes(MakePrefixSettings())
 {
 }
 
@@ -122,6 +133,7 @@
     }
     Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
     this->prefixes.Forget(it->first);
+    this->flows[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
     std::erase(this->byService[member.instance.service], it->first);
     it = this->members.erase(it);
@@ -172,6 +184,7 @@
     return found;
   }
   const auto tracker = this->health.find(aService.name);
+  const auto flow = this->flows.find(aService.name);
   for (const InstanceName& name : listed->second) {
     const Member& member = this->members.at(name);
     const std::uint32_t slots =
@@ -189,11 +202,26 @@
     candidate.standing = tracker->second.StandingOf(name);
     candidate.cachedTokens =
       CachedTokens(this->prefixes, aDemand.steps, name, aNow);
+    if (flow != this->flows.end()) {
+      candidate.recentLongTokens = flow->second.Recent(name, aNow);
+    }
     found.push_back(std::move(candidate));
   }
   return found;
 }
 
+void
+BackendPool::OnLongPrompt(const InstanceName& aInstance,
+                          std::uint32_t aTokens,
+                          TimePoint aNow)
+{
+  const auto found = this->members.find(aInstance);
+  if (found != this->members.end()) {
+    this->flows[found->second.instance.service].OnLong(
+      aInstance, aTokens, aNow);
+  }
+}
+
 BackendClient*
 BackendPool::ClientOf(const InstanceName& aInstance)
 {
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -38,6 +38,10 @@
     const DirectDemand& aDemand,
     std::span<const InstanceName> aExcluded,
     TimePoint aNow) const;
+  /// A long prompt was sent to the instance, by this gateway or another.
+  void OnLongPrompt(const InstanceName& aInstance,
+                    std::uint32_t aTokens,
+                    TimePoint aNow);
   /// The client of an instance that Candidates() named.
   BackendClient* ClientOf(const InstanceName& aInstance);
   /// Slots of the service's live servers, and requests under way on them.
@@ -60,6 +64,10 @@
   /// Another instance has its address: takes it out at once.
   void OnWrongInstance(const InstanceName& aInstance);
 
+  PrefillFlow& FlowOf(const ServiceName& aService)
+  {
+    return this->flows[aService];
+  }
   WorkTable& Work() { return this->work; }
   PrefixIndex& Prefixes() { return this->prefixes; }
   bool HasAny() const { return !this->members.empty(); }
@@ -86,6 +94,7 @@
   std::map<InstanceName, Member> members;
   absl::flat_hash_map<ServiceName, std::vector<InstanceName>> byService;
   std::map<ServiceName, HealthTracker> health;
+  std::map<ServiceName, PrefillFlow> flows;
   WorkTable work;
   PrefixIndex prefixes;
 };
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -204,6 +204,9 @@
   if (admitted.route->hasPrompts) {
     admitted.demand.promptTokens = admitted.envelope.promptTokens;
     admitted.demand.steps = StepsOf(admitted.envelope.prompt);
+    PrefillFlow& flow = this->pool.FlowOf(service);
+    flow.OnRequest(admitted.demand.promptTokens);
+    admitted.demand.isLong = flow.IsLong(admitted.demand.promptTokens);
   }
   return admitted;
 }
@@ -248,12 +251,13 @@
 
 void
 Gateway::OnSent(const InstanceName& aInstance,
-                std::span<const PromptStep> aSteps)
+                std::span<const PromptStep> aSteps,
+                std::uint32_t aLongTokens)
 {
   if (aSteps.empty()) {
     return;
   }
-  RoutedPrompt prompt{ aInstance, {} };
+  RoutedPrompt prompt{ aInstance, {}, aLongTokens };
   for (const PromptStep& step : aSteps) {
     prompt.steps.push_back(step.hash);
   }
@@ -291,6 +295,14 @@
       outcome.error ? DispositionName(outcome.error->disposition) : "ran",
       "attempts",
       outcome.attempts,
+      "prompt",
+      admitted.demand.promptTokens,
+      "cached",
+      outcome.cachedTokens,
+      "most_cached",
+      outcome.mostCachedTokens,
+      "ahead",
+      outcome.prefillAhead,
       "first_ms",
       outcome.firstSign.count() / 1000,
       "total_ms",
@@ -387,6 +399,9 @@
     for (const PrefixHash step : prompt.steps) {
       this->pool.Prefixes().OnRouted(step, prompt.instance, now);
     }
+    if (prompt.longTokens > 0) {
+      this->pool.OnLongPrompt(prompt.instance, prompt.longTokens, now);
+    }
   }
   if (aDigest.routesVersion > this->directory->Version()) {
     this->peers->Fetch(aFrom, std::string(PeerExchange::kRoutesPath));
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -49,7 +49,8 @@
   std::mt19937_64& Random() override { return this->random; }
   Duration ListAge() const override;
   void OnSent(const InstanceName& aInstance,
-              std::span<const PromptStep> aSteps) override;
+              std::span<const PromptStep> aSteps,
+              std::uint32_t aLongTokens) override;
   void OnDone(GatewayRequest& aRequest) override;
 
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override;
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -104,6 +104,10 @@
     this->GiveUp(ErrorCode::NoBackendServer, "no backend server takes it");
     return;
   }
+  for (const DirectCandidate& candidate : candidates) {
+    this->outcome.mostCachedTokens =
+      std::max(this->outcome.mostCachedTokens, candidate.cachedTokens);
+  }
   this->SendTo(candidates[*chosen], *client);
 }
 
@@ -165,9 +169,16 @@
   sending.hadRoom = aCandidate.work.requests < aCandidate.slots;
   this->sent = std::move(sending);
   this->outcome.instance = aCandidate.name;
+  this->outcome.cachedTokens = aCandidate.cachedTokens;
+  this->outcome.prefillAhead = aCandidate.work.prefillTokens;
   this->host.Backends().OnSent(
     aCandidate.name, this->sent->work, this->admitted.demand.steps, now);
-  this->host.OnSent(aCandidate.name, this->admitted.demand.steps);
+  const std::uint32_t longTokens =
+    this->admitted.demand.isLong
+      ? static_cast<std::uint32_t>(this->sent->work.prefillTokens)
+      : 0;
+  this->host.Backends().OnLongPrompt(aCandidate.name, longTokens, now);
+  this->host.OnSent(aCandidate.name, this->admitted.demand.steps, longTokens);
   this->attempt = std::make_unique<DirectAttempt>(
     this->host.Loop(), *this->host.Ports().backends, std::move(plan), *this);
   ++this->outcome.attempts;
@@ -441,6 +452,9 @@
   this->deadline.Stop();
   this->outcome.total = Between(this->accepted, Now());
   if (this->outcome.complete && this->sent) {
+    this->host.Backends()
+      .FlowOf(this->admitted.service->name)
+      .OnStay(this->outcome.total);
     if (HealthTracker* health =
           this->host.Backends().HealthOf(this->sent->instance)) {
       health->OnSuccess(this->sent->instance);
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -37,6 +37,11 @@
   std::optional<RequestError> error;
   /// The last server it was sent to.
   InstanceName instance;
+  /// What the last choice went by: tokens that the server probably has in its
+  /// cache, the most that any candidate has, and prefill that was ahead there.
+  std::uint32_t cachedTokens = 0;
+  std::uint32_t mostCachedTokens = 0;
+  std::uint64_t prefillAhead = 0;
   Duration firstSign{ 0 };
   Duration total{ 0 };
   std::uint32_t attempts = 0;
@@ -56,8 +61,11 @@
   virtual std::mt19937_64& Random() = 0;
   /// Age of the list of backend servers, for logs.
   virtual Duration ListAge() const = 0;
+  /// For the other gateways to know.
+  /// \param aLongTokens what the server has to read of a long prompt.
   virtual void OnSent(const InstanceName& aInstance,
-                      std::span<const PromptStep> aSteps) = 0;
+                      std::span<const PromptStep> aSteps,
+                      std::uint32_t aLongTokens) = 0;
   /// The request is done; the host destroys it later, not in this call.
   virtual void OnDone(GatewayRequest& aRequest) = 0;
 };
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -34,7 +34,8 @@
 
 using PackedWork =
   std::tuple<std::string, std::uint32_t, std::uint64_t, std::uint64_t>;
-using PackedPrompt = std::tuple<std::string, std::vector<std::uint64_t>>;
+using PackedPrompt =
+  std::tuple<std::string, std::vector<std::uint64_t>, std::uint32_t>;
 using PackedDigest = std::tuple<std::string,
                                 std::uint64_t,
                                 std::uint64_t,
@@ -67,7 +68,8 @@
   }
   std::vector<PackedPrompt> routed;
   for (const RoutedPrompt& prompt : aDigest.routed) {
-    routed.emplace_back(prompt.instance.Value(), prompt.steps);
+    routed.emplace_back(
+      prompt.instance.Value(), prompt.steps, prompt.longTokens);
   }
   msgpack::sbuffer buffer;
   msgpack::pack(buffer,
@@ -117,9 +119,9 @@
     digest.work.push_back(
       { InstanceName(std::move(name)), { requests, prefill, memory } });
   }
-  for (auto& [name, steps] : std::get<5>(read)) {
+  for (auto& [name, steps, longTokens] : std::get<5>(read)) {
     digest.routed.push_back(
-      { InstanceName(std::move(name)), std::move(steps) });
+      { InstanceName(std::move(name)), std::move(steps), longTokens });
   }
   return digest;
 }
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -15,6 +15,8 @@
 {
   InstanceName instance;
   std::vector<PrefixHash> steps;
+  /// What the server has to read of it if it is long, else 0.
+  std::uint32_t longTokens = 0;
 };
 
 /// What a gateway tells the others, a few times a second, in one datagram. It
--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -12,6 +12,9 @@
 /// Prefill that one running request is taken to stand for: each slows every
 /// step a little.
 constexpr double kTokensPerRunningRequest = 8.0;
+/// How much a token of delay to a request that runs there counts against one to
+/// the request that is placed. One for one makes the sum of delays least.
+constexpr double kDelayToOthers = 0.3;
 /// Share of the cache above which running requests begin to preempt others.
 constexpr double kFullCacheShare = 0.85;
 
@@ -34,7 +37,14 @@
     aDemand.promptTokens -
     std::min(aDemand.promptTokens, aCandidate.cachedTokens);
   double tokens = static_cast<double>(work.prefillTokens) + own;
-  tokens += kTokensPerRunningRequest * work.requests;
+  if (aDemand.isLong) {
+    // Every answer that is generated there waits while this prompt is read.
+    tokens += kDelayToOthers * own * work.requests;
+  } else {
+    // What was read there lately is what will be read beside this answer.
+    tokens += aCandidate.recentLongTokens;
+    tokens += kTokensPerRunningRequest * work.requests;
+  }
   if (aCandidate.slots > 0 && work.requests >= aCandidate.slots) {
     tokens += kTokensPerQueuedRequest * (work.requests - aCandidate.slots + 1);
   }
--- a/dogwoodvale/src/Routing/DirectChoice.h
+++ b/dogwoodvale/src/Routing/DirectChoice.h
@@ -36,6 +36,8 @@
   /// Tokens of the prompt in all; 0 for a plain service.
   std::uint32_t promptTokens = 0;
   std::vector<PromptStep> steps;
+  /// Longer than the service's mean, see PrefillFlow.
+  bool isLong = false;
 };
 
 /// A backend server as the choice sees it.
@@ -52,6 +54,8 @@
   double slowness = 1.0;
   /// Prompt tokens that its cache probably holds of this request.
   std::uint32_t cachedTokens = 0;
+  /// What it has read of long prompts lately, see PrefillFlow.
+  double recentLongTokens = 0;
 };
 
 /// Tokens of a prompt that \p aInstance probably holds.
--- /dev/null
+++ b/dogwoodvale/src/Routing/PrefillFlow.cpp
@@ -0,0 +1,84 @@
+#include "PrefillFlow.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwoodvale {
+
+namespace {
+
+/// Weight of one more sample in the means: about the last 50 requests count,
+/// a second or two of a busy service.
+constexpr double kWeight = 0.02;
+/// No prompt is long before this many are known.
+constexpr std::uint32_t kLeastSamples = 10;
+/// Taken for the mean stay until one is measured.
+constexpr Duration kFirstStay = seconds(1);
+
+} // namespace
+
+void
+PrefillFlow::OnRequest(std::uint32_t aPromptTokens)
+{
+  ++this->samples;
+  const double weight = std::max(kWeight, 1.0 / this->samples);
+  this->meanTokens += weight * (aPromptTokens - this->meanTokens);
+}
+
+bool
+PrefillFlow::IsLong(std::uint32_t aPromptTokens) const
+{
+  return this->samples >= kLeastSamples && aPromptTokens > this->meanTokens;
+}
+
+double
+PrefillFlow::Decayed(const Sum& aSum, TimePoint aNow) const
+{
+  const double age = static_cast<double>(Between(aSum.at, aNow).count());
+  return aSum.tokens *
+         std::exp(-age / static_cast<double>(this->MeanStay().count()));
+}
+
+void
+PrefillFlow::OnLong(const InstanceName& aInstance,
+                    std::uint32_t aTokens,
+                    TimePoint aNow)
+{
+  Sum& sum = this->sums[aInstance];
+  sum.tokens = this->Decayed(sum, aNow) + aTokens;
+  sum.at = aNow;
+}
+
+double
+PrefillFlow::Recent(const InstanceName& aInstance, TimePoint aNow) const
+{
+  const auto found = this->sums.find(aInstance);
+  return found == this->sums.end() ? 0.0 : this->Decayed(found->second, aNow);
+}
+
+void
+PrefillFlow::Forget(const InstanceName& aInstance)
+{
+  this->sums.erase(aInstance);
+}
+
+void
+PrefillFlow::OnStay(Duration aStay)
+{
+  const auto micros = static_cast<double>(aStay.count());
+  this->meanStayMicros += this->meanStayMicros == 0
+                            ? micros
+                            : kWeight * (micros - this->meanStayMicros);
+}
+
+Duration
+PrefillFlow::MeanStay() const
+{
+  constexpr double kLeastMicros = 1e4;
+  return this->meanStayMicros == 0
+           ? kFirstStay
+           : Duration(static_cast<Duration::rep>(
+               std::max(kLeastMicros, this->meanStayMicros)));
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Routing/PrefillFlow.h
@@ -0,0 +1,57 @@
+#ifndef DOGWOODVALE_ROUTING_PREFILLFLOW_H
+#define DOGWOODVALE_ROUTING_PREFILLFLOW_H
+
+#include <cstdint>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "dogwoodvale/Core"
+
+namespace dogwoodvale {
+
+/// Which prompts of a service are long, and how much of them each backend
+/// server has had to read lately.
+///
+/// An engine reads a long prompt in pieces between the steps of the answers
+/// that it generates; each piece makes every answer there wait. Answers with a
+/// bound on their pauses are late on a server that reads one long prompt after
+/// the other, however few requests it has.
+class PrefillFlow
+{
+public:
+  /// Learns from a request of the service.
+  void OnRequest(std::uint32_t aPromptTokens);
+  /// Longer than the mean: those that carry most of the reading.
+  bool IsLong(std::uint32_t aPromptTokens) const;
+
+  /// A long prompt was sent to the server, of which it reads \p aTokens.
+  void OnLong(const InstanceName& aInstance,
+              std::uint32_t aTokens,
+              TimePoint aNow);
+  /// Tokens of long prompts sent there, each counting less the older it is.
+  double Recent(const InstanceName& aInstance, TimePoint aNow) const;
+  void Forget(const InstanceName& aInstance);
+
+  /// A request of the service took this long in all.
+  void OnStay(Duration aStay);
+  /// The mean of it: what a server read in this time tells what it will read
+  /// beside the next request.
+  Duration MeanStay() const;
+
+private:
+  struct Sum
+  {
+    double tokens = 0;
+    TimePoint at{};
+  };
+  double Decayed(const Sum& aSum, TimePoint aNow) const;
+
+  double meanTokens = 0;
+  std::uint32_t samples = 0;
+  double meanStayMicros = 0;
+  absl::flat_hash_map<InstanceName, Sum> sums;
+};
+
+} // namespace dogwoodvale
+
+#endif
