Tell a store that was away from one that turned this gateway away

On its return the gateway kept what was missing from the list for 2.2 s, as after an outage in which entries lapse; one was a server that had left, and got a request 3.4 s after the store's word (bound 2 s). Change: gateways tell each other for how long the store has answered them without a break; missing entries are kept only if it was away for all. While turned away, a gateway asks the others after two reads that did not come (1.3 s, before 4 s), and a list carries its age, so that an old one does not pass for new.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -160,25 +160,69 @@
 }
 
 void
-DirectoryKeeper::NoteStore(bool aAnswers, std::string_view aReason)
+DirectoryKeeper::NoteOthersContact(Duration aContact, TimePoint aNow)
 {
-  if (aAnswers == this->storeAnswers) {
+  if (aContact <= Duration::zero()) {
     return;
   }
+  const TimePoint since = aNow - aContact;
+  const bool isOld = Between(this->othersHeardAt, aNow) > kOthersWordLife;
+  if (isOld || since <= this->othersContactSince) {
+    this->othersContactSince = since;
+    this->othersHeardAt = aNow;
+  }
+}
+
+Duration
+DirectoryKeeper::StoreContact(TimePoint aNow) const
+{
+  return this->storeAnswers && this->HasInstances()
+           ? Between(this->contactSince, aNow)
+           : Duration::zero();
+}
+
+bool
+DirectoryKeeper::WasAwayForOthers(TimePoint aNow) const
+{
+  const bool hasWord = Between(this->othersHeardAt, aNow) <= kOthersWordLife;
+  return !hasWord || this->othersContactSince > this->lastAnswerAt;
+}
+
+void
+DirectoryKeeper::NoteStore(bool aAnswers,
+                           std::string_view aReason,
+                           TimePoint aNow)
+{
+  if (aAnswers && !this->storeAnswers) {
+    this->contactSince = aNow;
+    // A store that served another gateway all the while has let no entry
+    // lapse: what is missing has left. Keeping it would send requests to
+    // servers that said they leave while only this machine was turned away.
+    if (this->WasAwayForOthers(aNow)) {
+      this->keepMissingUntil = aNow + kReturnGrace;
+    }
+  }
+  if (aAnswers != this->storeAnswers) {
+    Log(aAnswers ? LogLevel::Info : LogLevel::Warning,
+        aAnswers ? "store_regained" : "store_lost",
+        "reason",
+        aReason,
+        "last_answer_ms",
+        Between(this->lastAnswerAt, aNow).count() / 1000,
+        "keeps_missing",
+        this->keepMissingUntil > aNow);
+  }
   this->storeAnswers = aAnswers;
   if (aAnswers) {
-    this->returnedAt = Now();
+    this->lastAnswerAt = aNow;
   }
-  Log(aAnswers ? LogLevel::Info : LogLevel::Warning,
-      aAnswers ? "store_regained" : "store_lost",
-      "reason",
-      aReason);
 }
 
 void
 DirectoryKeeper::OnInstancesRead(const absl::StatusOr<RangeResult>& aResult)
 {
-  this->NoteStore(aResult.ok(), MessageOf(aResult.status()));
+  const TimePoint now = Now();
+  this->NoteStore(aResult.ok(), MessageOf(aResult.status()), now);
   if (!aResult.ok()) {
     return;
   }
@@ -196,7 +240,6 @@
           MessageOf(parsed.status()));
     }
   }
-  const TimePoint now = Now();
   this->instancesReadAt = now;
   this->MergeInstances(std::move(read), now);
 }
@@ -211,7 +254,7 @@
   }
   // Entries may lapse while the store is away though their servers live. They
   // are back soon after its return; until then what is missing is kept.
-  if (Between(this->returnedAt, aNow) < kReturnGrace) {
+  if (aNow < this->keepMissingUntil) {
     for (const auto& [name, instance] : this->instances) {
       merged.try_emplace(name, instance);
     }
@@ -234,9 +277,11 @@
 }
 
 std::string
-DirectoryKeeper::InstancesDocument() const
+DirectoryKeeper::InstancesDocument(TimePoint aNow) const
 {
-  Json::Value list(Json::arrayValue);
+  Json::Value document;
+  document["age_ms"] = Json::Int64(this->InstancesAge(aNow).count() / 1000);
+  Json::Value& list = document["instances"] = Json::arrayValue;
   for (const auto& [name, instance] : this->instances) {
     Json::Value one;
     one["name"] = name.Value();
@@ -247,20 +292,26 @@
     one["leaving"] = instance.leaving;
     list.append(one);
   }
-  return WriteJson(list);
+  return WriteJson(document);
 }
 
 void
 DirectoryKeeper::TakeInstances(std::string_view aDocument,
                                std::string_view aFrom)
 {
-  Json::Value list;
-  if (!ReadJson(aDocument, list) || !list.isArray()) {
+  Json::Value document;
+  if (!ReadJson(aDocument, document) || !document.isObject() ||
+      !document["instances"].isArray()) {
     Log(LogLevel::Warning, "instances_rejected", "from", aFrom);
     return;
   }
+  const TimePoint now = Now();
+  const TimePoint readAt = now - milliseconds(document["age_ms"].asInt64());
+  if (readAt <= this->instancesReadAt) {
+    return;
+  }
   std::vector<DirectInstance> read;
-  for (const Json::Value& one : list) {
+  for (const Json::Value& one : document["instances"]) {
     auto address = SocketAddress::Parse(one["address"].asString());
     if (!address.ok()) {
       continue;
@@ -280,9 +331,11 @@
       "from",
       aFrom,
       "count",
-      read.size());
-  this->instancesReadAt = Now();
-  this->MergeInstances(std::move(read), Now());
+      read.size(),
+      "age_ms",
+      document["age_ms"].asInt64());
+  this->instancesReadAt = readAt;
+  this->MergeInstances(std::move(read), now);
 }
 
 Duration
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -60,7 +60,7 @@
   /// Offers routes that another gateway had from the store.
   /// \return whether they were taken.
   bool TakeRoutes(std::string_view aDocument, std::string_view aFrom);
-  /// Takes another gateway's list while the store gives none.
+  /// Takes another gateway's list, if it is newer than this one's.
   void TakeInstances(std::string_view aDocument, std::string_view aFrom);
 
   Epoch Version() const { return this->routes ? this->routes->Version() : 0; }
@@ -68,9 +68,14 @@
   {
     return this->routes;
   }
+  /// Another gateway has had the store's answers without a break for so long.
+  void NoteOthersContact(Duration aContact, TimePoint aNow);
+  /// For how long the store has answered without a break; zero while it does
+  /// not.
+  Duration StoreContact(TimePoint aNow) const;
   /// As received, for other gateways.
   const std::string& RoutesDocument() const { return this->routesDocument; }
-  std::string InstancesDocument() const;
+  std::string InstancesDocument(TimePoint aNow) const;
   /// Since the store last answered a read of the instances.
   Duration InstancesAge(TimePoint aNow) const;
   bool HasInstances() const { return this->instancesReadAt != TimePoint{}; }
@@ -87,6 +92,8 @@
   /// How long after the store's return an entry that lapsed with it may be
   /// missing though its server lives.
   static constexpr Duration kReturnGrace = milliseconds(2200);
+  /// What another gateway said of its contact counts for this long.
+  static constexpr Duration kOthersWordLife = seconds(1);
   static constexpr Duration kLeaseTtl = seconds(6);
   static constexpr Duration kGatewaysPeriod = seconds(2);
   static constexpr std::string_view kGatewaysPrefix = "dogwoodvale/gateways/";
@@ -102,7 +109,8 @@
   void ReadGateways();
   void OnGatewaysRead(const RangeResult& aResult);
   void OnRoutesValue(const KeyValue& aValue);
-  void NoteStore(bool aAnswers, std::string_view aReason);
+  void NoteStore(bool aAnswers, std::string_view aReason, TimePoint aNow);
+  bool WasAwayForOthers(TimePoint aNow) const;
 
   EventLoop& loop;
   StoreClient& store;
@@ -122,8 +130,14 @@
   LeaseId lease = 0;
   TimePoint routesHeardAt{};
   TimePoint instancesReadAt{};
-  /// When reads began to succeed again after they had failed.
-  TimePoint returnedAt{};
+  /// Until then, what is missing from the list is kept.
+  TimePoint keepMissingUntil{};
+  /// When reads began to succeed without a break.
+  TimePoint contactSince{};
+  TimePoint lastAnswerAt{};
+  /// The same of the gateway that has had contact longest, and when it said so.
+  TimePoint othersContactSince{};
+  TimePoint othersHeardAt{};
   bool storeAnswers = true;
   bool leaving = false;
 };
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -20,6 +20,8 @@
 /// a leaving server must get no more work: one read may fail and the next still
 /// be in time.
 constexpr int kReadsPerDrain = 3;
+/// After this many reads that did not come, other gateways are asked.
+constexpr int kMissedReads = 2;
 /// Callers' connections get one part in this many of the descriptors; the rest
 /// is for backend servers, the store, gateways and listeners.
 constexpr std::uint32_t kDescriptorShareForCallers = 2;
@@ -378,6 +380,8 @@
   digest.incarnation = this->incarnation;
   digest.sequence = ++this->digestSequence;
   digest.routesVersion = this->directory->Version();
+  digest.storeContact = std::chrono::duration_cast<milliseconds>(
+    this->directory->StoreContact(Now()));
   digest.work = this->pool.Work().OwnLines();
   digest.routed = std::move(this->routed);
   this->routed.clear();
@@ -394,6 +398,7 @@
   lifetime = aDigest.incarnation;
   sequence = aDigest.sequence;
   const TimePoint now = Now();
+  this->directory->NoteOthersContact(aDigest.storeContact, now);
   this->pool.Work().SetPeer(aDigest.gateway, aDigest.work, now);
   for (const RoutedPrompt& prompt : aDigest.routed) {
     for (const PrefixHash step : prompt.steps) {
@@ -424,7 +429,8 @@
 Gateway::AskGatewaysWhereBehind(TimePoint aNow)
 {
   // The store may turn this machine away and serve the others.
-  const Duration patience = 2 * this->settings.gateway.instanceDrain;
+  const Duration patience =
+    kMissedReads * this->settings.gateway.instanceDrain / kReadsPerDrain;
   if (!this->directory->HasInstances() ||
       this->directory->InstancesAge(aNow) > patience) {
     this->peers->FetchFromAny(std::string(PeerExchange::kInstancesPath),
@@ -566,7 +572,7 @@
   }
   return { kHttpOk,
            "application/json",
-           isRoutes ? routes : this->directory->InstancesDocument() };
+           isRoutes ? routes : this->directory->InstancesDocument(Now()) };
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -40,6 +40,7 @@
                                 std::uint64_t,
                                 std::uint64_t,
                                 std::uint64_t,
+                                std::int64_t,
                                 std::vector<PackedWork>,
                                 std::vector<PackedPrompt>>;
 
@@ -77,6 +78,7 @@
                              aDigest.incarnation,
                              aDigest.sequence,
                              aDigest.routesVersion,
+                             aDigest.storeContact.count(),
                              std::move(work),
                              std::move(routed)));
   const std::string_view packed(buffer.data(), buffer.size());
@@ -115,11 +117,12 @@
   digest.incarnation = std::get<1>(read);
   digest.sequence = std::get<2>(read);
   digest.routesVersion = std::get<3>(read);
-  for (auto& [name, requests, prefill, memory] : std::get<4>(read)) {
+  digest.storeContact = milliseconds(std::get<4>(read));
+  for (auto& [name, requests, prefill, memory] : std::get<5>(read)) {
     digest.work.push_back(
       { InstanceName(std::move(name)), { requests, prefill, memory } });
   }
-  for (auto& [name, steps, longTokens] : std::get<5>(read)) {
+  for (auto& [name, steps, longTokens] : std::get<6>(read)) {
     digest.routed.push_back(
       { InstanceName(std::move(name)), std::move(steps), longTokens });
   }
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -30,6 +30,9 @@
   std::uint64_t sequence = 0;
   /// Version of the routes in force there.
   Epoch routesVersion = 0;
+  /// For how long the store has answered it without a break; zero while it
+  /// does not.
+  milliseconds storeContact{ 0 };
   std::vector<WorkLine> work;
   std::vector<RoutedPrompt> routed;
 };
