--- a/dogwoodvale/src/Routing/RetryWindow.cpp
+++ b/dogwoodvale/src/Routing/RetryWindow.cpp
@@ -59,8 +59,9 @@
       part.number > now - std::int64_t(kParts) && part.number <= now;
     requests += isInside ? part.requests : 0;
   }
-  return this->settings.ratio * requests +
-         this->settings.extra / static_cast<double>(this->gateways);
+  return kUsedShare *
+         (this->settings.ratio * requests +
+          this->settings.extra / static_cast<double>(this->gateways));
 }
 
 double
--- a/dogwoodvale/src/Routing/RetryWindow.h
+++ b/dogwoodvale/src/Routing/RetryWindow.h
@@ -42,6 +42,10 @@
   bool HasRoom(TimePoint aNow);
 
 private:
+  /// Part of the bound that is used. Each gateway keeps it at the moments of
+  /// its own retries; in windows that end at another's, some of the requests
+  /// that earned them have dropped out.
+  static constexpr double kUsedShare = 0.8;
   /// Parts of a window that are counted apart. Requests are counted over the
   /// whole parts that lie inside the window and retries over those that touch
   /// it, so that the error of one part is always on the safe side.
--- /dev/null
+++ b/standins/SealedEngine.cpp
@@ -0,0 +1,216 @@
+#include "SealedEngine.h"
+
+#include <array>
+#include <cstdlib>
+
+namespace dogwoodvale::standins {
+
+namespace {
+
+constexpr const char* kId = "Dogwoodvale-Attempt-Id";
+constexpr const char* kExpect = "Dogwoodvale-Expect-Instance";
+constexpr std::array<const char*, 5> kForbidden = {
+  "Dogwoodvale-Credential", "Dogwoodvale-Hold", "Dogwoodvale-Pin-Ms",
+  "Dogwoodvale-Kv-Backup",  "Kv-From",
+};
+constexpr Duration kTick = milliseconds(1);
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<SealedEngine>>
+SealedEngine::Create(EventLoop& aLoop,
+                     const SocketAddress& aListen,
+                     const SealedEngineSettings& aSettings)
+{
+  std::unique_ptr<SealedEngine> made(new SealedEngine(aLoop, aSettings));
+  auto server = JsonServer::Create(aLoop, aListen, *made);
+  if (!server.ok()) {
+    return server.status();
+  }
+  made->server = *std::move(server);
+  return made;
+}
+
+SealedEngine::SealedEngine(EventLoop& aLoop,
+                           const SealedEngineSettings& aSettings)
+  : settings(aSettings)
+  , tick(aLoop, [this] { this->OnTick(); })
+{
+  this->tick.StartRepeating(kTick);
+}
+
+void
+SealedEngine::SetFault(const Json::Value& aFault)
+{
+  if (aFault["clear"].asBool()) {
+    this->faults = {};
+  }
+  const auto set = [&](const char* aName, bool& aFlag) {
+    aFlag = aFlag || aFault[aName].asBool();
+  };
+  set("refuse", this->faults.refuse);
+  set("error", this->faults.error);
+  set("hang", this->faults.hang);
+  set("skip", this->faults.skip);
+  set("no_proof", this->faults.noProof);
+  if (aFault["crash_after"].isNumeric()) {
+    this->faults.crashAfter = aFault["crash_after"].asUInt64();
+  }
+}
+
+Json::Value
+SealedEngine::Record() const
+{
+  Json::Value record(Json::arrayValue);
+  for (const SealedRun& run : this->runs) {
+    Json::Value one;
+    one["id"] = run.id;
+    one["path"] = run.path;
+    one["customer"] = run.customer;
+    one["resumed_after"] = Json::UInt64(run.resumedAfter);
+    one["end"] = run.end;
+    record.append(one);
+  }
+  return record;
+}
+
+void
+SealedEngine::Control(Exchange& aExchange)
+{
+  if (aExchange.Path() == "/standin/record") {
+    aExchange.ReplyJson(200, this->Record());
+    return;
+  }
+  const auto fault = aExchange.JsonBody();
+  this->SetFault(fault.value_or(Json::Value(Json::objectValue)));
+  aExchange.ReplyJson(fault ? 200 : 400, fault.value_or(Json::Value()));
+}
+
+void
+SealedEngine::OnRequest(Exchange& aExchange)
+{
+  if (aExchange.Path().starts_with("/standin/")) {
+    this->Control(aExchange);
+    return;
+  }
+  const std::string expected = aExchange.Header(kExpect);
+  if (!expected.empty() && expected != this->settings.instance) {
+    aExchange.AddHeader("Dogwoodvale-Instance-Id", this->settings.instance);
+    aExchange.ReplyJson(421, Json::Value(Json::objectValue));
+    return;
+  }
+  if (this->faults.refuse) {
+    aExchange.AddHeader("Dogwoodvale-Not-Executed", "1");
+    aExchange.ReplyJson(503, Json::Value(Json::objectValue));
+    return;
+  }
+  this->Begin(aExchange);
+}
+
+void
+SealedEngine::Begin(Exchange& aExchange)
+{
+  SealedRun run;
+  run.id = aExchange.Header(kId);
+  run.path = aExchange.Target();
+  run.body = aExchange.Body();
+  run.customer = aExchange.Header("Dogwoodvale-Tenant");
+  run.priority = aExchange.Header("Dogwoodvale-Request-Priority");
+  run.deadlineMillis = std::strtoll(
+    aExchange.Header("Dogwoodvale-Deadline-Ms").c_str(), nullptr, 10);
+  run.resumedAfter =
+    std::strtoull(aExchange.Header("Last-Event-Id").c_str(), nullptr, 10);
+  for (const char* name : kForbidden) {
+    run.forbidden += aExchange.Header(name);
+  }
+  Work work;
+  work.run = this->runs.size();
+  work.streams = run.path.find("/stream/") != std::string::npos;
+  work.next = run.resumedAfter + 1;
+  work.due = Now() + this->settings.work;
+  this->runs.push_back(std::move(run));
+  this->working[&aExchange] = work;
+}
+
+void
+SealedEngine::OnClosed(Exchange& aExchange)
+{
+  const auto found = this->working.find(&aExchange);
+  if (found != this->working.end()) {
+    this->runs[found->second.run].end = "cancelled";
+    this->working.erase(found);
+  }
+}
+
+void
+SealedEngine::AddMarks(Exchange& aExchange, const SealedRun& aRun) const
+{
+  aExchange.AddHeader(kId, aRun.id);
+  if (!this->faults.noProof) {
+    aExchange.AddHeader("Dogwoodvale-Response-Seal",
+                        "seal-of-" + this->settings.instance);
+  }
+}
+
+bool
+SealedEngine::Step(Exchange& aExchange, Work& aWork, TimePoint aNow)
+{
+  SealedRun& run = this->runs[aWork.run];
+  if (!aWork.streams) {
+    this->AddMarks(aExchange, run);
+    run.end = "complete";
+    Json::Value body;
+    body["instance"] = this->settings.instance;
+    body["id"] = run.id;
+    aExchange.ReplyJson(this->faults.error ? 500 : 200, body);
+    return true;
+  }
+  if (!aWork.begun) {
+    aWork.begun = true;
+    this->AddMarks(aExchange, run);
+    aExchange.StartStream("text/event-stream");
+  }
+  const std::uint64_t made = aWork.next - run.resumedAfter;
+  if (this->faults.crashAfter > 0 && made > this->faults.crashAfter) {
+    run.end = "crashed";
+    aExchange.Drop();
+    return true;
+  }
+  if (aWork.next > this->settings.events) {
+    run.end = "complete";
+    aExchange.EndStream();
+    return true;
+  }
+  aWork.next += this->faults.skip && made == 2 ? 1 : 0;
+  const bool goesOn = aExchange.SendChunk(
+    fmt::format("id: {}\ndata: piece {}\n\n", aWork.next, aWork.next));
+  ++aWork.next;
+  aWork.due = aNow + this->settings.gap;
+  return !goesOn;
+}
+
+void
+SealedEngine::OnTick()
+{
+  const TimePoint now = Now();
+  std::vector<Exchange*> due;
+  for (const auto& [exchange, work] : this->working) {
+    if (work.due <= now && !this->faults.hang) {
+      due.push_back(exchange);
+    }
+  }
+  for (Exchange* exchange : due) {
+    const auto found = this->working.find(exchange);
+    if (found == this->working.end()) {
+      continue;
+    }
+    // Taken out first: an exchange that ends may bring the next at its address.
+    Work work = found->second;
+    this->working.erase(found);
+    if (!this->Step(*exchange, work, now)) {
+      this->working[exchange] = work;
+    }
+  }
+}
+
+} // namespace dogwoodvale::standins
--- /dev/null
+++ b/standins/SealedEngine.h
@@ -0,0 +1,104 @@
+#ifndef DOGWOODVALE_STANDINS_SEALEDENGINE_H
+#define DOGWOODVALE_STANDINS_SEALEDENGINE_H
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "JsonServer.h"
+
+namespace dogwoodvale::standins {
+
+struct SealedEngineSettings
+{
+  /// Its id; a request that expects another gets 421.
+  std::string instance = "e1";
+  /// Events of each stream, and the pause between them.
+  std::uint64_t events = 5;
+  Duration gap = milliseconds(2);
+  /// Time from a request to a whole answer or a stream's first event.
+  Duration work = milliseconds(2);
+};
+
+/// What an engine has run.
+struct SealedRun
+{
+  std::string id;
+  std::string path;
+  std::string body;
+  std::string customer;
+  std::string priority;
+  std::int64_t deadlineMillis = 0;
+  std::uint64_t resumedAfter = 0;
+  /// Headers that no caller may set, as the engine got them.
+  std::string forbidden;
+  /// "running", "complete", "cancelled", "crashed".
+  std::string end = "running";
+};
+
+/// A stand-in of a backend server on the users' platform, model engine or plain
+/// service: proves its answers, streams events with ids, resumes after an
+/// event, and says when it has not run a request.
+///
+/// A path that contains "/stream/" is answered by events. POST /standin/fault
+/// {"crash_after":N,"refuse":true,"error":true,"hang":true,"skip":true,
+/// "no_proof":true,"clear":true}; GET /standin/record.
+class SealedEngine : public RequestHandler
+{
+public:
+  static absl::StatusOr<std::unique_ptr<SealedEngine>> Create(
+    EventLoop& aLoop,
+    const SocketAddress& aListen,
+    const SealedEngineSettings& aSettings);
+
+  const SocketAddress& Address() const { return this->server->Address(); }
+  const std::vector<SealedRun>& Runs() const { return this->runs; }
+  Json::Value Record() const;
+  /// refuse: 503 that says it has not run; error: 500 after running; hang: runs
+  /// and never answers; crash_after: cuts each stream after so many events;
+  /// skip: leaves out an event; no_proof: answers without its mark.
+  void SetFault(const Json::Value& aFault);
+
+  void OnRequest(Exchange& aExchange) override;
+  void OnClosed(Exchange& aExchange) override;
+
+private:
+  struct Faults
+  {
+    bool refuse = false;
+    bool error = false;
+    bool hang = false;
+    bool skip = false;
+    bool noProof = false;
+    std::uint64_t crashAfter = 0;
+  };
+  struct Work
+  {
+    std::size_t run = 0;
+    bool streams = false;
+    bool begun = false;
+    std::uint64_t next = 1;
+    TimePoint due{};
+  };
+
+  SealedEngine(EventLoop& aLoop, const SealedEngineSettings& aSettings);
+  void Control(Exchange& aExchange);
+  void Begin(Exchange& aExchange);
+  void OnTick();
+  /// \return whether the exchange is over.
+  bool Step(Exchange& aExchange, Work& aWork, TimePoint aNow);
+  void AddMarks(Exchange& aExchange, const SealedRun& aRun) const;
+
+  SealedEngineSettings settings;
+  Faults faults;
+  std::vector<SealedRun> runs;
+  std::map<Exchange*, Work> working;
+  Timer tick;
+  /// Last, so that it goes first: its end closes exchanges.
+  std::unique_ptr<JsonServer> server;
+};
+
+} // namespace dogwoodvale::standins
+
+#endif
--- /dev/null
+++ b/standins/programs/standin_sealed_engine.cpp
@@ -0,0 +1,39 @@
+#include "../Program.h"
+#include "../SealedEngine.h"
+
+using namespace dogwoodvale;
+using namespace dogwoodvale::standins;
+
+namespace {
+
+constexpr char kUsage[] =
+  R"(standin_sealed_engine: a stand-in backend server of the users' platform.
+
+Usage:
+  standin_sealed_engine [options]
+
+Options:
+  --listen IP:PORT  Where to listen; port 0 takes a free one [default: 127.0.0.1:0].
+  --instance ID     Its id [default: e1].
+  --events N        Events of each stream [default: 20].
+  --gap-ms N        Pause between events [default: 10].
+  --work-ms N       Time to an answer or a first event [default: 10].
+  -h --help         Show this.
+  --version         Show the version.
+)";
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  const Options options(kUsage, aCount, aWords);
+  SealedEngineSettings settings;
+  settings.instance = options.Text("--instance");
+  settings.events = static_cast<std::uint64_t>(options.Number("--events"));
+  settings.gap = options.Milliseconds("--gap-ms");
+  settings.work = options.Milliseconds("--work-ms");
+  return RunStandin("sealed_engine", [&](EventLoop& aLoop) {
+    return SealedEngine::Create(aLoop, options.Address("--listen"), settings);
+  });
+}
--- /dev/null
+++ b/test/DirectoryKeeper.cpp
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+
+#include "dogwoodvale/Gateway"
+#include "support/FakeStore.h"
+
+using namespace dogwoodvale;
+using test::FakeStore;
+
+namespace {
+
+/// Routes as a version number, instances as "service address state".
+class PlainFormat final : public DirectoryFormat
+{
+public:
+  std::string RoutesPrefix() const override { return "routes"; }
+  std::string InstancesPrefix() const override { return "instances/"; }
+  absl::StatusOr<std::shared_ptr<const RouteTable>> ParseRoutes(
+    std::string_view aValue) const override
+  {
+    RouteTableParts parts;
+    parts.version = std::strtoull(std::string(aValue).c_str(), nullptr, 10);
+    return RouteTable::Create(parts);
+  }
+  absl::StatusOr<DirectInstance> ParseInstance(
+    std::string_view aKey,
+    std::string_view aValue) const override
+  {
+    DirectInstance instance;
+    instance.name = InstanceName(aKey.substr(10));
+    instance.service = ServiceName("s");
+    instance.address = { "127.0.0.1", 80 };
+    instance.leaving = aValue == "leaving";
+    return instance;
+  }
+};
+
+class Observer final : public DirectoryObserver
+{
+public:
+  void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
+  {
+    this->versions.push_back(aRoutes->Version());
+  }
+  void OnInstances(std::span<const DirectInstance> aInstances) override
+  {
+    this->instances.assign(aInstances.begin(), aInstances.end());
+  }
+  void OnGateways(std::span<const GatewayMember> aGateways) override
+  {
+    this->gateways = aGateways.size();
+  }
+  bool Has(const std::string& aName) const
+  {
+    return std::ranges::any_of(
+      this->instances, [&](const DirectInstance& aOne) {
+        return aOne.name.Value() == aName && !aOne.leaving;
+      });
+  }
+
+  std::vector<Epoch> versions;
+  std::vector<DirectInstance> instances;
+  std::size_t gateways = 0;
+};
+
+struct Setup
+{
+  Setup()
+  {
+    this->store.Write("routes", "5");
+    this->store.Write("instances/e1", "ready");
+    this->store.Write("instances/e2", "ready");
+    this->keeper.Start();
+    REQUIRE(this->Until([&] { return this->observer.instances.size() == 2; }));
+  }
+  bool Until(const std::function<bool()>& aDone,
+             Duration aLimit = seconds(4)) const
+  {
+    return this->loop->RunUntil(aDone, aLimit);
+  }
+  void Pass(Duration aTime) const
+  {
+    this->loop->RunUntil([] { return false; }, aTime);
+  }
+  void Remove(const std::string& aKey)
+  {
+    auto data = this->store.Backup();
+    data.erase(aKey);
+    this->store.Restore(data);
+  }
+
+  std::unique_ptr<EventLoop> loop = *EventLoop::Create();
+  FakeStore store{ *loop };
+  PlainFormat format;
+  Observer observer;
+  DirectoryKeeper keeper{ *loop,
+                          store,
+                          format,
+                          { { InstanceName("g1"), { "127.0.0.1", 9 } },
+                            milliseconds(50) },
+                          observer };
+};
+
+} // namespace
+
+TEST_CASE("only a higher version is taken", "[directory]")
+{
+  Setup setup;
+  setup.store.Write("routes", "4");
+  setup.store.Write("routes", "5");
+  setup.Pass(milliseconds(100));
+  CHECK(setup.observer.versions == std::vector<Epoch>{ 5 });
+  CHECK_FALSE(setup.keeper.TakeRoutes("3", "g2"));
+  CHECK(setup.keeper.TakeRoutes("9", "g2"));
+  CHECK(setup.keeper.Version() == 9);
+  CHECK_FALSE(setup.keeper.TakeRoutes("0", "g2"));
+}
+
+TEST_CASE("a server that leaves does not come back by an older list",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.Write("instances/e1", "leaving");
+  REQUIRE(setup.Until([&] { return !setup.observer.Has("e1"); }));
+  setup.store.Write("instances/e1", "ready");
+  setup.Pass(milliseconds(200));
+  CHECK_FALSE(setup.observer.Has("e1"));
+}
+
+// Half of the servers get no more work after an outage of the store: their
+// entries lapsed while it was down, and they are back only a second later.
+TEST_CASE("entries that lapse while the store is down are kept for a while",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.mode = FakeStore::Mode::Down;
+  setup.Pass(milliseconds(200));
+  setup.Remove("instances/e1");
+  CHECK(setup.observer.Has("e1"));
+  setup.store.mode = FakeStore::Mode::Up;
+  setup.Pass(milliseconds(1000));
+  CHECK(setup.observer.Has("e1"));
+  CHECK(setup.Until([&] { return !setup.observer.Has("e1"); }));
+}
+
+// A request reaches a server 3.4 s after it left: the store had turned only
+// this gateway away, and on its return the missing entry was kept.
+TEST_CASE("what left while only this gateway was turned away is gone",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.mode = FakeStore::Mode::Down;
+  setup.Pass(milliseconds(200));
+  setup.Remove("instances/e1");
+  setup.keeper.NoteOthersContact(seconds(30), Now());
+  setup.store.mode = FakeStore::Mode::Up;
+  CHECK(
+    setup.Until([&] { return !setup.observer.Has("e1"); }, milliseconds(500)));
+}
+
+TEST_CASE("another gateway's list counts only if it is newer", "[directory]")
+{
+  Setup setup;
+  setup.store.mode = FakeStore::Mode::Down;
+  const std::string own = setup.keeper.InstancesDocument(Now());
+  setup.Pass(milliseconds(100));
+  const auto with = [](int aAge) {
+    return fmt::format(
+      R"({{"age_ms":{},"instances":[{{"name":"e7","service":"s",)"
+      R"("address":"127.0.0.1:81","data_centre":"z","slots":1,)"
+      R"("leaving":false}}]}})",
+      aAge);
+  };
+  setup.keeper.TakeInstances(with(60'000), "g2");
+  CHECK_FALSE(setup.observer.Has("e7"));
+  setup.keeper.TakeInstances("not a list", "g2");
+  setup.keeper.TakeInstances(with(1), "g2");
+  CHECK(setup.observer.Has("e7"));
+  CHECK_FALSE(setup.observer.Has("e1"));
+  CHECK(own.find("\"e1\"") != std::string::npos);
+}
+
+TEST_CASE("a gateway joins the others and leaves them", "[directory]")
+{
+  Setup setup;
+  REQUIRE(setup.Until([&] { return setup.observer.gateways == 1; }));
+  CHECK(setup.store.GrantedLeases() == 1);
+  setup.keeper.Leave();
+  CHECK(setup.Until([&] { return setup.store.GrantedLeases() == 0; }));
+}
--- /dev/null
+++ b/test/GatewayParts.cpp
@@ -0,0 +1,261 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "dogwoodvale/Gateway"
+
+using namespace dogwoodvale;
+
+namespace {
+
+TimePoint
+At(Duration aTime)
+{
+  return TimePoint{} + seconds(1000) + aTime;
+}
+
+std::string
+Event(std::uint64_t aId)
+{
+  return fmt::format("id: {}\ndata: p{}\n\n", aId, aId);
+}
+
+} // namespace
+
+TEST_CASE("events are given out whole, however they are cut", "[events]")
+{
+  CHECK(rc::check([] {
+    const auto count = *rc::gen::inRange(1, 8);
+    std::string all;
+    for (int i = 1; i <= count; ++i) {
+      all += Event(static_cast<std::uint64_t>(i));
+    }
+    EventSplitter splitter(std::nullopt);
+    std::string given;
+    for (std::size_t at = 0; at < all.size();) {
+      const auto size = *rc::gen::inRange<std::size_t>(1, 20);
+      const auto part = splitter.Feed(std::string_view(all).substr(at, size));
+      RC_ASSERT(part.ok());
+      RC_ASSERT(part->empty() || part->ends_with("\n\n"));
+      given += *part;
+      at += size;
+    }
+    RC_ASSERT(given == all);
+    RC_ASSERT(splitter.LastId() == std::uint64_t(count));
+    RC_ASSERT(!splitter.HasPartialEvent());
+  }));
+}
+
+// A caller reads two half answers as one: the engine did not go on after the
+// event it was asked to go on from, but began anew or skipped some.
+TEST_CASE("a stream that goes on elsewhere must fit", "[events]")
+{
+  EventSplitter again(std::uint64_t(7));
+  CHECK(again.Feed(Event(8)).ok());
+  EventSplitter anew(std::uint64_t(7));
+  CHECK_FALSE(anew.Feed(Event(1)).ok());
+  EventSplitter skips(std::uint64_t(7));
+  CHECK_FALSE(skips.Feed(Event(9)).ok());
+  EventSplitter twice(std::nullopt);
+  CHECK_FALSE(twice.Feed(Event(1) + Event(1)).ok());
+}
+
+// A service is swamped by retries of several gateways. Whatever each sees,
+// the retries in every window stay below the share of the requests (of that
+// window, the one before it or the one half a window before it, whichever has
+// most) and the fixed extra.
+TEST_CASE("retries keep their bound in every window", "[retries]")
+{
+  CHECK(rc::check([] {
+    const auto gateways = *rc::gen::inRange<std::size_t>(1, 5);
+    const Duration window = seconds(10);
+    std::vector<RetryWindow> windows;
+    for (std::size_t i = 0; i < gateways; ++i) {
+      windows.emplace_back(RetryWindowSettings{ window, 0.2, 12 });
+      windows.back().SetGateways(gateways);
+    }
+    std::vector<Duration> requests;
+    std::vector<Duration> retries;
+    Duration now{ 0 };
+    for (int i = 0; i < 300; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 200));
+      RetryWindow& one = windows[*rc::gen::inRange<std::size_t>(0, gateways)];
+      if (*rc::gen::inRange(0, 3) > 0) {
+        one.OnRequest(At(now));
+        requests.push_back(now);
+      } else if (one.TryTake(At(now))) {
+        retries.push_back(now);
+      }
+    }
+    for (const Duration end : retries) {
+      const auto countIn = [&](const std::vector<Duration>& aTimes,
+                               Duration aEnd) {
+        return std::ranges::count_if(aTimes, [&](Duration aTime) {
+          return aTime <= aEnd && aTime > aEnd - window;
+        });
+      };
+      const auto taken = countIn(retries, end);
+      const auto asked = std::max({ countIn(requests, end),
+                                    countIn(requests, end - window / 2),
+                                    countIn(requests, end - window) });
+      RC_ASSERT(double(taken) <= 0.2 * double(asked) + 12);
+    }
+  }));
+}
+
+TEST_CASE("the work of gateways adds up and lapses with them", "[work]")
+{
+  WorkTable table;
+  const InstanceName e1("e1");
+  table.AddOwn(e1, { 2, 100, 10 });
+  const std::vector<WorkLine> first{ { e1, { 3, 50, 5 } } };
+  table.SetPeer(InstanceName("g2"), first, At(seconds(0)));
+  CHECK(table.Total(e1) == BackendWork{ 5, 150, 15 });
+  const std::vector<WorkLine> second{ { e1, { 1, 0, 1 } } };
+  table.SetPeer(InstanceName("g2"), second, At(milliseconds(100)));
+  CHECK(table.Total(e1) == BackendWork{ 3, 100, 11 });
+  CHECK(table.Expire(At(milliseconds(900))).empty());
+  CHECK(table.Expire(At(seconds(2))).size() == 1);
+  CHECK(table.Total(e1) == table.Own(e1));
+  table.RemoveOwn(e1, { 9, 900, 90 });
+  CHECK(table.Total(e1).IsNothing());
+  CHECK(table.OwnLines().empty());
+}
+
+TEST_CASE("a prompt's steps count only with all before them", "[prompt]")
+{
+  const std::vector<PromptPart> parts{ { 1, 100 }, { 2, 50 } };
+  const std::vector<PromptPart> other{ { 3, 100 }, { 2, 50 } };
+  const auto steps = StepsOf(parts);
+  REQUIRE(steps.size() == 2);
+  CHECK(steps[1].hash != StepsOf(other)[1].hash);
+  PrefixIndex index;
+  const TimePoint now = At(seconds(0));
+  index.OnRouted(steps[1].hash, InstanceName("e1"), now);
+  CHECK(CachedTokens(index, steps, InstanceName("e1"), now) == 0);
+  index.OnRouted(steps[0].hash, InstanceName("e1"), now);
+  CHECK(CachedTokens(index, steps, InstanceName("e1"), now) == 150);
+  CHECK(CachedTokens(index, steps, InstanceName("e2"), now) == 0);
+}
+
+namespace {
+
+DirectCandidate
+Candidate(const char* aName, std::uint32_t aRequests, std::uint64_t aPrefill)
+{
+  DirectCandidate candidate;
+  candidate.name = InstanceName(aName);
+  candidate.work = { aRequests, aPrefill, 0 };
+  candidate.slots = 8;
+  return candidate;
+}
+
+std::string
+Chosen(const std::vector<DirectCandidate>& aCandidates,
+       const DirectDemand& aDemand)
+{
+  std::mt19937_64 random(1);
+  const auto chosen = ChooseDirect(aCandidates, aDemand, random);
+  return chosen ? aCandidates[*chosen].name.Value() : "";
+}
+
+} // namespace
+
+// A teller's note pauses beyond its bound though its engine has few requests:
+// the engine reads long scans between the note's steps.
+TEST_CASE("long prompts and short answers part", "[choice]")
+{
+  DirectDemand longDemand{ 9000, {}, true };
+  DirectDemand shortDemand{ 800, {}, false };
+  std::vector<DirectCandidate> engines{ Candidate("notes", 6, 0),
+                                        Candidate("scans", 2, 0) };
+  engines[1].recentLongTokens = 30'000;
+  CHECK(Chosen(engines, longDemand) == "scans");
+  CHECK(Chosen(engines, shortDemand) == "notes");
+}
+
+TEST_CASE("a cached prompt goes where it is, unless that is far behind",
+          "[choice]")
+{
+  const DirectDemand demand{ 9000, {}, true };
+  std::vector<DirectCandidate> engines{ Candidate("holds", 1, 2000),
+                                        Candidate("empty", 1, 0) };
+  engines[0].cachedTokens = 6000;
+  CHECK(Chosen(engines, demand) == "holds");
+  engines[0].work.prefillTokens = 20'000;
+  CHECK(Chosen(engines, demand) == "empty");
+}
+
+TEST_CASE("ejected servers are taken only where there is no other", "[choice]")
+{
+  const DirectDemand demand{ 0, {}, false };
+  std::vector<DirectCandidate> servers{ Candidate("out", 0, 0),
+                                        Candidate("busy", 7, 0) };
+  servers[0].standing = Standing::Ejected;
+  CHECK(Chosen(servers, demand) == "busy");
+  servers.pop_back();
+  CHECK(Chosen(servers, demand) == "out");
+  CHECK(Chosen({}, demand).empty());
+}
+
+TEST_CASE("what is long is learned from what comes", "[prefill]")
+{
+  PrefillFlow flow;
+  CHECK_FALSE(flow.IsLong(100'000));
+  for (int i = 0; i < 100; ++i) {
+    flow.OnRequest(i % 3 == 0 ? 9000 : 800);
+  }
+  CHECK(flow.IsLong(9000));
+  CHECK_FALSE(flow.IsLong(800));
+  const InstanceName e1("e1");
+  flow.OnStay(seconds(1));
+  flow.OnLong(e1, 5000, At(seconds(0)));
+  CHECK(flow.Recent(e1, At(seconds(0))) == Approx(5000));
+  CHECK(flow.Recent(e1, At(seconds(1))) ==
+        Approx(5000 / 2.71828).epsilon(0.01));
+  flow.Forget(e1);
+  CHECK(flow.Recent(e1, At(seconds(1))) == 0);
+}
+
+TEST_CASE("a digest comes through as it was, or not at all", "[digest]")
+{
+  PeerDigest digest;
+  digest.gateway = InstanceName("g1");
+  digest.incarnation = 7;
+  digest.sequence = 8;
+  digest.routesVersion = 9;
+  digest.storeContact = milliseconds(1234);
+  digest.work = { { InstanceName("e1"), { 1, 2, 3 } } };
+  digest.routed = { { InstanceName("e2"), { 4, 5 }, 6 } };
+  const std::string bytes = WriteDigest(digest, "secret");
+  const auto read = ReadDigest(bytes, "secret");
+  REQUIRE(read.ok());
+  CHECK(read->gateway == digest.gateway);
+  CHECK(read->incarnation == 7);
+  CHECK(read->sequence == 8);
+  CHECK(read->routesVersion == 9);
+  CHECK(read->storeContact == milliseconds(1234));
+  REQUIRE(read->work.size() == 1);
+  CHECK(read->work[0].work == digest.work[0].work);
+  REQUIRE(read->routed.size() == 1);
+  CHECK(read->routed[0].steps == digest.routed[0].steps);
+  CHECK(read->routed[0].longTokens == 6);
+  CHECK_FALSE(ReadDigest(bytes, "another").ok());
+  CHECK(rc::check([&bytes] {
+    std::string changed = bytes;
+    const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    changed[at] = static_cast<char>(changed[at] ^ 1);
+    RC_ASSERT(!ReadDigest(changed, "secret").ok());
+  }));
+}
+
+TEST_CASE("a process that stood still is noticed", "[suspension]")
+{
+  const auto loop = *EventLoop::Create();
+  Duration lost{ 0 };
+  SuspensionWatch watch(*loop, [&](Duration aLost) { lost = aLost; });
+  loop->RunUntil([] { return false; }, milliseconds(600));
+  CHECK(lost == Duration::zero());
+  usleep(800'000);
+  loop->RunUntil([&] { return lost > Duration::zero(); }, seconds(1));
+  CHECK(lost >= milliseconds(300));
+}
--- /dev/null
+++ b/test/support/PlatformSite.h
@@ -0,0 +1,159 @@
+#ifndef DOGWOODVALE_TEST_SUPPORT_PLATFORMSITE_H
+#define DOGWOODVALE_TEST_SUPPORT_PLATFORMSITE_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "../RawSockets.h"
+#include "platform/Adapters.h"
+#include "standins/MetadataStore.h"
+#include "standins/SealedEngine.h"
+
+namespace dogwoodvale::test {
+
+/// A site of the users' platform in this process: the store, engines and
+/// gateways on loopback ports of their own.
+class PlatformSite
+{
+public:
+  explicit PlatformSite(int aEngines = 2)
+  {
+    for (int i = 1; i <= aEngines; ++i) {
+      this->AddEngine(fmt::format("e{}", i));
+    }
+    this->PutConfiguration(1);
+  }
+
+  standins::SealedEngine& AddEngine(
+    const std::string& aName,
+    standins::SealedEngineSettings aSettings = {})
+  {
+    aSettings.instance = aName;
+    this->engines.push_back(*standins::SealedEngine::Create(
+      *this->loop, { "127.0.0.1", 0 }, aSettings));
+    this->Register(aName, *this->engines.back(), "ready");
+    return *this->engines.back();
+  }
+
+  void Register(const std::string& aName,
+                const standins::SealedEngine& aEngine,
+                const std::string& aState) const
+  {
+    this->store->Put(
+      "servers/" + aName,
+      fmt::format(R"({{"service":"s","address":"{}","zone":"z","slots":4,)"
+                  R"("state":"{}","sequence":1}})",
+                  aEngine.Address().ToString(),
+                  aState));
+  }
+
+  /// Routes /stream/ (resumable), /once/ (may not be repeated), /again/ (may).
+  void PutConfiguration(int aVersion, int aTimeoutMillis = 2000) const
+  {
+    const auto route =
+      [&](const char* aPrefix, const char* aKind, int aAttempts, bool aResume) {
+        return fmt::format(
+          R"({{"name":"r-{0}","host":"a.example","prefix":"{0}","kind":"{1}",)"
+          R"("timeoutMs":{2},"targetLatencyMs":100,"targetGapMs":50,)"
+          R"("priority":0,"service":"s","maxAttempts":{3},"public":false,)"
+          R"("sessionAffinity":false,"streamResume":{4}}})",
+          aPrefix,
+          aKind,
+          aTimeoutMillis,
+          aAttempts,
+          aResume);
+      };
+    this->store->Put(
+      "op/config",
+      fmt::format(
+        R"({{"version":{},"routes":[{},{},{},{}],"services":[{{"name":"s",)"
+        R"("healthPath":"/health","maxConnections":16}}],)"
+        R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
+        R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}},)"
+        R"("tenants":[{{"name":"t1","apiKeys":["key1"],"priority":1}}]}})",
+        aVersion,
+        route("/stream/", "streaming", 2, true),
+        route("/note/stream/", "streaming", 1, false),
+        route("/once/", "non_idempotent", 2, false),
+        route("/again/", "idempotent", 2, false)));
+  }
+
+  Gateway& AddGateway(const std::string& aName)
+  {
+    DaemonSettings settings;
+    settings.role = Role::Gateway;
+    settings.instance = InstanceName(aName);
+    settings.dataCentre = DataCentreName("z");
+    settings.peers = { "127.0.0.1", FreePort() };
+    settings.operators = { "127.0.0.1", 0 };
+    settings.peerSecret = "a secret of the test's own";
+    settings.platform.store = { this->store->Address() };
+    settings.platform.storeTimeout = milliseconds(300);
+    settings.gateway.callers = { "127.0.0.1", 0 };
+    settings.gateway.instanceDrain = milliseconds(300);
+    settings.gateway.retryRatio = 1.0;
+    settings.gateway.stopGrace = seconds(2);
+    auto ports = platform::CreatePorts(*this->loop, settings);
+    this->gateways.push_back(
+      *Gateway::Create(*this->loop, settings, *std::move(ports)));
+    return *this->gateways.back();
+  }
+
+  /// Adds a gateway and waits until it is ready.
+  Gateway& ReadyGateway(const std::string& aName = "g1")
+  {
+    Gateway& gateway = this->AddGateway(aName);
+    this->Until([&] { return gateway.Ready().ok(); });
+    return gateway;
+  }
+
+  bool Until(const std::function<bool()>& aDone,
+             Duration aLimit = seconds(5)) const
+  {
+    return this->loop->RunUntil(aDone, aLimit);
+  }
+
+  static std::string RequestText(const std::string& aPath,
+                                 const std::string& aId,
+                                 const std::string& aMore = "")
+  {
+    return fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\n"
+                       "Dogwoodvale-Attempt-Id: {}\r\n"
+                       "Dogwoodvale-Credential: key1\r\n"
+                       "Dogwoodvale-Deadline-Ms: 1500\r\n{}"
+                       "Content-Length: 4\r\n\r\nbody",
+                       aPath,
+                       aId,
+                       aMore);
+  }
+
+  /// Sends a request on a connection of its own and waits for the end of the
+  /// answer or of the connection. \return what came.
+  std::string Ask(const Gateway& aGateway,
+                  const std::string& aPath,
+                  const std::string& aId,
+                  const std::string& aMore = "Connection: close\r\n")
+  {
+    RawSocket caller = RawSocket::Connect(aGateway.CallerAddress());
+    caller.Send(RequestText(aPath, aId, aMore));
+    this->Until([&] {
+      caller.Read();
+      return caller.closed;
+    });
+    return caller.received;
+  }
+
+  /// A TCP port that was free a moment ago.
+  static std::uint16_t FreePort() { return RawSocket::Listen().Address().port; }
+
+  std::unique_ptr<EventLoop> loop = *EventLoop::Create();
+  std::unique_ptr<standins::MetadataStore> store =
+    *standins::MetadataStore::Create(*this->loop, { "127.0.0.1", 0 });
+  std::vector<std::unique_ptr<standins::SealedEngine>> engines;
+  std::vector<std::unique_ptr<Gateway>> gateways;
+};
+
+} // namespace dogwoodvale::test
+
+#endif
