--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -15,6 +15,10 @@
 /// How much a token of delay to a request that runs there counts against one to
 /// the request that is placed. One for one makes the sum of delays least.
 constexpr double kDelayToOthers = 0.3;
+/// How much reading a token again that another server has in its cache counts
+/// beside the delay that it is: it takes capacity from all, and puts the same
+/// part into a second cache.
+constexpr double kReadAgain = 5.0;
 /// Share of the cache above which running requests begin to preempt others.
 constexpr double kFullCacheShare = 0.85;
 
@@ -30,13 +34,16 @@
 }
 
 double
-ModelCost(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+ModelCost(const DirectCandidate& aCandidate,
+          const DirectDemand& aDemand,
+          std::uint32_t aMostCached)
 {
   const BackendWork& work = aCandidate.work;
   const std::uint32_t own =
     aDemand.promptTokens -
     std::min(aDemand.promptTokens, aCandidate.cachedTokens);
   double tokens = static_cast<double>(work.prefillTokens) + own;
+  tokens += kReadAgain * (aMostCached - aCandidate.cachedTokens);
   if (aDemand.isLong) {
     // Every answer that is generated there waits while this prompt is read.
     tokens += kDelayToOthers * own * work.requests;
@@ -94,10 +101,12 @@
 }
 
 double
-DirectCost(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+DirectCost(const DirectCandidate& aCandidate,
+           const DirectDemand& aDemand,
+           std::uint32_t aMostCached)
 {
   if (aDemand.promptTokens > 0) {
-    return ModelCost(aCandidate, aDemand) * aCandidate.slowness;
+    return ModelCost(aCandidate, aDemand, aMostCached) * aCandidate.slowness;
   }
   const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
   return (aCandidate.work.requests + 1) / slots * aCandidate.slowness;
@@ -112,12 +121,16 @@
   double bestCost = 0;
   bool bestIsOut = false;
   std::uint32_t ties = 0;
+  std::uint32_t mostCached = 0;
+  for (const DirectCandidate& candidate : aCandidates) {
+    mostCached = std::max(mostCached, candidate.cachedTokens);
+  }
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const DirectCandidate& candidate = aCandidates[i];
     const bool isOut =
       candidate.standing == Standing::Ejected ||
       (candidate.standing == Standing::OnTrial && candidate.work.requests > 0);
-    const double cost = DirectCost(candidate, aDemand);
+    const double cost = DirectCost(candidate, aDemand, mostCached);
     const bool isBetter =
       !best || (bestIsOut && !isOut) || (bestIsOut == isOut && cost < bestCost);
     if (isBetter) {
--- a/dogwoodvale/src/Routing/DirectChoice.h
+++ b/dogwoodvale/src/Routing/DirectChoice.h
@@ -68,8 +68,11 @@
 /// What sending the request there is expected to cost: prefill tokens until its
 /// first token for a model, requests per slot for a plain service; lower is
 /// better.
+/// \param aMostCached the most that any candidate's cache holds of the prompt.
 double
-DirectCost(const DirectCandidate& aCandidate, const DirectDemand& aDemand);
+DirectCost(const DirectCandidate& aCandidate,
+           const DirectDemand& aDemand,
+           std::uint32_t aMostCached);
 
 /// The cheapest candidate that may take work; ties are broken at random, so
 /// that gateways which know the same do not all choose the same. Servers that
