--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -209,6 +209,9 @@
     PrefillFlow& flow = this->pool.FlowOf(service);
     flow.OnRequest(admitted.demand.promptTokens);
     admitted.demand.isLong = flow.IsLong(admitted.demand.promptTokens);
+    admitted.demand.tokensPerTurn =
+      flow.TokensPerTurn(admitted.service->slots)
+        .value_or(DirectDemand::kGuessedTokensPerTurn);
   }
   return admitted;
 }
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -200,6 +200,10 @@
         this->host.Backends().HealthOf(this->sent->instance)) {
     health->OnFirstToken(this->sent->instance, Between(this->sent->at, aNow));
   }
+  this->host.Backends()
+    .FlowOf(this->admitted.service->name)
+    .OnFirstToken(this->outcome.prefillAhead + this->sent->work.prefillTokens,
+                  Between(this->sent->at, aNow));
   const BackendWork prefill{ 0, this->sent->work.prefillTokens, 0 };
   this->host.Backends().OnDone(this->sent->instance, prefill);
   this->sent->work -= prefill;
--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Prefill that one request beyond the slots is taken to stand for: it waits
-/// for another to end, which takes many steps.
-constexpr double kTokensPerQueuedRequest = 2000.0;
+/// How much a turn in the queue of a full server counts beside the time that it
+/// takes: what waits for a slot is late in any case, where what shares a busy
+/// engine may not be.
+constexpr double kTurnWeight = 2.0;
 /// Prefill that one running request is taken to stand for: each slows every
 /// step a little.
 constexpr double kTokensPerRunningRequest = 8.0;
@@ -53,7 +54,8 @@
     tokens += kTokensPerRunningRequest * work.requests;
   }
   if (aCandidate.slots > 0 && work.requests >= aCandidate.slots) {
-    tokens += kTokensPerQueuedRequest * (work.requests - aCandidate.slots + 1);
+    tokens += kTurnWeight * aDemand.tokensPerTurn *
+              (work.requests - aCandidate.slots + 1);
   }
   const auto memory =
     static_cast<double>(work.memoryTokens + aDemand.promptTokens);
--- a/dogwoodvale/src/Routing/DirectChoice.h
+++ b/dogwoodvale/src/Routing/DirectChoice.h
@@ -38,6 +38,12 @@
   std::vector<PromptStep> steps;
   /// Longer than the service's mean, see PrefillFlow.
   bool isLong = false;
+  /// Prefill that one turn in a full server's queue stands for, see
+  /// PrefillFlow::TokensPerTurn().
+  double tokensPerTurn = kGuessedTokensPerTurn;
+
+  /// Until it is measured.
+  static constexpr double kGuessedTokensPerTurn = 2000.0;
 };
 
 /// A backend server as the choice sees it.
--- a/dogwoodvale/src/Routing/PrefillFlow.cpp
+++ b/dogwoodvale/src/Routing/PrefillFlow.cpp
@@ -81,4 +81,28 @@
                std::max(kLeastMicros, this->meanStayMicros)));
 }
 
+void
+PrefillFlow::OnFirstToken(std::uint64_t aTokens, Duration aLatency)
+{
+  const auto tokens = static_cast<double>(aTokens);
+  // Short ones tell more of the way there and back than of reading.
+  if (tokens < this->meanTokens || aLatency <= Duration::zero()) {
+    return;
+  }
+  const double sample = tokens / static_cast<double>(aLatency.count());
+  this->tokensPerMicro += this->tokensPerMicro == 0
+                            ? sample
+                            : kWeight * (sample - this->tokensPerMicro);
+}
+
+std::optional<double>
+PrefillFlow::TokensPerTurn(std::uint32_t aSlots) const
+{
+  if (this->tokensPerMicro == 0 || aSlots == 0) {
+    return std::nullopt;
+  }
+  return this->tokensPerMicro * static_cast<double>(this->MeanStay().count()) /
+         aSlots;
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Routing/PrefillFlow.h
+++ b/dogwoodvale/src/Routing/PrefillFlow.h
@@ -2,6 +2,7 @@
 #define DOGWOODVALE_ROUTING_PREFILLFLOW_H
 
 #include <cstdint>
+#include <optional>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -38,6 +39,13 @@
   /// beside the next request.
   Duration MeanStay() const;
 
+  /// A prompt of which \p aTokens had to be read, with what was ahead of it,
+  /// had its first token after \p aLatency.
+  void OnFirstToken(std::uint64_t aTokens, Duration aLatency);
+  /// Prefill that a server does in the time in which one of its slots comes
+  /// free, at the mean; nothing before it is measured.
+  std::optional<double> TokensPerTurn(std::uint32_t aSlots) const;
+
 private:
   struct Sum
   {
@@ -49,6 +57,7 @@
   double meanTokens = 0;
   std::uint32_t samples = 0;
   double meanStayMicros = 0;
+  double tokensPerMicro = 0;
   absl::flat_hash_map<InstanceName, Sum> sums;
 };
 
