Bring the choice's test in line with the weight of reading again

Change: the test now holds both sides, 20,000 stays and 50,000 goes; added tests of the full queue and of measured speed.

--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -181,10 +181,43 @@
                                         Candidate("empty", 1, 0) };
   engines[0].cachedTokens = 6000;
   CHECK(Chosen(engines, demand) == "holds");
+  // A shorter wait alone does not pay for reading the part a second time.
   engines[0].work.prefillTokens = 20'000;
+  CHECK(Chosen(engines, demand) == "holds");
+  engines[0].work.prefillTokens = 50'000;
   CHECK(Chosen(engines, demand) == "empty");
 }
 
+// Notes wait 20 deep for a slot and get nothing for seconds, while servers that
+// read long prompts have slots free.
+TEST_CASE("a full server's queue is not joined while others have slots",
+          "[choice]")
+{
+  DirectDemand demand{ 800, {}, false };
+  demand.tokensPerTurn = 2000;
+  std::vector<DirectCandidate> engines{ Candidate("full", 20, 0),
+                                        Candidate("reads", 2, 5000) };
+  engines[1].recentLongTokens = 30'000;
+  CHECK(Chosen(engines, demand) == "reads");
+  engines[0].work.requests = 7;
+  CHECK(Chosen(engines, demand) == "full");
+}
+
+TEST_CASE("speed and stay are measured", "[prefill]")
+{
+  PrefillFlow flow;
+  CHECK_FALSE(flow.TokensPerTurn(8).has_value());
+  flow.OnRequest(1000);
+  flow.OnStay(seconds(2));
+  // Short prompts tell nothing of the speed.
+  flow.OnFirstToken(10, milliseconds(50));
+  CHECK_FALSE(flow.TokensPerTurn(8).has_value());
+  flow.OnFirstToken(10'000, milliseconds(250));
+  REQUIRE(flow.TokensPerTurn(8).has_value());
+  CHECK(*flow.TokensPerTurn(8) == Approx(40.0 * 2000 / 8));
+  CHECK_FALSE(flow.TokensPerTurn(0).has_value());
+}
+
 TEST_CASE("ejected servers are taken only where there is no other", "[choice]")
 {
   const DirectDemand demand{ 0, {}, false };
