--- /dev/null
+++ b/test/PlatformAdapter.cpp
@@ -0,0 +1,250 @@
+#include <catch2/catch.hpp>
+
+#include "platform/Adapters.h"
+#include "standins/MetadataStore.h"
+
+using namespace dogwoodvale;
+
+namespace {
+
+struct StoreSetup
+{
+  bool Until(const std::function<bool()>& aDone,
+             Duration aLimit = seconds(5)) const
+  {
+    return this->loop->RunUntil(aDone, aLimit);
+  }
+
+  absl::StatusOr<RangeResult> Read(const RangeQuery& aQuery)
+  {
+    std::optional<absl::StatusOr<RangeResult>> result;
+    const auto call = this->client->Range(
+      aQuery, [&](absl::StatusOr<RangeResult> aResult) { result = aResult; });
+    REQUIRE(this->Until([&] { return result.has_value(); }));
+    return *result;
+  }
+
+  WriteResult Commit(const Transaction& aTransaction)
+  {
+    std::optional<WriteResult> result;
+    const auto call = this->client->Commit(
+      aTransaction, [&](const WriteResult& aResult) { result = aResult; });
+    REQUIRE(this->Until([&] { return result.has_value(); }));
+    return *result;
+  }
+
+  std::unique_ptr<EventLoop> loop = *EventLoop::Create();
+  std::unique_ptr<standins::MetadataStore> store =
+    *standins::MetadataStore::Create(*this->loop, { "127.0.0.1", 0 });
+  std::unique_ptr<StoreClient> client =
+    *platform::CreateKvStore(*this->loop,
+                             this->store->Address(),
+                             milliseconds(200));
+};
+
+class Watcher final : public StoreWatchHandler
+{
+public:
+  void OnSnapshot(Revision, std::span<const KeyValue> aValues) override
+  {
+    ++this->snapshots;
+    for (const KeyValue& value : aValues) {
+      this->last = value.value;
+    }
+  }
+  void OnChanges(Revision, std::span<const StoreChange> aChanges) override
+  {
+    for (const StoreChange& change : aChanges) {
+      this->last = change.kind == StoreChange::Kind::Delete
+                     ? "(deleted)"
+                     : change.value.value;
+    }
+  }
+  void OnLost(const absl::Status&) override { ++this->losses; }
+
+  int snapshots = 0;
+  int losses = 0;
+  std::string last;
+};
+
+Transaction
+PutIf(const std::string& aKey, Revision aRevision, const std::string& aValue)
+{
+  Transaction transaction;
+  transaction.when.push_back(
+    { aKey, Compare::Target::ModRevision, aRevision, "" });
+  Operation put;
+  put.key = aKey;
+  put.value = aValue;
+  transaction.then.push_back(put);
+  return transaction;
+}
+
+} // namespace
+
+TEST_CASE("a prefix is read to its last page", "[kv]")
+{
+  StoreSetup setup;
+  for (int i = 0; i < 13; ++i) {
+    setup.store->Put(fmt::format("a/{:02}", i), fmt::format("v{}", i));
+  }
+  setup.store->Put("b/1", "other");
+  const auto result = setup.Read({ .key = "a/", .isPrefix = true });
+  REQUIRE(result.ok());
+  CHECK(result->values.size() == 13);
+  CHECK(result->values.back().value == "v12");
+  CHECK(setup.Read({ .key = "b/1" })->values.size() == 1);
+  CHECK(setup.Read({ .key = "absent" })->values.empty());
+}
+
+TEST_CASE("a write under a condition tells what it came to", "[kv]")
+{
+  StoreSetup setup;
+  CHECK(setup.Commit(PutIf("k", 0, "one")).outcome == WriteOutcome::Applied);
+  const WriteResult late = setup.Commit(PutIf("k", 0, "two"));
+  CHECK(late.outcome == WriteOutcome::NotApplied);
+  CHECK(absl::IsFailedPrecondition(late.status));
+  REQUIRE(late.reads.size() == 1);
+  CHECK(late.reads[0][0].value == "one");
+}
+
+// A write is taken for one that had no effect though the store did it: its
+// answer was lost. That must be told as unknown.
+TEST_CASE("a lost answer leaves a write unknown, a refusal does not", "[kv]")
+{
+  StoreSetup setup;
+  Json::Value fault(Json::objectValue);
+  fault["silent"] = true;
+  setup.store->SetFault(fault);
+  CHECK(setup.Commit(PutIf("k", 0, "one")).outcome == WriteOutcome::Unknown);
+  fault["silent"] = false;
+  fault["clear"] = true;
+  fault["busy"] = true;
+  setup.store->SetFault(fault);
+  CHECK(setup.Commit(PutIf("k", 0, "one")).outcome == WriteOutcome::NotApplied);
+  CHECK_FALSE(setup.Read({ .key = "k" }).ok());
+}
+
+TEST_CASE("leases are kept and end", "[kv]")
+{
+  StoreSetup setup;
+  std::optional<LeaseGrant> grant;
+  const auto call = setup.client->GrantLease(
+    seconds(1), [&](absl::StatusOr<LeaseGrant> aGrant) { grant = *aGrant; });
+  REQUIRE(setup.Until([&] { return grant.has_value(); }));
+  Transaction put = PutIf("k", 0, "held");
+  put.then[0].lease = grant->id;
+  CHECK(setup.Commit(put).outcome == WriteOutcome::Applied);
+  CHECK(setup.store->CountKeys("k") == 1);
+  CHECK(setup.Until([&] { return setup.store->CountKeys("k") == 0; }));
+  std::optional<absl::Status> kept;
+  const auto keep =
+    setup.client->KeepAlive(grant->id, [&](absl::StatusOr<LeaseGrant> aLeft) {
+      kept = aLeft.status();
+    });
+  REQUIRE(setup.Until([&] { return kept.has_value(); }));
+  CHECK(absl::IsNotFound(*kept));
+}
+
+// A change is never seen: the store dropped its history while the watch was
+// cut, and the watch went on from a revision that is gone.
+TEST_CASE("a watch reads all anew when history is gone", "[kv]")
+{
+  StoreSetup setup;
+  Watcher watcher;
+  setup.store->Put("w", "one");
+  const auto watch = setup.client->Watch("w", watcher);
+  REQUIRE(setup.Until([&] { return watcher.last == "one"; }));
+  setup.store->Put("w", "two");
+  REQUIRE(setup.Until([&] { return watcher.last == "two"; }));
+  CHECK(watcher.snapshots == 1);
+  // Until the next poll waits at the store.
+  setup.Until([] { return false; }, milliseconds(100));
+  Json::Value fault(Json::objectValue);
+  fault["forget"] = true;
+  setup.store->SetFault(fault);
+  setup.store->Put("w", "three");
+  CHECK(setup.Until([&] { return watcher.last == "three"; }));
+  CHECK(watcher.losses >= 1);
+  setup.store->Remove("w");
+  CHECK(setup.Until([&] { return watcher.last == "(deleted)"; }));
+}
+
+TEST_CASE("what callers say is read, what is malformed left out", "[dialect]")
+{
+  const auto dialect = platform::CreateCallerDialect();
+  HttpRequest request;
+  request.headers = { { "dogwoodvale-attempt-id", "a1" },
+                      { "Dogwoodvale-Deadline-Ms", "250" },
+                      { "Dogwoodvale-Token-Count", "1460,80" },
+                      { "Dogwoodvale-Length-Hint", "40" },
+                      { "Dogwoodvale-Prompt-Prefix",
+                        "5c1e07a2:800,91bd3f06:410,zz:1,e4402b7d:250" } };
+  const CallerEnvelope envelope = dialect->Read(request);
+  CHECK(envelope.attemptId == "a1");
+  CHECK(envelope.timeLimit == milliseconds(250));
+  CHECK(envelope.promptTokens == 1460);
+  CHECK(envelope.maxOutputTokens == 40);
+  REQUIRE(envelope.prompt.size() == 2);
+  CHECK(envelope.prompt[0].id == 0x5c1e07a2);
+  CHECK(envelope.prompt[1].tokens == 410);
+  request.headers = { { "Dogwoodvale-Deadline-Ms", "soon" } };
+  CHECK_FALSE(dialect->Read(request).timeLimit.has_value());
+}
+
+TEST_CASE("callers are told when to come back, in fractions", "[dialect]")
+{
+  const auto dialect = platform::CreateCallerDialect();
+  RequestError error;
+  error.retryAfter = milliseconds(350);
+  const auto headers = dialect->ErrorHeaders(error);
+  CHECK(FindHeader(headers, "Retry-After") == "0.350");
+  error.retryAfter = milliseconds(0);
+  CHECK(FindHeader(dialect->ErrorHeaders(error), "Retry-After").empty());
+}
+
+TEST_CASE("a stream is asked to go on after the last event", "[dialect]")
+{
+  const auto dialect = platform::CreateBackendDialect();
+  HttpRequest request;
+  request.headers = { { "Last-Event-Id", "3" }, { "X-Other", "kept" } };
+  BackendOrder order;
+  order.instance = InstanceName("e1");
+  order.timeLeft = milliseconds(900);
+  order.rank = 12;
+  const HttpRequest first = dialect->Compose(request, order);
+  CHECK(FindHeader(first.headers, "last-event-id") == "3");
+  CHECK(FindHeader(first.headers, "x-other") == "kept");
+  CHECK(FindHeader(first.headers, "Dogwoodvale-Request-Priority") == "9");
+  CHECK(FindHeader(first.headers, "Dogwoodvale-Deadline-Ms") == "900");
+  order.resumeAfter = 12;
+  const HttpRequest again = dialect->Compose(request, order);
+  CHECK(FindHeader(again.headers, "last-event-id") == "12");
+}
+
+TEST_CASE("a wrong configuration is named, not taken", "[directory]")
+{
+  const auto format = platform::CreateDirectoryFormat();
+  CHECK_FALSE(format->ParseRoutes("{").ok());
+  CHECK_FALSE(format->ParseRoutes("[]").ok());
+  CHECK_FALSE(format->ParseRoutes(R"({"version":"x"})").ok());
+  CHECK_FALSE(format->ParseRoutes(R"({"version":1,"routes":[7]})").ok());
+  const auto split = format->ParseRoutes(
+    R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+    R"("kind":"streaming","timeoutMs":10.5,"maxAttempts":2,)"
+    R"("trafficSplit":[{"service":"a","weight":90},)"
+    R"({"service":"b","weight":10}]}]})");
+  REQUIRE(split.ok());
+  const HostRoute* route = (*split)->FindRoute("h", "/p/x");
+  REQUIRE(route != nullptr);
+  CHECK(route->timeout == Duration(10'500));
+  CHECK(route->services.size() == 2);
+  CHECK_FALSE(format->ParseInstance("servers/i", R"({"address":"x"})").ok());
+  const auto instance = format->ParseInstance(
+    "servers/i-1",
+    R"({"service":"a","address":"10.0.0.1:80","zone":"z","slots":48,)"
+    R"("state":"draining"})");
+  REQUIRE(instance.ok());
+  CHECK(instance->name == InstanceName("i-1"));
+  CHECK(instance->leaving);
+}
