--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,119 @@
+"""Requesters that keep connections open until their gateway is gone."""
+
+import asyncio
+import re
+import time
+import uuid
+
+from site_processes import KEYS
+
+ROUTES = ["/stream/", "/note/stream/", "/once/", "/again/"]
+CONNECTIONS = 12
+PATIENCE_S = 4
+
+
+class Answer:
+    """What a caller saw of one request."""
+
+    def __init__(self, ident, route, gateway):
+        self.id, self.route, self.gateway = ident, route, gateway
+        self.sent = time.monotonic()
+        self.status, self.headers, self.body = 0, {}, b""
+        # Whole by HTTP's own rules.
+        self.whole = False
+        self.ended = self.sent
+
+
+class Callers:
+    def __init__(self, site, rng):
+        self.site, self.rng = site, rng
+        self.answers, self.stopping, self.healed_at = [], False, None
+
+    def stop(self):
+        self.stopping = True
+
+    def mark_healed(self):
+        self.healed_at = time.monotonic()
+
+    def summary(self):
+        served = sum(1 for a in self.answers if a.status == 200 and a.whole)
+        return f"{len(self.answers)} requests, {served} served"
+
+    async def run_until_served(self):
+        for _ in range(100):
+            if await self._reach_all():
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError("the site does not serve before any fault")
+
+    async def _reach_all(self):
+        for name in self.site.gateways:
+            answer = await self._once(name, "/again/")
+            if answer.status != 200:
+                return False
+        return True
+
+    async def _once(self, name, route):
+        answer = Answer(uuid.uuid4().hex[:16], route, name)
+        try:
+            reader, writer = await self._connect(name)
+            await self._ask(reader, writer, answer)
+            writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+            pass
+        return answer
+
+    async def run(self):
+        await asyncio.gather(*(self._caller(i) for i in range(CONNECTIONS)))
+
+    def _connect(self, name):
+        port = self.site.gateways[name][1]
+        return asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1)
+
+    async def _caller(self, number):
+        names = sorted(self.site.gateways)
+        while not self.stopping:
+            name = names[number % len(names)]
+            try:
+                reader, writer = await self._connect(name)
+            except (OSError, asyncio.TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            await self._use(name, reader, writer)
+            writer.transport.abort()
+            number += self.rng.random() < 0.5
+
+    async def _use(self, name, reader, writer):
+        """Requests on one connection, until it closes."""
+        while not self.stopping:
+            answer = Answer(uuid.uuid4().hex[:16], self.rng.choice(ROUTES), name)
+            self.answers.append(answer)
+            try:
+                await asyncio.wait_for(self._ask(reader, writer, answer), PATIENCE_S)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                return
+            finally:
+                answer.ended = time.monotonic()
+            if answer.headers.get("connection") == "close":
+                return
+            await asyncio.sleep(self.rng.uniform(0, 0.05))
+
+    async def _ask(self, reader, writer, answer):
+        writer.write(
+            f"POST {answer.route}x HTTP/1.1\r\nHost: soak.example\r\n"
+            f"Dogwoodvale-Attempt-Id: {answer.id}\r\n"
+            f"Dogwoodvale-Credential: {self.rng.choice(KEYS)}\r\n"
+            f"Dogwoodvale-Deadline-Ms: {PATIENCE_S * 1000}\r\n"
+            f"Content-Length: 4\r\n\r\nbody".encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        answer.headers = {k.lower(): v for k, v in re.findall(r"([^\r\n:]+): *([^\r\n]*)", head)}
+        answer.status = int(lines[0].split()[1])
+        if answer.headers.get("transfer-encoding") == "chunked":
+            while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+                answer.body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+        else:
+            answer.body = await reader.readexactly(int(answer.headers.get("content-length", 0)))
+        answer.whole = True
--- /dev/null
+++ b/soak/site_processes.py
@@ -0,0 +1,210 @@
+"""The processes of a site: a store, engines, gateways; started and ended by id."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import time
+
+from proxy import Proxy
+
+SECRET = "a secret of the soak's own"
+KEYS = ["key-one", "key-two"]
+DRAIN_MS = 1000
+APPLY_MS = 2000
+GRACE_S = 4
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+async def post(port, path, body, timeout=2):
+    """One JSON call to a stand-in's control route."""
+    text = json.dumps(body)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(
+        f"POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode()
+    )
+    await asyncio.wait_for(reader.read(), timeout)
+    writer.close()
+
+
+class Process:
+    """One program that can be restarted with the same command."""
+
+    def __init__(self, site, name, command):
+        self.site, self.name, self.command = site, name, command
+        self.process = None
+        self.paused = False
+
+    async def start(self):
+        with open(self.site.folder / f"{self.name}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL
+            )
+        self.paused = False
+
+    def is_up(self):
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number):
+        if self.is_up():
+            self.process.send_signal(number)
+            self.paused = number == signal.SIGSTOP
+
+    async def end(self, patience):
+        """Waits, then kills. Returns whether it ended by itself."""
+        if not self.is_up():
+            return True
+        if self.paused:
+            self.signal(signal.SIGCONT)
+        try:
+            await asyncio.wait_for(self.process.wait(), patience)
+            return True
+        except asyncio.TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+            return False
+
+
+class Site:
+    def __init__(self, build, folder, rng):
+        self.build, self.folder, self.rng = build, folder, rng
+        self.engines, self.gateways, self.proxies = {}, {}, {}
+        self.settings, self.version, self.log = {}, 0, []
+        self.engine_count = 0
+        self.findings = []
+        self.events = []
+
+    def note(self, text):
+        self.events.append(f"{time.monotonic():.3f} {text}")
+
+    async def start(self):
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.store_port = free_port()
+        self.store = Process(self, "store", [
+            f"{self.build}/standin_metadata", "--listen", f"127.0.0.1:{self.store_port}"])
+        await self.store.start()
+        await asyncio.sleep(0.2)
+        for _ in range(self.rng.randrange(2, 5)):
+            await self.add_engine()
+        await self.configure()
+        for i in range(self.rng.randrange(2, 4)):
+            await self.add_gateway(f"g{i}")
+
+    async def configure(self):
+        """Writes the next version; routes of the soak stay the same in all."""
+        self.version += self.rng.randrange(1, 4)
+
+        def route(prefix, kind, attempts, resume):
+            return {"name": f"r{prefix}", "host": "soak.example", "prefix": prefix,
+                    "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 200,
+                    "targetGapMs": 100, "priority": 0, "service": "s",
+                    "maxAttempts": attempts, "public": False,
+                    "sessionAffinity": False, "streamResume": resume}
+
+        config = {
+            "version": self.version,
+            "routes": [route("/stream/", "streaming", 3, True),
+                       route("/note/stream/", "streaming", 1, False),
+                       route("/once/", "non_idempotent", 2, False),
+                       route("/again/", "idempotent", 3, False),
+                       route(f"/v{self.version}/", "idempotent", 1, False)],
+            "services": [{"name": "s", "maxConnections": 64}],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+            "tenants": [{"name": "t1", "apiKeys": KEYS, "priority": 0}]}
+        await self.put("op/config", config)
+
+    async def put(self, key, value):
+        await post(self.store_port, "/standin/put", {"key": key, "value": json.dumps(value)})
+
+    async def add_engine(self):
+        self.engine_count += 1
+        name = f"e{self.engine_count}"
+        port = free_port()
+        process = Process(self, name, [
+            f"{self.build}/standin_sealed_engine", "--listen", f"127.0.0.1:{port}",
+            "--instance", name, "--events", "12", "--gap-ms", "15", "--work-ms", "10"])
+        await process.start()
+        proxy = Proxy(port)
+        await proxy.start()
+        self.engines[name] = (process, port)
+        self.proxies[name] = proxy
+        await asyncio.sleep(0.1)
+        await self.register(name, "ready")
+
+    async def register(self, name, state):
+        await self.put(f"servers/{name}", {
+            "service": "s", "address": f"127.0.0.1:{self.proxies[name].port}", "zone": "z",
+            "slots": 8, "state": state, "sequence": 1})
+
+    async def retire(self, name):
+        """An engine says that it leaves, serves on for a while and ends."""
+        await self.register(name, "draining")
+        await asyncio.sleep(DRAIN_MS / 1000 + 2)
+        process, _ = self.engines.pop(name)
+        await post(self.store_port, "/standin/remove", {"key": f"servers/{name}"})
+        process.signal(signal.SIGTERM)
+        await process.end(2)
+
+    async def add_gateway(self, name):
+        proxy = Proxy(self.store_port)
+        await proxy.start()
+        self.proxies[name] = proxy
+        callers = free_port()
+        settings = {
+            "role": "gateway", "instance": name, "data_centre": "z", "region": "r",
+            "peers": f"127.0.0.1:{free_port()}", "operators": f"127.0.0.1:{free_port()}",
+            "peer_secret": SECRET, "platform": {"store": [f"127.0.0.1:{proxy.port}"]},
+            "gateway": {"callers": f"127.0.0.1:{callers}", "retry_ratio": 0.5,
+                        "instance_drain_ms": DRAIN_MS, "configuration_apply_ms": APPLY_MS,
+                        "stop_grace_s": GRACE_S, "descriptors": 1024}}
+        self.settings[name] = settings
+        self.write_settings(name)
+        process = Process(self, name, [
+            f"{self.build}/dogwoodvaled", "--settings", str(self.folder / f"{name}.json")])
+        await process.start()
+        self.gateways[name] = (process, callers)
+
+    def write_settings(self, name):
+        path = self.folder / f"{name}.json"
+        fresh = path.with_suffix(".new")
+        fresh.write_text(json.dumps(self.settings[name]))
+        os.replace(fresh, path)
+
+    async def heal(self):
+        """Ends every fault and brings every process back."""
+        for proxy in self.proxies.values():
+            proxy.heal()
+        await post(self.store_port, "/standin/fault", {"clear": True})
+        for process, port in list(self.engines.values()):
+            if process.paused:
+                process.signal(signal.SIGCONT)
+            if not process.is_up():
+                await process.start()
+                await asyncio.sleep(0.1)
+            await post(port, "/standin/fault", {"clear": True})
+        for process, _ in self.gateways.values():
+            if process.paused:
+                process.signal(signal.SIGCONT)
+            if not process.is_up():
+                await process.start()
+        self.note("healed")
+
+    async def stop(self):
+        everything = [p for p, _ in self.gateways.values()]
+        everything += [p for p, _ in self.engines.values()] + [self.store]
+        for process in everything:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+        for process in everything:
+            await process.end(GRACE_S + 2)
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        (self.folder / "events.log").write_text("\n".join(self.events) + "\n")
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -128,6 +128,8 @@
   work.streams = run.path.find("/stream/") != std::string::npos;
   work.next = run.resumedAfter + 1;
   work.due = Now() + this->settings.work;
+  // For checkers: the record goes with the process, its output stays.
+  Log(LogLevel::Info, "run", "id", run.id, "path", run.path);
   this->runs.push_back(std::move(run));
   this->working[&aExchange] = work;
 }
