Refuse long prompts behind a queue that is longer than the target

An engine reads as many prompts with a long queue as with a short one, so behind a long one all are late. Change: a long prompt's wait at the best server is predicted from what is ahead and the measured speed; beyond the route's target it is refused at once, with the time at which there will be room. Its own size does not count.

--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -20,8 +20,8 @@
 constexpr Duration kLeastUseful = milliseconds(20);
 /// What must not be repeated goes only on connections used this lately.
 constexpr Duration kFreshForOnce = milliseconds(500);
-/// A caller that is refused is told to come back after one to two of its
-/// route's targets: by then the work that was ahead of it is done or late.
+/// A caller that is refused is told to come back when the work that is ahead is
+/// done, but not before this.
 constexpr Duration kLeastRetryAfter = milliseconds(100);
 
 bool
@@ -104,6 +104,11 @@
     this->GiveUp(ErrorCode::NoBackendServer, "no backend server takes it");
     return;
   }
+  const Duration wait = this->WaitAt(candidates[*chosen]);
+  if (this->outcome.attempts == 0 && wait > this->GetRoute().target) {
+    this->RefuseForLoad(candidates[*chosen], wait);
+    return;
+  }
   for (const DirectCandidate& candidate : candidates) {
     this->outcome.mostCachedTokens =
       std::max(this->outcome.mostCachedTokens, candidate.cachedTokens);
@@ -111,6 +116,32 @@
   this->SendTo(candidates[*chosen], *client);
 }
 
+Duration
+GatewayRequest::WaitAt(const DirectCandidate& aCandidate) const
+{
+  // Short prompts are read between the long ones, by the servers' own order.
+  if (!this->admitted.demand.isLong) {
+    return Duration::zero();
+  }
+  return this->host.Backends()
+    .FlowOf(this->admitted.service->name)
+    .WaitBehind(aCandidate.name, aCandidate.work.prefillTokens)
+    .value_or(Duration::zero());
+}
+
+void
+GatewayRequest::RefuseForLoad(const DirectCandidate& aBest, Duration aWait)
+{
+  // Servers read as many prompts with a long queue as with a short one; behind
+  // a queue that is longer than the target, each of them is late. So what would
+  // only lengthen it is told at once to come back when there will be room. The
+  // request's own size does not count, or large ones would starve.
+  this->outcome.instance = aBest.name;
+  this->outcome.prefillAhead = aBest.work.prefillTokens;
+  this->loadWait = aWait;
+  this->GiveUp(ErrorCode::QueueFull, "all servers are behind");
+}
+
 BackendWork
 GatewayRequest::WorkOf(const DirectCandidate& aCandidate) const
 {
@@ -202,7 +233,8 @@
   }
   this->host.Backends()
     .FlowOf(this->admitted.service->name)
-    .OnFirstToken(this->outcome.prefillAhead + this->sent->work.prefillTokens,
+    .OnFirstToken(this->sent->instance,
+                  this->outcome.prefillAhead + this->sent->work.prefillTokens,
                   Between(this->sent->at, aNow));
   const BackendWork prefill{ 0, this->sent->work.prefillTokens, 0 };
   this->host.Backends().OnDone(this->sent->instance, prefill);
@@ -377,7 +409,7 @@
 GatewayRequest::RetryAfter() const
 {
   const Duration least =
-    std::max(kLeastRetryAfter, this->GetRoute().target / 2);
+    std::max(kLeastRetryAfter, this->loadWait - this->GetRoute().target / 2);
   std::uniform_int_distribution<Duration::rep> draw(least.count(),
                                                     2 * least.count());
   return std::chrono::duration_cast<milliseconds>(
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -119,6 +119,9 @@
   bool MayRepeat() const;
   void TryNext();
   void SendTo(const DirectCandidate& aCandidate, BackendClient& aClient);
+  /// How long a prompt waits there for its turn, as far as is known.
+  Duration WaitAt(const DirectCandidate& aCandidate) const;
+  void RefuseForLoad(const DirectCandidate& aBest, Duration aWait);
   AttemptPatience PatienceFor(TimePoint aNow) const;
   BackendWork WorkOf(const DirectCandidate& aCandidate) const;
   void NoteFirstSign(TimePoint aNow);
@@ -149,6 +152,8 @@
   /// Servers that read it.
   std::uint32_t reads = 0;
   bool mayHaveRun = false;
+  /// The wait for which it was refused.
+  Duration loadWait{ 0 };
   bool streamBegun = false;
   std::optional<std::uint64_t> delivered;
   GatewayOutcome outcome;
--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -108,10 +108,10 @@
            std::uint32_t aMostCached)
 {
   if (aDemand.promptTokens > 0) {
-    return ModelCost(aCandidate, aDemand, aMostCached) * aCandidate.slowness;
+    return ModelCost(aCandidate, aDemand, aMostCached);
   }
   const double slots = std::max<std::uint32_t>(aCandidate.slots, 1);
-  return (aCandidate.work.requests + 1) / slots * aCandidate.slowness;
+  return (aCandidate.work.requests + 1) / slots;
 }
 
 std::optional<std::size_t>
--- a/dogwoodvale/src/Routing/DirectChoice.h
+++ b/dogwoodvale/src/Routing/DirectChoice.h
@@ -56,8 +56,6 @@
   /// Tokens that fit into its cache; 0 while unknown.
   std::uint64_t cacheTokens = 0;
   Standing standing = Standing::InService;
-  /// How much slower it is than its peers; 1 is as they are.
-  double slowness = 1.0;
   /// Prompt tokens that its cache probably holds of this request.
   std::uint32_t cachedTokens = 0;
   /// What it has read of long prompts lately, see PrefillFlow.
--- a/dogwoodvale/src/Routing/PrefillFlow.cpp
+++ b/dogwoodvale/src/Routing/PrefillFlow.cpp
@@ -10,6 +10,10 @@
 /// Weight of one more sample in the means: about the last 50 requests count,
 /// a second or two of a busy service.
 constexpr double kWeight = 0.02;
+/// The same for one server, of which a gateway sees fewer.
+constexpr double kServerWeight = 0.2;
+/// A server that hangs for one prompt must not look slow for ever.
+constexpr double kMostSlowness = 10.0;
 /// No prompt is long before this many are known.
 constexpr std::uint32_t kLeastSamples = 10;
 /// Taken for the mean stay until one is measured.
@@ -60,6 +64,7 @@
 PrefillFlow::Forget(const InstanceName& aInstance)
 {
   this->sums.erase(aInstance);
+  this->speeds.erase(aInstance);
 }
 
 void
@@ -82,7 +87,9 @@
 }
 
 void
-PrefillFlow::OnFirstToken(std::uint64_t aTokens, Duration aLatency)
+PrefillFlow::OnFirstToken(const InstanceName& aInstance,
+                          std::uint64_t aTokens,
+                          Duration aLatency)
 {
   const auto tokens = static_cast<double>(aTokens);
   // Short ones tell more of the way there and back than of reading.
@@ -93,6 +100,30 @@
   this->tokensPerMicro += this->tokensPerMicro == 0
                             ? sample
                             : kWeight * (sample - this->tokensPerMicro);
+  double& own = this->speeds.try_emplace(aInstance, sample).first->second;
+  own += kServerWeight * (sample - own);
+}
+
+double
+PrefillFlow::SlownessOf(const InstanceName& aInstance) const
+{
+  const auto found = this->speeds.find(aInstance);
+  if (found == this->speeds.end() || found->second <= 0) {
+    return 1.0;
+  }
+  return std::clamp(this->tokensPerMicro / found->second, 1.0, kMostSlowness);
+}
+
+std::optional<Duration>
+PrefillFlow::WaitBehind(const InstanceName& aInstance,
+                        std::uint64_t aTokens) const
+{
+  if (this->tokensPerMicro == 0) {
+    return std::nullopt;
+  }
+  return Duration(static_cast<Duration::rep>(static_cast<double>(aTokens) *
+                                             this->SlownessOf(aInstance) /
+                                             this->tokensPerMicro));
 }
 
 std::optional<double>
--- a/dogwoodvale/src/Routing/PrefillFlow.h
+++ b/dogwoodvale/src/Routing/PrefillFlow.h
@@ -41,7 +41,16 @@
 
   /// A prompt of which \p aTokens had to be read, with what was ahead of it,
   /// had its first token after \p aLatency.
-  void OnFirstToken(std::uint64_t aTokens, Duration aLatency);
+  void OnFirstToken(const InstanceName& aInstance,
+                    std::uint64_t aTokens,
+                    Duration aLatency);
+  /// How much slower the server reads than its peers; 1 where it does not, or
+  /// is not known.
+  double SlownessOf(const InstanceName& aInstance) const;
+  /// When a prompt's turn comes behind \p aTokens at the server; nothing before
+  /// the speed is measured.
+  std::optional<Duration> WaitBehind(const InstanceName& aInstance,
+                                     std::uint64_t aTokens) const;
   /// Prefill that a server does in the time in which one of its slots comes
   /// free, at the mean; nothing before it is measured.
   std::optional<double> TokensPerTurn(std::uint32_t aSlots) const;
@@ -59,6 +68,8 @@
   double meanStayMicros = 0;
   double tokensPerMicro = 0;
   absl::flat_hash_map<InstanceName, Sum> sums;
+  /// Tokens read in a microsecond, of each server.
+  absl::flat_hash_map<InstanceName, double> speeds;
 };
 
 } // namespace dogwoodvale
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -210,9 +210,9 @@
   flow.OnRequest(1000);
   flow.OnStay(seconds(2));
   // Short prompts tell nothing of the speed.
-  flow.OnFirstToken(10, milliseconds(50));
+  flow.OnFirstToken(InstanceName("e1"), 10, milliseconds(50));
   CHECK_FALSE(flow.TokensPerTurn(8).has_value());
-  flow.OnFirstToken(10'000, milliseconds(250));
+  flow.OnFirstToken(InstanceName("e1"), 10'000, milliseconds(250));
   REQUIRE(flow.TokensPerTurn(8).has_value());
   CHECK(*flow.TokensPerTurn(8) == Approx(40.0 * 2000 / 8));
   CHECK_FALSE(flow.TokensPerTurn(0).has_value());
@@ -292,3 +292,27 @@
   loop->RunUntil([&] { return lost > Duration::zero(); }, seconds(1));
   CHECK(lost >= milliseconds(300));
 }
+
+// In a rush every review comes late, though the engines read as many as ever:
+// each waits behind a queue that is longer than its target. How long a prompt
+// would wait has to be known before it joins.
+TEST_CASE("the wait behind others is known from measured speed", "[prefill]")
+{
+  PrefillFlow flow;
+  const InstanceName fast("fast");
+  const InstanceName slow("slow");
+  CHECK_FALSE(flow.WaitBehind(fast, 1000).has_value());
+  for (int i = 0; i < 50; ++i) {
+    flow.OnFirstToken(fast, 40'000, milliseconds(1000));
+  }
+  for (int i = 0; i < 10; ++i) {
+    flow.OnFirstToken(slow, 40'000, milliseconds(4000));
+  }
+  const Duration quick = *flow.WaitBehind(fast, 40'000);
+  const Duration late = *flow.WaitBehind(slow, 40'000);
+  CHECK(quick > milliseconds(900));
+  CHECK(quick < milliseconds(1300));
+  CHECK(late > 2 * quick);
+  flow.Forget(slow);
+  CHECK(flow.WaitBehind(slow, 40'000) == quick);
+}
