Refuse beyond one and a half targets of wait; test the refusal

Change: the bound is 1.5 targets, since the wait is known to about a half of itself. A test plays a queue behind an engine that hangs.

--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -20,6 +20,10 @@
 constexpr Duration kLeastUseful = milliseconds(20);
 /// What must not be repeated goes only on connections used this lately.
 constexpr Duration kFreshForOnce = milliseconds(500);
+/// Wait for its turn beyond which a long prompt is refused, in halves of its
+/// route's target. One target refuses more and serves no more: the wait is
+/// known to about a half of itself.
+constexpr int kMostWaitHalves = 3;
 /// A caller that is refused is told to come back when the work that is ahead is
 /// done, but not before this.
 constexpr Duration kLeastRetryAfter = milliseconds(100);
@@ -105,7 +109,8 @@
     return;
   }
   const Duration wait = this->WaitAt(candidates[*chosen]);
-  if (this->outcome.attempts == 0 && wait > this->GetRoute().target) {
+  if (this->outcome.attempts == 0 &&
+      wait > kMostWaitHalves * this->GetRoute().target / 2) {
     this->RefuseForLoad(candidates[*chosen], wait);
     return;
   }
--- a/test/Gateway.cpp
+++ b/test/Gateway.cpp
@@ -367,3 +367,47 @@
   CHECK(RunCount(site) > 20);
   CHECK(RunCount(site) <= 20 + 2 + 1);
 }
+
+// In a rush every review comes late, since each joins a queue that is longer
+// than its target. What would only lengthen the queue is told at once when to
+// come back; short prompts, which are read between the long ones, go on.
+TEST_CASE("a long prompt is refused behind a long queue", "[gateway]")
+{
+  PlatformSite site(0);
+  standins::SealedEngineSettings engine;
+  engine.work = milliseconds(20);
+  site.AddEngine("e1", engine);
+  Gateway& gateway = site.ReadyGateway();
+  const auto tokens = [](int aCount) {
+    return fmt::format("Dogwoodvale-Token-Count: {},10\r\n", aCount);
+  };
+  const std::string closes = "Connection: close\r\n";
+  for (int i = 0; i < 12; ++i) {
+    site.Ask(
+      gateway, "/read/stream/x", fmt::format("s-{}", i), tokens(100) + closes);
+  }
+  for (int i = 0; i < 3; ++i) {
+    const std::string answer = site.Ask(
+      gateway, "/read/stream/x", fmt::format("l-{}", i), tokens(9000) + closes);
+    REQUIRE(Has(answer, "HTTP/1.1 200"));
+  }
+  site.engines[0]->SetFault(Fault("hang"));
+  std::vector<RawSocket> waiting;
+  for (int i = 0; i < 12; ++i) {
+    waiting.push_back(RawSocket::Connect(gateway.CallerAddress()));
+    waiting.back().Send(PlatformSite::RequestText(
+      "/read/stream/x", fmt::format("w-{}", i), tokens(9000)));
+    site.Until([] { return false; }, milliseconds(5));
+  }
+  const TimePoint start = Now();
+  const std::string refused =
+    site.Ask(gateway, "/read/stream/x", "late", tokens(9000) + closes);
+  CHECK(Has(refused, "HTTP/1.1 503"));
+  CHECK(Has(refused, "Retry-After: "));
+  CHECK(Has(refused, "not_run"));
+  CHECK(Between(start, Now()) < milliseconds(500));
+  const std::size_t before = RunCount(site);
+  RawSocket small = RawSocket::Connect(gateway.CallerAddress());
+  small.Send(PlatformSite::RequestText("/read/stream/x", "small", tokens(100)));
+  CHECK(site.Until([&] { return RunCount(site) == before + 1; }));
+}
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -48,26 +48,31 @@
                   aState));
   }
 
-  /// Routes /stream/ (resumable), /once/ (may not be repeated), /again/ (may).
+  /// Routes /stream/ (resumable), /once/ (may not be repeated), /again/ (may),
+  /// /read/stream/ (names its prompts).
   void PutConfiguration(int aVersion, int aTimeoutMillis = 2000) const
   {
-    const auto route =
-      [&](const char* aPrefix, const char* aKind, int aAttempts, bool aResume) {
-        return fmt::format(
-          R"({{"name":"r-{0}","host":"a.example","prefix":"{0}","kind":"{1}",)"
-          R"("timeoutMs":{2},"targetLatencyMs":100,"targetGapMs":50,)"
-          R"("priority":0,"service":"s","maxAttempts":{3},"public":false,)"
-          R"("sessionAffinity":false,"streamResume":{4}}})",
-          aPrefix,
-          aKind,
-          aTimeoutMillis,
-          aAttempts,
-          aResume);
-      };
+    const auto route = [&](const char* aPrefix,
+                           const char* aKind,
+                           int aAttempts,
+                           bool aResume,
+                           bool aPrompts = false) {
+      return fmt::format(
+        R"({{"name":"r-{0}","host":"a.example","prefix":"{0}","kind":"{1}",)"
+        R"("timeoutMs":{2},"targetLatencyMs":100,"targetGapMs":50,)"
+        R"("priority":0,"service":"s","maxAttempts":{3},"public":false,)"
+        R"("sessionAffinity":{5},"streamResume":{4}}})",
+        aPrefix,
+        aKind,
+        aTimeoutMillis,
+        aAttempts,
+        aResume,
+        aPrompts);
+    };
     this->store->Put(
       "op/config",
       fmt::format(
-        R"({{"version":{},"routes":[{},{},{},{}],"services":[{{"name":"s",)"
+        R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"s",)"
         R"("healthPath":"/health","maxConnections":16}}],)"
         R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}},)"
@@ -76,7 +81,8 @@
         route("/stream/", "streaming", 2, true),
         route("/note/stream/", "streaming", 1, false),
         route("/once/", "non_idempotent", 2, false),
-        route("/again/", "idempotent", 2, false)));
+        route("/again/", "idempotent", 2, false),
+        route("/read/stream/", "streaming", 1, false, true)));
   }
 
   Gateway& AddGateway(const std::string& aName)
