Judge models' health by latency against what they had to read

Change: a first token counts against what the reading takes at the service's measured speed, for long prompts only.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -1,6 +1,7 @@
 #include "DirectoryKeeper.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <json/json.h>
 
@@ -86,12 +87,22 @@
 DirectoryKeeper::OnContact()
 {
   this->routesHeardAt = Now();
+  if (!std::exchange(this->isWatching, true)) {
+    Log(LogLevel::Info, "routes_watch_regained", "version", this->Version());
+  }
 }
 
 void
 DirectoryKeeper::OnLost(const absl::Status& aReason)
 {
-  Log(LogLevel::Warning, "routes_watch_lost", "reason", MessageOf(aReason));
+  if (std::exchange(this->isWatching, false)) {
+    Log(LogLevel::Warning,
+        "routes_watch_lost",
+        "reason",
+        MessageOf(aReason),
+        "version",
+        this->Version());
+  }
 }
 
 void
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -138,6 +138,7 @@
   /// The same of the gateway that has had contact longest, and when it said so.
   TimePoint othersContactSince{};
   TimePoint othersHeardAt{};
+  bool isWatching = true;
   bool storeAnswers = true;
   bool leaving = false;
 };
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -232,15 +232,19 @@
     return;
   }
   this->sent->firstSign = true;
-  if (HealthTracker* health =
-        this->host.Backends().HealthOf(this->sent->instance)) {
-    health->OnFirstToken(this->sent->instance, Between(this->sent->at, aNow));
+  const Duration latency = Between(this->sent->at, aNow);
+  PrefillFlow& flow =
+    this->host.Backends().FlowOf(this->admitted.service->name);
+  const std::uint64_t read =
+    this->outcome.prefillAhead + this->sent->work.prefillTokens;
+  HealthTracker* health = this->host.Backends().HealthOf(this->sent->instance);
+  const std::uint32_t prompt = this->admitted.demand.promptTokens;
+  const std::optional<Duration> sample =
+    prompt == 0 ? latency : flow.HealthSample(prompt, read, latency);
+  if (health != nullptr && sample) {
+    health->OnFirstToken(this->sent->instance, *sample);
   }
-  this->host.Backends()
-    .FlowOf(this->admitted.service->name)
-    .OnFirstToken(this->sent->instance,
-                  this->outcome.prefillAhead + this->sent->work.prefillTokens,
-                  Between(this->sent->at, aNow));
+  flow.OnFirstToken(this->sent->instance, read, latency);
   const BackendWork prefill{ 0, this->sent->work.prefillTokens, 0 };
   this->host.Backends().OnDone(this->sent->instance, prefill);
   this->sent->work -= prefill;
--- a/dogwoodvale/src/Routing/PrefillFlow.cpp
+++ b/dogwoodvale/src/Routing/PrefillFlow.cpp
@@ -115,17 +115,42 @@
 }
 
 std::optional<Duration>
-PrefillFlow::WaitBehind(const InstanceName& aInstance,
-                        std::uint64_t aTokens) const
+PrefillFlow::ExpectedRead(std::uint64_t aTokens) const
 {
   if (this->tokensPerMicro == 0) {
     return std::nullopt;
   }
-  return Duration(static_cast<Duration::rep>(static_cast<double>(aTokens) *
-                                             this->SlownessOf(aInstance) /
+  return Duration(static_cast<Duration::rep>(static_cast<double>(aTokens) /
                                              this->tokensPerMicro));
 }
 
+std::optional<Duration>
+PrefillFlow::HealthSample(std::uint32_t aPromptTokens,
+                          std::uint64_t aRead,
+                          Duration aLatency) const
+{
+  const std::optional<Duration> expected = this->ExpectedRead(aRead);
+  if (!this->IsLong(aPromptTokens) || !expected ||
+      *expected <= Duration::zero()) {
+    return std::nullopt;
+  }
+  // Any unit does, as servers are compared with each other.
+  constexpr Duration::rep kUnit = 100'000;
+  return Duration(kUnit * aLatency.count() / expected->count());
+}
+
+std::optional<Duration>
+PrefillFlow::WaitBehind(const InstanceName& aInstance,
+                        std::uint64_t aTokens) const
+{
+  const std::optional<Duration> expected = this->ExpectedRead(aTokens);
+  if (!expected) {
+    return std::nullopt;
+  }
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(expected->count()) * this->SlownessOf(aInstance)));
+}
+
 std::optional<double>
 PrefillFlow::TokensPerTurn(std::uint32_t aSlots) const
 {
--- a/dogwoodvale/src/Routing/PrefillFlow.h
+++ b/dogwoodvale/src/Routing/PrefillFlow.h
@@ -47,6 +47,20 @@
   /// How much slower the server reads than its peers; 1 where it does not, or
   /// is not known.
   double SlownessOf(const InstanceName& aInstance) const;
+  /// What reading so many tokens takes at the service's mean speed; nothing
+  /// before it is measured.
+  std::optional<Duration> ExpectedRead(std::uint64_t aTokens) const;
+  /// What a first token after \p aLatency says of a server's health, as a time
+  /// that can be compared among servers; nothing if it says nothing.
+  ///
+  /// The latency itself says first of all how much the server had to read:
+  /// those that read long prompts look slow beside those that do not, and would
+  /// be taken out in turn. So it counts against what the reading takes at the
+  /// service's own speed, and only where reading is most of it.
+  /// \param aRead tokens of the prompt and of what was ahead.
+  std::optional<Duration> HealthSample(std::uint32_t aPromptTokens,
+                                       std::uint64_t aRead,
+                                       Duration aLatency) const;
   /// When a prompt's turn comes behind \p aTokens at the server; nothing before
   /// the speed is measured.
   std::optional<Duration> WaitBehind(const InstanceName& aInstance,
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -316,3 +316,20 @@
   flow.Forget(slow);
   CHECK(flow.WaitBehind(slow, 40'000) == quick);
 }
+
+// Engines are taken out as slow in turn, though none is sick: those that read
+// long prompts answer later than those that do not.
+TEST_CASE("a server that reads much is not taken for a slow one", "[prefill]")
+{
+  PrefillFlow flow;
+  for (int i = 0; i < 40; ++i) {
+    flow.OnRequest(i % 2 == 0 ? 9000 : 800);
+    flow.OnFirstToken(InstanceName("e1"), 9000, milliseconds(225));
+  }
+  CHECK_FALSE(flow.HealthSample(800, 800, milliseconds(40)).has_value());
+  const Duration alone = *flow.HealthSample(9000, 9000, milliseconds(225));
+  const Duration behind = *flow.HealthSample(9000, 45'000, milliseconds(1125));
+  const Duration sick = *flow.HealthSample(9000, 9000, milliseconds(1125));
+  CHECK(behind < 2 * alone);
+  CHECK(sick > 4 * alone);
+}
