Clean what the linter found in the gateway

Cause: clang-tidy on the new files: parameters copied for each call, an unused member, std::ranges::unique that clang 14 can't parse. Change: as it says; no behaviour.

--- a/dogwoodvale/src/Configuration/RouteTable.cpp
+++ b/dogwoodvale/src/Configuration/RouteTable.cpp
@@ -100,17 +100,16 @@
     }
   }
   std::ranges::sort(this->ranks);
-  const auto rest = std::ranges::unique(this->ranks);
-  this->ranks.erase(rest.begin(), rest.end());
+  this->ranks.erase(std::unique(this->ranks.begin(), this->ranks.end()),
+                    this->ranks.end());
 }
 
 std::uint32_t
 RouteTable::RankOf(const HostRoute& aRoute,
                    const KeyedCustomer* aCustomer) const
 {
-  const Tier own = aCustomer == nullptr
-                     ? aRoute.tier
-                     : aCustomer->tier.value_or(aRoute.tier);
+  const Tier own =
+    aCustomer == nullptr ? aRoute.tier : aCustomer->tier.value_or(aRoute.tier);
   const auto place = std::ranges::lower_bound(
     this->ranks, std::pair<Tier, Tier>(aRoute.tier, own));
   return static_cast<std::uint32_t>(place - this->ranks.begin());
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -33,8 +33,7 @@
                                  const DirectoryFormat& aFormat,
                                  Options aOptions,
                                  DirectoryObserver& aObserver)
-  : loop(aLoop)
-  , store(aStore)
+  : store(aStore)
   , format(aFormat)
   , options(std::move(aOptions))
   , observer(aObserver)
@@ -163,8 +162,8 @@
   RangeQuery query;
   query.key = this->format.InstancesPrefix();
   query.isPrefix = true;
-  this->instancesCall =
-    this->store.Range(query, [this](absl::StatusOr<RangeResult> aResult) {
+  this->instancesCall = this->store.Range(
+    query, [this](const absl::StatusOr<RangeResult>& aResult) {
       const std::unique_ptr<StoreCall> ended = std::move(this->instancesCall);
       this->OnInstancesRead(aResult);
     });
@@ -379,7 +378,7 @@
 DirectoryKeeper::Join()
 {
   this->leaseCall = this->store.GrantLease(
-    kLeaseTtl, [this](absl::StatusOr<LeaseGrant> aGrant) {
+    kLeaseTtl, [this](const absl::StatusOr<LeaseGrant>& aGrant) {
       const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
       if (aGrant.ok()) {
         this->lease = aGrant->id;
@@ -415,7 +414,7 @@
 DirectoryKeeper::RenewLease()
 {
   this->leaseCall = this->store.KeepAlive(
-    this->lease, [this](absl::StatusOr<LeaseGrant> aLeft) {
+    this->lease, [this](const absl::StatusOr<LeaseGrant>& aLeft) {
       const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
       if (absl::IsNotFound(aLeft.status())) {
         this->lease = 0;
@@ -432,8 +431,8 @@
   query.isPrefix = true;
   // Seconds of age do no harm here, and such a read is cheap for the store.
   query.allowStale = true;
-  this->gatewaysCall =
-    this->store.Range(query, [this](absl::StatusOr<RangeResult> aResult) {
+  this->gatewaysCall = this->store.Range(
+    query, [this](const absl::StatusOr<RangeResult>& aResult) {
       const std::unique_ptr<StoreCall> ended = std::move(this->gatewaysCall);
       if (aResult.ok()) {
         this->OnGatewaysRead(*aResult);
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -112,7 +112,6 @@
   void NoteStore(bool aAnswers, std::string_view aReason, TimePoint aNow);
   bool WasAwayForOthers(TimePoint aNow) const;
 
-  EventLoop& loop;
   StoreClient& store;
   const DirectoryFormat& format;
   Options options;
