Test what a backend connection does with late answers and its age

Cause: no test played a second answer to an earlier request, a connection that is too old for what must not be repeated, or a Keep-Alive that has run out. Change: three tests with a bare socket as the server.

--- a/test/BackendClient.cpp
+++ b/test/BackendClient.cpp
@@ -361,3 +361,87 @@
   REQUIRE(r.complete);
   REQUIRE(r.body.size() == 32U << 20U);
 }
+
+namespace {
+
+/// Knows its own answer by a header.
+class Owner final : public BackendCallHandler
+{
+public:
+  bool IsOwnAnswer(std::span<const HeaderField> aHeaders) override
+  {
+    return FindHeader(aHeaders, "x-id") == "own";
+  }
+  void OnHead(int aStatus, std::span<const HeaderField>) override
+  {
+    this->status = aStatus;
+  }
+  void OnBody(std::string_view aBytes) override { this->body += aBytes; }
+  void OnComplete() override { this->complete = true; }
+  void OnFailed(const absl::Status&, bool) override { this->failed = true; }
+
+  std::unique_ptr<BackendCall> call;
+  int status = 0;
+  std::string body;
+  bool complete = false;
+  bool failed = false;
+};
+
+} // namespace
+
+// A caller gets the answer to somebody else's request: the server sent a second
+// answer to the one before, late, just where the next was expected.
+TEST_CASE("an answer to an earlier request is read over", "[backend]")
+{
+  Fixture fixture;
+  Owner owner;
+  owner.call = fixture.client->Start({ "POST", "/x", {}, "body" }, owner);
+  REQUIRE(fixture.Until([&] {
+    fixture.listener.Accept(fixture.server);
+    return fixture.server.Has("\r\n\r\nbody");
+  }));
+  fixture.server.Send("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n"
+                      "\r\nwrongHTTP/1.1 201 Created\r\nX-Id: own\r\n"
+                      "Content-Length: 5\r\n\r\nright");
+  REQUIRE(fixture.Until([&] { return owner.complete || owner.failed; }));
+  CHECK(owner.complete);
+  CHECK(owner.status == 201);
+  CHECK(owner.body == "right");
+}
+
+TEST_CASE("a call that asks for a fresh connection gets no stale one",
+          "[backend]")
+{
+  Fixture fixture;
+  Recorder first;
+  fixture.Exchange(first);
+  fixture.server.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(fixture.Until([&] { return first.Ended(); }));
+  REQUIRE(fixture.client->IdleConnections() == 1);
+  fixture.Until([] { return false; }, milliseconds(60));
+  Recorder second;
+  second.call = fixture.client->StartFresh(
+    { "POST", "/x", {}, "body" }, second, milliseconds(30));
+  RawSocket another;
+  CHECK(fixture.Until([&] { return fixture.listener.Accept(another); }));
+  CHECK(fixture.client->OpenConnections() == 2);
+  fixture.client->CloseIdleConnections();
+  CHECK(fixture.client->OpenConnections() == 1);
+}
+
+// A request is lost in a connection that the server had said it would close.
+TEST_CASE("a connection is not used beyond its keep-alive time", "[backend]")
+{
+  Fixture fixture;
+  Recorder first;
+  fixture.Exchange(first);
+  fixture.server.Send("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+                      "Content-Length: 2\r\n\r\nok");
+  REQUIRE(fixture.Until([&] { return first.Ended(); }));
+  REQUIRE(fixture.client->IdleConnections() == 1);
+  fixture.Until([] { return false; }, milliseconds(850));
+  Recorder second;
+  fixture.Start(second, { "POST", "/x", {}, "body" });
+  RawSocket another;
+  CHECK(fixture.Until([&] { return fixture.listener.Accept(another); }));
+}
