--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -532,6 +532,7 @@
   gauges.requests = this->requests.size();
   gauges.instances = this->pool.Count();
   gauges.peers = this->pool.Work().PeerCount();
+  gauges.digestsRefused = this->peers->DigestsRefused();
   gauges.version = this->directory->Version();
   gauges.listAge = this->directory->InstancesAge(now);
   gauges.routesAge = this->directory->RoutesAge(now);
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -73,6 +73,7 @@
   set("requests", static_cast<double>(aGauges.requests));
   set("instances", static_cast<double>(aGauges.instances));
   set("peers", static_cast<double>(aGauges.peers));
+  set("digests_refused", static_cast<double>(aGauges.digestsRefused));
   set("routes_version", static_cast<double>(aGauges.version));
   set("list_age_seconds",
       static_cast<double>(aGauges.listAge.count()) / kMicros);
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -14,6 +14,7 @@
   std::size_t requests = 0;
   std::size_t instances = 0;
   std::size_t peers = 0;
+  std::uint64_t digestsRefused = 0;
   Epoch version = 0;
   Duration listAge{ 0 };
   Duration routesAge{ 0 };
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -201,7 +201,6 @@
   sending.instance = aCandidate.name;
   sending.work = this->WorkOf(aCandidate);
   sending.at = now;
-  sending.lastEvent = now;
   sending.hadRoom = aCandidate.work.requests < aCandidate.slots;
   this->sent = std::move(sending);
   this->outcome.instance = aCandidate.name;
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -108,7 +108,6 @@
     InstanceName instance;
     BackendWork work;
     TimePoint at{};
-    TimePoint lastEvent{};
     /// Fewer requests than slots were there, as far as was known.
     bool hadRoom = false;
     bool firstSign = false;
--- a/dogwoodvale/src/Gateway/PeerExchange.h
+++ b/dogwoodvale/src/Gateway/PeerExchange.h
@@ -58,7 +58,7 @@
   /// Whether a request for a document proves to come from a gateway.
   bool IsProven(std::string_view aPath) const;
 
-  std::size_t PeerCount() const { return this->peers.size(); }
+  /// Datagrams that were no digest, or made with another secret.
   std::uint64_t DigestsRefused() const { return this->refused; }
 
   static constexpr std::string_view kRoutesPath = "/peer/routes";
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -151,8 +151,6 @@
   reader.ReadInteger("retry_extra", kRetryExtra, aGateway.retryExtra);
   reader.ReadMilliseconds(
     "instance_drain_ms", kBoundMs, aGateway.instanceDrain);
-  reader.ReadMilliseconds(
-    "configuration_apply_ms", kBoundMs, aGateway.configurationApply);
   ReadSeconds(reader, "stop_grace_s", aGateway.stopGrace);
   reader.ReadInteger("descriptors", kDescriptors, aGateway.descriptors);
   reader.Finish();
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -97,8 +97,6 @@
   std::uint32_t retryExtra = 10;
   /// A backend server that has said that it leaves gets no new work after this.
   Duration instanceDrain = seconds(2);
-  /// A change of the configuration must be in force after this.
-  Duration configurationApply = seconds(2);
   /// From the order to stop until the process is killed.
   Duration stopGrace = seconds(8);
   /// File descriptors that the process may hold.
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -12,7 +12,6 @@
 SECRET = "a secret of the soak's own"
 KEYS = ["key-one", "key-two"]
 DRAIN_MS = 1000
-APPLY_MS = 2000
 GRACE_S = 4
 
 
@@ -163,7 +162,7 @@
             "peers": f"127.0.0.1:{free_port()}", "operators": f"127.0.0.1:{free_port()}",
             "peer_secret": SECRET, "platform": {"store": [f"127.0.0.1:{proxy.port}"]},
             "gateway": {"callers": f"127.0.0.1:{callers}", "retry_ratio": 0.5,
-                        "instance_drain_ms": DRAIN_MS, "configuration_apply_ms": APPLY_MS,
+                        "instance_drain_ms": DRAIN_MS,
                         "stop_grace_s": GRACE_S, "descriptors": 1024}}
         self.settings[name] = settings
         self.write_settings(name)
--- /dev/null
+++ b/test/SettingsGateway.cpp
@@ -0,0 +1,71 @@
+#include <catch2/catch.hpp>
+
+#include <fstream>
+
+#include "dogwoodvale/Settings"
+
+#include <unistd.h>
+
+using namespace dogwoodvale;
+
+namespace {
+
+std::string
+SettingsText(const std::string& aGateway)
+{
+  return R"({"role":"gateway","instance":"g1","data_centre":"z",)"
+         R"("region":"r","peers":"127.0.0.1:1","operators":"127.0.0.1:2",)"
+         R"("peer_secret":"0123456789abcdef",)" +
+         aGateway + "}";
+}
+
+} // namespace
+
+TEST_CASE("a gateway's settings are read", "[settings]")
+{
+  Findings findings;
+  const DaemonSettings settings = ParseDaemonSettings(
+    SettingsText(R"("gateway":{"callers":"127.0.0.1:3",)"
+                 R"("seeds":["10.0.0.1:9"],"retry_ratio":0.25,)"
+                 R"("retry_window_s":2.5,"instance_drain_ms":700})"),
+    "s.json",
+    findings);
+  REQUIRE(findings.IsEmpty());
+  CHECK(settings.role == Role::Gateway);
+  CHECK(settings.gateway.seeds.size() == 1);
+  CHECK(settings.gateway.retryRatio == Approx(0.25));
+  CHECK(settings.gateway.retryWindow == milliseconds(2500));
+  CHECK(settings.gateway.instanceDrain == milliseconds(700));
+}
+
+TEST_CASE("what is wrong in them is named with its place", "[settings]")
+{
+  Findings findings;
+  ParseDaemonSettings(
+    SettingsText(R"("gateway":{"callers":"x","retry_ratio":-1,"sedes":[]},)"
+                 R"("entry":{"callers":"127.0.0.1:3"})"),
+    "s.json",
+    findings);
+  const std::string text = findings.Render();
+  CHECK(text.find("\"x\"") != std::string::npos);
+  CHECK(text.find("retry_ratio") != std::string::npos);
+  CHECK(text.find("did you mean \"seeds\"") != std::string::npos);
+  CHECK(text.find("\"entry\" has no meaning") != std::string::npos);
+}
+
+TEST_CASE("a change of the settings file is noticed without a signal",
+          "[settings]")
+{
+  const auto loop = *EventLoop::Create();
+  const std::string path = fmt::format("settings-watch-{}.json", getpid());
+  std::ofstream(path) << "one";
+  int changes = 0;
+  SettingsFileWatch watch(*loop, path, [&] { ++changes; });
+  watch.Check();
+  CHECK(changes == 0);
+  std::ofstream(path) << "another";
+  CHECK(loop->RunUntil([&] { return changes == 1; }, seconds(3)));
+  unlink(path.c_str());
+  watch.Check();
+  CHECK(changes == 1);
+}
--- /dev/null
+++ b/test/system/soak.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# A short seeded soak, and every seed that failed once.
+set -euo pipefail
+BUILD=${1:?usage: soak.sh BUILD_DIR}
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+"$ROOT/soak/soak" "$BUILD" --seeds 2 --first 1 --seconds 6
+"$ROOT/soak/soak" "$BUILD" --regressions
