--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -1,6 +1,7 @@
 """The processes of a site: a store, engines, gateways; started and ended by id."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -21,6 +22,15 @@
         return sock.getsockname()[1]
 
 
+async def post_soon(port, path, body):
+    """As post(), to a process that has just been started."""
+    for _ in range(50):
+        with contextlib.suppress(OSError, asyncio.TimeoutError):
+            return await post(port, path, body)
+        await asyncio.sleep(0.1)
+    return await post(port, path, body)
+
+
 async def post(port, path, body, timeout=2):
     """One JSON call to a stand-in's control route."""
     text = json.dumps(body)
@@ -40,8 +50,16 @@
         self.site, self.name, self.command = site, name, command
         self.process = None
         self.paused = False
+        self.starting = asyncio.Lock()
 
     async def start(self):
+        """Starts it, unless it runs: two faults may end the same process, and two
+        that start it at once would leave one that nobody knows."""
+        async with self.starting:
+            if not self.is_up():
+                await self._spawn()
+
+    async def _spawn(self):
         with open(self.site.folder / f"{self.name}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL
@@ -89,7 +107,7 @@
         self.store = Process(self, "store", [
             f"{self.build}/standin_metadata", "--listen", f"127.0.0.1:{self.store_port}"])
         await self.store.start()
-        await asyncio.sleep(0.2)
+        await post_soon(self.store_port, "/standin/fault", {"clear": True})
         for _ in range(self.rng.randrange(2, 5)):
             await self.add_engine()
         await self.configure()
@@ -135,7 +153,7 @@
         await proxy.start()
         self.engines[name] = (process, port)
         self.proxies[name] = proxy
-        await asyncio.sleep(0.1)
+        await post_soon(port, "/standin/fault", {"clear": True})
         await self.register(name, "ready")
 
     async def register(self, name, state):
@@ -187,8 +205,7 @@
                 process.signal(signal.SIGCONT)
             if not process.is_up():
                 await process.start()
-                await asyncio.sleep(0.1)
-            await post(port, "/standin/fault", {"clear": True})
+            await post_soon(port, "/standin/fault", {"clear": True})
         for process, _ in self.gateways.values():
             if process.paused:
                 process.signal(signal.SIGCONT)
