--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -163,9 +163,10 @@
 
     async def retire(self, name):
         """An engine says that it leaves, serves on for a while and ends."""
+        # Out of the list first, so that no other fault chooses it.
+        process, _ = self.engines.pop(name)
         await self.register(name, "draining")
         await asyncio.sleep(DRAIN_MS / 1000 + 2)
-        process, _ = self.engines.pop(name)
         await post(self.store_port, "/standin/remove", {"key": f"servers/{name}"})
         process.signal(signal.SIGTERM)
         await process.end(2)
