Treat documents of a wrong shape as failed calls, not as a reason to end

Cause: jsoncpp's accessors throw where a field has another type. Answers of the store (platform/) and lists of other gateways (DirectoryKeeper) were read with them, so one answer of the wrong shape ended the process, and the next ended it again after its restart. A 200 with no list at all read as an empty list, by which every backend server would have left.

Change: JsonFields reads what other processes send and names the first field that is missing or of another type; a list is taken whole or not at all. The documents among gateways move to PeerDocuments; the one copy of ParseJson and WriteJson moves from Store to Settings, where platform/ uses it too.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -3,31 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include <json/json.h>
+#include "PeerDocuments.h"
 
 namespace dogwoodvale {
 
-namespace {
-
-std::string
-WriteJson(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder writer;
-  writer["indentation"] = "";
-  return Json::writeString(writer, aValue);
-}
-
-bool
-ReadJson(std::string_view aText, Json::Value& aValue)
-{
-  const std::unique_ptr<Json::CharReader> reader(
-    Json::CharReaderBuilder().newCharReader());
-  return reader->parse(
-    aText.data(), aText.data() + aText.size(), &aValue, nullptr);
-}
-
-} // namespace
-
 DirectoryKeeper::DirectoryKeeper(EventLoop& aLoop,
                                  StoreClient& aStore,
                                  const DirectoryFormat& aFormat,
@@ -289,51 +268,31 @@
 std::string
 DirectoryKeeper::InstancesDocument(TimePoint aNow) const
 {
-  Json::Value document;
-  document["age_ms"] = Json::Int64(this->InstancesAge(aNow).count() / 1000);
-  Json::Value& list = document["instances"] = Json::arrayValue;
+  InstanceList list;
+  list.age = std::chrono::duration_cast<milliseconds>(this->InstancesAge(aNow));
   for (const auto& [name, instance] : this->instances) {
-    Json::Value one;
-    one["name"] = name.Value();
-    one["service"] = instance.service.Value();
-    one["address"] = instance.address.ToString();
-    one["data_centre"] = instance.dataCentre.Value();
-    one["slots"] = instance.slots;
-    one["leaving"] = instance.leaving;
-    list.append(one);
+    list.instances.push_back(instance);
   }
-  return WriteJson(document);
+  return WriteInstanceList(list);
 }
 
 void
 DirectoryKeeper::TakeInstances(std::string_view aDocument,
                                std::string_view aFrom)
 {
-  Json::Value document;
-  if (!ReadJson(aDocument, document) || !document.isObject() ||
-      !document["instances"].isArray()) {
-    Log(LogLevel::Warning, "instances_rejected", "from", aFrom);
+  auto list = ReadInstanceList(aDocument);
+  if (!list.ok()) {
+    Log(LogLevel::Warning,
+        "instances_rejected",
+        "from",
+        aFrom,
+        "reason",
+        MessageOf(list.status()));
     return;
   }
   const TimePoint now = Now();
-  const TimePoint readAt = now - milliseconds(document["age_ms"].asInt64());
-  if (readAt <= this->instancesReadAt) {
-    return;
-  }
-  std::vector<DirectInstance> read;
-  for (const Json::Value& one : document["instances"]) {
-    auto address = SocketAddress::Parse(one["address"].asString());
-    if (!address.ok()) {
-      continue;
-    }
-    read.push_back({ InstanceName(one["name"].asString()),
-                     ServiceName(one["service"].asString()),
-                     *address,
-                     DataCentreName(one["data_centre"].asString()),
-                     one["slots"].asUInt(),
-                     one["leaving"].asBool() });
-  }
-  if (read.empty()) {
+  const TimePoint readAt = now - list->age;
+  if (readAt <= this->instancesReadAt || list->instances.empty()) {
     return;
   }
   Log(LogLevel::Info,
@@ -341,11 +300,11 @@
       "from",
       aFrom,
       "count",
-      read.size(),
+      list->instances.size(),
       "age_ms",
-      document["age_ms"].asInt64());
+      list->age.count());
   this->instancesReadAt = readAt;
-  this->MergeInstances(std::move(read), now);
+  this->MergeInstances(std::move(list->instances), now);
 }
 
 Duration
@@ -390,12 +349,10 @@
 void
 DirectoryKeeper::PutSelf()
 {
-  Json::Value value;
-  value["peers"] = this->options.self.peers.ToString();
   Operation put;
   put.key =
     fmt::format("{}{}", kGatewaysPrefix, this->options.self.name.Value());
-  put.value = WriteJson(value);
+  put.value = WriteGatewayEntry(this->options.self.peers);
   put.lease = this->lease;
   Transaction transaction;
   transaction.then.push_back(std::move(put));
@@ -445,15 +402,18 @@
 {
   std::vector<GatewayMember> read;
   for (const KeyValue& value : aResult.values) {
-    Json::Value parsed;
-    if (!ReadJson(value.value, parsed) || !parsed.isObject()) {
+    auto address = ReadGatewayEntry(value.value);
+    if (!address.ok()) {
+      Log(LogLevel::Warning,
+          "gateway_rejected",
+          "key",
+          value.key,
+          "reason",
+          MessageOf(address.status()));
       continue;
     }
-    auto address = SocketAddress::Parse(parsed["peers"].asString());
-    if (address.ok()) {
-      read.push_back(
-        { InstanceName(value.key.substr(kGatewaysPrefix.size())), *address });
-    }
+    read.push_back({ InstanceName(value.key.substr(kGatewaysPrefix.size())),
+                     *std::move(address) });
   }
   if (read != this->gateways) {
     this->gateways = std::move(read);
--- a/dogwoodvale/src/Store/ConfigurationState.cpp
+++ b/dogwoodvale/src/Store/ConfigurationState.cpp
@@ -17,13 +17,13 @@
   for (const Page& page : aBundle.pages) {
     value["pages"][page.hash] = page.content;
   }
-  return internal::WriteJson(value);
+  return WriteJson(value);
 }
 
 absl::StatusOr<ConfigurationBundle>
 DecodeBundle(std::string_view aText)
 {
-  const absl::StatusOr<Json::Value> value = internal::ParseJson(aText);
+  const absl::StatusOr<Json::Value> value = ParseJson(aText);
   if (!value.ok()) {
     return value.status();
   }
--- a/dogwoodvale/src/Store/HttpEngineOrders.cpp
+++ b/dogwoodvale/src/Store/HttpEngineOrders.cpp
@@ -62,7 +62,7 @@
 absl::StatusOr<EngineState>
 ParseEngineState(std::string_view aText)
 {
-  const absl::StatusOr<Json::Value> value = internal::ParseJson(aText);
+  const absl::StatusOr<Json::Value> value = ParseJson(aText);
   if (!value.ok()) {
     return value.status();
   }
@@ -131,7 +131,7 @@
   call.address = this->engine;
   call.method = "POST";
   call.path = "/orders";
-  call.body = internal::WriteJson(body);
+  call.body = WriteJson(body);
   call.timeout = this->timeout;
   this->orderExchange =
     HttpExchange::Start(this->loop, call, [this](const HttpAnswer& aAnswer) {
--- a/dogwoodvale/src/Store/HttpStoreClient.cpp
+++ b/dogwoodvale/src/Store/HttpStoreClient.cpp
@@ -41,8 +41,8 @@
 Store::Range(const RangeQuery& aQuery, RangeHandler aHandler)
 {
   internal::CallRequest request{ .path = "/v3/kv/range",
-                                 .body = internal::WriteJson(
-                                   internal::RangeToJson(aQuery)),
+                                 .body =
+                                   WriteJson(internal::RangeToJson(aQuery)),
                                  .isRepeatable = true };
   return this->calls.Start(
     std::move(request),
@@ -81,7 +81,7 @@
 Store::Commit(const Transaction& aTransaction, WriteHandler aHandler)
 {
   internal::CallRequest request{ .path = "/v3/kv/txn",
-                                 .body = internal::WriteJson(
+                                 .body = WriteJson(
                                    internal::TransactionToJson(aTransaction)),
                                  .isRepeatable = IsReadOnly(aTransaction) };
   return this->calls.Start(
@@ -125,7 +125,7 @@
   // A grant whose reply was lost leaves a lease that nobody renews, which
   // lapses by itself; so it may be asked for again.
   internal::CallRequest request{ .path = "/v3/lease/grant",
-                                 .body = internal::WriteJson(body),
+                                 .body = WriteJson(body),
                                  .isRepeatable = true };
   return this->calls.Start(std::move(request),
                            LeaseAnswer(std::move(aHandler)));
@@ -135,8 +135,8 @@
 Store::KeepAlive(LeaseId aLease, LeaseHandler aHandler)
 {
   internal::CallRequest request{ .path = "/v3/lease/keepalive",
-                                 .body = internal::WriteJson(
-                                   internal::LeaseToJson(aLease)),
+                                 .body =
+                                   WriteJson(internal::LeaseToJson(aLease)),
                                  .isRepeatable = true,
                                  .isUrgent = true };
   return this->calls.Start(std::move(request),
@@ -147,8 +147,8 @@
 Store::RevokeLease(LeaseId aLease, WriteHandler aHandler)
 {
   internal::CallRequest request{ .path = "/v3/lease/revoke",
-                                 .body = internal::WriteJson(
-                                   internal::LeaseToJson(aLease)) };
+                                 .body =
+                                   WriteJson(internal::LeaseToJson(aLease)) };
   return this->calls.Start(
     std::move(request),
     [handler = std::move(aHandler)](const internal::CallAnswer& aAnswer) {
--- a/dogwoodvale/src/Store/InstanceListClient.cpp
+++ b/dogwoodvale/src/Store/InstanceListClient.cpp
@@ -64,7 +64,7 @@
 absl::StatusOr<std::vector<ListedInstance>>
 ParseInstanceList(std::string_view aText)
 {
-  const absl::StatusOr<Json::Value> parsed = internal::ParseJson(aText);
+  const absl::StatusOr<Json::Value> parsed = ParseJson(aText);
   if (!parsed.ok()) {
     return parsed.status();
   }
--- a/dogwoodvale/src/Store/StoreJson.h
+++ b/dogwoodvale/src/Store/StoreJson.h
@@ -9,18 +9,13 @@
 #include <json/json.h>
 
 #include "StoreTypes.h"
+#include "dogwoodvale/Settings"
 
 namespace dogwoodvale::internal {
 
 /// etcd's published v3 JSON mapping: bytes in base64, 64-bit integers as
 /// strings, fields at their default left out.
 
-absl::StatusOr<Json::Value>
-ParseJson(std::string_view aText);
-
-std::string
-WriteJson(const Json::Value& aValue);
-
 Json::Value
 RangeToJson(const RangeQuery& aQuery);
 Json::Value
--- a/test/DirectoryKeeper.cpp
+++ b/test/DirectoryKeeper.cpp
@@ -187,3 +187,30 @@
   setup.keeper.Leave();
   CHECK(setup.Until([&] { return setup.store.GrantedLeases() == 0; }));
 }
+
+// All gateways of a site end at once and begin anew: one of another version
+// hands out a list in which a field has another type, and reading it threw.
+TEST_CASE("documents of a wrong shape change nothing and end nothing",
+          "[directory]")
+{
+  Setup setup;
+  REQUIRE(setup.Until([&] { return setup.observer.gateways == 1; }));
+  const std::vector<std::string> wrong = {
+    "7",
+    R"({"age_ms":[1],"instances":[]})",
+    R"({"age_ms":1,"instances":[7]})",
+    R"({"age_ms":1,"instances":[{"name":{},"address":"127.0.0.1:1"}]})",
+    R"({"age_ms":-9e99,"instances":[{"name":"e7","service":"s",)"
+    R"("address":"127.0.0.1:1","data_centre":"z","slots":-1}]})",
+  };
+  for (const std::string& document : wrong) {
+    INFO(document);
+    CHECK_NOTHROW(setup.keeper.TakeInstances(document, "g2"));
+    CHECK(setup.observer.Has("e1"));
+    CHECK_FALSE(setup.observer.Has("e7"));
+  }
+  setup.store.Write("dogwoodvale/gateways/g2", R"({"peers":{}})");
+  setup.store.Write("dogwoodvale/gateways/g3", R"([])");
+  setup.store.Write("dogwoodvale/gateways/g4", R"({"peers":"127.0.0.1:7"})");
+  CHECK(setup.Until([&] { return setup.observer.gateways == 2; }));
+}
--- a/test/PlatformAdapter.cpp
+++ b/test/PlatformAdapter.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Adapters.h"
 #include "standins/MetadataStore.h"
+#include "support/ScriptedServer.h"
 
 using namespace dogwoodvale;
 
@@ -222,6 +223,55 @@
   CHECK(FindHeader(again.headers, "last-event-id") == "12");
 }
 
+// Each gateway ends as soon as it has started: a proxy before the store, or a
+// newer store, answers 200 with a body of another shape, and reading it threw.
+TEST_CASE("answers of a wrong shape are a failed call", "[kv]")
+{
+  const auto loop = *EventLoop::Create();
+  test::ScriptedServer server(*loop);
+  const auto client =
+    *platform::CreateKvStore(*loop, server.Address(), milliseconds(500));
+  const std::string wrong =
+    GENERATE(as<std::string>{},
+             "[]",
+             "7",
+             R"({"storeRevision":{},"items":[]})",
+             R"({"storeRevision":1,"items":[7]})",
+             R"({"storeRevision":1,"items":[{"key":["k"]}]})",
+             R"({"storeRevision":1,"items":[{"key":"k","value":"%%"}]})",
+             R"({"storeRevision":1,"hasMore":"yes","items":[]})",
+             R"({"lease":"x","ttlMs":1})",
+             R"({"revision":[1]})",
+             R"({"storeRevision":1,"events":[{"deleted":"no"}]})");
+  INFO(wrong);
+  server.SetScript([&](const std::string& aPath, const std::string&) {
+    const bool isFirstRead = aPath.find("kv-range?prefix=w") != aPath.npos;
+    return test::ScriptedServer::Reply{
+      200, isFirstRead ? R"({"storeRevision":1,"items":[]})" : wrong
+    };
+  });
+  RangeQuery query;
+  query.key = "a/";
+  query.isPrefix = true;
+  std::optional<absl::StatusOr<RangeResult>> read;
+  std::optional<absl::StatusOr<LeaseGrant>> lease;
+  std::optional<WriteResult> write;
+  Watcher watcher;
+  const auto reading = client->Range(
+    query, [&](absl::StatusOr<RangeResult> aResult) { read = aResult; });
+  const auto granting = client->GrantLease(
+    seconds(1), [&](absl::StatusOr<LeaseGrant> aGrant) { lease = aGrant; });
+  const auto writing = client->Commit(
+    PutIf("k", 1, "v"), [&](const WriteResult& aResult) { write = aResult; });
+  const auto watch = client->Watch("w", watcher);
+  REQUIRE(loop->RunUntil(
+    [&] { return read && lease && write && watcher.losses > 0; }, seconds(3)));
+  CHECK_FALSE(read->ok());
+  CHECK_FALSE(lease->ok());
+  CHECK(write->outcome == WriteOutcome::Unknown);
+  CHECK(watcher.snapshots >= 1);
+}
+
 TEST_CASE("a wrong configuration is named, not taken", "[directory]")
 {
   const auto format = platform::CreateDirectoryFormat();
