--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -310,6 +310,8 @@
       outcome.prefillAhead,
       "first_ms",
       outcome.firstSign.count() / 1000,
+      "gap_ms",
+      outcome.longestGap.count() / 1000,
       "total_ms",
       outcome.total.count() / 1000,
       "list_age_ms",
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -252,10 +252,22 @@
   }
 }
 
+void
+GatewayRequest::NoteGap(TimePoint aNow)
+{
+  if (this->streamBegun) {
+    this->outcome.longestGap =
+      std::max(this->outcome.longestGap, Between(this->lastEventsAt, aNow));
+  }
+  this->lastEventsAt = aNow;
+}
+
 void
 GatewayRequest::OnAttemptEvents(std::string_view aBytes)
 {
-  this->NoteFirstSign(Now());
+  const TimePoint now = Now();
+  this->NoteFirstSign(now);
+  this->NoteGap(now);
   if (!this->streamBegun) {
     this->streamBegun = true;
     this->outcome.status = this->attempt->Answer().status;
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -43,6 +43,8 @@
   std::uint32_t mostCachedTokens = 0;
   std::uint64_t prefillAhead = 0;
   Duration firstSign{ 0 };
+  /// The longest time from one part of a stream to the next.
+  Duration longestGap{ 0 };
   Duration total{ 0 };
   std::uint32_t attempts = 0;
   std::uint32_t resumes = 0;
@@ -124,6 +126,7 @@
   AttemptPatience PatienceFor(TimePoint aNow) const;
   BackendWork WorkOf(const DirectCandidate& aCandidate) const;
   void NoteFirstSign(TimePoint aNow);
+  void NoteGap(TimePoint aNow);
   void EndAttempt();
   /// The attempt failed, or its answer is not one to pass on: what next.
   void Conclude(AttemptFailure aFailure, std::string_view aReason);
@@ -155,6 +158,7 @@
   Duration loadWait{ 0 };
   bool streamBegun = false;
   std::optional<std::uint64_t> delivered;
+  TimePoint lastEventsAt{};
   GatewayOutcome outcome;
   bool done = false;
 };
