Let a turn in a full server's queue weigh four times as much

A turn of some 50 ms counted 2 x its time, so ten turns weighed less than the scans that other engines had read lately, though five make a note late for certain. Change: kTurnWeight 2 -> 8.

--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 /// How much a turn in the queue of a full server counts beside the time that it
-/// takes: what waits for a slot is late in any case, where what shares a busy
-/// engine may not be.
-constexpr double kTurnWeight = 2.0;
+/// takes. A few turns make a request late for certain, where one that shares an
+/// engine with long prompts may still be in time. At 2, two to five of ten short
+/// requests of a burst queue until they are late while other servers have slots
+/// free; at 8, one or two (test/PlacementUnderLoad.cpp); 20 gains no more.
+constexpr double kTurnWeight = 8.0;
 /// Prefill that one running request is taken to stand for: each slows every
 /// step a little.
 constexpr double kTokensPerRunningRequest = 8.0;
