Take admission, refusal for load, patience and log lines out of the request

Change, with no decision changed: Routing/LoadRefusal, Gateway/Admission, Gateway/AttemptPatience and Gateway/GatewayLog; the caller's headers are read once for a request that is refused, not twice. Tests: GatewayParts 'a silent server is given up only where another may follow' and 'those refused for load come back when there is room, spread out'; Gateway passes unchanged.

--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "AttemptPatience.h"
 #include "EventSplitter.h"
 #include "Ports.h"
 
@@ -47,13 +48,6 @@
                                std::string_view aReason) = 0;
 };
 
-/// How long an attempt waits for a sign of life; zero is for ever.
-struct AttemptPatience
-{
-  Duration firstSign{ 0 };
-  Duration betweenEvents{ 0 };
-};
-
 /// One request sent to one backend server, until its answer is whole or will
 /// not be. Destroying it cancels by closing the connection.
 class DirectAttempt final : public BackendCallHandler
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -4,6 +4,8 @@
 
 #include <json/json.h>
 
+#include "GatewayLog.h"
+
 namespace dogwoodvale {
 
 namespace {
@@ -145,85 +147,24 @@
                 std::string_view aId)
 {
   this->metrics.CountRefusal(aError);
-  Log(LogLevel::Info,
-      "refused",
-      "id",
-      aId,
-      "code",
-      CodeName(aError.code),
-      "status",
-      HttpStatusOf(aError),
-      "reason",
-      aError.detail,
-      "host",
-      FindHeader(aExchange.Request().headers, "host"),
-      "path",
-      aExchange.Request().path,
-      "version",
-      this->directory->Version());
+  LogRefusal(aExchange.Request(), aError, aId, this->directory->Version());
   aExchange.Respond(HttpStatusOf(aError),
                     this->ports.callers->ErrorHeaders(aError),
                     ErrorBody(aError));
 }
 
-std::variant<AdmittedRequest, RequestError>
-Gateway::Admit(const HttpRequest& aRequest)
-{
-  const auto refuse = [](ErrorCode aCode, const char* aDetail) {
-    return RequestError{ aCode, Disposition::NotRun, aDetail, milliseconds(0) };
-  };
-  AdmittedRequest admitted;
-  admitted.routes = this->directory->Routes();
-  admitted.envelope = this->ports.callers->Read(aRequest);
-  if (admitted.routes == nullptr) {
-    RequestError error = refuse(ErrorCode::NotReady, "no configuration yet");
-    error.retryAfter = milliseconds(500);
-    return error;
-  }
-  admitted.route = admitted.routes->FindRoute(
-    FindHeader(aRequest.headers, "host"), aRequest.path);
-  if (admitted.route == nullptr) {
-    return refuse(ErrorCode::UnknownRoute, "no such route");
-  }
-  const KeyedCustomer* customer = nullptr;
-  if (admitted.routes->NeedsKeys() && !admitted.route->isPublic) {
-    customer = admitted.routes->FindCustomer(admitted.envelope.key);
-    if (customer == nullptr) {
-      return refuse(ErrorCode::Unauthorized, "no such API key");
-    }
-    admitted.customer = customer->name;
-  }
-  admitted.rank = admitted.routes->RankOf(*admitted.route, customer);
-  std::uniform_real_distribution<double> draw(0.0, 1.0);
-  const ServiceName& service = PickService(*admitted.route, draw(this->random));
-  admitted.service = admitted.routes->FindService(service);
-  if (admitted.service == nullptr) {
-    RequestError error =
-      refuse(ErrorCode::NoBackendServer, "the route's service is unknown");
-    error.retryAfter = milliseconds(500);
-    return error;
-  }
-  if (admitted.route->hasPrompts) {
-    admitted.demand.promptTokens = admitted.envelope.promptTokens;
-    admitted.demand.steps = StepsOf(admitted.envelope.prompt);
-    PrefillFlow& flow = this->pool.FlowOf(service);
-    flow.OnRequest(admitted.demand.promptTokens);
-    admitted.demand.isLong = flow.IsLong(admitted.demand.promptTokens);
-    admitted.demand.tokensPerTurn =
-      flow.TokensPerTurn(admitted.service->slots)
-        .value_or(DirectDemand::kGuessedTokensPerTurn);
-  }
-  return admitted;
-}
-
 void
 Gateway::OnRequest(std::unique_ptr<CallerExchange> aExchange)
 {
-  auto result = this->Admit(aExchange->Request());
+  CallerEnvelope envelope = this->ports.callers->Read(aExchange->Request());
+  const std::string id = envelope.attemptId;
+  auto result = AdmitRequest(aExchange->Request(),
+                             std::move(envelope),
+                             this->directory->Routes(),
+                             this->pool,
+                             this->random);
   if (const auto* error = std::get_if<RequestError>(&result)) {
-    this->Refuse(*aExchange,
-                 *error,
-                 this->ports.callers->Read(aExchange->Request()).attemptId);
+    this->Refuse(*aExchange, *error, id);
     return;
   }
   auto& admitted = std::get<AdmittedRequest>(result);
@@ -273,49 +214,7 @@
 Gateway::OnDone(GatewayRequest& aRequest)
 {
   this->metrics.Record(aRequest);
-  const GatewayOutcome& outcome = aRequest.Outcome();
-  const AdmittedRequest& admitted = aRequest.Admitted();
-  Log(LogLevel::Info,
-      "request",
-      "id",
-      admitted.envelope.attemptId,
-      "route",
-      admitted.route->name,
-      "customer",
-      admitted.customer.Value(),
-      "rank",
-      admitted.rank,
-      "version",
-      admitted.routes->Version(),
-      "instance",
-      outcome.instance.Value(),
-      "status",
-      outcome.status,
-      "end",
-      outcome.complete    ? "complete"
-      : outcome.abandoned ? "caller_left"
-      : outcome.error     ? CodeName(outcome.error->code)
-                          : "unknown",
-      "run",
-      outcome.error ? DispositionName(outcome.error->disposition) : "ran",
-      "attempts",
-      outcome.attempts,
-      "prompt",
-      admitted.demand.promptTokens,
-      "cached",
-      outcome.cachedTokens,
-      "most_cached",
-      outcome.mostCachedTokens,
-      "ahead",
-      outcome.prefillAhead,
-      "first_ms",
-      outcome.firstSign.count() / 1000,
-      "gap_ms",
-      outcome.longestGap.count() / 1000,
-      "total_ms",
-      outcome.total.count() / 1000,
-      "list_age_ms",
-      this->ListAge().count() / 1000);
+  LogRequestEnd(aRequest, this->ListAge());
   this->sweepTimer.StartOnce(Duration(0));
 }
 
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -78,8 +78,6 @@
   void CheckStopped();
   void Sweep();
   void OnSuspended(Duration aLost);
-  std::variant<AdmittedRequest, RequestError> Admit(
-    const HttpRequest& aRequest);
   void Refuse(CallerExchange& aExchange,
               const RequestError& aError,
               std::string_view aId);
--- /dev/null
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -0,0 +1,128 @@
+#include "GatewayLog.h"
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr int kMicrosPerMilli = 1000;
+
+Duration::rep
+Millis(Duration aTime)
+{
+  return aTime.count() / kMicrosPerMilli;
+}
+
+std::string_view
+EndOf(const GatewayOutcome& aOutcome)
+{
+  if (aOutcome.complete) {
+    return "complete";
+  }
+  if (aOutcome.abandoned) {
+    return "caller_left";
+  }
+  return aOutcome.error ? CodeName(aOutcome.error->code) : "unknown";
+}
+
+} // namespace
+
+void
+LogRefusal(const HttpRequest& aRequest,
+           const RequestError& aError,
+           std::string_view aId,
+           Epoch aVersion)
+{
+  Log(LogLevel::Info,
+      "refused",
+      "id",
+      aId,
+      "code",
+      CodeName(aError.code),
+      "status",
+      HttpStatusOf(aError),
+      "reason",
+      aError.detail,
+      "host",
+      FindHeader(aRequest.headers, "host"),
+      "path",
+      aRequest.path,
+      "version",
+      aVersion);
+}
+
+void
+LogRequestEnd(const GatewayRequest& aRequest, Duration aListAge)
+{
+  const GatewayOutcome& outcome = aRequest.Outcome();
+  const AdmittedRequest& admitted = aRequest.Admitted();
+  Log(LogLevel::Info,
+      "request",
+      "id",
+      admitted.envelope.attemptId,
+      "route",
+      admitted.route->name,
+      "customer",
+      admitted.customer.Value(),
+      "rank",
+      admitted.rank,
+      "version",
+      admitted.routes->Version(),
+      "instance",
+      outcome.instance.Value(),
+      "status",
+      outcome.status,
+      "end",
+      EndOf(outcome),
+      "run",
+      outcome.error ? DispositionName(outcome.error->disposition) : "ran",
+      "attempts",
+      outcome.attempts,
+      "prompt",
+      admitted.demand.promptTokens,
+      "cached",
+      outcome.cachedTokens,
+      "most_cached",
+      outcome.mostCachedTokens,
+      "ahead",
+      outcome.prefillAhead,
+      "first_ms",
+      Millis(outcome.firstSign),
+      "gap_ms",
+      Millis(outcome.longestGap),
+      "total_ms",
+      Millis(outcome.total),
+      "list_age_ms",
+      Millis(aListAge));
+}
+
+void
+LogFailedAttempt(const GatewayRequest& aRequest,
+                 const FailedAttempt& aFailed,
+                 Duration aListAge)
+{
+  const GatewayOutcome& outcome = aRequest.Outcome();
+  Log(LogLevel::Info,
+      "attempt_failed",
+      "id",
+      aRequest.Admitted().envelope.attemptId,
+      "instance",
+      outcome.instance.Value(),
+      "result",
+      aFailed.result,
+      "reason",
+      aFailed.reason,
+      "attempt",
+      outcome.attempts,
+      "after_ms",
+      Millis(aFailed.spent),
+      "left_ms",
+      Millis(aFailed.left),
+      "events",
+      outcome.events,
+      "list_age_ms",
+      Millis(aListAge),
+      "next",
+      aFailed.next);
+}
+
+} // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -4,30 +4,16 @@
 #include <array>
 #include <utility>
 
+#include "GatewayLog.h"
+
 namespace dogwoodvale {
 
 namespace {
 
-/// A first sign that takes this many times a route's target says that the
-/// server hangs: waiting longer would leave no time for another.
-constexpr int kFirstSignTargets = 3;
-/// A pause between events this many times the route's bound says the same.
-constexpr int kGapTargets = 5;
-/// No verdict on silence before this, however short a target is: a lost packet
-/// alone costs a few hundred milliseconds.
-constexpr Duration kLeastPatience = milliseconds(900);
 /// The least time in which another attempt can still be of use.
 constexpr Duration kLeastUseful = milliseconds(20);
 /// What must not be repeated goes only on connections used this lately.
 constexpr Duration kFreshForOnce = milliseconds(500);
-/// Wait for its turn beyond which a long prompt is refused, in halves of its
-/// route's target. One target refuses more and serves no more: the wait is
-/// known to about a half of itself.
-constexpr int kMostWaitHalves = 3;
-/// A caller that is refused is told to come back when the work that is ahead is
-/// done, but not before this.
-constexpr Duration kLeastRetryAfter = milliseconds(100);
-
 bool
 IsServerError(int aStatus)
 {
@@ -110,7 +96,7 @@
   }
   const Duration wait = this->WaitAt(candidates[*chosen]);
   if (this->outcome.attempts == 0 &&
-      wait > kMostWaitHalves * this->GetRoute().target / 2) {
+      IsWaitTooLong(wait, this->GetRoute().target)) {
     this->RefuseForLoad(candidates[*chosen], wait);
     return;
   }
@@ -137,10 +123,6 @@
 void
 GatewayRequest::RefuseForLoad(const DirectCandidate& aBest, Duration aWait)
 {
-  // Servers read as many prompts with a long queue as with a short one; behind
-  // a queue that is longer than the target, each of them is late. So what would
-  // only lengthen it is told at once to come back when there will be room. The
-  // request's own size does not count, or large ones would starve.
   this->outcome.instance = aBest.name;
   this->outcome.prefillAhead = aBest.work.prefillTokens;
   this->loadWait = aWait;
@@ -160,23 +142,6 @@
   return work;
 }
 
-AttemptPatience
-GatewayRequest::PatienceFor(TimePoint aNow) const
-{
-  AttemptPatience patience;
-  const bool hasNext = this->MayRepeat() && this->outcome.attempts + 1 <
-                                              this->GetRoute().maxAttempts;
-  if (!hasNext) {
-    return patience;
-  }
-  patience.firstSign = std::min(
-    std::max(kLeastPatience, kFirstSignTargets * this->GetRoute().target),
-    this->TimeLeft(aNow) / 2);
-  patience.betweenEvents =
-    std::max(kLeastPatience, kGapTargets * this->GetRoute().targetGap);
-  return patience;
-}
-
 void
 GatewayRequest::SendTo(const DirectCandidate& aCandidate,
                        BackendClient& aClient)
@@ -187,7 +152,8 @@
   plan.attemptId = this->admitted.envelope.attemptId;
   plan.expectsStream = this->GetRoute().kind == RouteKind::Streaming;
   plan.resumeAfter = this->delivered;
-  plan.patience = this->PatienceFor(now);
+  plan.patience =
+    PatienceFor(this->GetRoute(), this->outcome.attempts, this->TimeLeft(now));
   if (!this->MayRepeat()) {
     plan.freshness = kFreshForOnce;
   }
@@ -425,17 +391,6 @@
   return verdict;
 }
 
-milliseconds
-GatewayRequest::RetryAfter() const
-{
-  const Duration least =
-    std::max(kLeastRetryAfter, this->loadWait - this->GetRoute().target / 2);
-  std::uniform_int_distribution<Duration::rep> draw(least.count(),
-                                                    2 * least.count());
-  return std::chrono::duration_cast<milliseconds>(
-    Duration(draw(this->host.Random())));
-}
-
 void
 GatewayRequest::GiveUp(ErrorCode aCode, std::string_view aReason)
 {
@@ -450,7 +405,8 @@
     error.code = ErrorCode::BackendFailed;
   }
   if (!this->mayHaveRun) {
-    error.retryAfter = this->RetryAfter();
+    error.retryAfter = DrawRetryAfter(
+      this->loadWait, this->GetRoute().target, this->host.Random());
   }
   this->outcome.error = error;
   if (this->streamBegun) {
@@ -530,28 +486,10 @@
     return;
   }
   const TimePoint now = Now();
-  Log(LogLevel::Info,
-      "attempt_failed",
-      "id",
-      this->admitted.envelope.attemptId,
-      "instance",
-      this->sent->instance.Value(),
-      "result",
-      aResult,
-      "reason",
-      aReason,
-      "attempt",
-      this->outcome.attempts,
-      "after_ms",
-      Between(this->sent->at, now).count() / 1000,
-      "left_ms",
-      this->TimeLeft(now).count() / 1000,
-      "events",
-      this->outcome.events,
-      "list_age_ms",
-      this->host.ListAge().count() / 1000,
-      "next",
-      aNext);
+  const FailedAttempt failed{
+    aResult, aReason, aNext, Between(this->sent->at, now), this->TimeLeft(now)
+  };
+  LogFailedAttempt(*this, failed, this->host.ListAge());
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -5,28 +5,14 @@
 #include <optional>
 #include <vector>
 
+#include "Admission.h"
 #include "BackendPool.h"
 #include "DirectAttempt.h"
-#include "dogwoodvale/Requests"
 
 namespace dogwoodvale {
 
 class GatewayRequest;
 
-/// What a request is served by: fixed when it is accepted.
-struct AdmittedRequest
-{
-  /// Keeps the routes alive under which the request was accepted.
-  std::shared_ptr<const RouteTable> routes;
-  const HostRoute* route = nullptr;
-  const DirectService* service = nullptr;
-  CustomerName customer;
-  /// Place in the order of service, see RouteTable::RankOf().
-  std::uint32_t rank = 0;
-  CallerEnvelope envelope;
-  DirectDemand demand;
-};
-
 /// How a request ended, for logs and metrics.
 struct GatewayOutcome
 {
@@ -123,7 +109,6 @@
   /// How long a prompt waits there for its turn, as far as is known.
   Duration WaitAt(const DirectCandidate& aCandidate) const;
   void RefuseForLoad(const DirectCandidate& aBest, Duration aWait);
-  AttemptPatience PatienceFor(TimePoint aNow) const;
   BackendWork WorkOf(const DirectCandidate& aCandidate) const;
   void NoteFirstSign(TimePoint aNow);
   void NoteGap(TimePoint aNow);
@@ -134,7 +119,6 @@
   bool IsToBePassedOn(const BackendAnswer& aAnswer) const;
   void PassOn(std::string_view aBody);
   void GiveUp(ErrorCode aCode, std::string_view aReason);
-  milliseconds RetryAfter() const;
   void OnDeadline();
   void Finish();
   void LogAttempt(std::string_view aResult,
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <set>
+
 #include "dogwoodvale/Gateway"
 
 using namespace dogwoodvale;
@@ -333,3 +335,41 @@
   CHECK(behind < 2 * alone);
   CHECK(sick > 4 * alone);
 }
+
+// A caller gets its answer only at its time limit, or none: the server that has
+// its request hangs with the connection open, and no other server is tried.
+TEST_CASE("a silent server is given up only where another may follow",
+          "[patience]")
+{
+  HostRoute route;
+  route.kind = RouteKind::Streaming;
+  route.isResumable = true;
+  route.maxAttempts = 2;
+  route.target = milliseconds(600);
+  route.targetGap = milliseconds(200);
+  const AttemptPatience first = PatienceFor(route, 0, seconds(6));
+  CHECK(first.firstSign == milliseconds(1800));
+  CHECK(first.betweenEvents == milliseconds(1000));
+  // Half of what is left stays for the other server.
+  CHECK(PatienceFor(route, 0, seconds(2)).firstSign == seconds(1));
+  CHECK(PatienceFor(route, 1, seconds(6)).firstSign == Duration::zero());
+  route.isResumable = false;
+  CHECK(PatienceFor(route, 0, seconds(6)).firstSign == Duration::zero());
+}
+
+TEST_CASE("those refused for load come back when there is room, spread out",
+          "[refusal]")
+{
+  CHECK_FALSE(IsWaitTooLong(milliseconds(900), milliseconds(600)));
+  CHECK(IsWaitTooLong(milliseconds(901), milliseconds(600)));
+  std::mt19937_64 random(3);
+  std::set<milliseconds> drawn;
+  for (int i = 0; i < 50; ++i) {
+    drawn.insert(DrawRetryAfter(seconds(2), milliseconds(600), random));
+  }
+  CHECK(*drawn.begin() >= milliseconds(1700));
+  CHECK(*drawn.rbegin() <= milliseconds(3400));
+  CHECK(drawn.size() > 20);
+  CHECK(DrawRetryAfter(Duration::zero(), seconds(1), random) >=
+        milliseconds(100));
+}
