Make the choice of a gateway selectable: expected delay or two baselines

Change: DirectChooser, an abstract class with three costs (expected_delay, least_requests, round_robin); the setting gateway.chooser, checked. The default decides as before. Tests: GatewayParts 'the baselines go by turn and by requests alone', SettingsGateway 'a gateway's chooser is one of those that there are'.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -41,6 +41,11 @@
                 const DaemonSettings& aSettings,
                 GatewayPorts aPorts)
 {
+  if (DirectChooser::Create(aSettings.gateway.chooser) == nullptr) {
+    return MakeError(absl::StatusCode::kInvalidArgument,
+                     "\"{}\" is no chooser of a gateway",
+                     aSettings.gateway.chooser);
+  }
   std::unique_ptr<Gateway> made(
     new Gateway(aLoop, aSettings, std::move(aPorts)));
   if (absl::Status status = made->Open(); !status.ok()) {
@@ -57,6 +62,7 @@
   , ports(std::move(aPorts))
   , incarnation(DrawIncarnation())
   , random(DrawIncarnation())
+  , chooser(DirectChooser::Create(aSettings.gateway.chooser))
   , pool(aLoop, BackendPool::Options{})
   , suspensions(aLoop, [this](Duration aLost) { this->OnSuspended(aLost); })
   , tendTimer(aLoop, [this] { this->Tend(); })
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -86,8 +86,8 @@
   BackendPool& pool = this->host.Backends();
   const std::vector<DirectCandidate> candidates = pool.Candidates(
     *this->admitted.service, this->admitted.demand, this->excluded, now);
-  const std::optional<std::size_t> chosen =
-    ChooseDirect(candidates, this->admitted.demand, this->host.Random());
+  const std::optional<std::size_t> chosen = this->host.Chooser().Choose(
+    candidates, this->admitted.demand, this->host.Random());
   BackendClient* client =
     chosen ? pool.ClientOf(candidates[*chosen].name) : nullptr;
   if (client == nullptr) {
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -46,6 +46,7 @@
   virtual BackendPool& Backends() = 0;
   virtual const GatewayPorts& Ports() const = 0;
   virtual RetryWindow& RetriesOf(const ServiceName& aService) = 0;
+  virtual DirectChooser& Chooser() = 0;
   virtual std::mt19937_64& Random() = 0;
   /// Age of the list of backend servers, for logs.
   virtual Duration ListAge() const = 0;
--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -8,9 +8,10 @@
 
 /// How much a turn in the queue of a full server counts beside the time that it
 /// takes. A few turns make a request late for certain, where one that shares an
-/// engine with long prompts may still be in time. At 2, two to five of ten short
-/// requests of a burst queue until they are late while other servers have slots
-/// free; at 8, one or two (test/PlacementUnderLoad.cpp); 20 gains no more.
+/// engine with long prompts may still be in time. At 2, two to five of ten
+/// short requests of a burst queue until they are late while other servers have
+/// slots free; at 8, one or two (test/PlacementUnderLoad.cpp); 20 gains no
+/// more.
 constexpr double kTurnWeight = 8.0;
 /// Prefill that one running request is taken to stand for: each slows every
 /// step a little.
@@ -118,39 +119,4 @@
   return (aCandidate.work.requests + 1) / slots;
 }
 
-std::optional<std::size_t>
-ChooseDirect(std::span<const DirectCandidate> aCandidates,
-             const DirectDemand& aDemand,
-             std::mt19937_64& aRandom)
-{
-  std::optional<std::size_t> best;
-  double bestCost = 0;
-  bool bestIsOut = false;
-  std::uint32_t ties = 0;
-  std::uint32_t mostCached = 0;
-  for (const DirectCandidate& candidate : aCandidates) {
-    mostCached = std::max(mostCached, candidate.cachedTokens);
-  }
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    const DirectCandidate& candidate = aCandidates[i];
-    const bool isOut =
-      candidate.standing == Standing::Ejected ||
-      (candidate.standing == Standing::OnTrial && candidate.work.requests > 0);
-    const double cost = DirectCost(candidate, aDemand, mostCached);
-    const bool isBetter =
-      !best || (bestIsOut && !isOut) || (bestIsOut == isOut && cost < bestCost);
-    if (isBetter) {
-      best = i;
-      bestCost = cost;
-      bestIsOut = isOut;
-      ties = 1;
-    } else if (bestIsOut == isOut && cost == bestCost &&
-               std::uniform_int_distribution<std::uint32_t>(0, ties++)(
-                 aRandom) == 0) {
-      best = i;
-    }
-  }
-  return best;
-}
-
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Routing/DirectChoice.h
+++ b/dogwoodvale/src/Routing/DirectChoice.h
@@ -78,15 +78,6 @@
            const DirectDemand& aDemand,
            std::uint32_t aMostCached);
 
-/// The cheapest candidate that may take work; ties are broken at random, so
-/// that gateways which know the same do not all choose the same. Servers that
-/// are ejected are taken only where there is no other.
-/// \return its place in \p aCandidates, or nothing when that is empty.
-std::optional<std::size_t>
-ChooseDirect(std::span<const DirectCandidate> aCandidates,
-             const DirectDemand& aDemand,
-             std::mt19937_64& aRandom);
-
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -153,6 +153,7 @@
     "instance_drain_ms", kBoundMs, aGateway.instanceDrain);
   ReadSeconds(reader, "stop_grace_s", aGateway.stopGrace);
   reader.ReadInteger("descriptors", kDescriptors, aGateway.descriptors);
+  reader.ReadChoice("chooser", kGatewayChooserNames, aGateway.chooser);
   reader.Finish();
 }
 
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -32,6 +32,11 @@
   "round_robin",
   "random"
 };
+inline constexpr std::array<std::string_view, 3> kGatewayChooserNames{
+  "expected_delay",
+  "least_requests",
+  "round_robin"
+};
 inline constexpr std::array<std::string_view, 3> kQueuePolicyNames{ "tiered",
                                                                     "fifo",
                                                                     "strict" };
@@ -101,6 +106,8 @@
   Duration stopGrace = seconds(8);
   /// File descriptors that the process may hold.
   std::uint32_t descriptors = 4096;
+  /// How backend servers are chosen, one of kGatewayChooserNames.
+  std::string chooser = "expected_delay";
 };
 
 /// A sidecar that the settings name.
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -156,7 +156,8 @@
        const DirectDemand& aDemand)
 {
   std::mt19937_64 random(1);
-  const auto chosen = ChooseDirect(aCandidates, aDemand, random);
+  const auto chosen = DirectChooser::Create("expected_delay")
+                        ->Choose(aCandidates, aDemand, random);
   return chosen ? aCandidates[*chosen].name.Value() : "";
 }
 
@@ -373,3 +374,24 @@
   CHECK(DrawRetryAfter(Duration::zero(), seconds(1), random) >=
         milliseconds(100));
 }
+
+TEST_CASE("the baselines go by turn and by requests alone", "[choice]")
+{
+  std::mt19937_64 random(1);
+  std::vector<DirectCandidate> engines{ Candidate("a", 3, 9000),
+                                        Candidate("b", 2, 50'000),
+                                        Candidate("c", 5, 0) };
+  const DirectDemand demand{ 9000, {}, true };
+  const auto least = DirectChooser::Create("least_requests");
+  CHECK(least->Choose(engines, demand, random) == 1U);
+  const auto turns = DirectChooser::Create("round_robin");
+  std::multiset<std::size_t> taken;
+  for (int i = 0; i < 30; ++i) {
+    taken.insert(*turns->Choose(engines, demand, random));
+  }
+  CHECK(taken.count(0) == 10);
+  CHECK(taken.count(1) == 10);
+  engines[2].standing = Standing::Ejected;
+  CHECK(*turns->Choose(engines, demand, random) != 2);
+  CHECK(DirectChooser::Create("best") == nullptr);
+}
--- a/test/PlacementUnderLoad.cpp
+++ b/test/PlacementUnderLoad.cpp
@@ -137,7 +137,7 @@
     ++this->tallies[aKind].asked;
     const auto candidates =
       this->pool.Candidates(this->service, demand, {}, this->now);
-    const auto chosen = ChooseDirect(candidates, demand, this->random);
+    const auto chosen = this->chooser->Choose(candidates, demand, this->random);
     REQUIRE(chosen.has_value());
     this->Send(aKind, demand, candidates[*chosen]);
   }
@@ -234,6 +234,8 @@
   DirectService service{ .name = ServiceName("model"),
                          .maxConnections = 10'000,
                          .slots = kSlots };
+  std::unique_ptr<DirectChooser> chooser =
+    DirectChooser::Create("expected_delay");
   std::vector<Kind> kinds;
   std::vector<Tally> tallies;
   std::mt19937_64 random;
--- a/test/SettingsGateway.cpp
+++ b/test/SettingsGateway.cpp
@@ -69,3 +69,20 @@
   watch.Check();
   CHECK(changes == 1);
 }
+
+TEST_CASE("a gateway's chooser is one of those that there are", "[settings]")
+{
+  Findings findings;
+  const auto settings = ParseDaemonSettings(
+    SettingsText(
+      R"("gateway":{"callers":"127.0.0.1:3","chooser":"round_robin"})"),
+    "s.json",
+    findings);
+  CHECK(findings.IsEmpty());
+  CHECK(settings.gateway.chooser == "round_robin");
+  ParseDaemonSettings(
+    SettingsText(R"("gateway":{"callers":"127.0.0.1:3","chooser":"best"})"),
+    "s.json",
+    findings);
+  CHECK_FALSE(findings.IsEmpty());
+}
