Split a large fleet into cells of about 32 gateways

Cause: every gateway told every other of its work, at 200 digests a second in all, so with 300 gateways what each knew was 1.5 s old and all chose what had been idle then; and each weighed all 3,000 servers for each request. Change: above 48 gateways the fleet has cells. Gateways and servers are hashed into them by name (Routing/Cells), the same at every gateway; digests go within the cell and to one gateway anywhere, so that a configuration spreads beyond; services of few servers are not split; where a cell has no server left, all are candidates. Fleets up to 48 gateways work as before.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -19,6 +19,10 @@
   return settings;
 }
 
+/// A service with fewer servers for each cell is not split: with so many,
+/// hashed names leave a cell seldom more than a third short of its part.
+constexpr std::size_t kLeastServersPerCell = 16;
+
 /// A short first part may lie on every server of a large service.
 PrefixIndexSettings
 MakePrefixSettings()
@@ -93,9 +97,38 @@
     member.instance = instance;
     member.instance.leaving = leaving;
   }
+  this->ListServices();
+}
+
+void
+BackendPool::SetGateways(std::size_t aCount,
+                         std::size_t aInCell,
+                         std::size_t aCells,
+                         std::size_t aCell)
+{
+  this->gateways = aCount;
+  this->gatewaysInCell = aInCell;
+  this->cells = aCells;
+  this->cell = aCell;
+  this->ListServices();
+}
+
+void
+BackendPool::ListServices()
+{
   this->byService.clear();
   for (const auto& [name, member] : this->members) {
-    this->byService[member.instance.service].push_back(name);
+    Listed& listed = this->byService[member.instance.service];
+    listed.all.push_back(name);
+    if (this->cells > 1 && CellOf(name, this->cells) == this->cell) {
+      listed.inCell.push_back(name);
+    }
+  }
+  for (auto& [service, listed] : this->byService) {
+    // Of a few servers some cells would have one or none.
+    if (listed.all.size() < kLeastServersPerCell * this->cells) {
+      listed.inCell.clear();
+    }
   }
 }
 
@@ -135,7 +168,9 @@
     this->prefixes.Forget(it->first);
     this->flows[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
-    std::erase(this->byService[member.instance.service], it->first);
+    Listed& listed = this->byService[member.instance.service];
+    std::erase(listed.all, it->first);
+    std::erase(listed.inCell, it->first);
     it = this->members.erase(it);
   }
 }
@@ -157,7 +192,8 @@
 bool
 BackendPool::HasConnection(const Member& aMember,
                            const DirectService& aService,
-                           std::uint32_t aSlots) const
+                           std::uint32_t aSlots,
+                           std::size_t aSharers) const
 {
   // Each gateway has its part of the server's connections. Callers are spread
   // unevenly, so as long as the work that all gateways tell of leaves room, one
@@ -165,7 +201,7 @@
   const std::size_t busy =
     aMember.client->OpenConnections() - aMember.client->IdleConnections();
   const std::size_t part =
-    aService.maxConnections / std::max<std::size_t>(this->gateways, 1);
+    aService.maxConnections / std::max<std::size_t>(aSharers, 1);
   const std::uint32_t all = this->work.Total(aMember.instance.name).requests;
   const std::uint32_t reserve = std::max<std::uint32_t>(aSlots / 2, 1);
   return busy < std::max<std::size_t>(part, 1) ||
@@ -178,20 +214,44 @@
                         std::span<const InstanceName> aExcluded,
                         TimePoint aNow) const
 {
-  std::vector<DirectCandidate> found;
   const auto listed = this->byService.find(aService.name);
   if (listed == this->byService.end()) {
-    return found;
+    return {};
   }
+  auto found = this->CandidatesAmong(listed->second.inCell,
+                                     aService,
+                                     aDemand,
+                                     aExcluded,
+                                     this->gatewaysInCell,
+                                     aNow);
+  // A cell may lose all its servers at once; others still have room then.
+  return found.empty() ? this->CandidatesAmong(listed->second.all,
+                                               aService,
+                                               aDemand,
+                                               aExcluded,
+                                               this->gateways,
+                                               aNow)
+                       : found;
+}
+
+std::vector<DirectCandidate>
+BackendPool::CandidatesAmong(std::span<const InstanceName> aNames,
+                             const DirectService& aService,
+                             const DirectDemand& aDemand,
+                             std::span<const InstanceName> aExcluded,
+                             std::size_t aSharers,
+                             TimePoint aNow) const
+{
+  std::vector<DirectCandidate> found;
   const auto tracker = this->health.find(aService.name);
   const auto flow = this->flows.find(aService.name);
-  for (const InstanceName& name : listed->second) {
+  for (const InstanceName& name : aNames) {
     const Member& member = this->members.at(name);
     const std::uint32_t slots =
       member.instance.slots > 0 ? member.instance.slots : aService.slots;
     if (!this->TakesWork(member) ||
         std::ranges::find(aExcluded, name) != aExcluded.end() ||
-        !this->HasConnection(member, aService, slots)) {
+        !this->HasConnection(member, aService, slots, aSharers)) {
       continue;
     }
     DirectCandidate candidate;
@@ -237,7 +297,9 @@
   if (listed == this->byService.end()) {
     return sum;
   }
-  for (const InstanceName& name : listed->second) {
+  const Listed& names = listed->second;
+  for (const InstanceName& name :
+       names.inCell.empty() ? names.all : names.inCell) {
     const Member& member = this->members.at(name);
     if (this->TakesWork(member)) {
       ++sum.servers;
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -25,8 +25,13 @@
   /// Takes a new list. Instances that it lacks, or that leave, get no new work;
   /// what runs there goes on.
   void SetInstances(std::span<const DirectInstance> aInstances);
-  /// \param aCount gateways that share each server's connections.
-  void SetGateways(std::size_t aCount) { this->gateways = aCount; }
+  /// \param aCount gateways of the site.
+  /// \param aInCell those of them in this one's cell.
+  /// \param aCells cells of the site, \p aCell this gateway's own.
+  void SetGateways(std::size_t aCount,
+                   std::size_t aInCell,
+                   std::size_t aCells,
+                   std::size_t aCell);
   /// Judges health, sweeps what is no longer used; call a few times a second.
   void Tend(TimePoint aNow);
   /// Kept connections may all be dead, e.g. after the process was suspended.
@@ -82,17 +87,37 @@
     bool isListed = true;
   };
 
+  /// The servers of one service.
+  struct Listed
+  {
+    std::vector<InstanceName> all;
+    /// Those of this gateway's cell; empty where the service is not split.
+    std::vector<InstanceName> inCell;
+  };
+
   void Add(const DirectInstance& aInstance);
+  void ListServices();
+  std::vector<DirectCandidate> CandidatesAmong(
+    std::span<const InstanceName> aNames,
+    const DirectService& aService,
+    const DirectDemand& aDemand,
+    std::span<const InstanceName> aExcluded,
+    std::size_t aSharers,
+    TimePoint aNow) const;
   bool TakesWork(const Member& aMember) const;
   bool HasConnection(const Member& aMember,
                      const DirectService& aService,
-                     std::uint32_t aSlots) const;
+                     std::uint32_t aSlots,
+                     std::size_t aSharers) const;
 
   EventLoop& loop;
   Options options;
   std::size_t gateways = 1;
+  std::size_t gatewaysInCell = 1;
+  std::size_t cells = 1;
+  std::size_t cell = 0;
   std::map<InstanceName, Member> members;
-  absl::flat_hash_map<ServiceName, std::vector<InstanceName>> byService;
+  absl::flat_hash_map<ServiceName, Listed> byService;
   std::map<ServiceName, HealthTracker> health;
   std::map<ServiceName, PrefillFlow> flows;
   WorkTable work;
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <json/json.h>
 
+#include "CellView.h"
 #include "GatewayLog.h"
 
 namespace dogwoodvale {
@@ -274,9 +275,15 @@
 void
 Gateway::OnGateways(std::span<const GatewayMember> aGateways)
 {
-  this->peers->SetPeers(aGateways, this->settings.instance);
   this->listedGateways = std::max<std::size_t>(aGateways.size(), 1);
-  this->pool.SetGateways(this->GatewayCount());
+  const CellView view =
+    ViewCells(this->settings.instance, aGateways, this->cells);
+  this->cells = view.cells;
+  this->peers->SetPeers(view.members, aGateways, this->settings.instance);
+  this->pool.SetGateways(this->listedGateways,
+                         std::max<std::size_t>(view.members.size(), 1),
+                         view.cells,
+                         view.own);
   for (auto& [service, window] : this->retries) {
     window.SetGateways(this->GatewayCount());
   }
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -104,6 +104,7 @@
   std::map<InstanceName, std::pair<Incarnation, std::uint64_t>> digests;
   std::vector<RoutedPrompt> routed;
   std::size_t listedGateways = 1;
+  std::size_t cells = 1;
   std::uint64_t digestSequence = 0;
   bool stopping = false;
   bool accepting = true;
--- a/dogwoodvale/src/Gateway/PeerExchange.cpp
+++ b/dogwoodvale/src/Gateway/PeerExchange.cpp
@@ -58,6 +58,7 @@
   : loop(aLoop)
   , options(std::move(aOptions))
   , host(aHost)
+  , random(DrawIncarnation())
   , sendTimer(aLoop, [this] { this->Send(); })
 {
 }
@@ -105,15 +106,21 @@
 }
 
 void
-PeerExchange::SetPeers(std::span<const GatewayMember> aGateways,
+PeerExchange::SetPeers(std::span<const GatewayMember> aInCell,
+                       std::span<const GatewayMember> aAll,
                        const InstanceName& aSelf)
 {
-  this->peers.clear();
-  for (const GatewayMember& gateway : aGateways) {
-    if (gateway.name != aSelf && gateway.peers != this->options.self) {
-      this->peers.push_back(gateway.peers);
+  const auto addressesOf = [&](std::span<const GatewayMember> aGateways) {
+    std::vector<SocketAddress> addresses;
+    for (const GatewayMember& gateway : aGateways) {
+      if (gateway.name != aSelf && gateway.peers != this->options.self) {
+        addresses.push_back(gateway.peers);
+      }
     }
-  }
+    return addresses;
+  };
+  this->peers = addressesOf(aInCell);
+  this->everyone = addressesOf(aAll);
 }
 
 void
@@ -123,9 +130,9 @@
 }
 
 std::vector<SocketAddress>
-PeerExchange::Targets() const
+PeerExchange::Reachable() const
 {
-  std::vector<SocketAddress> targets = this->peers;
+  std::vector<SocketAddress> targets = this->everyone;
   for (const SocketAddress& seed : this->options.seeds) {
     if (seed != this->options.self &&
         std::ranges::find(targets, seed) == targets.end()) {
@@ -135,10 +142,24 @@
   return targets;
 }
 
+std::vector<SocketAddress>
+PeerExchange::DigestTargets()
+{
+  if (this->peers.size() == this->everyone.size()) {
+    return this->Reachable();
+  }
+  std::vector<SocketAddress> targets = this->peers;
+  // One gateway anywhere, so that a new configuration reaches a cell that the
+  // store turns away as a whole.
+  std::uniform_int_distribution<std::size_t> draw(0, this->everyone.size() - 1);
+  targets.push_back(this->everyone[draw(this->random)]);
+  return targets;
+}
+
 void
 PeerExchange::Send()
 {
-  const std::vector<SocketAddress> targets = this->Targets();
+  const std::vector<SocketAddress> targets = this->DigestTargets();
   const Duration fair =
     Duration(seconds(targets.size())) / Duration::rep(kDigestsPerSecond);
   this->sendTimer.StartOnce(std::max(kLeastDigestPeriod, fair));
@@ -227,7 +248,7 @@
 bool
 PeerExchange::FetchFromAny(const std::string& aPath, std::mt19937_64& aRandom)
 {
-  const std::vector<SocketAddress> targets = this->Targets();
+  const std::vector<SocketAddress> targets = this->Reachable();
   if (targets.empty()) {
     return false;
   }
--- a/dogwoodvale/src/Gateway/PeerExchange.h
+++ b/dogwoodvale/src/Gateway/PeerExchange.h
@@ -47,8 +47,10 @@
   PeerExchange(const PeerExchange&) = delete;
   PeerExchange& operator=(const PeerExchange&) = delete;
 
-  /// The other gateways that the store names.
-  void SetPeers(std::span<const GatewayMember> aGateways,
+  /// The gateways that the store names: those of this one's cell, to which its
+  /// digests go, and all of the site.
+  void SetPeers(std::span<const GatewayMember> aInCell,
+                std::span<const GatewayMember> aAll,
                 const InstanceName& aSelf);
   void SetSeeds(std::vector<SocketAddress> aSeeds);
   /// Asks one gateway for a document; one at a time for each path.
@@ -64,7 +66,7 @@
   static constexpr std::string_view kRoutesPath = "/peer/routes";
   static constexpr std::string_view kInstancesPath = "/peer/instances";
   /// Digests that a gateway may receive in a second: each gateway sends to all
-  /// others, so the pace of each falls as their number grows.
+  /// others of its cell, so the pace of each falls as their number grows.
   static constexpr int kDigestsPerSecond = 200;
   static constexpr Duration kLeastDigestPeriod = milliseconds(50);
 
@@ -79,15 +81,19 @@
   absl::Status Open();
   void Send();
   void OnReadable();
-  std::vector<SocketAddress> Targets() const;
+  /// All gateways that may be asked, seeds included.
+  std::vector<SocketAddress> Reachable() const;
+  std::vector<SocketAddress> DigestTargets();
 
   EventLoop& loop;
   Options options;
   PeerExchangeHost& host;
   int socket = -1;
   event* readable = nullptr;
+  std::mt19937_64 random;
   Timer sendTimer;
   std::vector<SocketAddress> peers;
+  std::vector<SocketAddress> everyone;
   std::vector<std::unique_ptr<Fetching>> fetches;
   std::uint64_t refused = 0;
 };
