Test that a silent server does not keep a request to its time limit

Test: Gateway 'a request goes on to another server when one says nothing', six streams with one of two engines hanging; with the patience taken out all that met it failed, with it each is whole in under 1.4 s.

--- a/test/Gateway.cpp
+++ b/test/Gateway.cpp
@@ -411,3 +411,24 @@
   small.Send(PlatformSite::RequestText("/read/stream/x", "small", tokens(100)));
   CHECK(site.Until([&] { return RunCount(site) == before + 1; }));
 }
+
+// A caller waits for its whole time limit though another server could answer
+// it: the one that has its request hangs, with the connection open.
+TEST_CASE("a request goes on to another server when one says nothing",
+          "[gateway]")
+{
+  PlatformSite site(2);
+  Gateway& gateway = site.ReadyGateway();
+  site.engines[0]->SetFault(Fault("hang"));
+  // Servers with equal work are drawn at random: some of these meet the one
+  // that hangs first.
+  for (int i = 0; i < 6; ++i) {
+    const TimePoint sent = Now();
+    const std::string answer =
+      site.Ask(gateway, "/stream/x", fmt::format("id-{}", i));
+    CHECK(Has(answer, "\r\n0\r\n\r\n"));
+    CHECK(Has(answer, "seal-of-e2"));
+    CHECK(Between(sent, Now()) < milliseconds(1400));
+  }
+  CHECK_FALSE(site.engines[0]->Runs().empty());
+}
