Take a first list of backend servers that may be old; spread the reads

Change: the first read may be stale, which the store does not count; the period of later reads differs by up to 15 % between gateways. The bounds for callers move to CallerLimits, where both places that set them use one function. Test: DirectoryKeeper 'a first list may be old, a later one may not': red with strict reads only.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -141,6 +141,10 @@
   RangeQuery query;
   query.key = this->format.InstancesPrefix();
   query.isPrefix = true;
+  // When all gateways start at once, their reads of a long list are more than
+  // the store serves in a second; those that it turns away have no server to
+  // send to. A list that is seconds old does until the next read, which is not.
+  query.allowStale = !this->HasInstances();
   this->instancesCall = this->store.Range(
     query, [this](const absl::StatusOr<RangeResult>& aResult) {
       const std::unique_ptr<StoreCall> ended = std::move(this->instancesCall);
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <json/json.h>
 
+#include "CallerLimits.h"
 #include "CellView.h"
 #include "GatewayLog.h"
 
@@ -23,15 +24,10 @@
 /// a leaving server must get no more work: one read may fail and the next still
 /// be in time.
 constexpr int kReadsPerDrain = 3;
+/// Part of that time by which the pace of gateways differs.
+constexpr double kReadPeriodSpread = 0.15;
 /// After this many reads that did not come, other gateways are asked.
 constexpr int kMissedReads = 2;
-/// Callers' connections get one part in this many of the descriptors; the rest
-/// is for backend servers, the store, gateways and listeners.
-constexpr std::uint32_t kDescriptorShareForCallers = 2;
-/// Callers may use a connection up to the configured idle time; closing a
-/// little later keeps their last request from crossing the close.
-constexpr int kIdleTimeoutTenths = 13;
-constexpr Duration kLeastReadTimeout = seconds(20);
 constexpr int kHttpOk = 200;
 constexpr int kHttpForbidden = 403;
 
@@ -90,6 +86,18 @@
   return seeds;
 }
 
+Duration
+Gateway::InstanceReadPeriod()
+{
+  // Each gateway has a period of its own, a little shorter than what it must
+  // be: those that started together would read together for ever.
+  std::uniform_real_distribution<double> draw(1.0 - kReadPeriodSpread, 1.0);
+  const Duration longest =
+    this->settings.gateway.instanceDrain / kReadsPerDrain;
+  return Duration(static_cast<Duration::rep>(
+    draw(this->random) * static_cast<double>(longest.count())));
+}
+
 absl::Status
 Gateway::Open()
 {
@@ -103,8 +111,7 @@
   this->peers = *std::move(exchange);
   DirectoryKeeper::Options options;
   options.self = { this->settings.instance, this->settings.peers };
-  options.instanceReadPeriod =
-    this->settings.gateway.instanceDrain / kReadsPerDrain;
+  options.instanceReadPeriod = this->InstanceReadPeriod();
   this->directory = std::make_unique<DirectoryKeeper>(
     this->loop, *this->ports.store, *this->ports.directory, options, *this);
   auto operatorServer =
@@ -119,11 +126,11 @@
     return forPeers.status();
   }
   this->peerServer = *std::move(forPeers);
-  CallerBounds bounds;
-  bounds.connections =
-    this->settings.gateway.descriptors / kDescriptorShareForCallers;
-  auto server = CallerServer::Create(
-    this->loop, this->settings.gateway.callers, bounds, *this);
+  auto server =
+    CallerServer::Create(this->loop,
+                         this->settings.gateway.callers,
+                         BoundsOf({}, this->settings.gateway.descriptors),
+                         *this);
   if (!server.ok()) {
     return server.status();
   }
@@ -249,21 +256,8 @@
 void
 Gateway::OnRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
-  const CallerLimits& limits = aRoutes->Limits();
-  CallerBounds bounds;
-  bounds.connections =
-    this->settings.gateway.descriptors / kDescriptorShareForCallers;
-  if (limits.headerBytes > 0) {
-    bounds.headerBytes = limits.headerBytes;
-  }
-  if (limits.bodyBytes > 0) {
-    bounds.bodyBytes = limits.bodyBytes;
-  }
-  if (limits.idleTimeout > Duration::zero()) {
-    bounds.idleTimeout = limits.idleTimeout * kIdleTimeoutTenths / 10;
-  }
-  bounds.readTimeout = std::max(kLeastReadTimeout, limits.headerTimeout);
-  this->callers->SetBounds(bounds);
+  this->callers->SetBounds(
+    BoundsOf(aRoutes->Limits(), this->settings.gateway.descriptors));
 }
 
 void
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -74,6 +74,8 @@
           const DaemonSettings& aSettings,
           GatewayPorts aPorts);
   absl::Status Open();
+  /// From one read of the list of backend servers to the next.
+  Duration InstanceReadPeriod();
   void Tend();
   void AskGatewaysWhereBehind(TimePoint aNow);
   void CheckStopped();
--- a/test/DirectoryKeeper.cpp
+++ b/test/DirectoryKeeper.cpp
@@ -64,8 +64,9 @@
 
 struct Setup
 {
-  Setup()
+  explicit Setup(FakeStore::Mode aMode = FakeStore::Mode::Up)
   {
+    this->store.mode = aMode;
     this->store.Write("routes", "5");
     this->store.Write("instances/e1", "ready");
     this->store.Write("instances/e2", "ready");
@@ -214,3 +215,17 @@
   setup.store.Write("dogwoodvale/gateways/g4", R"({"peers":"127.0.0.1:7"})");
   CHECK(setup.Until([&] { return setup.observer.gateways == 2; }));
 }
+
+// No gateway of a large site serves for half a minute after all were killed:
+// each reads the whole list at once, the store turns most of them away for too
+// many reads, and they ask again together.
+TEST_CASE("a first list may be old, a later one may not", "[directory]")
+{
+  Setup setup(FakeStore::Mode::OnlyStaleReads);
+  CHECK(setup.observer.Has("e1"));
+  setup.store.Write("instances/e1", "leaving");
+  setup.Pass(milliseconds(300));
+  CHECK(setup.observer.Has("e1"));
+  setup.store.mode = FakeStore::Mode::Up;
+  CHECK(setup.Until([&] { return !setup.observer.Has("e1"); }));
+}
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -27,6 +27,8 @@
     Down,
     /// What is asked for happens and the reply is lost.
     LosesReplies,
+    /// More reads than it serves in a second; only stale ones are not counted.
+    OnlyStaleReads,
   };
   Mode mode = Mode::Up;
   Duration latency{ 0 };
@@ -75,7 +77,10 @@
                                    RangeHandler aHandler) override
   {
     return this->Later([this, aQuery, aHandler] {
-      if (this->mode != Mode::Up) {
+      const bool isServed =
+        this->mode == Mode::Up ||
+        (this->mode == Mode::OnlyStaleReads && aQuery.allowStale);
+      if (!isServed) {
         aHandler(absl::UnavailableError("store down"));
         return;
       }
