--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Routing/DirectChoice.cpp
@@ -22,9 +22,9 @@
 /// How much reading a token again that another server has in its cache counts
 /// beside the delay that it is: it takes capacity from all, and puts the same
 /// part into a second cache. At 3 a fleet with room to spare serves a hundredth
-/// more of its long prompts' worth, but one at its limit four hundredths less of
-/// all, since what is read again makes the next prompt wait; at 8 long prompts
-/// wait too long for a holder.
+/// more of its long prompts' worth, but one at its limit four hundredths less
+/// of all, since what is read again makes the next prompt wait; at 8 long
+/// prompts wait too long for a holder.
 constexpr double kReadAgain = 5.0;
 /// Share of the cache above which running requests begin to preempt others.
 constexpr double kFullCacheShare = 0.85;
