--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -19,16 +19,28 @@
 
 /// What a prompt asks of a server, by what the service has seen so far.
 DirectDemand
-DemandOf(const CallerEnvelope& aEnvelope,
-         const DirectService& aService,
-         PrefillFlow& aFlow)
+DemandOf(const AdmittedRequest& aRequest, BackendPool& aPool)
 {
+  const ServiceName& service = aRequest.service->name;
+  PrefillFlow& flow = aPool.FlowOf(service);
+  PauseProfile& pauses = aPool.PausesOf(service);
+  const Duration bound = aRequest.route->targetGap;
   DirectDemand demand;
-  demand.promptTokens = aEnvelope.promptTokens;
-  demand.steps = StepsOf(aEnvelope.prompt);
-  aFlow.OnRequest(demand.promptTokens);
-  demand.isLong = aFlow.IsLong(demand.promptTokens);
-  demand.tokensPerTurn = aFlow.TokensPerTurn(aService.slots)
+  demand.promptTokens = aRequest.envelope.promptTokens;
+  demand.steps = StepsOf(aRequest.envelope.prompt);
+  demand.sharedTokens = SharedTokens(demand.steps);
+  flow.OnRequest(demand.promptTokens);
+  pauses.OnRequest(bound);
+  // With no ranks told apart all reading counts, as that of the last.
+  demand.rank =
+    aPool.Decisions().rankedReading ? aRequest.rank : BackendWork::kRanks - 1;
+  demand.isInteractive =
+    aPool.Decisions().reservedServers && pauses.IsInteractive(bound);
+  demand.isLong = aPool.Decisions().reservedServers && pauses.HasInteractive()
+                    ? !demand.isInteractive
+                    : flow.IsLong(demand.promptTokens);
+  demand.tokensPerTarget = flow.TokensIn(aRequest.route->target);
+  demand.tokensPerTurn = flow.TokensPerTurn(aRequest.service->slots)
                            .value_or(DirectDemand::kGuessedTokensPerTurn);
   return demand;
 }
@@ -72,8 +84,7 @@
                    kConfigurationSoon);
   }
   if (admitted.route->hasPrompts) {
-    admitted.demand =
-      DemandOf(admitted.envelope, *admitted.service, aPool.FlowOf(service));
+    admitted.demand = DemandOf(admitted, aPool);
   }
   return admitted;
 }
--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -23,6 +23,39 @@
 /// hashed names leave a cell seldom more than a third short of its part.
 constexpr std::size_t kLeastServersPerCell = 16;
 
+/// The part that other requests share with this one, if any: the last one
+/// belongs to the request itself.
+std::optional<PrefixHash>
+SharedPart(const DirectDemand& aDemand)
+{
+  if (aDemand.steps.size() < 2) {
+    return std::nullopt;
+  }
+  return aDemand.steps[aDemand.steps.size() - 2].hash;
+}
+
+void
+MarkHome(std::vector<DirectCandidate>& aCandidates, const DirectDemand& aDemand)
+{
+  const std::optional<PrefixHash> part = SharedPart(aDemand);
+  DirectCandidate* home = nullptr;
+  std::uint64_t best = 0;
+  for (DirectCandidate& candidate : aCandidates) {
+    if (!part || candidate.isReserved != aDemand.isInteractive ||
+        candidate.standing != Standing::InService) {
+      continue;
+    }
+    const std::uint64_t score = HomeScore(*part, candidate.name);
+    if (home == nullptr || score > best) {
+      home = &candidate;
+      best = score;
+    }
+  }
+  if (home != nullptr) {
+    home->isHome = true;
+  }
+}
+
 /// A short first part may lie on every server of a large service.
 PrefixIndexSettings
 MakePrefixSettings()
@@ -87,8 +120,8 @@
     }
     Member& member = found->second;
     member.isListed = true;
-    // A server that has said that it leaves does not come back under the same
-    // name; an older list must not bring it back either.
+    // An incarnation that has said that it leaves does not come back; an older
+    // list must not bring it back either.
     const bool leaving = member.instance.leaving || instance.leaving;
     if (leaving && !member.instance.leaving) {
       Log(
@@ -125,6 +158,8 @@
     }
   }
   for (auto& [service, listed] : this->byService) {
+    std::ranges::sort(listed.all, {}, ReservationOrder);
+    std::ranges::sort(listed.inCell, {}, ReservationOrder);
     // Of a few servers some cells would have one or none.
     if (listed.all.size() < kLeastServersPerCell * this->cells) {
       listed.inCell.clear();
@@ -140,6 +175,7 @@
   }
   for (auto& [service, tracker] : this->health) {
     const Occupancy now = this->OccupancyOf(service);
+    this->Reserve(service, now, aNow);
     const double load = now.slots == 0 ? 0.0
                                        : static_cast<double>(now.requests) /
                                            static_cast<double>(now.slots);
@@ -175,6 +211,39 @@
   }
 }
 
+void
+BackendPool::Reserve(const ServiceName& aService,
+                     const Occupancy& aOccupancy,
+                     TimePoint aNow)
+{
+  ReservedServers& servers = this->reserved[aService];
+  const std::size_t before = servers.Count();
+  const std::uint64_t slots =
+    aOccupancy.slots / std::max(aOccupancy.servers, 1U);
+  // A gateway that hears only some of the others takes them for as busy as
+  // these: otherwise one that is cut off reserves less than all others do, and
+  // sends long prompts where they keep interactive ones.
+  const std::uint64_t interactive = aOccupancy.interactive *
+                                    this->gatewaysInCell /
+                                    (this->work.PeerCount() + 1);
+  servers.Update(
+    interactive, static_cast<std::uint32_t>(slots), aOccupancy.servers, aNow);
+  if (servers.Count() != before) {
+    Log(LogLevel::Info,
+        "reserved_servers",
+        "service",
+        aService.Value(),
+        "count",
+        servers.Count(),
+        "before",
+        before,
+        "servers",
+        aOccupancy.servers,
+        "interactive",
+        interactive);
+  }
+}
+
 void
 BackendPool::CloseIdleConnections()
 {
@@ -245,12 +314,20 @@
   std::vector<DirectCandidate> found;
   const auto tracker = this->health.find(aService.name);
   const auto flow = this->flows.find(aService.name);
+  const auto reservation = this->reserved.find(aService.name);
+  std::size_t toReserve =
+    reservation == this->reserved.end() ? 0 : reservation->second.Count();
   for (const InstanceName& name : aNames) {
     const Member& member = this->members.at(name);
     const std::uint32_t slots =
       member.instance.slots > 0 ? member.instance.slots : aService.slots;
-    if (!this->TakesWork(member) ||
-        std::ranges::find(aExcluded, name) != aExcluded.end() ||
+    if (!this->TakesWork(member)) {
+      continue;
+    }
+    const Standing standing = tracker->second.StandingOf(name);
+    const bool isReserved = toReserve > 0 && standing == Standing::InService;
+    toReserve -= isReserved ? 1 : 0;
+    if (std::ranges::find(aExcluded, name) != aExcluded.end() ||
         !this->HasConnection(member, aService, slots, aSharers)) {
       continue;
     }
@@ -259,7 +336,8 @@
     candidate.work = this->work.Total(name);
     candidate.slots = slots;
     candidate.cacheTokens = aService.cacheTokens;
-    candidate.standing = tracker->second.StandingOf(name);
+    candidate.standing = standing;
+    candidate.isReserved = isReserved;
     candidate.cachedTokens =
       CachedTokens(this->prefixes, aDemand.steps, name, aNow);
     if (flow != this->flows.end()) {
@@ -267,6 +345,9 @@
     }
     found.push_back(std::move(candidate));
   }
+  if (this->options.decisions.homeServers) {
+    MarkHome(found, aDemand);
+  }
   return found;
 }
 
@@ -304,7 +385,9 @@
     if (this->TakesWork(member)) {
       ++sum.servers;
       sum.slots += member.instance.slots;
-      sum.requests += this->work.Total(name).requests;
+      const BackendWork known = this->work.Total(name);
+      sum.requests += known.requests;
+      sum.interactive += known.interactive;
     }
   }
   return sum;
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -18,6 +18,7 @@
     /// Bytes unacknowledged or an idle link silent for this long: it is gone.
     Duration silentLinkTimeout = seconds(1);
     Duration connectTimeout = milliseconds(500);
+    GatewayDecisions decisions;
   };
 
   BackendPool(EventLoop& aLoop, Options aOptions);
@@ -55,6 +56,7 @@
     std::uint32_t servers = 0;
     std::uint64_t slots = 0;
     std::uint64_t requests = 0;
+    std::uint64_t interactive = 0;
   };
   Occupancy OccupancyOf(const ServiceName& aService) const;
 
@@ -69,6 +71,11 @@
   /// Another instance has its address: takes it out at once.
   void OnWrongInstance(const InstanceName& aInstance);
 
+  const GatewayDecisions& Decisions() const { return this->options.decisions; }
+  PauseProfile& PausesOf(const ServiceName& aService)
+  {
+    return this->pauses[aService];
+  }
   PrefillFlow& FlowOf(const ServiceName& aService)
   {
     return this->flows[aService];
@@ -87,7 +94,7 @@
     bool isListed = true;
   };
 
-  /// The servers of one service.
+  /// The servers of one service, in the order in which they are reserved.
   struct Listed
   {
     std::vector<InstanceName> all;
@@ -97,6 +104,9 @@
 
   void Add(const DirectInstance& aInstance);
   void ListServices();
+  void Reserve(const ServiceName& aService,
+               const Occupancy& aOccupancy,
+               TimePoint aNow);
   std::vector<DirectCandidate> CandidatesAmong(
     std::span<const InstanceName> aNames,
     const DirectService& aService,
@@ -120,6 +130,8 @@
   absl::flat_hash_map<ServiceName, Listed> byService;
   std::map<ServiceName, HealthTracker> health;
   std::map<ServiceName, PrefillFlow> flows;
+  std::map<ServiceName, PauseProfile> pauses;
+  std::map<ServiceName, ReservedServers> reserved;
   WorkTable work;
   PrefixIndex prefixes;
 };
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -60,7 +60,7 @@
   , incarnation(DrawIncarnation())
   , random(DrawIncarnation())
   , chooser(DirectChooser::Create(aSettings.gateway.chooser))
-  , pool(aLoop, BackendPool::Options{})
+  , pool(aLoop, { .decisions = aSettings.gateway.decisions })
   , suspensions(aLoop, [this](Duration aLost) { this->OnSuspended(aLost); })
   , tendTimer(aLoop, [this] { this->Tend(); })
   , sweepTimer(aLoop, [this] { this->Sweep(); })
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -116,7 +116,8 @@
   }
   return this->host.Backends()
     .FlowOf(this->admitted.service->name)
-    .WaitBehind(aCandidate.name, aCandidate.work.prefillTokens)
+    .WaitBehind(aCandidate.name,
+                aCandidate.work.PrefillUpTo(this->admitted.demand.rank))
     .value_or(Duration::zero());
 }
 
@@ -124,7 +125,8 @@
 GatewayRequest::RefuseForLoad(const DirectCandidate& aBest, Duration aWait)
 {
   this->outcome.instance = aBest.name;
-  this->outcome.prefillAhead = aBest.work.prefillTokens;
+  this->outcome.prefillAhead =
+    aBest.work.PrefillUpTo(this->admitted.demand.rank);
   this->loadWait = aWait;
   this->GiveUp(ErrorCode::QueueFull, "all servers are behind");
 }
@@ -135,10 +137,12 @@
   const DirectDemand& demand = this->admitted.demand;
   BackendWork work;
   work.requests = 1;
-  work.prefillTokens = demand.promptTokens -
-                       std::min(demand.promptTokens, aCandidate.cachedTokens);
+  work.PrefillAt(demand.rank) =
+    demand.promptTokens -
+    std::min(demand.promptTokens, aCandidate.cachedTokens);
   work.memoryTokens =
     demand.promptTokens + this->admitted.envelope.maxOutputTokens;
+  work.interactive = demand.isInteractive ? 1 : 0;
   return work;
 }
 
@@ -171,12 +175,13 @@
   this->sent = std::move(sending);
   this->outcome.instance = aCandidate.name;
   this->outcome.cachedTokens = aCandidate.cachedTokens;
-  this->outcome.prefillAhead = aCandidate.work.prefillTokens;
+  this->outcome.prefillAhead =
+    aCandidate.work.PrefillUpTo(this->admitted.demand.rank);
   this->host.Backends().OnSent(
     aCandidate.name, this->sent->work, this->admitted.demand.steps, now);
   const std::uint32_t longTokens =
     this->admitted.demand.isLong
-      ? static_cast<std::uint32_t>(this->sent->work.prefillTokens)
+      ? static_cast<std::uint32_t>(this->sent->work.Prefill())
       : 0;
   this->host.Backends().OnLongPrompt(aCandidate.name, longTokens, now);
   this->host.OnSent(aCandidate.name, this->admitted.demand.steps, longTokens);
@@ -201,7 +206,7 @@
   PrefillFlow& flow =
     this->host.Backends().FlowOf(this->admitted.service->name);
   const std::uint64_t read =
-    this->outcome.prefillAhead + this->sent->work.prefillTokens;
+    this->outcome.prefillAhead + this->sent->work.Prefill();
   HealthTracker* health = this->host.Backends().HealthOf(this->sent->instance);
   const std::uint32_t prompt = this->admitted.demand.promptTokens;
   const std::optional<Duration> sample =
@@ -210,7 +215,8 @@
     health->OnFirstToken(this->sent->instance, *sample);
   }
   flow.OnFirstToken(this->sent->instance, read, latency);
-  const BackendWork prefill{ 0, this->sent->work.prefillTokens, 0 };
+  BackendWork prefill;
+  prefill.prefillTokens = this->sent->work.prefillTokens;
   this->host.Backends().OnDone(this->sent->instance, prefill);
   this->sent->work -= prefill;
   if (this->outcome.firstSign == Duration::zero()) {
@@ -464,9 +470,13 @@
   this->deadline.Stop();
   this->outcome.total = Between(this->accepted, Now());
   if (this->outcome.complete && this->sent) {
-    this->host.Backends()
-      .FlowOf(this->admitted.service->name)
-      .OnStay(this->outcome.total);
+    BackendPool& pool = this->host.Backends();
+    const ServiceName& service = this->admitted.service->name;
+    pool.FlowOf(service).OnStay(this->outcome.total);
+    if (this->streamBegun) {
+      pool.PausesOf(service).OnStream(this->GetRoute().targetGap,
+                                      this->outcome.longestGap);
+    }
     if (HealthTracker* health =
           this->host.Backends().HealthOf(this->sent->instance)) {
       health->OnSuccess(this->sent->instance);
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -32,8 +32,56 @@
   return { reinterpret_cast<const char*>(aProof.data()), kProofBytes };
 }
 
-using PackedWork =
-  std::tuple<std::string, std::uint32_t, std::uint64_t, std::uint64_t>;
+/// A gateway of an older version sends the first four fields alone, and reads
+/// no more than these.
+struct PackedWork
+{
+  std::string instance;
+  std::uint32_t requests = 0;
+  std::uint64_t prefill = 0;
+  std::uint64_t memory = 0;
+  std::uint32_t interactive = 0;
+  std::vector<std::uint64_t> prefillByRank;
+
+  MSGPACK_DEFINE_ARRAY(instance,
+                       requests,
+                       prefill,
+                       memory,
+                       interactive,
+                       prefillByRank);
+};
+
+PackedWork
+Pack(const WorkLine& aLine)
+{
+  const BackendWork& work = aLine.work;
+  return { aLine.instance.Value(),
+           work.requests,
+           work.Prefill(),
+           work.memoryTokens,
+           work.interactive,
+           { work.prefillTokens.begin(), work.prefillTokens.end() } };
+}
+
+WorkLine
+Unpack(PackedWork&& aPacked)
+{
+  WorkLine line;
+  line.instance = InstanceName(std::move(aPacked.instance));
+  line.work.requests = aPacked.requests;
+  line.work.memoryTokens = aPacked.memory;
+  line.work.interactive = aPacked.interactive;
+  if (aPacked.prefillByRank.empty()) {
+    // Told without ranks: it may be ahead of anything.
+    line.work.PrefillAt(0) = aPacked.prefill;
+  }
+  for (std::size_t rank = 0; rank < aPacked.prefillByRank.size(); ++rank) {
+    line.work.PrefillAt(static_cast<std::uint32_t>(rank)) +=
+      aPacked.prefillByRank[rank];
+  }
+  return line;
+}
+
 using PackedPrompt =
   std::tuple<std::string, std::vector<std::uint64_t>, std::uint32_t>;
 using PackedDigest = std::tuple<std::string,
@@ -62,10 +110,7 @@
 {
   std::vector<PackedWork> work;
   for (const WorkLine& line : aDigest.work) {
-    work.emplace_back(line.instance.Value(),
-                      line.work.requests,
-                      line.work.prefillTokens,
-                      line.work.memoryTokens);
+    work.push_back(Pack(line));
   }
   std::vector<PackedPrompt> routed;
   for (const RoutedPrompt& prompt : aDigest.routed) {
@@ -118,9 +163,8 @@
   digest.sequence = std::get<2>(read);
   digest.routesVersion = std::get<3>(read);
   digest.storeContact = milliseconds(std::get<4>(read));
-  for (auto& [name, requests, prefill, memory] : std::get<5>(read)) {
-    digest.work.push_back(
-      { InstanceName(std::move(name)), { requests, prefill, memory } });
+  for (PackedWork& line : std::get<5>(read)) {
+    digest.work.push_back(Unpack(std::move(line)));
   }
   for (auto& [name, steps, longTokens] : std::get<6>(read)) {
     digest.routed.push_back(
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -5,7 +5,7 @@
 #include <string_view>
 #include <vector>
 
-#include "dogwoodvale/Routing"
+#include "dogwoodvale/Placement"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -8,6 +8,7 @@
 
 #include "dogwoodvale/Configuration"
 #include "dogwoodvale/Http"
+#include "dogwoodvale/Placement"
 #include "dogwoodvale/Routing"
 #include "dogwoodvale/Store"
 
--- a/dogwoodvale/src/Routing/DirectChoice.cpp
+++ b/dogwoodvale/src/Placement/DirectChoice.cpp
@@ -21,11 +21,15 @@
 constexpr double kDelayToOthers = 0.3;
 /// How much reading a token again that another server has in its cache counts
 /// beside the delay that it is: it takes capacity from all, and puts the same
-/// part into a second cache. At 3 a fleet with room to spare serves a hundredth
-/// more of its long prompts' worth, but one at its limit four hundredths less
-/// of all, since what is read again makes the next prompt wait; at 8 long
-/// prompts wait too long for a holder.
-constexpr double kReadAgain = 5.0;
+/// part into a second cache. On a fleet at its limit, 5 read 73 M tokens of
+/// shared parts again in a day of 35 s and 20 read 38 M, and a quarter of the
+/// long prompts were in time instead of a tenth; on one with room they differ
+/// by less than the noise.
+constexpr double kReadAgain = 20.0;
+/// At most so many of the request's targets: it waits for a holder as long as
+/// it may still be in time there. With no such bound a service of twelve
+/// servers with small caches serves 0.03 less of its long prompts' worth.
+constexpr double kHolderTargets = 1.0;
 /// Share of the cache above which running requests begin to preempt others.
 constexpr double kFullCacheShare = 0.85;
 
@@ -40,6 +44,33 @@
   return bits;
 }
 
+/// Tokens that are read there although another server holds them, or reads them
+/// for this request's shared parts.
+double
+TokensReadAgain(const DirectCandidate& aCandidate,
+                const DirectDemand& aDemand,
+                std::uint32_t aMostCached)
+{
+  const std::uint32_t fresh =
+    aDemand.sharedTokens - std::min(aDemand.sharedTokens, aMostCached);
+  const std::uint32_t wanted = aMostCached + fresh;
+  const std::uint32_t held =
+    aCandidate.cachedTokens + (aCandidate.isHome ? fresh : 0);
+  return wanted - std::min(wanted, held);
+}
+
+double
+ReadAgainCost(const DirectCandidate& aCandidate,
+              const DirectDemand& aDemand,
+              std::uint32_t aMostCached)
+{
+  const double cost =
+    kReadAgain * TokensReadAgain(aCandidate, aDemand, aMostCached);
+  return aDemand.tokensPerTarget > 0
+           ? std::min(cost, kHolderTargets * aDemand.tokensPerTarget)
+           : cost;
+}
+
 double
 ModelCost(const DirectCandidate& aCandidate,
           const DirectDemand& aDemand,
@@ -49,8 +80,8 @@
   const std::uint32_t own =
     aDemand.promptTokens -
     std::min(aDemand.promptTokens, aCandidate.cachedTokens);
-  double tokens = static_cast<double>(work.prefillTokens) + own;
-  tokens += kReadAgain * (aMostCached - aCandidate.cachedTokens);
+  double tokens = static_cast<double>(work.PrefillUpTo(aDemand.rank)) + own;
+  tokens += ReadAgainCost(aCandidate, aDemand, aMostCached);
   if (aDemand.isLong) {
     // Every answer that is generated there waits while this prompt is read.
     tokens += kDelayToOthers * own * work.requests;
@@ -87,6 +118,16 @@
   return steps;
 }
 
+std::uint32_t
+SharedTokens(std::span<const PromptStep> aSteps)
+{
+  std::uint32_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < aSteps.size(); ++i) {
+    tokens += aSteps[i].tokens;
+  }
+  return tokens;
+}
+
 std::uint32_t
 CachedTokens(const PrefixIndex& aIndex,
              std::span<const PromptStep> aSteps,
--- a/dogwoodvale/src/Routing/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -1,14 +1,13 @@
-#ifndef DOGWOODVALE_ROUTING_DIRECTCHOICE_H
-#define DOGWOODVALE_ROUTING_DIRECTCHOICE_H
+#ifndef DOGWOODVALE_PLACEMENT_DIRECTCHOICE_H
+#define DOGWOODVALE_PLACEMENT_DIRECTCHOICE_H
 
 #include <optional>
 #include <random>
 #include <span>
 #include <vector>
 
-#include "BackendTable.h"
-#include "PrefixIndex.h"
 #include "WorkTable.h"
+#include "dogwoodvale/Routing"
 
 namespace dogwoodvale {
 
@@ -30,17 +29,30 @@
 std::vector<PromptStep>
 StepsOf(std::span<const PromptPart> aParts);
 
+/// Tokens of all steps but the last, which belongs to the request itself.
+std::uint32_t
+SharedTokens(std::span<const PromptStep> aSteps);
+
 /// What a request asks of a backend server.
 struct DirectDemand
 {
   /// Tokens of the prompt in all; 0 for a plain service.
   std::uint32_t promptTokens = 0;
   std::vector<PromptStep> steps;
-  /// Longer than the service's mean, see PrefillFlow.
+  /// Of these, the tokens that other requests share.
+  std::uint32_t sharedTokens = 0;
+  /// Place in the order of service, 0 first.
+  std::uint32_t rank = 0;
+  /// Carries the service's reading: not interactive, or where no request is,
+  /// longer than the mean, see PrefillFlow.
   bool isLong = false;
+  /// Its answer must not share a server with long reading, see PauseProfile.
+  bool isInteractive = false;
   /// Prefill that one turn in a full server's queue stands for, see
   /// PrefillFlow::TokensPerTurn().
   double tokensPerTurn = kGuessedTokensPerTurn;
+  /// Tokens that a server reads within the route's target; 0 until measured.
+  double tokensPerTarget = 0;
 
   /// Until it is measured.
   static constexpr double kGuessedTokensPerTurn = 2000.0;
@@ -60,6 +72,10 @@
   std::uint32_t cachedTokens = 0;
   /// What it has read of long prompts lately, see PrefillFlow.
   double recentLongTokens = 0;
+  /// Reserved for interactive requests, see ReservedServers.
+  bool isReserved = false;
+  /// Of those that may take it, the one that should read a new shared part.
+  bool isHome = false;
 };
 
 /// Tokens of a prompt that \p aInstance probably holds.
--- a/dogwoodvale/src/Routing/DirectChooser.cpp
+++ b/dogwoodvale/src/Placement/DirectChooser.cpp
@@ -61,6 +61,15 @@
   std::uint64_t last = 0;
 };
 
+/// Has no slot for one more, or soon has none: others know of it late.
+bool
+IsFull(const DirectCandidate& aCandidate)
+{
+  constexpr double kFullShare = 0.9;
+  return aCandidate.slots > 0 &&
+         aCandidate.work.requests >= kFullShare * aCandidate.slots;
+}
+
 /// Those that are ejected, and those on trial that have their one request.
 bool
 IsOut(const DirectCandidate& aCandidate)
@@ -77,15 +86,42 @@
                       const DirectDemand& aDemand,
                       std::mt19937_64& aRandom)
 {
+  // Among those that are meant for such requests, or else among all.
+  std::optional<std::size_t> best =
+    this->ChooseAmong(aCandidates, aDemand, Group::Own, aRandom);
+  if (!best || (aDemand.isInteractive && IsFull(aCandidates[*best]))) {
+    best = this->ChooseAmong(aCandidates, aDemand, Group::All, aRandom);
+  }
+  if (best) {
+    this->OnChosen(aCandidates[*best]);
+  }
+  return best;
+}
+
+std::optional<std::size_t>
+DirectChooser::ChooseAmong(std::span<const DirectCandidate> aCandidates,
+                           const DirectDemand& aDemand,
+                           Group aGroup,
+                           std::mt19937_64& aRandom) const
+{
+  const auto isMember = [&](const DirectCandidate& aCandidate) {
+    return aGroup == Group::All ||
+           aCandidate.isReserved == aDemand.isInteractive;
+  };
   std::optional<std::size_t> best;
   double bestCost = 0;
   bool bestIsOut = false;
   std::uint32_t ties = 0;
   std::uint32_t mostCached = 0;
   for (const DirectCandidate& candidate : aCandidates) {
-    mostCached = std::max(mostCached, candidate.cachedTokens);
+    if (isMember(candidate)) {
+      mostCached = std::max(mostCached, candidate.cachedTokens);
+    }
   }
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (!isMember(aCandidates[i])) {
+      continue;
+    }
     const bool isOut = IsOut(aCandidates[i]);
     const double cost = this->CostOf(aCandidates[i], aDemand, mostCached);
     const bool isBetter =
@@ -101,9 +137,6 @@
       best = i;
     }
   }
-  if (best) {
-    this->OnChosen(aCandidates[*best]);
-  }
   return best;
 }
 
--- a/dogwoodvale/src/Routing/DirectChooser.h
+++ b/dogwoodvale/src/Placement/DirectChooser.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODVALE_ROUTING_DIRECTCHOOSER_H
-#define DOGWOODVALE_ROUTING_DIRECTCHOOSER_H
+#ifndef DOGWOODVALE_PLACEMENT_DIRECTCHOOSER_H
+#define DOGWOODVALE_PLACEMENT_DIRECTCHOOSER_H
 
 #include <cstdint>
 #include <memory>
@@ -40,6 +40,20 @@
                         const DirectDemand& aDemand,
                         std::uint32_t aMostCached) const = 0;
   virtual void OnChosen(const DirectCandidate& /*aCandidate*/) {}
+
+private:
+  /// The servers that a request is meant for, see ReservedServers.
+  enum class Group : std::uint8_t
+  {
+    Own,
+    All,
+  };
+
+  std::optional<std::size_t> ChooseAmong(
+    std::span<const DirectCandidate> aCandidates,
+    const DirectDemand& aDemand,
+    Group aGroup,
+    std::mt19937_64& aRandom) const;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Routing/PrefillFlow.cpp
+++ b/dogwoodvale/src/Placement/PrefillFlow.cpp
@@ -124,6 +124,12 @@
                                              this->tokensPerMicro));
 }
 
+double
+PrefillFlow::TokensIn(Duration aTime) const
+{
+  return this->tokensPerMicro * static_cast<double>(aTime.count());
+}
+
 std::optional<Duration>
 PrefillFlow::HealthSample(std::uint32_t aPromptTokens,
                           std::uint64_t aRead,
--- a/dogwoodvale/src/Routing/PrefillFlow.h
+++ b/dogwoodvale/src/Placement/PrefillFlow.h
@@ -1,5 +1,5 @@
-#ifndef DOGWOODVALE_ROUTING_PREFILLFLOW_H
-#define DOGWOODVALE_ROUTING_PREFILLFLOW_H
+#ifndef DOGWOODVALE_PLACEMENT_PREFILLFLOW_H
+#define DOGWOODVALE_PLACEMENT_PREFILLFLOW_H
 
 #include <cstdint>
 #include <optional>
@@ -50,6 +50,9 @@
   /// What reading so many tokens takes at the service's mean speed; nothing
   /// before it is measured.
   std::optional<Duration> ExpectedRead(std::uint64_t aTokens) const;
+  /// Tokens that a server reads in this time at the service's mean speed; 0
+  /// before it is measured.
+  double TokensIn(Duration aTime) const;
   /// What a first token after \p aLatency says of a server's health, as a time
   /// that can be compared among servers; nothing if it says nothing.
   ///
--- a/dogwoodvale/src/Routing/WorkTable.cpp
+++ b/dogwoodvale/src/Placement/WorkTable.cpp
@@ -1,6 +1,7 @@
 #include "WorkTable.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace dogwoodvale {
 
@@ -15,12 +16,30 @@
 
 } // namespace
 
+std::uint64_t
+BackendWork::PrefillUpTo(std::uint32_t aRank) const
+{
+  const std::size_t end = std::min<std::size_t>(aRank, kRanks - 1) + 1;
+  return std::accumulate(this->prefillTokens.begin(),
+                         this->prefillTokens.begin() + end,
+                         std::uint64_t{ 0 });
+}
+
+std::uint64_t&
+BackendWork::PrefillAt(std::uint32_t aRank)
+{
+  return this->prefillTokens[std::min<std::size_t>(aRank, kRanks - 1)];
+}
+
 BackendWork&
 BackendWork::operator+=(const BackendWork& aOther)
 {
   this->requests += aOther.requests;
-  this->prefillTokens += aOther.prefillTokens;
+  for (std::size_t rank = 0; rank < kRanks; ++rank) {
+    this->prefillTokens[rank] += aOther.prefillTokens[rank];
+  }
   this->memoryTokens += aOther.memoryTokens;
+  this->interactive += aOther.interactive;
   return *this;
 }
 
@@ -28,8 +47,12 @@
 BackendWork::operator-=(const BackendWork& aOther)
 {
   this->requests = Less(this->requests, aOther.requests);
-  this->prefillTokens = Less(this->prefillTokens, aOther.prefillTokens);
+  for (std::size_t rank = 0; rank < kRanks; ++rank) {
+    this->prefillTokens[rank] =
+      Less(this->prefillTokens[rank], aOther.prefillTokens[rank]);
+  }
   this->memoryTokens = Less(this->memoryTokens, aOther.memoryTokens);
+  this->interactive = Less(this->interactive, aOther.interactive);
   return *this;
 }
 
--- a/dogwoodvale/src/Routing/WorkTable.h
+++ b/dogwoodvale/src/Placement/WorkTable.h
@@ -1,6 +1,7 @@
-#ifndef DOGWOODVALE_ROUTING_WORKTABLE_H
-#define DOGWOODVALE_ROUTING_WORKTABLE_H
+#ifndef DOGWOODVALE_PLACEMENT_WORKTABLE_H
+#define DOGWOODVALE_PLACEMENT_WORKTABLE_H
 
+#include <array>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -14,13 +15,23 @@
 /// Work that is under way at one backend server.
 struct BackendWork
 {
+  /// Ranks that are told apart; later ones count as the last.
+  static constexpr std::size_t kRanks = 10;
+
   /// Requests that have not ended.
   std::uint32_t requests = 0;
   /// Prompt tokens of those that have no first token yet, as far as they are
-  /// not expected in its cache.
-  std::uint64_t prefillTokens = 0;
+  /// not expected in its cache; by the requests' rank.
+  std::array<std::uint64_t, kRanks> prefillTokens{};
   /// Tokens that they take in its KV cache, prompt and expected answer.
   std::uint64_t memoryTokens = 0;
+  /// Those of the requests that are interactive, see PauseProfile.
+  std::uint32_t interactive = 0;
+
+  /// Waits to be read before a request of this rank, or with it.
+  std::uint64_t PrefillUpTo(std::uint32_t aRank) const;
+  std::uint64_t Prefill() const { return this->PrefillUpTo(kRanks - 1); }
+  std::uint64_t& PrefillAt(std::uint32_t aRank);
 
   bool operator==(const BackendWork&) const = default;
   bool IsNothing() const { return *this == BackendWork{}; }
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -135,6 +135,18 @@
   }
 }
 
+void
+ReadDecisions(const ReadScope& aScope,
+              const Json::Value& aValue,
+              GatewayDecisions& aDecisions)
+{
+  ObjectReader reader(aScope, aValue, "\"decisions\"");
+  reader.ReadBoolean("reserved_servers", aDecisions.reservedServers);
+  reader.ReadBoolean("home_servers", aDecisions.homeServers);
+  reader.ReadBoolean("ranked_reading", aDecisions.rankedReading);
+  reader.Finish();
+}
+
 void
 ReadGateway(const ReadScope& aScope,
             const Json::Value& aValue,
@@ -154,6 +166,9 @@
   ReadSeconds(reader, "stop_grace_s", aGateway.stopGrace);
   reader.ReadInteger("descriptors", kDescriptors, aGateway.descriptors);
   reader.ReadChoice("chooser", kGatewayChooserNames, aGateway.chooser);
+  if (const Json::Value* decisions = reader.Find("decisions")) {
+    ReadDecisions(aScope, *decisions, aGateway.decisions);
+  }
   reader.Finish();
 }
 
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -89,6 +89,19 @@
   double overdueShare = 0.1;
 };
 
+/// Mechanisms of a gateway's choice that can be switched off, to measure what
+/// each is worth at a site. All are on unless the settings say otherwise.
+struct GatewayDecisions
+{
+  /// Interactive requests have servers of their own, see ReservedServers.
+  bool reservedServers = true;
+  /// A shared part that no server holds has one server to read it, see
+  /// HomeScore().
+  bool homeServers = true;
+  /// Only reading that comes first by rank counts as a request's wait.
+  bool rankedReading = true;
+};
+
 /// Settings of a gateway.
 struct GatewaySettings
 {
@@ -108,6 +121,7 @@
   std::uint32_t descriptors = 4096;
   /// How backend servers are chosen, one of kGatewayChooserNames.
   std::string chooser = "expected_delay";
+  GatewayDecisions decisions;
 };
 
 /// A sidecar that the settings name.
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -108,17 +108,17 @@
 {
   WorkTable table;
   const InstanceName e1("e1");
-  table.AddOwn(e1, { 2, 100, 10 });
-  const std::vector<WorkLine> first{ { e1, { 3, 50, 5 } } };
+  table.AddOwn(e1, { 2, { 100 }, 10 });
+  const std::vector<WorkLine> first{ { e1, { 3, { 50 }, 5 } } };
   table.SetPeer(InstanceName("g2"), first, At(seconds(0)));
-  CHECK(table.Total(e1) == BackendWork{ 5, 150, 15 });
-  const std::vector<WorkLine> second{ { e1, { 1, 0, 1 } } };
+  CHECK(table.Total(e1) == BackendWork{ 5, { 150 }, 15 });
+  const std::vector<WorkLine> second{ { e1, { 1, { 0 }, 1 } } };
   table.SetPeer(InstanceName("g2"), second, At(milliseconds(100)));
-  CHECK(table.Total(e1) == BackendWork{ 3, 100, 11 });
+  CHECK(table.Total(e1) == BackendWork{ 3, { 100 }, 11 });
   CHECK(table.Expire(At(milliseconds(900))).empty());
   CHECK(table.Expire(At(seconds(2))).size() == 1);
   CHECK(table.Total(e1) == table.Own(e1));
-  table.RemoveOwn(e1, { 9, 900, 90 });
+  table.RemoveOwn(e1, { 9, { 900 }, 90 });
   CHECK(table.Total(e1).IsNothing());
   CHECK(table.OwnLines().empty());
 }
@@ -151,6 +151,15 @@
   return candidate;
 }
 
+DirectDemand
+Demand(std::uint32_t aTokens, bool aIsLong)
+{
+  DirectDemand demand;
+  demand.promptTokens = aTokens;
+  demand.isLong = aIsLong;
+  return demand;
+}
+
 std::string
 Chosen(const std::vector<DirectCandidate>& aCandidates,
        const DirectDemand& aDemand)
@@ -167,8 +176,8 @@
 // the engine reads long scans between the note's steps.
 TEST_CASE("long prompts and short answers part", "[choice]")
 {
-  DirectDemand longDemand{ 9000, {}, true };
-  DirectDemand shortDemand{ 800, {}, false };
+  DirectDemand longDemand = Demand(9000, true);
+  DirectDemand shortDemand = Demand(800, false);
   std::vector<DirectCandidate> engines{ Candidate("notes", 6, 0),
                                         Candidate("scans", 2, 0) };
   engines[1].recentLongTokens = 30'000;
@@ -179,15 +188,16 @@
 TEST_CASE("a cached prompt goes where it is, unless that is far behind",
           "[choice]")
 {
-  const DirectDemand demand{ 9000, {}, true };
+  DirectDemand demand = Demand(9000, true);
+  demand.tokensPerTarget = 40'000;
   std::vector<DirectCandidate> engines{ Candidate("holds", 1, 2000),
                                         Candidate("empty", 1, 0) };
   engines[0].cachedTokens = 6000;
   CHECK(Chosen(engines, demand) == "holds");
   // A shorter wait alone does not pay for reading the part a second time.
-  engines[0].work.prefillTokens = 20'000;
+  engines[0].work.PrefillAt(0) = 20'000;
   CHECK(Chosen(engines, demand) == "holds");
-  engines[0].work.prefillTokens = 50'000;
+  engines[0].work.PrefillAt(0) = 50'000;
   CHECK(Chosen(engines, demand) == "empty");
 }
 
@@ -196,7 +206,7 @@
 TEST_CASE("a full server's queue is not joined while others have slots",
           "[choice]")
 {
-  DirectDemand demand{ 800, {}, false };
+  DirectDemand demand = Demand(800, false);
   demand.tokensPerTurn = 2000;
   std::vector<DirectCandidate> engines{ Candidate("full", 20, 0),
                                         Candidate("reads", 2, 5000) };
@@ -223,7 +233,7 @@
 
 TEST_CASE("ejected servers are taken only where there is no other", "[choice]")
 {
-  const DirectDemand demand{ 0, {}, false };
+  const DirectDemand demand;
   std::vector<DirectCandidate> servers{ Candidate("out", 0, 0),
                                         Candidate("busy", 7, 0) };
   servers[0].standing = Standing::Ejected;
@@ -260,7 +270,7 @@
   digest.sequence = 8;
   digest.routesVersion = 9;
   digest.storeContact = milliseconds(1234);
-  digest.work = { { InstanceName("e1"), { 1, 2, 3 } } };
+  digest.work = { { InstanceName("e1"), { 1, { 0, 2 }, 3, 1 } } };
   digest.routed = { { InstanceName("e2"), { 4, 5 }, 6 } };
   const std::string bytes = WriteDigest(digest, "secret");
   const auto read = ReadDigest(bytes, "secret");
@@ -381,7 +391,7 @@
   std::vector<DirectCandidate> engines{ Candidate("a", 3, 9000),
                                         Candidate("b", 2, 50'000),
                                         Candidate("c", 5, 0) };
-  const DirectDemand demand{ 9000, {}, true };
+  const DirectDemand demand = Demand(9000, true);
   const auto least = DirectChooser::Create("least_requests");
   CHECK(least->Choose(engines, demand, random) == 1U);
   const auto turns = DirectChooser::Create("round_robin");
--- a/test/PlacementUnderLoad.cpp
+++ b/test/PlacementUnderLoad.cpp
@@ -151,15 +151,16 @@
     Running running;
     running.kind = aKind;
     running.arrived = this->now;
-    running.ahead = aTo.work.prefillTokens;
+    running.ahead = aTo.work.PrefillUpTo(aDemand.rank);
     running.work.requests = 1;
-    running.work.prefillTokens = aDemand.promptTokens - aTo.cachedTokens;
-    running.prefill = running.work.prefillTokens;
+    running.work.PrefillAt(aDemand.rank) =
+      aDemand.promptTokens - aTo.cachedTokens;
+    running.prefill = running.work.Prefill();
     this->pool.OnSent(aTo.name, running.work, aDemand.steps, this->now);
     if (aDemand.isLong) {
       this->pool.OnLongPrompt(
         aTo.name,
-        static_cast<std::uint32_t>(running.work.prefillTokens),
+        static_cast<std::uint32_t>(running.work.Prefill()),
         this->now);
     }
     const RequestId id{ 0, ++this->lastId };
@@ -218,7 +219,7 @@
       const bool isOnTime = latency <= this->kinds[running.kind].target;
       tally.onTime += isCounted && isOnTime ? 1 : 0;
       flow.OnFirstToken(aEngine.name, running.ahead + running.prefill, latency);
-      const BackendWork read{ 0, running.prefill, 0 };
+      const BackendWork read{ 0, { running.prefill }, 0 };
       this->pool.OnDone(aEngine.name, read);
       running.work -= read;
     }
