Tell the incarnations of a server apart; refuse entries no server writes

Cause: a server may start again under its name. Its entry was read as that of the one before: one that had drained was never used again, and its cache, load, health and connections were taken to be what they were.

Change: (name, start) names a server within the gateway, so all that is kept by name begins anew; the server's own name is what is sent to it. The latest start that was read wins; a gateway of an older version tells none and means the latest known.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -370,6 +370,14 @@
   return found == this->members.end() ? nullptr : found->second.client.get();
 }
 
+InstanceName
+BackendPool::ServerOf(const InstanceName& aInstance) const
+{
+  const auto found = this->members.find(aInstance);
+  return found == this->members.end() ? InstanceName()
+                                      : found->second.instance.server;
+}
+
 BackendPool::Occupancy
 BackendPool::OccupancyOf(const ServiceName& aService) const
 {
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -50,6 +50,8 @@
                     TimePoint aNow);
   /// The client of an instance that Candidates() named.
   BackendClient* ClientOf(const InstanceName& aInstance);
+  /// What the server calls itself; empty for one that is gone.
+  InstanceName ServerOf(const InstanceName& aInstance) const;
   /// Slots of the service's live servers, and requests under way on them.
   struct Occupancy
   {
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -1,12 +1,79 @@
 #include "DirectoryKeeper.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
 #include "PeerDocuments.h"
 
 namespace dogwoodvale {
 
+namespace {
+
+using Instances = std::map<InstanceName, DirectInstance>;
+
+/// When the latest incarnation of each server that was read began.
+/// \param aKnown the same until now.
+IncarnationStarts
+LatestStarts(const IncarnationStarts& aKnown,
+             std::span<const DirectInstance> aRead)
+{
+  IncarnationStarts latest;
+  for (const DirectInstance& instance : aRead) {
+    const auto known = aKnown.find(instance.server);
+    std::uint64_t& started = latest[instance.server];
+    started = std::max(
+      { started, instance.started, known == aKnown.end() ? 0 : known->second });
+  }
+  return latest;
+}
+
+/// The latest incarnation of each server that was read. A list that is read
+/// late, or told by another gateway, may still have the one before: sending to
+/// it would undo what is known of its successor.
+Instances
+LatestIncarnations(const IncarnationStarts& aLatest,
+                   std::vector<DirectInstance> aRead)
+{
+  Instances found;
+  for (DirectInstance& instance : aRead) {
+    const std::uint64_t started = aLatest.at(instance.server);
+    // A gateway of an older version doesn't tell the start; it is the one that
+    // is known here.
+    if (instance.started == 0) {
+      instance.started = started;
+      instance.name = IncarnationName(instance.server.Value(), started);
+    }
+    if (instance.started == started) {
+      found[instance.name] = std::move(instance);
+    }
+  }
+  return found;
+}
+
+/// Adds what \p aKnown has of servers that \p aMerged lacks.
+/// \param aIsGone entries that are not kept.
+void
+KeepMissing(Instances& aMerged,
+            const Instances& aKnown,
+            const std::function<bool(const DirectInstance&)>& aIsGone)
+{
+  absl::flat_hash_set<InstanceName> present;
+  for (const auto& [name, instance] : aMerged) {
+    present.insert(instance.server);
+  }
+  for (const auto& [name, instance] : aKnown) {
+    if (!present.contains(instance.server) && !aIsGone(instance)) {
+      aMerged.try_emplace(name, instance);
+    }
+  }
+}
+
+} // namespace
+
 DirectoryKeeper::DirectoryKeeper(EventLoop& aLoop,
                                  StoreClient& aStore,
                                  const DirectoryFormat& aFormat,
@@ -220,41 +287,64 @@
     return;
   }
   std::vector<DirectInstance> read;
+  std::map<std::string, std::string> rejectedNow;
   for (const KeyValue& value : aResult->values) {
     auto parsed = this->format.ParseInstance(value.key, value.value);
     if (parsed.ok()) {
       read.push_back(*std::move(parsed));
-    } else {
-      Log(LogLevel::Warning,
-          "instance_rejected",
-          "key",
-          value.key,
-          "reason",
-          MessageOf(parsed.status()));
+      continue;
     }
+    this->NoteRejected(value, parsed.status());
+    rejectedNow.emplace(value.key, value.value);
   }
+  this->rejected = std::move(rejectedNow);
   this->instancesReadAt = now;
   this->MergeInstances(std::move(read), now);
 }
 
+void
+DirectoryKeeper::NoteRejected(const KeyValue& aValue,
+                              const absl::Status& aReason)
+{
+  // The list is read more than once a second; one line for each change is
+  // enough.
+  const auto known = this->rejected.find(aValue.key);
+  if (known != this->rejected.end() && known->second == aValue.value) {
+    return;
+  }
+  Log(LogLevel::Warning,
+      "instance_rejected",
+      "key",
+      aValue.key,
+      "reason",
+      MessageOf(aReason));
+}
+
+bool
+DirectoryKeeper::IsRejected(const DirectInstance& aInstance) const
+{
+  return this->rejected.contains(this->format.InstancesPrefix() +
+                                 aInstance.server.Value());
+}
+
 void
 DirectoryKeeper::MergeInstances(std::vector<DirectInstance> aRead,
                                 TimePoint aNow)
 {
-  std::map<InstanceName, DirectInstance> merged;
-  for (DirectInstance& instance : aRead) {
-    merged[instance.name] = std::move(instance);
-  }
+  this->starts = LatestStarts(this->starts, aRead);
+  Instances merged = LatestIncarnations(this->starts, std::move(aRead));
   // Entries may lapse while the store is away though their servers live. They
   // are back soon after its return; until then what is missing is kept.
   if (aNow < this->keepMissingUntil) {
-    for (const auto& [name, instance] : this->instances) {
-      merged.try_emplace(name, instance);
-    }
+    // One that is there but can't be read has not lapsed: it names no server.
+    KeepMissing(merged, this->instances, [this](const DirectInstance& aOne) {
+      return this->IsRejected(aOne);
+    });
   }
   for (const auto& [name, instance] : this->instances) {
     const auto found = merged.find(name);
     if (found != merged.end()) {
+      this->starts[instance.server] = instance.started;
       found->second.leaving = found->second.leaving || instance.leaving;
     }
   }
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -19,6 +19,9 @@
   bool operator==(const GatewayMember&) const = default;
 };
 
+/// When the latest known incarnation of each server began.
+using IncarnationStarts = std::map<InstanceName, std::uint64_t>;
+
 /// Is told what the keeper has learned.
 class DirectoryObserver
 {
@@ -78,6 +81,8 @@
   std::string InstancesDocument(TimePoint aNow) const;
   /// Since the store last answered a read of the instances.
   Duration InstancesAge(TimePoint aNow) const;
+  /// Entries of backend servers that could not be read, at the last read.
+  std::size_t RejectedCount() const { return this->rejected.size(); }
   bool HasInstances() const { return this->instancesReadAt != TimePoint{}; }
   /// Since the store last gave a sign of life about the routes.
   Duration RoutesAge(TimePoint aNow) const;
@@ -101,6 +106,8 @@
 private:
   void ReadInstances();
   void OnInstancesRead(const absl::StatusOr<RangeResult>& aResult);
+  void NoteRejected(const KeyValue& aValue, const absl::Status& aReason);
+  bool IsRejected(const DirectInstance& aInstance) const;
   void MergeInstances(std::vector<DirectInstance> aRead, TimePoint aNow);
   void TendMembership();
   void Join();
@@ -125,6 +132,9 @@
   std::shared_ptr<const RouteTable> routes;
   std::string routesDocument;
   std::map<InstanceName, DirectInstance> instances;
+  IncarnationStarts starts;
+  /// Entries of the last read that name no server to use, with their values.
+  std::map<std::string, std::string> rejected;
   std::vector<GatewayMember> gateways;
   LeaseId lease = 0;
   TimePoint routesHeardAt{};
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -162,7 +162,7 @@
     plan.freshness = kFreshForOnce;
   }
   BackendOrder order;
-  order.instance = aCandidate.name;
+  order.server = this->host.Backends().ServerOf(aCandidate.name);
   order.customer = this->admitted.customer;
   order.timeLeft = this->TimeLeft(now);
   order.rank = this->admitted.rank;
--- a/dogwoodvale/src/Gateway/PeerDocuments.cpp
+++ b/dogwoodvale/src/Gateway/PeerDocuments.cpp
@@ -10,7 +10,8 @@
 InstanceToJson(const DirectInstance& aInstance)
 {
   Json::Value value;
-  value["name"] = aInstance.name.Value();
+  value["name"] = aInstance.server.Value();
+  value["started_ms"] = Json::UInt64(aInstance.started);
   value["service"] = aInstance.service.Value();
   value["address"] = aInstance.address.ToString();
   value["data_centre"] = aInstance.dataCentre.Value();
@@ -24,12 +25,14 @@
 {
   JsonFields fields(aValue);
   DirectInstance instance;
-  instance.name = InstanceName(fields.Text("name"));
+  instance.server = InstanceName(fields.Text("name"));
   instance.service = ServiceName(fields.Text("service"));
   const std::string address = fields.Text("address");
   instance.dataCentre = DataCentreName(fields.Text("data_centre"));
   instance.slots = fields.Count("slots");
   instance.leaving = fields.Flag("leaving");
+  // Gateways of an older version don't tell it.
+  instance.started = fields.Whole("started_ms");
   if (!fields.Status().ok()) {
     return fields.Status();
   }
@@ -38,6 +41,7 @@
     return parsed.status();
   }
   instance.address = *std::move(parsed);
+  instance.name = IncarnationName(instance.server.Value(), instance.started);
   return instance;
 }
 
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -14,11 +14,26 @@
 
 namespace dogwoodvale {
 
+/// Names one incarnation of a backend server that may start again under the
+/// name that it had.
+///
+/// All that is known of a server is kept under this name: a restarted one has
+/// an empty cache, nothing under way, and says nothing of leaving. Under the
+/// server's own name, one that drained and came back would never be used again,
+/// and prompts would be sent to a cache that is gone.
+/// \param aStarted 0 where the server doesn't say; the name is its own then.
+InstanceName
+IncarnationName(std::string_view aServer, std::uint64_t aStarted);
+
 /// A backend server that is spoken to directly.
 struct DirectInstance
 {
-  /// Names one lifetime of it; a restart has another.
+  /// One incarnation of it, see IncarnationName().
   InstanceName name;
+  /// What it calls itself, before and after a restart.
+  InstanceName server;
+  /// Millisecond of its start by its own clock; 0 if it does not say.
+  std::uint64_t started = 0;
   ServiceName service;
   SocketAddress address;
   DataCentreName dataCentre;
@@ -41,6 +56,8 @@
   virtual std::string InstancesPrefix() const = 0;
   virtual absl::StatusOr<std::shared_ptr<const RouteTable>> ParseRoutes(
     std::string_view aValue) const = 0;
+  /// \return an error for an entry that names no server to use, e.g. one that
+  /// something else has written there.
   virtual absl::StatusOr<DirectInstance> ParseInstance(
     std::string_view aKey,
     std::string_view aValue) const = 0;
@@ -73,7 +90,8 @@
 /// What a backend server is told beside the caller's request.
 struct BackendOrder
 {
-  InstanceName instance;
+  /// What the server calls itself, see DirectInstance::server.
+  InstanceName server;
   /// Empty when the request needs no key.
   CustomerName customer;
   Duration timeLeft{ 0 };
--- a/dogwoodvale/src/Settings/JsonFields.cpp
+++ b/dogwoodvale/src/Settings/JsonFields.cpp
@@ -50,6 +50,20 @@
   return static_cast<std::uint32_t>(value);
 }
 
+std::uint64_t
+JsonFields::Whole(const char* aName)
+{
+  const Json::Value& value = this->Find(aName);
+  if (value.isNull()) {
+    return 0;
+  }
+  if (!value.isUInt64()) {
+    this->Fail(aName, "whole number");
+    return 0;
+  }
+  return value.asUInt64();
+}
+
 std::string
 JsonFields::Text(const char* aName)
 {
--- a/dogwoodvale/src/Settings/JsonFields.h
+++ b/dogwoodvale/src/Settings/JsonFields.h
@@ -24,6 +24,8 @@
   std::int64_t Int(const char* aName);
   /// At most the largest 32-bit number; negative ones are an error.
   std::uint32_t Count(const char* aName);
+  /// A whole number of zero or more; 0 where there is no such field.
+  std::uint64_t Whole(const char* aName);
   std::string Text(const char* aName);
   /// False where there is no such field.
   bool Flag(const char* aName);
--- a/test/DirectoryKeeper.cpp
+++ b/test/DirectoryKeeper.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Routes as a version number, instances as "service address state".
+/// Routes as a version number, instances as "STATE" or "STATE@START".
 class PlainFormat final : public DirectoryFormat
 {
 public:
@@ -26,10 +26,19 @@
     std::string_view aValue) const override
   {
     DirectInstance instance;
-    instance.name = InstanceName(aKey.substr(10));
+    const std::string value(aValue);
+    if (value == "unreadable") {
+      return absl::DataLossError("not an entry");
+    }
+    instance.server = InstanceName(aKey.substr(10));
+    const std::size_t at = value.find('@');
+    if (at != std::string::npos) {
+      instance.started = std::strtoull(value.c_str() + at + 1, nullptr, 10);
+    }
+    instance.name = IncarnationName(instance.server.Value(), instance.started);
     instance.service = ServiceName("s");
     instance.address = { "127.0.0.1", 80 };
-    instance.leaving = aValue == "leaving";
+    instance.leaving = value.starts_with("leaving");
     return instance;
   }
 };
@@ -127,6 +136,72 @@
   CHECK_FALSE(setup.observer.Has("e1"));
 }
 
+// A server drains, ends and starts again under its name. Callers wait behind
+// the servers that are left, since its entry is read as the one that said it
+// leaves.
+TEST_CASE("a server that starts again under its name is used again",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.Write("instances/e1", "leaving@100");
+  REQUIRE(setup.Until([&] { return !setup.observer.Has("e1"); }));
+  setup.store.Write("instances/e1", "ready@200");
+  REQUIRE(setup.Until([&] { return setup.observer.Has("e1@200"); }));
+  CHECK_FALSE(setup.observer.Has("e1@100"));
+  CHECK(setup.observer.instances.size() == 2);
+}
+
+// Another gateway's list still has the server before its restart: requests
+// would be placed by a cache that is gone, then by the new one, in turn.
+TEST_CASE("an earlier incarnation that is told late replaces none",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.Write("instances/e1", "ready@200");
+  REQUIRE(setup.Until([&] { return setup.observer.Has("e1@200"); }));
+  SECTION("in the store's own list")
+  {
+    setup.store.Write("instances/e1", "ready@100");
+    setup.Pass(milliseconds(200));
+    CHECK_FALSE(setup.observer.Has("e1@100"));
+  }
+  SECTION("by a gateway that doesn't tell the start")
+  {
+    setup.store.mode = FakeStore::Mode::Down;
+    setup.Pass(milliseconds(100));
+    setup.keeper.TakeInstances(
+      R"({"age_ms":1,"instances":[{"name":"e1","service":"s",)"
+      R"("address":"127.0.0.1:80","data_centre":"z","slots":1,)"
+      R"("leaving":false}]})",
+      "g2");
+    CHECK(setup.observer.Has("e1@200"));
+    CHECK(setup.observer.instances.size() == 1);
+  }
+}
+
+// Something else writes where a server had its entry, while the store comes and
+// goes. Requests would go on to an address that nobody vouches for.
+TEST_CASE("an entry that becomes unreadable names no server from then on",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.Write("instances/e1", "unreadable");
+  REQUIRE(setup.Until([&] { return !setup.observer.Has("e1"); }));
+  CHECK(setup.observer.Has("e2"));
+  CHECK(setup.keeper.RejectedCount() == 1);
+  setup.store.Write("instances/e1", "ready");
+  REQUIRE(setup.Until([&] { return setup.observer.Has("e1"); }));
+  CHECK(setup.keeper.RejectedCount() == 0);
+  setup.store.mode = FakeStore::Mode::Down;
+  setup.Pass(milliseconds(200));
+  setup.store.Write("instances/e1", "unreadable");
+  setup.store.mode = FakeStore::Mode::Up;
+  // Well before the entries that lapsed in the outage are given up.
+  CHECK(
+    setup.Until([&] { return !setup.observer.Has("e1"); }, milliseconds(1000)));
+  CHECK(setup.observer.Has("e2"));
+}
+
 // Half of the servers get no more work after an outage of the store: their
 // entries lapsed while it was down, and they are back only a second later.
 TEST_CASE("entries that lapse while the store is down are kept for a while",
--- a/test/PlatformAdapter.cpp
+++ b/test/PlatformAdapter.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include "platform/Adapters.h"
 #include "standins/MetadataStore.h"
@@ -210,7 +211,7 @@
   HttpRequest request;
   request.headers = { { "Last-Event-Id", "3" }, { "X-Other", "kept" } };
   BackendOrder order;
-  order.instance = InstanceName("e1");
+  order.server = InstanceName("e1");
   order.timeLeft = milliseconds(900);
   order.rank = 12;
   const HttpRequest first = dialect->Compose(request, order);
@@ -298,3 +299,124 @@
   CHECK(instance->name == InstanceName("i-1"));
   CHECK(instance->leaving);
 }
+
+namespace {
+
+constexpr std::string_view kGoodEntry =
+  R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+  R"("slots":48,"state":"ready","coldRemainingMs":0,"sequence":4,)"
+  R"("born":1790000000000})";
+
+std::string
+Replaced(std::string_view aFrom, std::string_view aTo)
+{
+  std::string text(kGoodEntry);
+  text.replace(text.find(aFrom), aFrom.size(), aTo);
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("an incarnation of a server is told by its start", "[directory]")
+{
+  const auto format = platform::CreateDirectoryFormat();
+  const auto read = format->ParseInstance("servers/i-1", kGoodEntry);
+  REQUIRE(read.ok());
+  CHECK(read->server == InstanceName("i-1"));
+  CHECK(read->started == 1'790'000'000'000U);
+  CHECK(read->name == InstanceName("i-1@1790000000000"));
+}
+
+TEST_CASE("an entry that a server would not write names none", "[directory]")
+{
+  const auto format = platform::CreateDirectoryFormat();
+  const auto change = GENERATE(table<const char*, const char*>({
+    { R"("service":"a")", R"("service":7)" },
+    { R"("service":"a")", R"("service":"")" },
+    { R"("service":"a",)", "" },
+    { R"("10.0.0.1:80")", R"("somewhere:80")" },
+    { R"("10.0.0.1:80")", "null" },
+    { R"("zone":"z",)", "" },
+    { R"("slots":48)", R"("slots":-1)" },
+    { R"("slots":48)", R"("slots":4.5)" },
+    { R"("slots":48)", R"("slots":1e300)" },
+    { R"("slots":48)", R"("slots":"NaN")" },
+    { R"("slots":48)", R"("slots":NaN)" },
+    { R"("state":"ready")", R"("state":"asleep")" },
+    { R"("state":"ready")", R"("state":true)" },
+    { R"("sequence":4)", R"("sequence":"four")" },
+    { R"("sequence":4)", R"("sequence":-4)" },
+    { "1790000000000", "1790000000000.5" },
+    { "1790000000000", "-1" },
+    { "1790000000000", R"("1790000000000")" },
+    { "{", "" },
+    { "}", "}}" },
+    { R"("a")", "\"\xff\xfe\"" },
+  }));
+  INFO(std::get<0>(change) << " -> " << std::get<1>(change));
+  CHECK_FALSE(
+    format
+      ->ParseInstance("servers/i-1",
+                      Replaced(std::get<0>(change), std::get<1>(change)))
+      .ok());
+}
+
+TEST_CASE("entries that are no object name no server", "[directory]")
+{
+  const auto format = platform::CreateDirectoryFormat();
+  for (const std::string& text : { std::string(),
+                                   std::string("[]"),
+                                   std::string("null"),
+                                   std::string(5000, '['),
+                                   std::string("\0\0", 2) }) {
+    CHECK_FALSE(format->ParseInstance("servers/i-1", text).ok());
+  }
+  CHECK_FALSE(format->ParseInstance("servers/", kGoodEntry).ok());
+}
+
+// Bytes of an entry are changed at random. Whatever comes out is refused or
+// names a server that can be used; the process never ends by it.
+TEST_CASE("mutated entries and configurations are refused or whole",
+          "[directory][property]")
+{
+  const auto format = platform::CreateDirectoryFormat();
+  const std::string routes =
+    R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+    R"("kind":"streaming","timeoutMs":10.5,"maxAttempts":2,)"
+    R"("service":"a"}],"services":[{"name":"a","maxConnections":4}],)"
+    R"("tenants":[{"name":"t","apiKeys":["k"]}]})";
+  const auto mutated = [](std::string aText) {
+    const int changes = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < changes && !aText.empty(); ++i) {
+      const std::size_t at = *rc::gen::inRange<std::size_t>(0, aText.size());
+      switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+          aText[at] = *rc::gen::arbitrary<char>();
+          break;
+        case 1:
+          aText.erase(at, *rc::gen::inRange<std::size_t>(1, 20));
+          break;
+        default:
+          aText.insert(at,
+                       *rc::gen::elementOf(std::vector<std::string>{
+                         "[", "{", "null", "-1", "1e999", "\"", "," }));
+      }
+    }
+    return aText;
+  };
+  REQUIRE(rc::check([&] {
+    const auto read =
+      format->ParseInstance("servers/i-1", mutated(std::string(kGoodEntry)));
+    if (read.ok()) {
+      RC_ASSERT(!read->service.IsEmpty());
+      RC_ASSERT(SocketAddress::Parse(read->address.ToString()).ok());
+      RC_ASSERT(read->server == InstanceName("i-1"));
+    }
+  }));
+  REQUIRE(rc::check([&] {
+    const auto read = format->ParseRoutes(mutated(routes));
+    if (read.ok()) {
+      RC_ASSERT((*read)->RouteCount() <= 1U);
+    }
+  }));
+}
