Crash the stand-in engine while it writes, not at a moment of the clock's

Cause: system_engine_crash crashed each engine after a fixed sleep and then asked for answers cut in the middle. Beside load the first calls came so late that an engine was writing none, and the check of the test's own premise failed while all promises were kept.

Change: the stand-in's fault crash_while_writing makes an engine crash when it has just sent the Nth token of a stream that goes on, and the test waits for the engine's own record of it; the checks are as they were. sidecar_freeze, sidecar_kill, planned_stop and idempotency_key wait for the state that they need instead of sleeping.

--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -158,6 +158,9 @@
   if (aFault["crash_after_tokens"].isUInt64()) {
     this->faults.crashAfterTokens = aFault["crash_after_tokens"].asUInt64();
   }
+  if (aFault["crash_while_writing"].isUInt64()) {
+    this->faults.crashWhileWriting = aFault["crash_while_writing"].asUInt64();
+  }
   if (Flag(aFault, "crash")) {
     this->Crash(aSpared);
   }
@@ -361,6 +364,9 @@
   }
   if (aToken.last) {
     this->FinishAnswer(aToken.key);
+  } else if (answer.streams && answer.made == this->faults.crashWhileWriting) {
+    this->faults.crashWhileWriting.reset();
+    this->Crash(nullptr);
   }
 }
 
--- a/standins/Engine.h
+++ b/standins/Engine.h
@@ -96,6 +96,8 @@
     bool stall = false;
     bool refuse = false;
     std::optional<std::size_t> crashAfterTokens;
+    /// Crashes when a stream with more to come has had this many tokens.
+    std::optional<std::size_t> crashWhileWriting;
   };
   struct LoadReport
   {
--- a/test/system/engine_crash.sh
+++ b/test/system/engine_crash.sh
@@ -15,10 +15,17 @@
 
 write_plan "$SITE/plan.json" "$(stream_class teller 0 15 60)" "$(stream_class desk 1 5 150)"
 start_load "$SITE/plan.json" 7
-sleep 2
-fault "$(backend_of sidecar-cheque-reading-01)" '{"crash":true}'
-sleep 2
-fault "$(backend_of sidecar-cheque-reading-02)" '{"crash":true}'
+# Each engine crashes when it has just sent the 5th token of a stream that has
+# more to come: at a moment of the clock's it may be writing nothing.
+crash_while_writing() {
+  local engine
+  engine=$(backend_of "$1")
+  fault "$engine" '{"crash_while_writing":5}'
+  wait_until 10 has_crashed "$engine"
+}
+has_crashed() { curl -s -m 3 "http://$1/standin/record" | grep -q '"crashed"'; }
+expect "the first engine crashes" crash_while_writing sidecar-cheque-reading-01
+expect "the second engine crashes" crash_while_writing sidecar-cheque-reading-02
 expect "the load ends" wait_load
 
 echo "outcomes: $(outcomes)"
--- a/test/system/idempotency_key.sh
+++ b/test/system/idempotency_key.sh
@@ -43,8 +43,8 @@
 expect "and did not run" test "$(executions dark)" = 0
 expect "an unkeyed post goes on" contains "$(post 0 plain)" ' 200'
 fault '{"clear": true}'
-sleep 1.5
-expect "with the store back the refused post may be repeated" contains "$(post 0 dark k3)" ' 200'
+accepted() { contains "$(post 0 dark k3)" ' 200'; }
+expect "with the store back the refused post may be repeated" wait_until 10 accepted
 expect "and ran once" test "$(executions dark)" = 1
 
 expect "all processes stop as planned" site_stop "$SITE"
--- a/test/system/lib.sh
+++ b/test/system/lib.sh
@@ -30,6 +30,16 @@
   if "$@"; then echo "ok: $what"; else fail "$what"; fi
 }
 
+# wait_until SECONDS COMMAND...: until the command succeeds.
+wait_until() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@"; do
+    [ "$SECONDS" -lt "$end" ] || return 1
+    sleep 0.1
+  done
+}
+
 # contains TEXT PART
 contains() { case $1 in *"$2"*) return 0 ;; *) echo "  in: ${1:0:400}"; return 1 ;; esac; }
 
@@ -139,6 +149,13 @@
 # fault ADDRESS JSON: sets a stand-in's faults.
 fault() { curl -s -m 3 -o /dev/null -d "$2" "http://$1/standin/fault"; }
 
+# has_executed ADDRESS COUNT: the stand-in has been given so many requests.
+has_executed() {
+  curl -s -m 3 "http://$1/standin/record" | python3 -c '
+import json, sys
+sys.exit(len(json.load(sys.stdin)["executions"]) < int(sys.argv[1]))' "$2"
+}
+
 # edit_settings PATTERN PYTHON: runs the statement over each matching daemon's
 # settings `s`; before site_start.
 edit_settings() {
--- a/test/system/sidecar_freeze.sh
+++ b/test/system/sidecar_freeze.sh
@@ -19,10 +19,14 @@
 
 plain=$(site_pid "$SITE" sidecar-teller-application-01)
 engine=$(site_pid "$SITE" sidecar-cheque-reading-01)
+all_at_work() {
+  has_executed "$(backend_of sidecar-teller-application-01)" 20 &&
+    has_executed "$(backend_of sidecar-cheque-reading-01)" 5
+}
 write_plan "$SITE/plan.json" "$(stream_class teller 0 15 50)" \
   "$(posting_class 50 ', "retry": { "max": 3 }')"
 start_load "$SITE/plan.json" 10
-sleep 2
+expect "both servers are at work" wait_until 10 all_at_work
 frozen=$(now_ms)
 kill -STOP "$plain" "$engine"
 sleep 5
--- a/test/system/sidecar_kill.sh
+++ b/test/system/sidecar_kill.sh
@@ -27,7 +27,7 @@
 write_plan "$SITE/plan.json" "$(stream_class teller 0 15 50)" \
   "$(posting_class 45 ', "keyed": 0.5, "retry": { "max": 3 }')"
 start_load "$SITE/plan.json" 8
-sleep 1.5
+expect "the service is at work" wait_until 10 has_executed "$(backend_of "$plain")" 20
 # Slow, so that there are surely postings under way when its sidecar dies.
 fault "$(backend_of "$plain")" '{"slow":10}'
 sleep 0.5
