Play late digests and pauses on the model; test the parts of a placement

PlacementUnderLoad plays twelve gateways that hear of each other every 150 ms, and counts an answer as late when a pause between its events passes its bound.

The test waits until the moved answers have ended.

--- a/test/PlacementUnderLoad.cpp
+++ b/test/PlacementUnderLoad.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::uint32_t kEngines = 12;
-constexpr std::uint32_t kSlots = 48;
+/// As often as a gateway tends its servers.
+constexpr Duration kTendPeriod = milliseconds(200);
 constexpr Duration kShortTarget = milliseconds(250);
 constexpr Duration kLongTarget = milliseconds(600);
 
@@ -27,8 +27,50 @@
   /// How many shared parts there are; each request has one of them.
   std::uint32_t subjects = 1;
   Duration target{ 0 };
+  /// Longest pause between events with which an answer is on time.
+  Duration pause = seconds(60);
+  std::uint32_t rank = 0;
 };
 
+/// The engines of a play.
+struct Fleet
+{
+  std::uint32_t engines = 12;
+  EngineModel::Options engine;
+  /// An event of a stream holds so many tokens.
+  std::uint32_t tokensPerEvent = 3;
+  std::uint32_t gateways = 1;
+  /// From one digest of a gateway's work to the next.
+  Duration digestPeriod = milliseconds(150);
+};
+
+Fleet
+FewSlowEngines()
+{
+  Fleet fleet;
+  fleet.engine.slots = 48;
+  fleet.engine.base = Duration(6350);
+  fleet.engine.perSequence = Duration(45);
+  fleet.engine.perPrefillToken = Duration(23);
+  return fleet;
+}
+
+/// Engines that read 110 tokens in a millisecond, in large pieces.
+Fleet
+FastReaders()
+{
+  Fleet fleet;
+  fleet.engines = 18;
+  fleet.engine.slots = 96;
+  fleet.engine.base = Duration(3550);
+  fleet.engine.perSequence = Duration(46);
+  fleet.engine.perPrefillToken = Duration(9);
+  fleet.engine.prefillChunk = 4096;
+  fleet.tokensPerEvent = 5;
+  fleet.gateways = 12;
+  return fleet;
+}
+
 /// What the callers of one kind got.
 struct Tally
 {
@@ -40,31 +82,40 @@
 
 /// Plays a load against modelled engines, placed as a gateway places it.
 ///
-/// Engines keep every shared part that they have read. Time is simulated; one
-/// gateway knows its own work at once.
+/// Engines keep every shared part that they have read. Time is simulated; a
+/// gateway knows its own work at once and that of others by their digests.
 class LoadPlay
 {
 public:
-  LoadPlay(std::vector<Kind> aKinds, std::uint64_t aSeed)
-    : kinds(std::move(aKinds))
+  LoadPlay(Fleet aFleet,
+           GatewayDecisions aDecisions,
+           std::vector<Kind> aKinds,
+           std::uint64_t aSeed)
+    : fleet(std::move(aFleet))
+    , kinds(std::move(aKinds))
     , random(aSeed)
   {
-    EngineModel::Options options;
-    options.slots = kSlots;
-    options.base = Duration(6350);
-    options.perSequence = Duration(45);
-    options.perPrefillToken = Duration(23);
+    this->service.slots = this->fleet.engine.slots;
     std::vector<DirectInstance> instances;
-    for (std::uint32_t i = 0; i < kEngines; ++i) {
+    for (std::uint32_t i = 0; i < this->fleet.engines; ++i) {
       DirectInstance instance;
       instance.name = InstanceName(fmt::format("e{:02}", i));
       instance.service = this->service.name;
       instance.address = { "127.0.0.1", static_cast<std::uint16_t>(1000 + i) };
-      instance.slots = kSlots;
+      instance.slots = this->fleet.engine.slots;
       instances.push_back(instance);
-      this->engines.push_back({ instance.name, EngineModel(options), {}, {} });
+      this->engines.push_back(
+        { instance.name, EngineModel(this->fleet.engine), {}, {} });
+    }
+    for (std::uint32_t i = 0; i < this->fleet.gateways; ++i) {
+      const BackendPool::Options options{ .decisions = aDecisions };
+      Gateway& gateway = this->gateways.emplace_back();
+      gateway.name = InstanceName(fmt::format("g{:02}", i));
+      gateway.pool = std::make_unique<BackendPool>(*this->loop, options);
+      gateway.pool->SetInstances(instances);
+      gateway.pool->SetGateways(
+        this->fleet.gateways, this->fleet.gateways, 1, 0);
     }
-    this->pool.SetInstances(instances);
   }
 
   /// Requests of this kind come so often from now on.
@@ -87,6 +138,7 @@
       const auto kind =
         static_cast<std::size_t>(std::ranges::min_element(next) - next.begin());
       this->StepEnginesUntil(next[kind]);
+      this->TendGateways();
       this->now = next[kind];
       this->Arrive(kind);
       next[kind] += this->Pause(this->kinds[kind]);
@@ -95,14 +147,32 @@
   }
 
 private:
+  struct Sent
+  {
+    InstanceName engine;
+    std::vector<PromptStep> steps;
+    std::uint32_t longTokens = 0;
+  };
+  struct Gateway
+  {
+    InstanceName name;
+    std::unique_ptr<BackendPool> pool;
+    /// Not told to the others yet.
+    std::vector<Sent> sent;
+  };
   struct Running
   {
+    BackendPool* pool = nullptr;
     std::size_t kind = 0;
     TimePoint arrived{};
     BackendWork work;
     std::uint64_t ahead = 0;
     std::uint64_t prefill = 0;
     bool hasFirst = false;
+    std::uint32_t tokens = 0;
+    TimePoint lastEvent{};
+    Duration longestPause{ 0 };
+    bool isOnTime = false;
   };
   struct Engine
   {
@@ -119,6 +189,40 @@
     return Duration(static_cast<Duration::rep>(draw(this->random)));
   }
 
+  void TendGateways()
+  {
+    if (this->now >= this->tendAt) {
+      for (const Gateway& gateway : this->gateways) {
+        gateway.pool->Tend(this->now);
+      }
+      this->tendAt = this->now + kTendPeriod;
+    }
+    if (this->now >= this->digestAt) {
+      for (Gateway& gateway : this->gateways) {
+        this->Tell(gateway);
+      }
+      this->digestAt = this->now + this->fleet.digestPeriod;
+    }
+  }
+
+  void Tell(Gateway& aTeller)
+  {
+    const std::vector<WorkLine> lines = aTeller.pool->Work().OwnLines();
+    for (const Gateway& other : this->gateways) {
+      if (&other == &aTeller) {
+        continue;
+      }
+      other.pool->Work().SetPeer(aTeller.name, lines, this->now);
+      for (const Sent& sent : aTeller.sent) {
+        for (const PromptStep& step : sent.steps) {
+          other.pool->Prefixes().OnRouted(step.hash, sent.engine, this->now);
+        }
+        other.pool->OnLongPrompt(sent.engine, sent.longTokens, this->now);
+      }
+    }
+    aTeller.sent.clear();
+  }
+
   void Arrive(std::size_t aKind)
   {
     const Kind& kind = this->kinds[aKind];
@@ -126,50 +230,71 @@
     const std::vector<PromptPart> parts = {
       { aKind * 100'000 + subject(this->random), kind.sharedTokens }
     };
-    PrefillFlow& flow = this->pool.FlowOf(this->service.name);
-    DirectDemand demand;
-    demand.promptTokens = kind.sharedTokens + kind.ownTokens;
-    demand.steps = StepsOf(parts);
-    flow.OnRequest(demand.promptTokens);
-    demand.isLong = flow.IsLong(demand.promptTokens);
-    demand.tokensPerTurn =
-      flow.TokensPerTurn(kSlots).value_or(DirectDemand::kGuessedTokensPerTurn);
+    std::uniform_int_distribution<std::size_t> draw(0,
+                                                    this->gateways.size() - 1);
+    Gateway& gateway = this->gateways[draw(this->random)];
+    const DirectDemand demand = this->DemandOf(*gateway.pool, kind, parts);
     ++this->tallies[aKind].asked;
     const auto candidates =
-      this->pool.Candidates(this->service, demand, {}, this->now);
+      gateway.pool->Candidates(this->service, demand, {}, this->now);
     const auto chosen = this->chooser->Choose(candidates, demand, this->random);
     REQUIRE(chosen.has_value());
-    this->Send(aKind, demand, candidates[*chosen]);
+    this->Send(aKind, gateway, demand, candidates[*chosen]);
+  }
+
+  /// As Admission makes it.
+  DirectDemand DemandOf(BackendPool& aPool,
+                        const Kind& aKind,
+                        std::span<const PromptPart> aParts)
+  {
+    PrefillFlow& flow = aPool.FlowOf(this->service.name);
+    PauseProfile& pauses = aPool.PausesOf(this->service.name);
+    const bool isReserving = aPool.Decisions().reservedServers;
+    DirectDemand demand;
+    demand.promptTokens = aKind.sharedTokens + aKind.ownTokens;
+    demand.steps = StepsOf(aParts);
+    demand.rank = aKind.rank;
+    flow.OnRequest(demand.promptTokens);
+    pauses.OnRequest(aKind.pause);
+    demand.isInteractive = isReserving && pauses.IsInteractive(aKind.pause);
+    demand.isLong = isReserving && pauses.HasInteractive()
+                      ? !demand.isInteractive
+                      : flow.IsLong(demand.promptTokens);
+    demand.tokensPerTarget = flow.TokensIn(aKind.target);
+    demand.tokensPerTurn = flow.TokensPerTurn(this->service.slots)
+                             .value_or(DirectDemand::kGuessedTokensPerTurn);
+    return demand;
   }
 
   void Send(std::size_t aKind,
+            Gateway& aGateway,
             const DirectDemand& aDemand,
             const DirectCandidate& aTo)
   {
     Engine& engine = *std::ranges::find(this->engines, aTo.name, &Engine::name);
     const bool isHeld = !engine.held.insert(aDemand.steps[0].hash).second;
     Running running;
+    running.pool = aGateway.pool.get();
     running.kind = aKind;
     running.arrived = this->now;
     running.ahead = aTo.work.PrefillUpTo(aDemand.rank);
     running.work.requests = 1;
+    running.work.interactive = aDemand.isInteractive ? 1 : 0;
     running.work.PrefillAt(aDemand.rank) =
       aDemand.promptTokens - aTo.cachedTokens;
     running.prefill = running.work.Prefill();
-    this->pool.OnSent(aTo.name, running.work, aDemand.steps, this->now);
-    if (aDemand.isLong) {
-      this->pool.OnLongPrompt(
-        aTo.name,
-        static_cast<std::uint32_t>(running.work.Prefill()),
-        this->now);
-    }
+    const std::uint32_t longTokens =
+      aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
+    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps, this->now);
+    aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
+    aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
     const RequestId id{ 0, ++this->lastId };
     const Kind& kind = this->kinds[aKind];
     engine.model.Start(id,
                        kind.ownTokens + (isHeld ? 0 : kind.sharedTokens),
                        kind.answerTokens,
                        this->now,
-                       aDemand.isLong ? 1 : 0);
+                       static_cast<int>(aDemand.rank));
     this->requests[this->lastId] = running;
     if (!engine.stepEnds) {
       engine.stepEnds = engine.model.Step(this->now);
@@ -210,31 +335,62 @@
   {
     const std::uint64_t id = aSequence.id.sequence;
     Running& running = this->requests.at(id);
-    PrefillFlow& flow = this->pool.FlowOf(this->service.name);
+    PrefillFlow& flow = running.pool->FlowOf(this->service.name);
     if (!running.hasFirst) {
       running.hasFirst = true;
       const Duration latency = Between(running.arrived, this->now);
-      Tally& tally = this->tallies[running.kind];
-      const bool isCounted = running.arrived >= this->countedSince;
-      const bool isOnTime = latency <= this->kinds[running.kind].target;
-      tally.onTime += isCounted && isOnTime ? 1 : 0;
+      running.isOnTime = latency <= this->kinds[running.kind].target;
+      this->Count(running, running.isOnTime ? 1 : 0);
+      running.lastEvent = this->now;
       flow.OnFirstToken(aEngine.name, running.ahead + running.prefill, latency);
-      const BackendWork read{ 0, { running.prefill }, 0 };
-      this->pool.OnDone(aEngine.name, read);
+      BackendWork read;
+      read.prefillTokens = running.work.prefillTokens;
+      running.pool->OnDone(aEngine.name, read);
       running.work -= read;
     }
+    if (++running.tokens % this->fleet.tokensPerEvent == 0) {
+      this->OnEvent(running);
+    }
     if (aSequence.tokensLeft == 0) {
-      flow.OnStay(Between(running.arrived, this->now));
-      this->pool.OnDone(aEngine.name, running.work);
+      this->OnComplete(running);
+      running.pool->OnDone(aEngine.name, running.work);
       this->requests.erase(id);
     }
   }
 
+  void Count(const Running& aRunning, int aOnTime)
+  {
+    if (aRunning.arrived >= this->countedSince) {
+      this->tallies[aRunning.kind].onTime += aOnTime;
+    }
+  }
+
+  void OnEvent(Running& aRunning)
+  {
+    aRunning.longestPause =
+      std::max(aRunning.longestPause, Between(aRunning.lastEvent, this->now));
+    aRunning.lastEvent = this->now;
+    if (aRunning.isOnTime &&
+        aRunning.longestPause > this->kinds[aRunning.kind].pause) {
+      aRunning.isOnTime = false;
+      this->Count(aRunning, -1);
+    }
+  }
+
+  void OnComplete(const Running& aRunning)
+  {
+    aRunning.pool->FlowOf(this->service.name)
+      .OnStay(Between(aRunning.arrived, this->now));
+    aRunning.pool->PausesOf(this->service.name)
+      .OnStream(this->kinds[aRunning.kind].pause, aRunning.longestPause);
+  }
+
   std::unique_ptr<EventLoop> loop = *EventLoop::Create();
-  BackendPool pool{ *this->loop, BackendPool::Options{} };
+  Fleet fleet;
+  std::vector<Gateway> gateways;
   DirectService service{ .name = ServiceName("model"),
                          .maxConnections = 10'000,
-                         .slots = kSlots };
+                         .slots = 0 };
   std::unique_ptr<DirectChooser> chooser =
     DirectChooser::Create("expected_delay");
   std::vector<Kind> kinds;
@@ -245,6 +401,8 @@
   std::uint64_t lastId = 0;
   TimePoint countedSince{};
   TimePoint now = TimePoint() + std::chrono::hours(1);
+  TimePoint tendAt{};
+  TimePoint digestAt{};
 };
 
 } // namespace
@@ -257,7 +415,9 @@
           "[placement]")
 {
   const std::uint64_t seed = GENERATE(1U, 2U, 3U);
-  LoadPlay play({ Kind{ 18, 6300, 2890, 51, 300, kLongTarget },
+  LoadPlay play(FewSlowEngines(),
+                {},
+                { Kind{ 18, 6300, 2890, 51, 300, kLongTarget },
                   Kind{ 40, 200, 630, 291, 300, kShortTarget } },
                 seed);
   play.Run(seconds(15));
@@ -267,3 +427,34 @@
                << got[0].Share());
   CHECK(got[1].Share() > 0.7);
 }
+
+// Cues run beside digests of 17,000 tokens. An engine that reads one after the
+// other puts a piece of reading into each step, so a cue's events come 150 ms
+// and more apart and one cue in seven passes its bound of 200 ms somewhere,
+// though a tenth of the engines could generate all of them: on time 0.85 mixed,
+// 0.99 apart.
+TEST_CASE("short answers have no pauses beside long reading", "[placement]")
+{
+  const std::uint64_t seed = GENERATE(1U, 2U, 3U);
+  const auto playWith = [seed](bool aReserved) {
+    GatewayDecisions decisions;
+    decisions.reservedServers = aReserved;
+    Kind digest{
+      150, 13'300, 3720, 120, 400, seconds(1), milliseconds(800), 5
+    };
+    Kind cue{
+      60, 350, 1110, 170, 280, milliseconds(250), milliseconds(200), 0
+    };
+    LoadPlay play(FastReaders(), decisions, { digest, cue }, seed);
+    play.Run(seconds(6));
+    return play.Run(seconds(10));
+  };
+  const std::vector<Tally> mixed = playWith(false);
+  const std::vector<Tally> apart = playWith(true);
+  INFO("seed " << seed << ", on time beside long reading: cues "
+               << mixed[1].Share() << ", digests " << mixed[0].Share()
+               << "; apart: " << apart[1].Share() << ", " << apart[0].Share());
+  CHECK(mixed[1].Share() < 0.9);
+  CHECK(apart[1].Share() > 0.97);
+  CHECK(apart[0].Share() > mixed[0].Share() - 0.03);
+}
--- a/test/system/engine_crash.sh
+++ b/test/system/engine_crash.sh
@@ -25,6 +25,18 @@
 }
 has_crashed() { curl -s -m 3 "http://$1/standin/record" | grep -q '"crashed"'; }
 expect "the first engine crashes" crash_while_writing sidecar-cheque-reading-01
+# An answer that both crashes cut would be out of attempts, and rightly fail.
+moved_answers_ended() {
+  local engine
+  for engine in $(all_backends | tr , ' '); do
+    curl -s -m 3 "http://$engine/standin/record" | python3 -c '
+import json, sys
+sys.exit(any(e.get("resumed_tokens") and e["end"] == "running"
+             for e in json.load(sys.stdin)["executions"]))' || return 1
+  done
+}
+sleep 0.5 # the entries notice and send the answers on
+expect "the answers that were moved end" wait_until 10 moved_answers_ended
 expect "the second engine crashes" crash_while_writing sidecar-cheque-reading-02
 expect "the load ends" wait_load
 
