--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -370,6 +370,16 @@
   return found == this->members.end() ? nullptr : found->second.client.get();
 }
 
+std::size_t
+BackendPool::ReservedCount() const
+{
+  std::size_t sum = 0;
+  for (const auto& [service, servers] : this->reserved) {
+    sum += servers.Count();
+  }
+  return sum;
+}
+
 InstanceName
 BackendPool::ServerOf(const InstanceName& aInstance) const
 {
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -86,6 +86,8 @@
   PrefixIndex& Prefixes() { return this->prefixes; }
   bool HasAny() const { return !this->members.empty(); }
   std::size_t Count() const { return this->members.size(); }
+  /// Servers reserved for interactive requests, of all services.
+  std::size_t ReservedCount() const;
 
 private:
   struct Member
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -1,79 +1,12 @@
 #include "DirectoryKeeper.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
-
 #include "PeerDocuments.h"
 
 namespace dogwoodvale {
 
-namespace {
-
-using Instances = std::map<InstanceName, DirectInstance>;
-
-/// When the latest incarnation of each server that was read began.
-/// \param aKnown the same until now.
-IncarnationStarts
-LatestStarts(const IncarnationStarts& aKnown,
-             std::span<const DirectInstance> aRead)
-{
-  IncarnationStarts latest;
-  for (const DirectInstance& instance : aRead) {
-    const auto known = aKnown.find(instance.server);
-    std::uint64_t& started = latest[instance.server];
-    started = std::max(
-      { started, instance.started, known == aKnown.end() ? 0 : known->second });
-  }
-  return latest;
-}
-
-/// The latest incarnation of each server that was read. A list that is read
-/// late, or told by another gateway, may still have the one before: sending to
-/// it would undo what is known of its successor.
-Instances
-LatestIncarnations(const IncarnationStarts& aLatest,
-                   std::vector<DirectInstance> aRead)
-{
-  Instances found;
-  for (DirectInstance& instance : aRead) {
-    const std::uint64_t started = aLatest.at(instance.server);
-    // A gateway of an older version doesn't tell the start; it is the one that
-    // is known here.
-    if (instance.started == 0) {
-      instance.started = started;
-      instance.name = IncarnationName(instance.server.Value(), started);
-    }
-    if (instance.started == started) {
-      found[instance.name] = std::move(instance);
-    }
-  }
-  return found;
-}
-
-/// Adds what \p aKnown has of servers that \p aMerged lacks.
-/// \param aIsGone entries that are not kept.
-void
-KeepMissing(Instances& aMerged,
-            const Instances& aKnown,
-            const std::function<bool(const DirectInstance&)>& aIsGone)
-{
-  absl::flat_hash_set<InstanceName> present;
-  for (const auto& [name, instance] : aMerged) {
-    present.insert(instance.server);
-  }
-  for (const auto& [name, instance] : aKnown) {
-    if (!present.contains(instance.server) && !aIsGone(instance)) {
-      aMerged.try_emplace(name, instance);
-    }
-  }
-}
-
-} // namespace
-
 DirectoryKeeper::DirectoryKeeper(EventLoop& aLoop,
                                  StoreClient& aStore,
                                  const DirectoryFormat& aFormat,
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <random>
 
+#include "Incarnations.h"
 #include "Ports.h"
 
 namespace dogwoodvale {
@@ -19,9 +20,6 @@
   bool operator==(const GatewayMember&) const = default;
 };
 
-/// When the latest known incarnation of each server began.
-using IncarnationStarts = std::map<InstanceName, std::uint64_t>;
-
 /// Is told what the keeper has learned.
 class DirectoryObserver
 {
@@ -131,7 +129,7 @@
   Timer gatewaysTimer;
   std::shared_ptr<const RouteTable> routes;
   std::string routesDocument;
-  std::map<InstanceName, DirectInstance> instances;
+  Instances instances;
   IncarnationStarts starts;
   /// Entries of the last read that name no server to use, with their values.
   std::map<std::string, std::string> rejected;
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -441,6 +441,7 @@
   gauges.instances = this->pool.Count();
   gauges.peers = this->pool.Work().PeerCount();
   gauges.digestsRefused = this->peers->DigestsRefused();
+  gauges.reserved = this->pool.ReservedCount();
   gauges.instancesRejected = this->directory->RejectedCount();
   gauges.version = this->directory->Version();
   gauges.listAge = this->directory->InstancesAge(now);
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -74,6 +74,7 @@
   set("instances", static_cast<double>(aGauges.instances));
   set("peers", static_cast<double>(aGauges.peers));
   set("digests_refused", static_cast<double>(aGauges.digestsRefused));
+  set("reserved_servers", static_cast<double>(aGauges.reserved));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
   set("routes_version", static_cast<double>(aGauges.version));
   set("list_age_seconds",
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -15,6 +15,8 @@
   std::size_t instances = 0;
   std::size_t peers = 0;
   std::uint64_t digestsRefused = 0;
+  /// Backend servers reserved for interactive requests, of all services.
+  std::size_t reserved = 0;
   /// Entries of backend servers that could not be read.
   std::size_t instancesRejected = 0;
   Epoch version = 0;
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -1,9 +1,9 @@
 #include "GatewayRequest.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
+#include "AnswerStatus.h"
 #include "GatewayLog.h"
 
 namespace dogwoodvale {
@@ -14,26 +14,6 @@
 constexpr Duration kLeastUseful = milliseconds(20);
 /// What must not be repeated goes only on connections used this lately.
 constexpr Duration kFreshForOnce = milliseconds(500);
-bool
-IsServerError(int aStatus)
-{
-  constexpr int kFirst = 500;
-  return aStatus >= kFirst;
-}
-
-/// Statuses that promise that a request has not run.
-bool
-IsPromise(int aStatus)
-{
-  constexpr std::array<int, 4> kPromises{ 408, 421, 429, 503 };
-  return std::ranges::find(kPromises, aStatus) != kPromises.end();
-}
-
-bool
-IsSuccess(int aStatus)
-{
-  return aStatus >= 200 && aStatus < 300;
-}
 
 } // namespace
 
@@ -177,6 +157,12 @@
   this->outcome.cachedTokens = aCandidate.cachedTokens;
   this->outcome.prefillAhead =
     aCandidate.work.PrefillUpTo(this->admitted.demand.rank);
+  this->outcome.expectedFirst =
+    this->host.Backends()
+      .FlowOf(this->admitted.service->name)
+      .WaitBehind(aCandidate.name,
+                  this->outcome.prefillAhead + this->sent->work.Prefill())
+      .value_or(Duration::zero());
   this->host.Backends().OnSent(
     aCandidate.name, this->sent->work, this->admitted.demand.steps, now);
   const std::uint32_t longTokens =
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -28,6 +28,9 @@
   std::uint32_t cachedTokens = 0;
   std::uint32_t mostCachedTokens = 0;
   std::uint64_t prefillAhead = 0;
+  /// When its first token was expected, counted from the sending; zero before
+  /// the service's speed is measured.
+  Duration expectedFirst{ 0 };
   Duration firstSign{ 0 };
   /// The longest time from one part of a stream to the next.
   Duration longestGap{ 0 };
--- a/test/SettingsGateway.cpp
+++ b/test/SettingsGateway.cpp
@@ -70,6 +70,25 @@
   CHECK(changes == 1);
 }
 
+TEST_CASE("a gateway's decisions can be switched off one by one", "[settings]")
+{
+  Findings findings;
+  const auto settings =
+    ParseDaemonSettings(SettingsText(R"("gateway":{"callers":"127.0.0.1:3",)"
+                                     R"("decisions":{"home_servers":false}})"),
+                        "s.json",
+                        findings);
+  CHECK(findings.IsEmpty());
+  CHECK_FALSE(settings.gateway.decisions.homeServers);
+  CHECK(settings.gateway.decisions.reservedServers);
+  CHECK(settings.gateway.decisions.rankedReading);
+  ParseDaemonSettings(SettingsText(R"("gateway":{"callers":"127.0.0.1:3",)"
+                                   R"("decisions":{"luck":false}})"),
+                      "s.json",
+                      findings);
+  CHECK_FALSE(findings.IsEmpty());
+}
+
 TEST_CASE("a gateway's chooser is one of those that there are", "[settings]")
 {
   Findings findings;
