Leave a group of servers whose members are all taken out

With all servers for long prompts ejected, one of them was chosen although a reserved one was in service: ejected servers are for when there is no other. Test: Placement, red before (chose "reads").

--- a/dogwoodvale/src/Placement/DirectChooser.cpp
+++ b/dogwoodvale/src/Placement/DirectChooser.cpp
@@ -86,10 +86,15 @@
                       const DirectDemand& aDemand,
                       std::mt19937_64& aRandom)
 {
-  // Among those that are meant for such requests, or else among all.
   std::optional<std::size_t> best =
     this->ChooseAmong(aCandidates, aDemand, Group::Own, aRandom);
-  if (!best || (aDemand.isInteractive && IsFull(aCandidates[*best]))) {
+  // Long prompts that wait go on waiting: on reserved servers they would make
+  // more urgent answers late. Interactive ones that find these full share the
+  // others, as they would with none reserved.
+  const bool needsOthers =
+    !best || IsOut(aCandidates[*best]) ||
+    (aDemand.isInteractive && IsFull(aCandidates[*best]));
+  if (needsOthers) {
     best = this->ChooseAmong(aCandidates, aDemand, Group::All, aRandom);
   }
   if (best) {
--- a/test/Placement.cpp
+++ b/test/Placement.cpp
@@ -128,6 +128,9 @@
   servers[0].work.requests = 10;
   servers[1].work.PrefillAt(0) = 0;
   CHECK(Chosen(servers, interactive) == "reads");
+  // All that are meant for long prompts are taken out.
+  servers[1].standing = Standing::Ejected;
+  CHECK(Chosen(servers, longDemand) == "kept");
   // With no other server left a long prompt is not refused for the order.
   servers.pop_back();
   CHECK(Chosen(servers, longDemand) == "kept");
