--- a/test/Gateway.cpp
+++ b/test/Gateway.cpp
@@ -81,6 +81,31 @@
   CHECK(RunCount(site) == 0);
 }
 
+// The only server drains, ends and starts again under its name. Callers would
+// get 503 for ever, as its entry was read as that of the one that left.
+TEST_CASE("a server that starts again under its name gets requests",
+          "[gateway]")
+{
+  PlatformSite site(1);
+  Gateway& gateway = site.ReadyGateway();
+  const auto asksUntil = [&](const std::string& aStatus) {
+    for (int i = 0; i < 100; ++i) {
+      const std::string id = fmt::format("{}-{}", aStatus, i);
+      if (Has(site.Ask(gateway, "/again/x", id), "HTTP/1.1 " + aStatus)) {
+        return true;
+      }
+      site.loop->RunUntil([] { return false; }, milliseconds(20));
+    }
+    return false;
+  };
+  const standins::SealedEngine& engine = *site.engines[0];
+  CHECK(asksUntil("200"));
+  site.Register("e1", engine, "draining");
+  CHECK(asksUntil("503"));
+  site.Register("e1", engine, "ready", 1'790'000'009'000);
+  CHECK(asksUntil("200"));
+}
+
 // A caller gets 404 for a route that exists: its gateway has just started and
 // has read no configuration yet. It must say 503, "not run, come back".
 TEST_CASE("a gateway that knows no configuration refuses with 503", "[gateway]")
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -4,8 +4,10 @@
 #include <set>
 
 #include "dogwoodvale/Gateway"
+#include "support/Choosing.h"
 
 using namespace dogwoodvale;
+using test::Chosen;
 
 namespace {
 
@@ -160,16 +162,6 @@
   return demand;
 }
 
-std::string
-Chosen(const std::vector<DirectCandidate>& aCandidates,
-       const DirectDemand& aDemand)
-{
-  std::mt19937_64 random(1);
-  const auto chosen = DirectChooser::Create("expected_delay")
-                        ->Choose(aCandidates, aDemand, random);
-  return chosen ? aCandidates[*chosen].name.Value() : "";
-}
-
 } // namespace
 
 // A teller's note pauses beyond its bound though its engine has few requests:
--- a/test/Placement.cpp
+++ b/test/Placement.cpp
@@ -2,8 +2,10 @@
 #include <rapidcheck.h>
 
 #include "dogwoodvale/Gateway"
+#include "support/Choosing.h"
 
 using namespace dogwoodvale;
+using test::Chosen;
 
 namespace {
 
@@ -26,16 +28,6 @@
   return candidate;
 }
 
-std::string
-Chosen(const std::vector<DirectCandidate>& aCandidates,
-       const DirectDemand& aDemand)
-{
-  std::mt19937_64 random(1);
-  const auto chosen = DirectChooser::Create("expected_delay")
-                        ->Choose(aCandidates, aDemand, random);
-  return chosen ? aCandidates[*chosen].name.Value() : "";
-}
-
 /// Streams with a loose bound whose longest pause is this.
 void
 PlayLoose(PauseProfile& aProfile, Duration aLongest)
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -38,14 +38,16 @@
 
   void Register(const std::string& aName,
                 const standins::SealedEngine& aEngine,
-                const std::string& aState) const
+                const std::string& aState,
+                std::uint64_t aBorn = 1'790'000'000'000) const
   {
     this->store->Put(
       "servers/" + aName,
       fmt::format(R"({{"service":"s","address":"{}","zone":"z","slots":4,)"
-                  R"("state":"{}","sequence":1}})",
+                  R"("state":"{}","sequence":1,"born":{}}})",
                   aEngine.Address().ToString(),
-                  aState));
+                  aState,
+                  aBorn));
   }
 
   /// Routes /stream/ (resumable), /once/ (may not be repeated), /again/ (may),
