--- a/test/Placement.cpp
+++ b/test/Placement.cpp
@@ -188,3 +188,33 @@
   }
   CHECK(readers.size() == 1);
 }
+
+// One gateway of four hears only one other. If it counted just what these two
+// have under way it would reserve half of what the others do, and send long
+// prompts to servers where they keep interactive requests.
+TEST_CASE("a gateway that hears few others reserves as much as they do",
+          "[placement]")
+{
+  auto loop = *EventLoop::Create();
+  BackendPool pool(*loop, {});
+  std::vector<DirectInstance> instances;
+  for (int i = 0; i < 20; ++i) {
+    DirectInstance instance;
+    instance.name = InstanceName(fmt::format("e{}", i));
+    instance.service = ServiceName("model");
+    instance.address = { "127.0.0.1", 80 };
+    instance.slots = 40;
+    instances.push_back(instance);
+  }
+  pool.SetInstances(instances);
+  pool.SetGateways(4, 4, 1, 0);
+  BackendWork work;
+  work.requests = 20;
+  work.interactive = 20;
+  const TimePoint now = At(seconds(1));
+  pool.Work().AddOwn(InstanceName("e0"), work);
+  const std::vector<WorkLine> others{ { InstanceName("e1"), work } };
+  pool.Work().SetPeer(InstanceName("g2"), others, now);
+  pool.Tend(now);
+  CHECK(pool.ReservedCount() == 4);
+}
