--- a/test/system/planned_stop.sh
+++ b/test/system/planned_stop.sh
@@ -76,6 +76,8 @@
   --left "$(server_name "$engine")=$engine_left,$(server_name "$drained")=$drain_left,$(server_name "$plain")=$plain_left"
 history_says "every call has its own whole answer" \
   "all(e['outcome'] == 'complete' for e in c)"
+# Which call it was and what it was told, for the one who reads a failure.
+grep -h '"outcome"' "$SITE/history.jsonl" | grep -v '"complete"' | head -n 5
 wait "$long_pid"
 expect "an answer that outlasts the entry's grace time comes whole" \
   contains "$(tail -c 400 "$SITE/long.txt")" 'data: [DONE]'
