--- /dev/null
+++ b/test/support/LoadPlay.h
@@ -0,0 +1,417 @@
+#ifndef DOGWOODVALE_TEST_SUPPORT_LOADPLAY_H
+#define DOGWOODVALE_TEST_SUPPORT_LOADPLAY_H
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "bench/EngineModel.h"
+#include "dogwoodvale/Gateway"
+
+namespace dogwoodvale::test {
+
+using model::EngineModel;
+
+/// As often as a gateway tends its servers.
+inline constexpr Duration kTendPeriod = milliseconds(200);
+/// Ranks of the service, see Kind::rank.
+inline constexpr std::uint32_t kRankCount = 6;
+/// Tokens that are copied in the time in which one is read.
+inline constexpr std::uint32_t kCopySpeed = 10;
+
+/// One kind of request of the load.
+struct Kind
+{
+  double perSecond = 0;
+  std::uint32_t sharedTokens = 0;
+  std::uint32_t ownTokens = 0;
+  std::uint32_t answerTokens = 0;
+  /// How many shared parts there are; each request has one of them.
+  std::uint32_t subjects = 1;
+  Duration target{ 0 };
+  /// Longest pause between events with which an answer is on time.
+  Duration pause = seconds(60);
+  std::uint32_t rank = 0;
+};
+
+/// The engines of a play.
+struct Fleet
+{
+  std::uint32_t engines = 12;
+  EngineModel::Options engine;
+  /// An event of a stream holds so many tokens.
+  std::uint32_t tokensPerEvent = 3;
+  std::uint32_t gateways = 1;
+  /// Tokens that an engine keeps of what it has read; 0 for all.
+  std::uint64_t cacheTokens = 0;
+  /// From one digest of a gateway's work to the next.
+  Duration digestPeriod = milliseconds(150);
+};
+
+/// What the callers of one kind got.
+struct Tally
+{
+  int asked = 0;
+  int onTime = 0;
+
+  double Share() const { return static_cast<double>(onTime) / asked; }
+};
+
+/// Plays a load against modelled engines, placed as a gateway places it.
+///
+/// Engines keep the parts that they have read as far as their caches go, and
+/// copy them from each other where they are told to. Time is simulated; a
+/// gateway knows its own work at once and that of others by their digests.
+class LoadPlay
+{
+public:
+  LoadPlay(Fleet aFleet,
+           GatewayDecisions aDecisions,
+           std::vector<Kind> aKinds,
+           std::uint64_t aSeed)
+    : fleet(std::move(aFleet))
+    , placer(DirectChooser::Create("expected_delay"),
+             { .fetchesCaches = aDecisions.cacheFetch,
+               .lateLast = aDecisions.lateLast,
+               .rankedReading = aDecisions.rankedReading })
+    , kinds(std::move(aKinds))
+    , random(aSeed)
+  {
+    this->service.slots = this->fleet.engine.slots;
+    this->service.cacheTokens = this->fleet.cacheTokens;
+    std::vector<DirectInstance> instances;
+    for (std::uint32_t i = 0; i < this->fleet.engines; ++i) {
+      DirectInstance instance;
+      instance.name = InstanceName(fmt::format("e{:02}", i));
+      instance.service = this->service.name;
+      instance.address = { "127.0.0.1", static_cast<std::uint16_t>(1000 + i) };
+      instance.slots = this->fleet.engine.slots;
+      instances.push_back(instance);
+      this->engines.push_back(
+        { instance.name, EngineModel(this->fleet.engine), {} });
+    }
+    for (std::uint32_t i = 0; i < this->fleet.gateways; ++i) {
+      const BackendPool::Options options{ .decisions = aDecisions };
+      Gateway& gateway = this->gateways.emplace_back();
+      gateway.name = InstanceName(fmt::format("g{:02}", i));
+      gateway.pool = std::make_unique<BackendPool>(*this->loop, options);
+      gateway.pool->SetServices(std::span(&this->service, 1));
+      gateway.pool->SetInstances(instances);
+      gateway.pool->SetGateways(
+        this->fleet.gateways, this->fleet.gateways, 1, 0);
+    }
+  }
+
+  /// Requests of this kind come so often from now on.
+  void SetRate(std::size_t aKind, double aPerSecond)
+  {
+    this->kinds[aKind].perSecond = aPerSecond;
+  }
+
+  /// \return for each kind, what its callers got in this time.
+  std::vector<Tally> Run(Duration aLength)
+  {
+    this->tallies.assign(this->kinds.size(), Tally{});
+    this->countedSince = this->now;
+    const TimePoint end = this->now + aLength;
+    std::vector<TimePoint> next;
+    for (const Kind& kind : this->kinds) {
+      next.push_back(this->now + this->Pause(kind));
+    }
+    while (this->now < end) {
+      const auto kind =
+        static_cast<std::size_t>(std::ranges::min_element(next) - next.begin());
+      this->StepEnginesUntil(next[kind]);
+      this->TendGateways();
+      this->now = next[kind];
+      this->Arrive(kind);
+      next[kind] += this->Pause(this->kinds[kind]);
+    }
+    return this->tallies;
+  }
+
+private:
+  struct Sent
+  {
+    InstanceName engine;
+    std::vector<PromptStep> steps;
+    std::uint32_t longTokens = 0;
+  };
+  struct Gateway
+  {
+    InstanceName name;
+    std::unique_ptr<BackendPool> pool;
+    /// Not told to the others yet.
+    std::vector<Sent> sent;
+  };
+  struct Running
+  {
+    BackendPool* pool = nullptr;
+    std::size_t kind = 0;
+    TimePoint arrived{};
+    BackendWork work;
+    std::uint64_t ahead = 0;
+    std::uint64_t prefill = 0;
+    bool hasFirst = false;
+    std::uint32_t tokens = 0;
+    TimePoint lastEvent{};
+    Duration longestPause{ 0 };
+    bool isOnTime = false;
+  };
+  struct Engine
+  {
+    InstanceName name;
+    EngineModel model;
+    /// When its step under way ends; none while it is idle.
+    std::optional<TimePoint> stepEnds;
+  };
+
+  Duration Pause(const Kind& aKind)
+  {
+    std::exponential_distribution<double> draw(aKind.perSecond / 1e6);
+    return Duration(static_cast<Duration::rep>(draw(this->random)));
+  }
+
+  void TendGateways()
+  {
+    if (this->now >= this->tendAt) {
+      for (const Gateway& gateway : this->gateways) {
+        gateway.pool->Tend(this->now);
+      }
+      this->tendAt = this->now + kTendPeriod;
+    }
+    if (this->now >= this->digestAt) {
+      for (Gateway& gateway : this->gateways) {
+        this->Tell(gateway);
+      }
+      this->digestAt = this->now + this->fleet.digestPeriod;
+    }
+  }
+
+  void Tell(Gateway& aTeller)
+  {
+    const std::vector<WorkLine> lines = aTeller.pool->Work().OwnLines();
+    for (const Gateway& other : this->gateways) {
+      if (&other == &aTeller) {
+        continue;
+      }
+      other.pool->Work().SetPeer(aTeller.name, lines, this->now);
+      for (const Sent& sent : aTeller.sent) {
+        other.pool->OnRead(sent.engine, sent.steps);
+        other.pool->OnLongPrompt(sent.engine, sent.longTokens, this->now);
+      }
+    }
+    aTeller.sent.clear();
+  }
+
+  void Arrive(std::size_t aKind)
+  {
+    const Kind& kind = this->kinds[aKind];
+    std::uniform_int_distribution<std::uint32_t> subject(0, kind.subjects - 1);
+    const std::vector<PromptPart> parts = {
+      { aKind * 100'000 + subject(this->random), kind.sharedTokens },
+      { 1'000'000 + this->lastId, kind.ownTokens }
+    };
+    std::uniform_int_distribution<std::size_t> draw(0,
+                                                    this->gateways.size() - 1);
+    Gateway& gateway = this->gateways[draw(this->random)];
+    const DirectDemand demand = this->DemandOf(*gateway.pool, kind, parts);
+    ++this->tallies[aKind].asked;
+    const auto candidates =
+      gateway.pool->Candidates(this->service, demand, {}, this->now);
+    PlacementRequest request{ demand, PlacesOf(kind.rank, kRankCount) };
+    request.target = kind.target;
+    request.outputTokens = kind.answerTokens;
+    const auto placed =
+      this->placer.Place(candidates,
+                         request,
+                         gateway.pool->FlowOf(this->service.name),
+                         this->random);
+    REQUIRE(placed.has_value());
+    if (placed->timeliness != Timeliness::Hopeless) {
+      this->Send(aKind, gateway, demand, candidates[placed->server], *placed);
+    }
+  }
+
+  /// As Admission makes it.
+  DirectDemand DemandOf(BackendPool& aPool,
+                        const Kind& aKind,
+                        std::span<const PromptPart> aParts)
+  {
+    PrefillFlow& flow = aPool.FlowOf(this->service.name);
+    PauseProfile& pauses = aPool.PausesOf(this->service.name);
+    const bool isReserving = aPool.Decisions().reservedServers;
+    DirectDemand demand;
+    demand.promptTokens = aKind.sharedTokens + aKind.ownTokens;
+    demand.steps = StepsOf(aParts);
+    demand.sharedTokens = SharedTokens(demand.steps);
+    demand.rank = PlacesOf(aKind.rank, kRankCount).inTime;
+    flow.OnRequest(demand.promptTokens);
+    pauses.OnRequest(aKind.pause);
+    demand.isInteractive = isReserving && pauses.IsInteractive(aKind.pause);
+    demand.isLong = isReserving && pauses.HasInteractive()
+                      ? !demand.isInteractive
+                      : flow.IsLong(demand.promptTokens);
+    demand.tokensPerTarget = flow.TokensIn(aKind.target);
+    demand.tokensPerTurn = flow.TokensPerTurn(this->service.slots)
+                             .value_or(DirectDemand::kGuessedTokensPerTurn);
+    return demand;
+  }
+
+  /// Tokens that the engine reads, or has read in the time that it copies.
+  std::uint32_t TokensToRead(const Engine& aEngine,
+                             const DirectDemand& aDemand,
+                             const Placement& aPlacement) const
+  {
+    const std::uint32_t held =
+      this->caches.TokensHeld(aEngine.name, aDemand.steps);
+    const std::uint32_t atSource =
+      aPlacement.fetch
+        ? this->caches.TokensHeld(aPlacement.fetch->instance, aDemand.steps)
+        : 0;
+    const std::uint32_t copied = atSource - std::min(atSource, held);
+    return aDemand.promptTokens - held - copied + copied / kCopySpeed;
+  }
+
+  void Send(std::size_t aKind,
+            Gateway& aGateway,
+            const DirectDemand& aDemand,
+            const DirectCandidate& aTo,
+            const Placement& aPlacement)
+  {
+    Engine& engine = *std::ranges::find(this->engines, aTo.name, &Engine::name);
+    const std::uint32_t toRead =
+      this->TokensToRead(engine, aDemand, aPlacement);
+    this->caches.OnUsed(engine.name, aDemand.steps, this->fleet.cacheTokens);
+    Running running;
+    running.pool = aGateway.pool.get();
+    running.kind = aKind;
+    running.arrived = this->now;
+    running.ahead = aPlacement.prefillAhead;
+    running.work = aPlacement.work;
+    running.prefill = running.work.Prefill();
+    const std::uint32_t longTokens =
+      aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
+    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps);
+    aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
+    aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
+    const RequestId id{ 0, ++this->lastId };
+    engine.model.Start(id,
+                       toRead,
+                       this->kinds[aKind].answerTokens,
+                       this->now,
+                       static_cast<int>(aPlacement.place));
+    this->requests[this->lastId] = running;
+    if (!engine.stepEnds) {
+      engine.stepEnds = engine.model.Step(this->now);
+    }
+  }
+
+  void StepEnginesUntil(TimePoint aTime)
+  {
+    while (true) {
+      Engine* first = nullptr;
+      for (Engine& engine : this->engines) {
+        if (engine.stepEnds &&
+            (first == nullptr || *engine.stepEnds < *first->stepEnds)) {
+          first = &engine;
+        }
+      }
+      if (first == nullptr || *first->stepEnds > aTime) {
+        return;
+      }
+      this->now = *first->stepEnds;
+      this->EndStep(*first);
+    }
+  }
+
+  void EndStep(Engine& aEngine)
+  {
+    for (const EngineModel::Sequence& sequence : aEngine.model.Batch()) {
+      if (sequence.advanced) {
+        this->OnToken(aEngine, sequence);
+      }
+    }
+    const TimePoint next = aEngine.model.Step(this->now);
+    aEngine.stepEnds = aEngine.model.IsIdle() ? std::optional<TimePoint>()
+                                              : std::optional<TimePoint>(next);
+  }
+
+  void OnToken(const Engine& aEngine, const EngineModel::Sequence& aSequence)
+  {
+    const std::uint64_t id = aSequence.id.sequence;
+    Running& running = this->requests.at(id);
+    PrefillFlow& flow = running.pool->FlowOf(this->service.name);
+    if (!running.hasFirst) {
+      running.hasFirst = true;
+      const Duration latency = Between(running.arrived, this->now);
+      running.isOnTime = latency <= this->kinds[running.kind].target;
+      this->Count(running, running.isOnTime ? 1 : 0);
+      running.lastEvent = this->now;
+      flow.OnFirstToken(aEngine.name, running.ahead + running.prefill, latency);
+      BackendWork read;
+      read.prefillTokens = running.work.prefillTokens;
+      running.pool->OnDone(aEngine.name, read);
+      running.work -= read;
+    }
+    if (++running.tokens % this->fleet.tokensPerEvent == 0) {
+      this->OnEvent(running);
+    }
+    if (aSequence.tokensLeft == 0) {
+      this->OnComplete(running);
+      running.pool->OnDone(aEngine.name, running.work);
+      this->requests.erase(id);
+    }
+  }
+
+  void Count(const Running& aRunning, int aOnTime)
+  {
+    if (aRunning.arrived >= this->countedSince) {
+      this->tallies[aRunning.kind].onTime += aOnTime;
+    }
+  }
+
+  void OnEvent(Running& aRunning)
+  {
+    aRunning.longestPause =
+      std::max(aRunning.longestPause, Between(aRunning.lastEvent, this->now));
+    aRunning.lastEvent = this->now;
+    if (aRunning.isOnTime &&
+        aRunning.longestPause > this->kinds[aRunning.kind].pause) {
+      aRunning.isOnTime = false;
+      this->Count(aRunning, -1);
+    }
+  }
+
+  void OnComplete(const Running& aRunning)
+  {
+    aRunning.pool->FlowOf(this->service.name)
+      .OnStay(Between(aRunning.arrived, this->now));
+    aRunning.pool->PausesOf(this->service.name)
+      .OnStream(this->kinds[aRunning.kind].pause, aRunning.longestPause);
+  }
+
+  std::unique_ptr<EventLoop> loop = *EventLoop::Create();
+  Fleet fleet;
+  std::vector<Gateway> gateways;
+  DirectService service{ .name = ServiceName("model"),
+                         .maxConnections = 10'000,
+                         .slots = 0 };
+  Placer placer;
+  /// What the engines' caches hold in truth.
+  CacheBelief caches;
+  std::vector<Kind> kinds;
+  std::vector<Tally> tallies;
+  std::mt19937_64 random;
+  std::vector<Engine> engines;
+  std::map<std::uint64_t, Running> requests;
+  std::uint64_t lastId = 0;
+  TimePoint countedSince{};
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  TimePoint tendAt{};
+  TimePoint digestAt{};
+};
+
+} // namespace dogwoodvale::test
+
+#endif
