--- a/dogwoodvale/src/Placement/CacheFetch.h
+++ b/dogwoodvale/src/Placement/CacheFetch.h
@@ -22,8 +22,8 @@
 /// of reading them again, and from which.
 ///
 /// Copying 6,300 tokens takes some 15 ms where reading them takes 150. In a
-/// rush at 24 modelled engines with small caches 0.61 of the long prompts are
-/// in time with copies and 0.46 without (three seeds,
+/// rush at 24 modelled engines with small caches 0.59 of the long prompts are
+/// in time with copies and 0.49 without (three seeds,
 /// test/PlacementUnderLoad.cpp). Requests still go first of all to a server
 /// that holds their parts: a copy takes room in a second cache, and with copies
 /// everywhere other parts are pushed out.
--- a/dogwoodvale/src/Placement/Placer.h
+++ b/dogwoodvale/src/Placement/Placer.h
@@ -17,8 +17,8 @@
 ///
 /// A queue that forms in the first seconds of a rush makes every prompt late by
 /// the same wait. One that is late anyway loses little by waiting longer, and
-/// those that pass it are in time: at 24 modelled engines 0.43 of the long
-/// prompts are, and 0.29 with all in the order of their coming (three seeds,
+/// those that pass it are in time: at 24 modelled engines 0.37 of the long
+/// prompts are, and 0.28 with all in the order of their coming (three seeds,
 /// test/PlacementUnderLoad.cpp).
 enum class Timeliness : std::uint8_t
 {
--- a/test/PlacementUnderLoad.cpp
+++ b/test/PlacementUnderLoad.cpp
@@ -123,7 +123,7 @@
 // Scans come three times as often as a moment ago. Caches keep a dozen of 200
 // shared parts, so a part is seldom where there is room; each engine that reads
 // it again keeps others waiting, and half of the scans are late that could be
-// in time: 0.46 on time with every part read again, 0.61 with copies.
+// in time: 0.49 on time with every part read again, 0.59 with copies.
 TEST_CASE("in a rush shared parts are copied, not read again", "[placement]")
 {
   const std::uint64_t seed = GENERATE(1U, 2U, 3U);
@@ -140,8 +140,8 @@
 }
 
 // More scans come than the engines can read. Served in order, each waits for
-// those that are late already and is late by the same time: 0.29 on time. With
-// the late ones behind the others 0.43 are, and the late ones are read with
+// those that are late already and is late by the same time: 0.28 on time. With
+// the late ones behind the others 0.37 are, and the late ones are read with
 // what is left.
 TEST_CASE("in a rush those that are late let the others pass", "[placement]")
 {
