Name the content of a request in the log lines of its attempts

Cause: a caller that sends one request again gives each try an id of its own, so no line told whether the attempts that broke off at servers that ended one after the other were of one request or of many. Change: a fingerprint of customer, method, path and body, keyed with the gateways' secret, in the lines request and attempt_failed; the keyed digest of peers' datagrams moves to Core and serves both. Measured: tests of the fingerprint, gateways and digests pass.

--- a/dogwoodvale/src/Gateway/Admission.h
+++ b/dogwoodvale/src/Gateway/Admission.h
@@ -6,6 +6,7 @@
 
 #include "BackendPool.h"
 #include "Ports.h"
+#include "dogwoodvale/Quarantine"
 #include "dogwoodvale/Requests"
 
 namespace dogwoodvale {
@@ -23,6 +24,8 @@
   /// What the rank comes to at a backend server.
   OrderPlaces places;
   CallerEnvelope envelope;
+  /// The same for each try of a caller at any gateway.
+  RequestFingerprint fingerprint = 0;
   DirectDemand demand;
 };
 
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -193,6 +193,10 @@
     return;
   }
   auto& admitted = std::get<AdmittedRequest>(result);
+  const HttpRequest& http = aExchange->Request();
+  admitted.fingerprint =
+    FingerprintOf({ admitted.customer, http.method, http.path, http.body },
+                  this->settings.peerSecret);
   this->RetriesOf(admitted.service->name).OnRequest(Now());
   auto request = std::make_unique<GatewayRequest>(
     *this, std::move(aExchange), std::move(admitted));
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -1,37 +1,16 @@
 #include "PeerDigest.h"
 
-#include <array>
-
 #include <msgpack.hpp>
 
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 
 namespace dogwoodvale {
 
 namespace {
 
-constexpr std::size_t kProofBytes = 16;
 /// A digest that claims more is refused before memory is given to it.
 constexpr std::size_t kMaxItems = 65'536;
 
-using Proof = std::array<unsigned char, EVP_MAX_MD_SIZE>;
-
-std::string_view
-Hmac(std::string_view aText, std::string_view aSecret, Proof& aProof)
-{
-  unsigned int size = 0;
-  HMAC(EVP_sha256(),
-       aSecret.data(),
-       static_cast<int>(aSecret.size()),
-       reinterpret_cast<const unsigned char*>(aText.data()),
-       aText.size(),
-       aProof.data(),
-       &size);
-  return { reinterpret_cast<const char*>(aProof.data()), kProofBytes };
-}
-
 /// A gateway of an older version sends the first four fields alone, and reads
 /// no more than these.
 struct PackedWork
@@ -135,9 +114,8 @@
 std::string
 ProofOf(std::string_view aText, std::string_view aSecret)
 {
-  Proof proof{};
   std::string text;
-  for (const unsigned char byte : Hmac(aText, aSecret, proof)) {
+  for (const unsigned char byte : KeyedDigest(aText, aSecret)) {
     text += fmt::format("{:02x}", byte);
   }
   return text;
@@ -164,8 +142,7 @@
                              std::move(work),
                              std::move(routed)));
   const std::string_view packed(buffer.data(), buffer.size());
-  Proof proof{};
-  std::string bytes(Hmac(packed, aSecret, proof));
+  std::string bytes = KeyedDigest(packed, aSecret);
   bytes += packed;
   return bytes;
 }
@@ -173,13 +150,12 @@
 absl::StatusOr<PeerDigest>
 ReadDigest(std::string_view aBytes, std::string_view aSecret)
 {
-  if (aBytes.size() <= kProofBytes) {
+  if (aBytes.size() <= kKeyedDigestBytes) {
     return absl::InvalidArgumentError("a digest that is too short");
   }
-  const std::string_view packed = aBytes.substr(kProofBytes);
-  Proof proof{};
-  if (CRYPTO_memcmp(
-        Hmac(packed, aSecret, proof).data(), aBytes.data(), kProofBytes) != 0) {
+  const std::string_view packed = aBytes.substr(kKeyedDigestBytes);
+  const std::string proof = KeyedDigest(packed, aSecret);
+  if (CRYPTO_memcmp(proof.data(), aBytes.data(), kKeyedDigestBytes) != 0) {
     return absl::PermissionDeniedError("a digest made with another secret");
   }
   PackedDigest read;
