--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -112,6 +112,7 @@
 {
   SealedRun run;
   run.id = aExchange.Header(kId);
+  run.at = Now();
   run.path = aExchange.Target();
   run.body = aExchange.Body();
   run.customer = aExchange.Header("Dogwoodvale-Tenant");
@@ -128,13 +129,29 @@
   work.run = this->runs.size();
   work.streams = run.path.find("/stream/") != std::string::npos;
   work.next = run.resumedAfter + 1;
-  work.due = Now() + this->settings.work;
+  work.crashes = !this->settings.crashBody.empty() &&
+                 run.body.find(this->settings.crashBody) != std::string::npos;
+  work.due = run.at + (work.crashes && !work.streams ? this->settings.crashDelay
+                                                     : this->settings.work);
   // For checkers: the record goes with the process, its output stays.
   Log(LogLevel::Info, "run", "id", run.id, "path", run.path);
   this->runs.push_back(std::move(run));
   this->working[&aExchange] = work;
 }
 
+void
+SealedEngine::Crash()
+{
+  this->crashed = true;
+  this->tick.Stop();
+  for (const auto& [exchange, work] : this->working) {
+    this->runs[work.run].end = "crashed";
+  }
+  if (this->settings.onCrash) {
+    this->settings.onCrash();
+  }
+}
+
 void
 SealedEngine::OnClosed(Exchange& aExchange)
 {
@@ -159,6 +176,11 @@
 SealedEngine::Step(Exchange& aExchange, Work& aWork, TimePoint aNow)
 {
   SealedRun& run = this->runs[aWork.run];
+  if (aWork.crashes && (aWork.begun || !aWork.streams)) {
+    run.end = "crashed";
+    this->Crash();
+    return false;
+  }
   if (!aWork.streams) {
     this->AddMarks(aExchange, run);
     run.end = "complete";
@@ -172,6 +194,10 @@
     aWork.begun = true;
     this->AddMarks(aExchange, run);
     aExchange.StartStream("text/event-stream");
+    if (aWork.crashes) {
+      aWork.due = aNow + this->settings.crashDelay;
+      return false;
+    }
   }
   const std::uint64_t made = aWork.next - run.resumedAfter;
   if (this->faults.crashAfter > 0 && made > this->faults.crashAfter) {
@@ -203,6 +229,9 @@
     }
   }
   for (Exchange* exchange : due) {
+    if (this->crashed) {
+      return;
+    }
     const auto found = this->working.find(exchange);
     if (found == this->working.end()) {
       continue;
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_STANDINS_SEALEDENGINE_H
 #define DOGWOODVALE_STANDINS_SEALEDENGINE_H
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -19,12 +20,21 @@
   Duration gap = milliseconds(2);
   /// Time from a request to a whole answer or a stream's first event.
   Duration work = milliseconds(2);
+  /// A request whose body contains this crashes the engine; empty for none.
+  std::string crashBody;
+  /// From the begin of such a run, which has its head and no event, to the
+  /// crash.
+  Duration crashDelay = milliseconds(50);
+  /// Called once at the crash, after which the engine does no more work. Has to
+  /// destroy it, in a later turn of the loop, or end the process.
+  std::function<void()> onCrash;
 };
 
 /// What an engine has run.
 struct SealedRun
 {
   std::string id;
+  TimePoint at{};
   std::string path;
   std::string body;
   std::string customer;
@@ -61,6 +71,7 @@
   /// and never answers; crash_after: cuts each stream after so many events;
   /// skip: leaves out an event; no_proof: answers without its mark.
   void SetFault(const Json::Value& aFault);
+  bool HasCrashed() const { return this->crashed; }
 
   void OnRequest(Exchange& aExchange) override;
   void OnClosed(Exchange& aExchange) override;
@@ -80,6 +91,7 @@
     std::size_t run = 0;
     bool streams = false;
     bool begun = false;
+    bool crashes = false;
     std::uint64_t next = 1;
     TimePoint due{};
   };
@@ -90,12 +102,14 @@
   void OnTick();
   /// \return whether the exchange is over.
   bool Step(Exchange& aExchange, Work& aWork, TimePoint aNow);
+  void Crash();
   void AddMarks(Exchange& aExchange, const SealedRun& aRun) const;
 
   SealedEngineSettings settings;
   Faults faults;
   std::vector<SealedRun> runs;
   std::map<Exchange*, Work> working;
+  bool crashed = false;
   Timer tick;
   /// Last, so that it goes first: its end closes exchanges.
   std::unique_ptr<JsonServer> server;
--- a/standins/programs/standin_sealed_engine.cpp
+++ b/standins/programs/standin_sealed_engine.cpp
@@ -1,11 +1,15 @@
 #include "../Program.h"
 #include "../SealedEngine.h"
 
+#include <cstdlib>
+
 using namespace dogwoodvale;
 using namespace dogwoodvale::standins;
 
 namespace {
 
+constexpr int kCrashed = 70;
+
 constexpr char kUsage[] =
   R"(standin_sealed_engine: a stand-in backend server of the users' platform.
 
@@ -18,6 +22,7 @@
   --events N        Events of each stream [default: 20].
   --gap-ms N        Pause between events [default: 10].
   --work-ms N       Time to an answer or a first event [default: 10].
+  --crash-body TEXT  A request whose body contains this ends the process; "" for none [default: ].
   -h --help         Show this.
   --version         Show the version.
 )";
@@ -32,6 +37,8 @@
   settings.instance = options.Text("--instance");
   settings.events = static_cast<std::uint64_t>(options.Number("--events"));
   settings.gap = options.Milliseconds("--gap-ms");
+  settings.crashBody = options.Text("--crash-body");
+  settings.onCrash = [] { std::_Exit(kCrashed); };
   settings.work = options.Milliseconds("--work-ms");
   return RunStandin("sealed_engine", [&](EventLoop& aLoop) {
     return SealedEngine::Create(aLoop, options.Address("--listen"), settings);
--- /dev/null
+++ b/test/support/CrashSite.h
@@ -0,0 +1,183 @@
+#ifndef DOGWOODVALE_TEST_SUPPORT_CRASHSITE_H
+#define DOGWOODVALE_TEST_SUPPORT_CRASHSITE_H
+
+#include <algorithm>
+#include <list>
+
+#include "PlatformSite.h"
+
+namespace dogwoodvale::test {
+
+/// A site whose engines crash under one body. A crashed engine's connections
+/// break off, its entry lapses later, and it is back, as another incarnation,
+/// later still.
+class CrashSite : public PlatformSite
+{
+public:
+  static constexpr const char* kCrashBody = "crashes whoever runs it";
+  static constexpr Duration kEntryLapses = milliseconds(250);
+  static constexpr Duration kComesBack = milliseconds(400);
+
+  CrashSite(int aEngines,
+            int aGateways,
+            standins::SealedEngineSettings aSettings = {})
+    : PlatformSite(0)
+    , engineSettings(std::move(aSettings))
+  {
+    for (int i = 0; i < aEngines; ++i) {
+      this->StartEngine();
+    }
+    for (int i = 1; i <= aGateways; ++i) {
+      this->AddGateway(fmt::format("g{}", i));
+    }
+    this->Until([&] {
+      return std::ranges::all_of(
+        this->gateways, [](const auto& aOne) { return aOne->Ready().ok(); });
+    });
+    this->tend.StartRepeating(milliseconds(1));
+  }
+
+  /// One caller's try, on a connection of its own.
+  struct Try
+  {
+    std::string id;
+    RawSocket socket;
+    bool IsServed()
+    {
+      return this->socket.IsClosed() &&
+             this->socket.received.find("HTTP/1.1 200") == 0 &&
+             this->socket.received.ends_with("0\r\n\r\n");
+    }
+    bool IsRefused() { return this->socket.Has("HTTP/1.1 503"); }
+  };
+
+  Try& Send(std::size_t aGateway,
+            const std::string& aPath,
+            const std::string& aBody,
+            const std::string& aMore = "")
+  {
+    Try made;
+    made.id = fmt::format("try-{}", ++this->tries);
+    made.socket =
+      RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
+    made.socket.Send(fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\n"
+                                 "Dogwoodvale-Attempt-Id: {}\r\n"
+                                 "Dogwoodvale-Credential: key1\r\n"
+                                 "Dogwoodvale-Deadline-Ms: 1500\r\n"
+                                 "Connection: close\r\n{}"
+                                 "Content-Length: {}\r\n\r\n{}",
+                                 aPath,
+                                 made.id,
+                                 aMore,
+                                 aBody.size(),
+                                 aBody));
+    this->sent.push_back(std::move(made));
+    return this->sent.back();
+  }
+
+  void Run(Duration aTime) const
+  {
+    this->loop->RunUntil([] { return false; }, aTime);
+  }
+
+  /// Waits until each try has its answer.
+  bool Settle()
+  {
+    return this->Until([&] {
+      return std::ranges::all_of(
+        this->sent, [](Try& aTry) { return aTry.socket.IsClosed(); });
+    });
+  }
+
+  /// Crashes all engines, or the first \p aCount, with what they run.
+  void CrashEngines(std::size_t aCount)
+  {
+    for (std::size_t i = 0; i < aCount && i < this->running.size(); ++i) {
+      this->running[i].crashed = true;
+    }
+  }
+
+  /// Runs of engines that are gone and of those that are there, by their begin.
+  std::vector<standins::SealedRun> Runs() const
+  {
+    std::vector<standins::SealedRun> all = this->pastRuns;
+    for (const Running& one : this->running) {
+      all.insert(
+        all.end(), one.engine->Runs().begin(), one.engine->Runs().end());
+    }
+    std::ranges::sort(all, {}, &standins::SealedRun::at);
+    return all;
+  }
+
+  std::vector<TimePoint> crashes;
+  std::list<Try> sent;
+
+private:
+  struct Running
+  {
+    std::string name;
+    std::unique_ptr<standins::SealedEngine> engine;
+    bool crashed = false;
+  };
+  struct Gone
+  {
+    std::string name;
+    TimePoint at{};
+    bool isListed = true;
+  };
+
+  void StartEngine()
+  {
+    Running made;
+    made.name = fmt::format("e{}", ++this->started);
+    standins::SealedEngineSettings settings = this->engineSettings;
+    settings.instance = made.name;
+    settings.crashBody = kCrashBody;
+    made.engine = *standins::SealedEngine::Create(
+      *this->loop, { "127.0.0.1", 0 }, settings);
+    this->Register(made.name, *made.engine, "ready");
+    this->running.push_back(std::move(made));
+  }
+
+  void Tend()
+  {
+    const TimePoint now = Now();
+    for (Running& one : this->running) {
+      if (one.crashed || one.engine->HasCrashed()) {
+        one.crashed = true;
+        const auto& runs = one.engine->Runs();
+        this->pastRuns.insert(this->pastRuns.end(), runs.begin(), runs.end());
+        this->crashes.push_back(now);
+        this->gone.push_back({ one.name, now });
+      }
+    }
+    std::erase_if(this->running,
+                  [](const Running& aOne) { return aOne.crashed; });
+    for (Gone& one : this->gone) {
+      if (one.isListed && Between(one.at, now) >= kEntryLapses) {
+        one.isListed = false;
+        this->store->Remove("servers/" + one.name);
+      }
+    }
+    const auto isBack = [&](const Gone& aOne) {
+      return Between(aOne.at, now) >= kComesBack;
+    };
+    const auto back = std::ranges::count_if(this->gone, isBack);
+    std::erase_if(this->gone, isBack);
+    for (auto i = back; i > 0; --i) {
+      this->StartEngine();
+    }
+  }
+
+  standins::SealedEngineSettings engineSettings;
+  std::vector<Running> running;
+  std::vector<Gone> gone;
+  std::vector<standins::SealedRun> pastRuns;
+  int started = 0;
+  int tries = 0;
+  Timer tend{ *this->loop, [this] { this->Tend(); } };
+};
+
+} // namespace dogwoodvale::test
+
+#endif
