Keep quarantines in the store, for gateways that are all killed at once

Cause: gateways hold what they know of requests that crash servers in memory; when all are killed at once, such a request would crash three servers more before it is known again. Change: QuarantineKeeper writes each verdict of this gateway under a lease as long as the quarantine, and reads what is kept at the start, stale at once and strict two seconds later. The crash site's callers use the platform site's request text.

--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -33,10 +33,10 @@
 CrashGuard::CrashGuard(EventLoop& aLoop,
                        BackendPool& aPool,
                        Options aOptions,
-                       QuarantineHandler aOnQuarantine)
+                       VerdictHandler aOnVerdict)
   : pool(aPool)
   , options(aOptions)
-  , onQuarantine(std::move(aOnQuarantine))
+  , onVerdict(std::move(aOnVerdict))
   , ledger(aOptions.quarantine)
   , askTimer(aLoop, [this] { this->Ask(); })
 {
@@ -80,7 +80,9 @@
 {
   const TimePoint now = Now();
   if (this->ledger.OnAnswered(aRequest, now)) {
-    LogQuarantine(*this->ledger.VerdictOf(aRequest, now), 0, "answer");
+    const QuarantineVerdict verdict = *this->ledger.VerdictOf(aRequest, now);
+    LogQuarantine(verdict, 0, "answer");
+    this->onVerdict(verdict);
   }
 }
 
@@ -173,7 +175,7 @@
   const QuarantineVerdict verdict =
     *this->ledger.VerdictOf(aEvidence.request, now);
   LogQuarantine(verdict, this->ledger.ScoreOf(aEvidence.request), "evidence");
-  this->onQuarantine(verdict);
+  this->onVerdict(verdict);
 }
 
 // Other gateways.
--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -22,8 +22,9 @@
 class CrashGuard
 {
 public:
-  /// Is told of each request that this gateway puts into quarantine.
-  using QuarantineHandler = std::function<void(const QuarantineVerdict&)>;
+  /// Is told of each request that this gateway puts into quarantine or takes
+  /// out.
+  using VerdictHandler = std::function<void(const QuarantineVerdict&)>;
 
   struct Options
   {
@@ -35,7 +36,7 @@
   CrashGuard(EventLoop& aLoop,
              BackendPool& aPool,
              Options aOptions,
-             QuarantineHandler aOnQuarantine);
+             VerdictHandler aOnVerdict);
 
   CrashStanding StandingOf(RequestFingerprint aRequest) const;
   Duration QuarantineLeft(RequestFingerprint aRequest) const;
@@ -75,7 +76,7 @@
 
   BackendPool& pool;
   Options options;
-  QuarantineHandler onQuarantine;
+  VerdictHandler onVerdict;
   CrashLedger ledger;
   BrokenRuns broken;
   CopiesUnderWay copies;
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -76,7 +76,14 @@
       aLoop,
       this->pool,
       { aSettings.gateway.decisions.quarantine, aSettings.gateway.quarantine },
-      [](const QuarantineVerdict&) {})
+      [this](const QuarantineVerdict& aVerdict) {
+        this->quarantines.Keep(aVerdict);
+      })
+  , quarantines(aLoop,
+                *this->ports.store,
+                [this](const QuarantineVerdict& aVerdict) {
+                  this->crashes.Take(aVerdict);
+                })
   , suspensions(aLoop, [this](Duration aLost) { this->OnSuspended(aLost); })
   , tendTimer(aLoop, [this] { this->Tend(); })
   , sweepTimer(aLoop, [this] { this->Sweep(); })
@@ -152,6 +159,9 @@
   }
   this->callers = *std::move(server);
   this->directory->Start();
+  if (this->settings.gateway.decisions.quarantine) {
+    this->quarantines.Start();
+  }
   this->tendTimer.StartRepeating(kTendPeriod);
   return absl::OkStatus();
 }
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -11,6 +11,7 @@
 #include "GatewayMetrics.h"
 #include "GatewayRequest.h"
 #include "PeerExchange.h"
+#include "QuarantineKeeper.h"
 #include "SuspensionWatch.h"
 #include "dogwoodvale/Settings"
 
@@ -99,6 +100,7 @@
   CrashGuard crashes;
   GatewayMetrics metrics;
   std::unique_ptr<DirectoryKeeper> directory;
+  QuarantineKeeper quarantines;
   std::unique_ptr<PeerExchange> peers;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<OperatorServer> operators;
--- /dev/null
+++ b/dogwoodvale/src/Gateway/QuarantineKeeper.cpp
@@ -0,0 +1,161 @@
+#include "QuarantineKeeper.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr std::string_view kLifted = " lifted";
+constexpr int kHexadecimal = 16;
+constexpr int kDecimal = 10;
+
+template<class Number>
+bool
+ReadWhole(std::string_view aText, int aBase, Number& aNumber)
+{
+  const char* end = aText.data() + aText.size();
+  const auto [at, error] = std::from_chars(aText.data(), end, aNumber, aBase);
+  return error == std::errc() && at == end;
+}
+
+} // namespace
+
+std::string
+WriteVerdict(const QuarantineVerdict& aVerdict)
+{
+  return fmt::format("{}{}", aVerdict.round, aVerdict.isLifted ? kLifted : "");
+}
+
+absl::StatusOr<QuarantineVerdict>
+ReadVerdict(std::string_view aKey, std::string_view aValue)
+{
+  QuarantineVerdict verdict;
+  verdict.isLifted = aValue.ends_with(kLifted);
+  if (verdict.isLifted) {
+    aValue.remove_suffix(kLifted.size());
+  }
+  const bool isRead = aKey.starts_with(QuarantineKeeper::kPrefix) &&
+                      ReadWhole(aKey.substr(QuarantineKeeper::kPrefix.size()),
+                                kHexadecimal,
+                                verdict.request) &&
+                      ReadWhole(aValue, kDecimal, verdict.round);
+  if (!isRead) {
+    return absl::InvalidArgumentError("not a quarantine");
+  }
+  return verdict;
+}
+
+QuarantineKeeper::QuarantineKeeper(EventLoop& aLoop,
+                                   StoreClient& aStore,
+                                   Handler aHandler)
+  : store(aStore)
+  , handler(std::move(aHandler))
+  , readTimer(aLoop, [this] { this->Read(false); })
+  , writeTimer(aLoop, [this] { this->WriteNext(); })
+{
+}
+
+void
+QuarantineKeeper::Start()
+{
+  this->Read(true);
+  this->readTimer.StartOnce(kReadAgain);
+}
+
+void
+QuarantineKeeper::Read(bool aAllowStale)
+{
+  RangeQuery query;
+  query.key = kPrefix;
+  query.isPrefix = true;
+  query.allowStale = aAllowStale;
+  this->readCall = this->store.Range(
+    query, [this, aAllowStale](const absl::StatusOr<RangeResult>& aResult) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->readCall);
+      if (aResult.ok()) {
+        this->OnRead(*aResult);
+      } else if (!aAllowStale) {
+        this->readTimer.StartOnce(kReadAgain);
+      }
+    });
+}
+
+void
+QuarantineKeeper::OnRead(const RangeResult& aResult)
+{
+  for (const KeyValue& value : aResult.values) {
+    auto verdict = ReadVerdict(value.key, value.value);
+    if (!verdict.ok()) {
+      Log(LogLevel::Warning,
+          "quarantine_rejected",
+          "key",
+          value.key,
+          "reason",
+          MessageOf(verdict.status()));
+      continue;
+    }
+    // Its lease ends with the quarantine; how much of it is left isn't told.
+    verdict->left = verdict->isLifted ? Duration::zero() : Duration::max();
+    this->handler(*verdict);
+  }
+}
+
+void
+QuarantineKeeper::Keep(const QuarantineVerdict& aVerdict)
+{
+  if (this->waiting.size() >= kMostWaiting) {
+    return;
+  }
+  this->waiting[aVerdict.request] = aVerdict;
+  this->WriteNext();
+}
+
+void
+QuarantineKeeper::WriteNext()
+{
+  if (this->waiting.empty() || this->writeCall != nullptr) {
+    return;
+  }
+  const QuarantineVerdict verdict = this->waiting.begin()->second;
+  // A lifted one is kept as long as an older word of it may be told.
+  const Duration ttl =
+    verdict.isLifted ? kLongestLease : std::min(verdict.left, kLongestLease);
+  this->writeCall = this->store.GrantLease(
+    ttl, [this, verdict](const absl::StatusOr<LeaseGrant>& aGrant) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->writeCall);
+      if (aGrant.ok()) {
+        this->Put(verdict, aGrant->id);
+      } else {
+        this->writeTimer.StartOnce(kRetryPeriod);
+      }
+    });
+}
+
+void
+QuarantineKeeper::Put(const QuarantineVerdict& aVerdict, LeaseId aLease)
+{
+  Operation put;
+  put.key = fmt::format("{}{}", kPrefix, FingerprintText(aVerdict.request));
+  put.value = WriteVerdict(aVerdict);
+  put.lease = aLease;
+  Transaction transaction;
+  transaction.then.push_back(std::move(put));
+  this->writeCall = this->store.Commit(
+    transaction, [this, aVerdict](const WriteResult& aResult) {
+      const std::unique_ptr<StoreCall> ended = std::move(this->writeCall);
+      if (aResult.outcome != WriteOutcome::Applied) {
+        this->writeTimer.StartOnce(kRetryPeriod);
+        return;
+      }
+      const auto written = this->waiting.find(aVerdict.request);
+      if (written != this->waiting.end() && written->second == aVerdict) {
+        this->waiting.erase(written);
+      }
+      this->WriteNext();
+    });
+}
+
+} // namespace dogwoodvale
--- a/test/support/CrashSite.h
+++ b/test/support/CrashSite.h
@@ -58,24 +58,14 @@
 
   Try& Send(std::size_t aGateway,
             const std::string& aPath,
-            const std::string& aBody,
-            const std::string& aMore = "")
+            const std::string& aBody)
   {
     Try made;
     made.id = fmt::format("try-{}", ++this->tries);
     made.socket =
       RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
-    made.socket.Send(fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\n"
-                                 "Dogwoodvale-Attempt-Id: {}\r\n"
-                                 "Dogwoodvale-Credential: key1\r\n"
-                                 "Dogwoodvale-Deadline-Ms: 1500\r\n"
-                                 "Connection: close\r\n{}"
-                                 "Content-Length: {}\r\n\r\n{}",
-                                 aPath,
-                                 made.id,
-                                 aMore,
-                                 aBody.size(),
-                                 aBody));
+    made.socket.Send(
+      RequestText(aPath, made.id, "Connection: close\r\n", aBody));
     this->sent.push_back(std::move(made));
     return this->sent.back();
   }
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -124,16 +124,19 @@
 
   static std::string RequestText(const std::string& aPath,
                                  const std::string& aId,
-                                 const std::string& aMore = "")
+                                 const std::string& aMore = "",
+                                 std::string_view aBody = "body")
   {
     return fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\n"
                        "Dogwoodvale-Attempt-Id: {}\r\n"
                        "Dogwoodvale-Credential: key1\r\n"
                        "Dogwoodvale-Deadline-Ms: 1500\r\n{}"
-                       "Content-Length: 4\r\n\r\nbody",
+                       "Content-Length: {}\r\n\r\n{}",
                        aPath,
                        aId,
-                       aMore);
+                       aMore,
+                       aBody.size(),
+                       aBody);
   }
 
   /// Sends a request on a connection of its own and waits for the end of the
