Judge crashes by settled evidence; tell on only what speaks twice

Cause: each gateway tells of the requests that it had at a server that ended. Judged by what came first, a request that is not to blame seemed to have been there alone; a test of two requests at the same three ends quarantined the wrong one. And each gateway told on all that it had heard, some 40 lines an end. Change: evidence counts once it is half a second old, and a request whose evidence would suffice is held meanwhile; what was told is told on only of requests at two ends or more.

--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -58,9 +58,11 @@
 }
 
 bool
-CrashGuard::HasCopyUnderWay(RequestFingerprint aRequest) const
+CrashGuard::HasToWait(RequestFingerprint aRequest) const
 {
-  return this->copies.HasAny(aRequest, Now());
+  const TimePoint now = Now();
+  return this->copies.HasAny(aRequest, now) ||
+         this->ledger.IsUndecided(aRequest, now);
 }
 
 void
@@ -161,21 +163,18 @@
       "suspects",
       this->ledger.SuspectCount());
   for (const CrashEvidence& evidence : runs) {
-    this->Note(evidence);
+    this->ledger.Take(evidence, CrashLedger::Source::Own, Now());
   }
 }
 
 void
-CrashGuard::Note(const CrashEvidence& aEvidence)
+CrashGuard::Judge(TimePoint aNow)
 {
-  const TimePoint now = Now();
-  if (!this->ledger.Take(aEvidence, now)) {
-    return;
+  for (const RequestFingerprint request : this->ledger.Judge(aNow)) {
+    const QuarantineVerdict verdict = *this->ledger.VerdictOf(request, aNow);
+    LogQuarantine(verdict, this->ledger.ScoreOf(request), "evidence");
+    this->onVerdict(verdict);
   }
-  const QuarantineVerdict verdict =
-    *this->ledger.VerdictOf(aEvidence.request, now);
-  LogQuarantine(verdict, this->ledger.ScoreOf(aEvidence.request), "evidence");
-  this->onVerdict(verdict);
 }
 
 // Other gateways.
@@ -215,7 +214,7 @@
   }
   const std::vector<InstanceName> open = this->broken.Open();
   for (const CrashEvidence& evidence : aDigest.crashes.evidence) {
-    this->Note(evidence);
+    this->ledger.Take(evidence, CrashLedger::Source::Told, now);
     // Another gateway has found out that the server ended.
     const auto known = std::ranges::find(open, evidence.server, ServerKeyOf);
     if (known != open.end()) {
@@ -238,6 +237,7 @@
   const TimePoint now = Now();
   this->broken.Expire(now);
   this->copies.Expire(now);
+  this->Judge(now);
   this->ledger.Expire(now);
 }
 
--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -40,9 +40,9 @@
 
   CrashStanding StandingOf(RequestFingerprint aRequest) const;
   Duration QuarantineLeft(RequestFingerprint aRequest) const;
-  /// Whether another copy of a suspect is under way, here or at a gateway that
-  /// has said so.
-  bool HasCopyUnderWay(RequestFingerprint aRequest) const;
+  /// Whether a suspect has to wait: a copy of it is under way, here or at a
+  /// gateway that has said so, or it is about to be judged.
+  bool HasToWait(RequestFingerprint aRequest) const;
 
   void OnSent(RequestFingerprint aRequest);
   void OnDone(RequestFingerprint aRequest);
@@ -72,7 +72,7 @@
 private:
   void Ask();
   void OnEnded(const InstanceName& aInstance, const char* aHow);
-  void Note(const CrashEvidence& aEvidence);
+  void Judge(TimePoint aNow);
 
   BackendPool& pool;
   Options options;
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Duration kTendPeriod = milliseconds(200);
+constexpr Duration kTendPeriod = CrashLedger::kJudgePeriod;
 constexpr Duration kStopCheckPeriod = milliseconds(20);
 /// The balancer asks once a second and takes a gateway out after two misses;
 /// the rest covers the way there and a busy gateway.
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -96,7 +96,7 @@
   if (!this->waitsSince) {
     this->waitsSince = aNow;
   }
-  const bool waits = guard.HasCopyUnderWay(request) &&
+  const bool waits = guard.HasToWait(request) &&
                      Between(*this->waitsSince, aNow) < kLongestWaitForCopy;
   if (waits) {
     this->waiting.StartOnce(kCopyCheckPeriod);
--- a/dogwoodvale/src/Quarantine/CrashLedger.cpp
+++ b/dogwoodvale/src/Quarantine/CrashLedger.cpp
@@ -1,6 +1,7 @@
 #include "CrashLedger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace dogwoodvale {
@@ -40,15 +41,17 @@
 {
 }
 
-bool
-CrashLedger::Take(const CrashEvidence& aEvidence, TimePoint aNow)
+void
+CrashLedger::Take(const CrashEvidence& aEvidence,
+                  Source aSource,
+                  TimePoint aNow)
 {
   const bool speaks = aEvidence.weight != CrashWeight::None;
   if (speaks && this->IsExplained(aEvidence.server, aEvidence.request)) {
-    return false;
+    return;
   }
   if (!speaks && !this->suspects.contains(aEvidence.request)) {
-    return false;
+    return;
   }
   Suspect& suspect = this->SuspectOf(aEvidence.request, aNow);
   const auto known =
@@ -57,16 +60,20 @@
     if (suspect.ends.size() >= kMostEnds) {
       suspect.ends.erase(suspect.ends.begin());
     }
-    suspect.ends.push_back({ aEvidence.server, aEvidence.weight, aNow });
+    suspect.ends.push_back(
+      { aEvidence.server, aEvidence.weight, aSource, aNow });
   } else {
     const CrashWeight merged = Merge(known->weight, aEvidence.weight);
     if (merged == known->weight) {
-      return false;
+      return;
     }
     known->weight = merged;
+    known->source = aSource;
     known->heard = aNow;
   }
-  return speaks && this->Judge(aEvidence.request, aNow);
+  if (speaks && this->IsConvicted(aEvidence.request)) {
+    this->ExplainEnds(aEvidence.request);
+  }
 }
 
 CrashLedger::Suspect&
@@ -106,44 +113,61 @@
 }
 
 bool
-CrashLedger::Leads(RequestFingerprint aRequest, const Suspect& aSuspect) const
+CrashLedger::Leads(RequestFingerprint aRequest,
+                   std::span<const End> aEnds) const
 {
-  const std::uint32_t score = Sum(aSuspect.ends);
-  return std::ranges::any_of(aSuspect.ends, [&](const End& aEnd) {
-    if (aEnd.weight == CrashWeight::None) {
-      return false;
-    }
+  const std::uint32_t score = Sum(aEnds);
+  const auto isRival = [&](const auto& aOther, ServerKey aServer) {
+    return aOther.first != aRequest && Sum(aOther.second.ends) >= score &&
+           std::ranges::any_of(aOther.second.ends, [&](const End& aTheirs) {
+             return aTheirs.server == aServer &&
+                    aTheirs.weight != CrashWeight::None;
+           });
+  };
+  return std::ranges::any_of(aEnds, [&](const End& aEnd) {
     return std::ranges::none_of(this->suspects, [&](const auto& aOther) {
-      return aOther.first != aRequest && Sum(aOther.second.ends) >= score &&
-             std::ranges::any_of(aOther.second.ends, [&](const End& aTheirs) {
-               return aTheirs.server == aEnd.server &&
-                      aTheirs.weight != CrashWeight::None;
-             });
+      return isRival(aOther, aEnd.server);
     });
   });
 }
 
 bool
-CrashLedger::Judge(RequestFingerprint aRequest, TimePoint aNow)
+CrashLedger::IsToQuarantine(RequestFingerprint aRequest,
+                            const Suspect& aSuspect,
+                            TimePoint aNow) const
 {
-  if (this->IsConvicted(aRequest)) {
-    this->ExplainEnds(aRequest, aNow);
+  std::vector<End> settled;
+  std::ranges::copy_if(
+    aSuspect.ends, std::back_inserter(settled), [&](const End& aEnd) {
+      return aEnd.weight != CrashWeight::None &&
+             Between(aEnd.heard, aNow) >= kSettle;
+    });
+  const auto verdict = this->verdicts.find(aRequest);
+  if (verdict != this->verdicts.end() && !verdict->second.isLifted) {
     // One that is back from quarantine and crashes again goes there at once.
-    if (this->QuarantineLeft(aRequest, aNow) > Duration::zero()) {
-      return false;
+    const TimePoint over = verdict->second.until;
+    return over <= aNow && std::ranges::any_of(settled, [&](const End& aEnd) {
+             return aEnd.heard > over;
+           });
+  }
+  const std::uint32_t score = Sum(settled);
+  return score >= kCertainScore ||
+         (score >= kQuarantineScore && this->Leads(aRequest, settled));
+}
+
+std::vector<RequestFingerprint>
+CrashLedger::Judge(TimePoint aNow)
+{
+  std::vector<RequestFingerprint> quarantined;
+  for (const auto& [request, suspect] : this->suspects) {
+    if (this->IsToQuarantine(request, suspect, aNow)) {
+      quarantined.push_back(request);
     }
-    this->Quarantine(aRequest, aNow);
-    return true;
   }
-  const Suspect& suspect = this->suspects.at(aRequest);
-  const std::uint32_t score = Sum(suspect.ends);
-  const bool suffices =
-    score >= kCertainScore ||
-    (score >= kQuarantineScore && this->Leads(aRequest, suspect));
-  if (suffices) {
-    this->Quarantine(aRequest, aNow);
+  for (const RequestFingerprint request : quarantined) {
+    this->Quarantine(request, aNow);
   }
-  return suffices;
+  return quarantined;
 }
 
 void
@@ -153,7 +177,7 @@
   const std::uint32_t round =
     before == this->verdicts.end() ? 1 : before->second.round + 1;
   this->SetVerdict(aRequest, { round, false, aNow + this->quarantine, aNow });
-  this->ExplainEnds(aRequest, aNow);
+  this->ExplainEnds(aRequest);
 }
 
 void
@@ -170,7 +194,7 @@
 }
 
 void
-CrashLedger::ExplainEnds(RequestFingerprint aRequest, TimePoint aNow)
+CrashLedger::ExplainEnds(RequestFingerprint aRequest)
 {
   const auto culprit = this->suspects.find(aRequest);
   if (culprit == this->suspects.end()) {
@@ -186,7 +210,6 @@
       if (end.weight != CrashWeight::None &&
           this->IsExplained(end.server, request)) {
         end.weight = CrashWeight::None;
-        end.heard = aNow;
       }
     }
   }
@@ -210,6 +233,7 @@
   for (End& end : found->second.ends) {
     if (end.weight != CrashWeight::None) {
       end.weight = CrashWeight::None;
+      end.source = Source::Own;
       end.heard = aNow;
     }
   }
@@ -245,7 +269,7 @@
     this->ForgetExplained(aVerdict.request);
     this->ClearEnds(aVerdict.request, aNow);
   } else {
-    this->ExplainEnds(aVerdict.request, aNow);
+    this->ExplainEnds(aVerdict.request);
   }
   return true;
 }
@@ -286,6 +310,20 @@
   return isSuspect ? CrashStanding::Suspect : CrashStanding::Clear;
 }
 
+bool
+CrashLedger::IsUndecided(RequestFingerprint aRequest, TimePoint aNow) const
+{
+  const auto found = this->suspects.find(aRequest);
+  if (found == this->suspects.end() ||
+      Sum(found->second.ends) < kQuarantineScore) {
+    return false;
+  }
+  return std::ranges::any_of(found->second.ends, [&](const End& aEnd) {
+    return aEnd.weight != CrashWeight::None &&
+           Between(aEnd.heard, aNow) < kSettle + kJudgePeriod;
+  });
+}
+
 std::uint32_t
 CrashLedger::ScoreOf(RequestFingerprint aRequest) const
 {
@@ -328,7 +366,9 @@
   std::vector<Line> lines;
   for (const auto& [request, suspect] : this->suspects) {
     for (const End& end : suspect.ends) {
-      if (isNew(end.heard)) {
+      const bool isToTell =
+        end.source == Source::Own || suspect.ends.size() > 1;
+      if (isToTell && isNew(end.heard)) {
         lines.push_back(
           { Sum(suspect.ends), { request, end.server, end.weight } });
       }
--- a/dogwoodvale/src/Quarantine/CrashLedger.h
+++ b/dogwoodvale/src/Quarantine/CrashLedger.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_QUARANTINE_CRASHLEDGER_H
 #define DOGWOODVALE_QUARANTINE_CRASHLEDGER_H
 
+#include <span>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -61,11 +62,19 @@
 class CrashLedger
 {
 public:
+  enum class Source : std::uint8_t
+  {
+    Own,
+    Told,
+  };
+
   explicit CrashLedger(Duration aQuarantine);
 
-  /// Takes what was seen here or told by another gateway.
-  /// \return whether the request is in quarantine by this.
-  bool Take(const CrashEvidence& aEvidence, TimePoint aNow);
+  /// \param aSource who saw it.
+  void Take(const CrashEvidence& aEvidence, Source aSource, TimePoint aNow);
+  /// Judges by what was heard at least kSettle ago; call each kJudgePeriod.
+  /// \return requests that are in quarantine by this.
+  std::vector<RequestFingerprint> Judge(TimePoint aNow);
   /// Takes another gateway's verdict. \return whether it was news.
   bool Take(const QuarantineVerdict& aVerdict, TimePoint aNow);
   /// A server has answered the request.
@@ -75,6 +84,9 @@
   CrashStanding StandingOf(RequestFingerprint aRequest, TimePoint aNow) const;
   /// What is left of its quarantine; zero if it is in none.
   Duration QuarantineLeft(RequestFingerprint aRequest, TimePoint aNow) const;
+  /// Whether its evidence would suffice and has not settled yet. Sending it
+  /// meanwhile would end another server each time.
+  bool IsUndecided(RequestFingerprint aRequest, TimePoint aNow) const;
   /// Evidence against it, a sum of CrashWeight.
   std::uint32_t ScoreOf(RequestFingerprint aRequest) const;
   /// Its newest verdict, for a place that outlives this process.
@@ -82,7 +94,9 @@
                                              TimePoint aNow) const;
 
   /// News for the others: quarantines always, since a gateway that was cut off
-  /// or has just started has missed them; the rest while it is new.
+  /// or has just started has missed them; the rest while it is new. What was
+  /// told is told on only of requests that were at two ends or more: those that
+  /// were at one are many, and every gateway near has heard it at first hand.
   CrashNews News(TimePoint aNow) const;
   std::vector<RequestFingerprint> Suspects() const;
   void Expire(TimePoint aNow);
@@ -105,6 +119,12 @@
   /// How long evidence counts, and a quarantine that is over is remembered:
   /// the next crash then puts the request back at once.
   static constexpr Duration kMemory = seconds(600);
+  /// One server's end is told by each gateway that had a request there. Judged
+  /// by what came first, a request that is not to blame would seem to have been
+  /// there alone. By then the others have been heard: three datagrams between
+  /// thirty gateways.
+  static constexpr Duration kSettle = milliseconds(500);
+  static constexpr Duration kJudgePeriod = milliseconds(200);
   /// News is repeated for this long: thirty datagrams between four gateways,
   /// nine between thirty, of which some are lost.
   static constexpr Duration kNewFor = milliseconds(1500);
@@ -116,6 +136,7 @@
   {
     ServerKey server = 0;
     CrashWeight weight = CrashWeight::None;
+    Source source = Source::Own;
     TimePoint heard{};
   };
   struct Suspect
@@ -133,14 +154,16 @@
 
   Suspect& SuspectOf(RequestFingerprint aRequest, TimePoint aNow);
   void DropWeakest();
-  bool Leads(RequestFingerprint aRequest, const Suspect& aSuspect) const;
   bool IsExplained(ServerKey aServer, RequestFingerprint aRequest) const;
   bool IsConvicted(RequestFingerprint aRequest) const;
-  /// Whether the evidence suffices now.
-  bool Judge(RequestFingerprint aRequest, TimePoint aNow);
+  bool IsToQuarantine(RequestFingerprint aRequest,
+                      const Suspect& aSuspect,
+                      TimePoint aNow) const;
+  /// Whether no other request at one of these ends has as high a score.
+  bool Leads(RequestFingerprint aRequest, std::span<const End> aEnds) const;
   void Quarantine(RequestFingerprint aRequest, TimePoint aNow);
   void SetVerdict(RequestFingerprint aRequest, const Verdict& aVerdict);
-  void ExplainEnds(RequestFingerprint aRequest, TimePoint aNow);
+  void ExplainEnds(RequestFingerprint aRequest);
   void ForgetExplained(RequestFingerprint aRequest);
   void ClearEnds(RequestFingerprint aRequest, TimePoint aNow);
 
