Bound the copies of a suspect over all gateways; test who is not to blame

Cause: ten gateways that get one crashing body at once ran it twenty times, as each sent its next copy before it had heard of the others' ends (test: 20 runs where 13 are the bound). Change: a new request waits while an attempt of the same content has just broken off, or others' evidence against it is about to be heard; copies that waited go apart by a drawn time. Tests over gateways, a store and engines: all engines killed four times, a release that cuts notes, engines that reset answers, ten gateways at once, gateways that start late or are all killed, an engine version that crashes no more.

--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -9,25 +9,6 @@
 
 constexpr int kMicrosPerMilli = 1000;
 
-void
-LogQuarantine(const QuarantineVerdict& aVerdict,
-              std::uint32_t aScore,
-              std::string_view aFrom)
-{
-  Log(LogLevel::Warning,
-      aVerdict.isLifted ? "quarantine_lifted" : "request_quarantined",
-      "fingerprint",
-      FingerprintText(aVerdict.request),
-      "round",
-      aVerdict.round,
-      "score",
-      aScore,
-      "left_ms",
-      aVerdict.left.count() / kMicrosPerMilli,
-      "from",
-      aFrom);
-}
-
 } // namespace
 
 CrashGuard::CrashGuard(EventLoop& aLoop,
@@ -44,11 +25,11 @@
 
 // Requests.
 
-CrashStanding
-CrashGuard::StandingOf(RequestFingerprint aRequest) const
+bool
+CrashGuard::IsQuarantined(RequestFingerprint aRequest) const
 {
-  return this->options.isOn ? this->ledger.StandingOf(aRequest, Now())
-                            : CrashStanding::Clear;
+  return this->options.isOn &&
+         this->ledger.StandingOf(aRequest, Now()) == CrashStanding::Quarantined;
 }
 
 Duration
@@ -58,11 +39,18 @@
 }
 
 bool
-CrashGuard::HasToWait(RequestFingerprint aRequest) const
+CrashGuard::HasToWait(RequestFingerprint aRequest, bool aIsNew) const
 {
   const TimePoint now = Now();
-  return this->copies.HasAny(aRequest, now) ||
-         this->ledger.IsUndecided(aRequest, now);
+  if (!this->options.isOn) {
+    return false;
+  }
+  if (aIsNew && this->broken.HasJustBroken(aRequest, now)) {
+    return true;
+  }
+  return this->ledger.StandingOf(aRequest, now) == CrashStanding::Suspect &&
+         (this->copies.HasAny(aRequest, now) ||
+          this->ledger.IsUndecided(aRequest, now));
 }
 
 void
@@ -82,9 +70,7 @@
 {
   const TimePoint now = Now();
   if (this->ledger.OnAnswered(aRequest, now)) {
-    const QuarantineVerdict verdict = *this->ledger.VerdictOf(aRequest, now);
-    LogQuarantine(verdict, 0, "answer");
-    this->onVerdict(verdict);
+    this->onVerdict(this->LogVerdict(aRequest, "answer", now));
   }
 }
 
@@ -167,13 +153,32 @@
   }
 }
 
+QuarantineVerdict
+CrashGuard::LogVerdict(RequestFingerprint aRequest,
+                       std::string_view aFrom,
+                       TimePoint aNow) const
+{
+  const QuarantineVerdict verdict = *this->ledger.VerdictOf(aRequest, aNow);
+  Log(LogLevel::Warning,
+      verdict.isLifted ? "quarantine_lifted" : "request_quarantined",
+      "fingerprint",
+      FingerprintText(aRequest),
+      "round",
+      verdict.round,
+      "score",
+      this->ledger.ScoreOf(aRequest),
+      "left_ms",
+      verdict.left.count() / kMicrosPerMilli,
+      "from",
+      aFrom);
+  return verdict;
+}
+
 void
 CrashGuard::Judge(TimePoint aNow)
 {
   for (const RequestFingerprint request : this->ledger.Judge(aNow)) {
-    const QuarantineVerdict verdict = *this->ledger.VerdictOf(request, aNow);
-    LogQuarantine(verdict, this->ledger.ScoreOf(request), "evidence");
-    this->onVerdict(verdict);
+    this->onVerdict(this->LogVerdict(request, "evidence", aNow));
   }
 }
 
@@ -204,9 +209,7 @@
   this->copies.SetOthers(aDigest.gateway, aDigest.suspectsUnderWay, now);
   for (const QuarantineVerdict& verdict : aDigest.crashes.verdicts) {
     if (this->ledger.Take(verdict, now)) {
-      LogQuarantine(verdict,
-                    this->ledger.ScoreOf(verdict.request),
-                    aDigest.gateway.Value());
+      this->LogVerdict(verdict.request, aDigest.gateway.Value(), now);
     }
   }
   if (aDigest.crashes.evidence.empty()) {
@@ -226,8 +229,9 @@
 void
 CrashGuard::Take(const QuarantineVerdict& aVerdict)
 {
-  if (this->options.isOn && this->ledger.Take(aVerdict, Now())) {
-    LogQuarantine(aVerdict, 0, "store");
+  const TimePoint now = Now();
+  if (this->options.isOn && this->ledger.Take(aVerdict, now)) {
+    this->LogVerdict(aVerdict.request, "store", now);
   }
 }
 
--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -38,11 +38,13 @@
              Options aOptions,
              VerdictHandler aOnVerdict);
 
-  CrashStanding StandingOf(RequestFingerprint aRequest) const;
+  bool IsQuarantined(RequestFingerprint aRequest) const;
   Duration QuarantineLeft(RequestFingerprint aRequest) const;
   /// Whether a suspect has to wait: a copy of it is under way, here or at a
-  /// gateway that has said so, or it is about to be judged.
-  bool HasToWait(RequestFingerprint aRequest) const;
+  /// gateway that has said so, or evidence against it is about to be heard.
+  /// \param aIsNew it has not been sent yet; what was goes on to the next
+  /// server without waiting for the verdict on the last.
+  bool HasToWait(RequestFingerprint aRequest, bool aIsNew) const;
 
   void OnSent(RequestFingerprint aRequest);
   void OnDone(RequestFingerprint aRequest);
@@ -73,6 +75,10 @@
   void Ask();
   void OnEnded(const InstanceName& aInstance, const char* aHow);
   void Judge(TimePoint aNow);
+  /// Logs a change of the request's newest verdict. \return that.
+  QuarantineVerdict LogVerdict(RequestFingerprint aRequest,
+                               std::string_view aFrom,
+                               TimePoint aNow) const;
 
   BackendPool& pool;
   Options options;
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -19,6 +19,9 @@
 /// does not may take long, and its copies need not wait for its end.
 constexpr Duration kLongestWaitForCopy = seconds(1);
 constexpr Duration kCopyCheckPeriod = milliseconds(20);
+/// Copies that wait at several gateways would all go in the same moment; drawn
+/// apart, the first is heard of before most others go.
+constexpr Duration kLongestYield = milliseconds(200);
 
 } // namespace
 
@@ -83,25 +86,31 @@
 {
   CrashGuard& guard = this->host.Crashes();
   const RequestFingerprint request = this->admitted.fingerprint;
-  switch (guard.StandingOf(request)) {
-    case CrashStanding::Clear:
-      return true;
-    case CrashStanding::Quarantined:
-      this->GiveUp(ErrorCode::Quarantined,
-                   "it crashes the backend servers that run it");
-      return false;
-    case CrashStanding::Suspect:
-      break;
-  }
-  if (!this->waitsSince) {
+  if (guard.IsQuarantined(request)) {
+    this->GiveUp(ErrorCode::Quarantined,
+                 "it crashes the backend servers that run it");
+    return false;
+  }
+  const bool isNew = this->outcome.attempts == 0;
+  const bool hasToWait = guard.HasToWait(request, isNew);
+  if (hasToWait && !this->waitsSince) {
     this->waitsSince = aNow;
   }
-  const bool waits = guard.HasToWait(request) &&
-                     Between(*this->waitsSince, aNow) < kLongestWaitForCopy;
-  if (waits) {
+  if (!this->waitsSince ||
+      Between(*this->waitsSince, aNow) >= kLongestWaitForCopy) {
+    return true;
+  }
+  if (hasToWait) {
+    this->yields = true;
     this->waiting.StartOnce(kCopyCheckPeriod);
+    return false;
+  }
+  if (std::exchange(this->yields, false)) {
+    std::uniform_int_distribution<Duration::rep> draw(0, kLongestYield.count());
+    this->waiting.StartOnce(Duration(draw(this->host.Random())));
+    return false;
   }
-  return !waits;
+  return true;
 }
 
 void
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -151,6 +151,8 @@
   TimePoint lastEventsAt{};
   /// When it began to wait for another copy of itself.
   std::optional<TimePoint> waitsSince;
+  /// It waited and lets others' copies go first, for a drawn time.
+  bool yields = false;
   Timer waiting;
   GatewayOutcome outcome;
   bool done = false;
--- a/dogwoodvale/src/Quarantine/BrokenRuns.cpp
+++ b/dogwoodvale/src/Quarantine/BrokenRuns.cpp
@@ -1,5 +1,7 @@
 #include "BrokenRuns.h"
 
+#include <algorithm>
+
 namespace dogwoodvale {
 
 bool
@@ -34,6 +36,17 @@
   this->servers.erase(aInstance);
 }
 
+bool
+BrokenRuns::HasJustBroken(RequestFingerprint aRequest, TimePoint aNow) const
+{
+  return std::ranges::any_of(this->servers, [&](const auto& aItem) {
+    const Broken& server = aItem.second;
+    return Between(server.since, aNow) < kVerdictComes &&
+           std::ranges::find(server.runs, aRequest, &CrashEvidence::request) !=
+             server.runs.end();
+  });
+}
+
 std::vector<InstanceName>
 BrokenRuns::Open() const
 {
--- a/dogwoodvale/src/Quarantine/BrokenRuns.h
+++ b/dogwoodvale/src/Quarantine/BrokenRuns.h
@@ -24,6 +24,9 @@
   std::vector<CrashEvidence> OnEnded(const InstanceName& aInstance);
   /// The server takes connections.
   void OnAlive(const InstanceName& aInstance);
+  /// Whether an attempt of it broke off a moment ago, so that the verdict on
+  /// its server is still to come.
+  bool HasJustBroken(RequestFingerprint aRequest, TimePoint aNow) const;
   /// Servers on which the verdict is open.
   std::vector<InstanceName> Open() const;
   void Expire(TimePoint aNow);
@@ -31,6 +34,9 @@
   /// Servers send heartbeats every second or two and are taken off the list
   /// after a few; by then it is known whether this one ended.
   static constexpr Duration kOpenFor = seconds(10);
+  /// A probe is sent after a twentieth of a second and answered within a round
+  /// trip. A server that says nothing must not hold requests up for longer.
+  static constexpr Duration kVerdictComes = milliseconds(150);
   /// Requests of one server; more are under way at none.
   static constexpr std::size_t kMostRuns = 512;
 
--- a/dogwoodvale/src/Quarantine/CrashLedger.cpp
+++ b/dogwoodvale/src/Quarantine/CrashLedger.cpp
@@ -160,7 +160,9 @@
 {
   std::vector<RequestFingerprint> quarantined;
   for (const auto& [request, suspect] : this->suspects) {
-    if (this->IsToQuarantine(request, suspect, aNow)) {
+    const bool isCandidate =
+      Sum(suspect.ends) >= kQuarantineScore || this->verdicts.contains(request);
+    if (isCandidate && this->IsToQuarantine(request, suspect, aNow)) {
       quarantined.push_back(request);
     }
   }
@@ -314,13 +316,15 @@
 CrashLedger::IsUndecided(RequestFingerprint aRequest, TimePoint aNow) const
 {
   const auto found = this->suspects.find(aRequest);
-  if (found == this->suspects.end() ||
-      Sum(found->second.ends) < kQuarantineScore) {
+  if (found == this->suspects.end()) {
     return false;
   }
+  const bool wouldSuffice = Sum(found->second.ends) >= kQuarantineScore;
+  const Duration settles =
+    wouldSuffice ? Duration(kSettle + kJudgePeriod) : kOthersAreHeard;
   return std::ranges::any_of(found->second.ends, [&](const End& aEnd) {
     return aEnd.weight != CrashWeight::None &&
-           Between(aEnd.heard, aNow) < kSettle + kJudgePeriod;
+           Between(aEnd.heard, aNow) < settles;
   });
 }
 
--- a/dogwoodvale/src/Quarantine/CrashLedger.h
+++ b/dogwoodvale/src/Quarantine/CrashLedger.h
@@ -84,8 +84,9 @@
   CrashStanding StandingOf(RequestFingerprint aRequest, TimePoint aNow) const;
   /// What is left of its quarantine; zero if it is in none.
   Duration QuarantineLeft(RequestFingerprint aRequest, TimePoint aNow) const;
-  /// Whether its evidence would suffice and has not settled yet. Sending it
-  /// meanwhile would end another server each time.
+  /// Whether more evidence is about to be heard, or what there is would suffice
+  /// and has not settled yet. Sending it meanwhile would end a server each
+  /// time.
   bool IsUndecided(RequestFingerprint aRequest, TimePoint aNow) const;
   /// Evidence against it, a sum of CrashWeight.
   std::uint32_t ScoreOf(RequestFingerprint aRequest) const;
@@ -124,6 +125,8 @@
   /// there alone. By then the others have been heard: three datagrams between
   /// thirty gateways.
   static constexpr Duration kSettle = milliseconds(500);
+  /// Other gateways that ran copies of the same request tell of their ends.
+  static constexpr Duration kOthersAreHeard = milliseconds(200);
   static constexpr Duration kJudgePeriod = milliseconds(200);
   /// News is repeated for this long: thirty datagrams between four gateways,
   /// nine between thirty, of which some are lost.
--- a/test/CrashingRequest.cpp
+++ b/test/CrashingRequest.cpp
@@ -97,3 +97,174 @@
   CHECK(static_cast<double>(after.served) >=
         0.98 * static_cast<double>(after.sent));
 }
+
+namespace {
+
+/// Sends the same request of an innocent caller at all gateways each 10 ms.
+std::size_t
+SendPolls(CrashSite& aSite, const std::string& aPath, Duration aTime)
+{
+  constexpr Duration kStep = milliseconds(10);
+  std::size_t sent = 0;
+  for (Duration at{ 0 }; at < aTime; at += kStep) {
+    aSite.Send(sent % aSite.gateways.size(), aPath, "always the same");
+    aSite.Run(kStep);
+    ++sent;
+  }
+  return sent;
+}
+
+std::size_t
+QuarantinedCount(CrashSite& aSite)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aSite.sent, &CrashSite::Try::IsQuarantined));
+}
+
+bool
+HasNoSuspects(const CrashSite& aSite)
+{
+  return std::ranges::all_of(aSite.gateways, [](const auto& aOne) {
+    return aOne->Metrics().find("{reason=\"crash_suspects\"} 0\n") !=
+           std::string::npos;
+  });
+}
+
+Json::Value
+Fault(const char* aName, Json::Value aValue)
+{
+  Json::Value fault(Json::objectValue);
+  fault[aName] = std::move(aValue);
+  return fault;
+}
+
+} // namespace
+
+// All engines of a service are killed at once, four times, with the same poll
+// of one caller under way each time. It is at each end, and so are its copies;
+// the answers that it gets in between say that it is not to blame.
+TEST_CASE("polls outlive the end of all engines", "[crashing]")
+{
+  CrashSite site(6, kGateways, LongNotes());
+  for (int i = 0; i < 4; ++i) {
+    SendPolls(site, "/again/x", milliseconds(700));
+    site.CrashEngines(6);
+  }
+  SendPolls(site, "/again/x", milliseconds(700));
+  site.Settle();
+  CHECK(site.crashes.size() == 24);
+  CHECK(QuarantinedCount(site) == 0);
+  CHECK(site.sent.back().socket.Has("HTTP/1.1 200"));
+}
+
+// Engines are replaced by a release: each says that it leaves, and ends after
+// the time within which no more work may come, which cuts the same caller's
+// long notes each time. A planned end is no crash.
+TEST_CASE("notes that a release cuts are not suspected", "[crashing]")
+{
+  standins::SealedEngineSettings notes = LongNotes();
+  notes.events = 100;
+  CrashSite site(3, kGateways, notes);
+  for (int i = 0; i < 4; ++i) {
+    SendPolls(site, "/note/stream/x", milliseconds(60));
+    site.DrainEngines();
+    site.Run(milliseconds(300));
+    site.CrashEngines(3);
+    site.Run(milliseconds(700));
+  }
+  site.Settle();
+  CHECK(site.crashes.size() == 12);
+  CHECK(QuarantinedCount(site) == 0);
+  CHECK(HasNoSuspects(site));
+}
+
+// Engines break off each answer and go on: callers get nothing whole, though no
+// engine ends. The request is not to blame and must not be refused for it.
+TEST_CASE("engines that reset answers blame no request", "[crashing]")
+{
+  CrashSite site(4, kGateways);
+  site.SetFault(Fault("crash_after", 1));
+  SendPolls(site, "/note/stream/x", milliseconds(800));
+  site.Settle();
+  CHECK(site.crashes.empty());
+  CHECK(QuarantinedCount(site) == 0);
+  CHECK(site.gateways[0]->Metrics().find("{reason=\"crash_suspects\"} 0\n") !=
+        std::string::npos);
+  site.SetFault(Fault("clear", true));
+  site.Run(milliseconds(100));
+  CHECK(
+    site.Send(0, "/note/stream/x", "always the same").socket.Read().empty());
+  site.Settle();
+  CHECK(site.sent.back().IsServed());
+}
+
+// Ten callers bring the crashing body to ten gateways at once, again and again.
+// The first ten may run, since nothing is known; from then on copies go one
+// after the other, until three ends are known.
+TEST_CASE("copies at ten gateways end a bounded number of engines",
+          "[crashing]")
+{
+  constexpr std::size_t kMany = 10;
+  CrashSite site(20, kMany, LongNotes());
+  for (int round = 0; round < 20; ++round) {
+    for (std::size_t gateway = 0; gateway < kMany; ++gateway) {
+      site.Send(gateway, "/note/stream/x", CrashSite::kCrashBody);
+    }
+    site.Run(milliseconds(100));
+  }
+  site.Settle();
+  INFO("runs: " << site.CrashingRuns());
+  CHECK(site.CrashingRuns() <= kMany + 3);
+  CHECK(site.sent.back().IsQuarantined());
+}
+
+// One gateway starts when the quarantine stands already, and then all of them
+// are killed and start anew with empty memories. The caller goes on all the
+// while; neither may send its request on.
+TEST_CASE("a quarantine outlives the gateways", "[crashing]")
+{
+  CrashSite site(8, 2, LongNotes());
+  while (site.crashes.size() < 3) {
+    site.Send(0, "/note/stream/x", CrashSite::kCrashBody);
+    site.Run(milliseconds(100));
+  }
+  site.Run(seconds(1));
+  const std::size_t before = site.CrashingRuns();
+  site.StartGateways(1);
+  CHECK_FALSE(site.Send(2, "/note/stream/x", CrashSite::kCrashBody).IsServed());
+  site.Settle();
+  CHECK(site.sent.back().IsQuarantined());
+  CHECK(site.sent.back().socket.Has("Retry-After: "));
+  site.gateways.clear();
+  site.StartGateways(2);
+  for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+    site.Send(gateway, "/note/stream/x", CrashSite::kCrashBody);
+    site.Settle();
+    CHECK(site.sent.back().IsQuarantined());
+  }
+  CHECK(site.CrashingRuns() == before);
+}
+
+// The engines' new version runs the request that crashed the old one. When its
+// quarantine is over one copy tries it, and its answer lets the others go on.
+TEST_CASE("a request that crashes no more is served again", "[crashing]")
+{
+  CrashSite site(6, kGateways, LongNotes(), seconds(3));
+  while (site.crashes.size() < 3) {
+    site.Send(0, "/note/stream/x", CrashSite::kCrashBody);
+    site.Run(milliseconds(100));
+  }
+  site.Run(seconds(1));
+  site.Send(1, "/note/stream/x", CrashSite::kCrashBody);
+  site.Settle();
+  CHECK(site.sent.back().IsQuarantined());
+  site.Cure();
+  site.CrashEngines(6);
+  site.Run(seconds(3));
+  for (std::size_t gateway = 0; gateway < kGateways; ++gateway) {
+    site.Send(gateway, "/note/stream/x", CrashSite::kCrashBody);
+  }
+  site.Settle();
+  CHECK(site.sent.back().IsServed());
+  CHECK(std::prev(site.sent.end(), kGateways)->IsServed());
+}
--- a/test/support/CrashSite.h
+++ b/test/support/CrashSite.h
@@ -20,26 +20,34 @@
 
   CrashSite(int aEngines,
             int aGateways,
-            standins::SealedEngineSettings aSettings = {})
+            standins::SealedEngineSettings aSettings = {},
+            Duration aQuarantine = seconds(600))
     : PlatformSite(0)
     , engineSettings(std::move(aSettings))
   {
+    this->quarantine = aQuarantine;
     for (int i = 0; i < aEngines; ++i) {
       this->StartEngine();
     }
-    for (int i = 1; i <= aGateways; ++i) {
-      this->AddGateway(fmt::format("g{}", i));
+    this->StartGateways(aGateways);
+    this->tend.StartRepeating(milliseconds(1));
+  }
+
+  /// Starts so many and waits until each is ready and hears all of them.
+  void StartGateways(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      this->AddGateway(fmt::format("g{}", ++this->startedGateways));
     }
     // Gateways that have just started read of each other after two seconds.
     const std::string all =
-      fmt::format("{{reason=\"peers\"}} {}\n", aGateways - 1);
+      fmt::format("{{reason=\"peers\"}} {}\n", this->gateways.size() - 1);
     this->Until([&] {
       return std::ranges::all_of(this->gateways, [&](const auto& aOne) {
         return aOne->Ready().ok() &&
                aOne->Metrics().find(all) != std::string::npos;
       });
     });
-    this->tend.StartRepeating(milliseconds(1));
   }
 
   /// One caller's try, on a connection of its own.
@@ -54,6 +62,10 @@
              this->socket.received.ends_with("0\r\n\r\n");
     }
     bool IsRefused() { return this->socket.Has("HTTP/1.1 503"); }
+    bool IsQuarantined()
+    {
+      return this->IsRefused() && this->socket.Has("\"quarantined\"");
+    }
   };
 
   Try& Send(std::size_t aGateway,
@@ -92,6 +104,32 @@
     }
   }
 
+  /// Engines that start from now on run the crashing body like any other.
+  void Cure() { this->isCured = true; }
+
+  /// All engines say that they leave; they go on until they are crashed.
+  void DrainEngines()
+  {
+    for (const Running& one : this->running) {
+      this->Register(one.name, *one.engine, "draining");
+    }
+  }
+
+  /// Gives each engine that runs now a fault, see SealedEngine::SetFault().
+  void SetFault(const Json::Value& aFault)
+  {
+    for (const Running& one : this->running) {
+      one.engine->SetFault(aFault);
+    }
+  }
+
+  /// Runs of the crashing body.
+  std::size_t CrashingRuns() const
+  {
+    return static_cast<std::size_t>(
+      std::ranges::count(this->Runs(), kCrashBody, &standins::SealedRun::body));
+  }
+
   /// Runs of engines that are gone and of those that are there, by their begin.
   std::vector<standins::SealedRun> Runs() const
   {
@@ -127,7 +165,7 @@
     made.name = fmt::format("e{}", ++this->started);
     standins::SealedEngineSettings settings = this->engineSettings;
     settings.instance = made.name;
-    settings.crashBody = kCrashBody;
+    settings.crashBody = this->isCured ? "" : kCrashBody;
     made.engine = *standins::SealedEngine::Create(
       *this->loop, { "127.0.0.1", 0 }, settings);
     this->Register(made.name, *made.engine, "ready");
@@ -165,6 +203,8 @@
   }
 
   standins::SealedEngineSettings engineSettings;
+  bool isCured = false;
+  int startedGateways = 0;
   std::vector<Running> running;
   std::vector<Gone> gone;
   std::vector<standins::SealedRun> pastRuns;
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -102,6 +102,7 @@
     settings.gateway.instanceDrain = milliseconds(300);
     settings.gateway.retryRatio = 1.0;
     settings.gateway.stopGrace = seconds(2);
+    settings.gateway.quarantine = this->quarantine;
     auto ports = platform::CreatePorts(*this->loop, settings);
     this->gateways.push_back(
       *Gateway::Create(*this->loop, settings, *std::move(ports)));
@@ -158,6 +159,8 @@
   /// A TCP port that was free a moment ago.
   static std::uint16_t FreePort() { return RawSocket::Listen().Address().port; }
 
+  /// Given to gateways that start from now on.
+  Duration quarantine = seconds(600);
   std::unique_ptr<EventLoop> loop = *EventLoop::Create();
   std::unique_ptr<standins::MetadataStore> store =
     *standins::MetadataStore::Create(*this->loop, { "127.0.0.1", 0 });
