--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,8 +25,8 @@
 
 
 class Callers:
-    def __init__(self, site, rng):
-        self.site, self.rng = site, rng
+    def __init__(self, site, rng, own_bodies=False):
+        self.site, self.rng, self.own_bodies = site, rng, own_bodies
         self.answers, self.stopping, self.healed_at = [], False, None
 
     def stop(self):
@@ -48,16 +48,17 @@
 
     async def _reach_all(self):
         for name in self.site.gateways:
-            answer = await self._once(name, "/again/")
+            answer = await self.once(name, "/again/")
             if answer.status != 200:
                 return False
         return True
 
-    async def _once(self, name, route):
+    async def once(self, name, route, body=b"body"):
+        """One request on a connection of its own."""
         answer = Answer(uuid.uuid4().hex[:16], route, name)
         try:
             reader, writer = await self._connect(name)
-            await self._ask(reader, writer, answer)
+            await asyncio.wait_for(self._ask(reader, writer, answer, body), PATIENCE_S)
             writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -89,7 +90,8 @@
             answer = Answer(uuid.uuid4().hex[:16], self.rng.choice(ROUTES), name)
             self.answers.append(answer)
             try:
-                await asyncio.wait_for(self._ask(reader, writer, answer), PATIENCE_S)
+                body = answer.id.encode() if self.own_bodies else b"body"
+                await asyncio.wait_for(self._ask(reader, writer, answer, body), PATIENCE_S)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
                 return
             finally:
@@ -98,13 +100,13 @@
                 return
             await asyncio.sleep(self.rng.uniform(0, 0.05))
 
-    async def _ask(self, reader, writer, answer):
+    async def _ask(self, reader, writer, answer, body):
         writer.write(
             f"POST {answer.route}x HTTP/1.1\r\nHost: soak.example\r\n"
             f"Dogwoodvale-Attempt-Id: {answer.id}\r\n"
             f"Dogwoodvale-Credential: {self.rng.choice(KEYS)}\r\n"
             f"Dogwoodvale-Deadline-Ms: {PATIENCE_S * 1000}\r\n"
-            f"Content-Length: 4\r\n\r\nbody".encode())
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         lines = head.split("\r\n")
         answer.headers = {k.lower(): v for k, v in re.findall(r"([^\r\n:]+): *([^\r\n]*)", head)}
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -90,8 +90,11 @@
 
 
 class Site:
-    def __init__(self, build, folder, rng):
+    def __init__(self, build, folder, rng, crash_body=None):
+        """With crash_body, engines end under it, and no proxy stands before them:
+        one would take connections for an engine that has ended."""
         self.build, self.folder, self.rng = build, folder, rng
+        self.crash_body = crash_body
         self.engines, self.gateways, self.proxies = {}, {}, {}
         self.settings, self.version, self.log = {}, 0, []
         self.engine_count = 0
@@ -145,20 +148,25 @@
         self.engine_count += 1
         name = f"e{self.engine_count}"
         port = free_port()
-        process = Process(self, name, [
+        command = [
             f"{self.build}/standin_sealed_engine", "--listen", f"127.0.0.1:{port}",
-            "--instance", name, "--events", "12", "--gap-ms", "15", "--work-ms", "10"])
+            "--instance", name, "--events", "12", "--gap-ms", "15", "--work-ms", "10"]
+        if self.crash_body:
+            command += ["--crash-body", self.crash_body]
+        process = Process(self, name, command)
         await process.start()
-        proxy = Proxy(port)
-        await proxy.start()
         self.engines[name] = (process, port)
-        self.proxies[name] = proxy
+        if not self.crash_body:
+            self.proxies[name] = Proxy(port)
+            await self.proxies[name].start()
         await post_soon(port, "/standin/fault", {"clear": True})
         await self.register(name, "ready")
 
     async def register(self, name, state):
+        proxy = self.proxies.get(name)
+        port = proxy.port if proxy else self.engines[name][1]
         await self.put(f"servers/{name}", {
-            "service": "s", "address": f"127.0.0.1:{self.proxies[name].port}", "zone": "z",
+            "service": "s", "address": f"127.0.0.1:{port}", "zone": "z",
             "slots": 8, "state": state, "sequence": 1})
 
     async def retire(self, name):
--- a/test/BackendClient.cpp
+++ b/test/BackendClient.cpp
@@ -445,3 +445,28 @@
   RawSocket another;
   CHECK(fixture.Until([&] { return fixture.listener.Accept(another); }));
 }
+
+// A server that broke off an answer is asked whether it ended or lost that one.
+TEST_CASE("a probe tells a server that has ended", "[backend]")
+{
+  Fixture fixture;
+  std::vector<ProbeResult> results;
+  const auto note = [&](ProbeResult aResult) { results.push_back(aResult); };
+  fixture.client->Probe(note);
+  REQUIRE(fixture.Until([&] { return !results.empty(); }));
+  CHECK(results[0] == ProbeResult::Accepted);
+  SECTION("its connection is kept for the next call")
+  {
+    CHECK(fixture.client->IdleConnections() == 1);
+    Recorder recorder;
+    fixture.Exchange(recorder);
+    CHECK(fixture.client->OpenConnections() == 1);
+  }
+  SECTION("nothing listens any more")
+  {
+    fixture.listener.Close();
+    fixture.client->Probe(note);
+    REQUIRE(fixture.Until([&] { return results.size() == 2; }));
+    CHECK(results[1] == ProbeResult::Refused);
+  }
+}
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <msgpack.hpp>
 #include <rapidcheck.h>
 
 #include <set>
@@ -321,6 +322,9 @@
   digest.storeContact = milliseconds(1234);
   digest.work = { { InstanceName("e1"), { 1, { 0, 2 }, 3, 1 } } };
   digest.routed = { { InstanceName("e2"), { { 4, 40 }, { 5, 50 } }, 6 } };
+  digest.crashes.evidence = { { 10, 11, CrashWeight::Late } };
+  digest.crashes.verdicts = { { 12, 13, true, seconds(14) } };
+  digest.suspectsUnderWay = { 15 };
   const std::string bytes = WriteDigest(digest, "secret");
   const auto read = ReadDigest(bytes, "secret");
   REQUIRE(read.ok());
@@ -334,6 +338,9 @@
   REQUIRE(read->routed.size() == 1);
   CHECK(read->routed[0].steps == digest.routed[0].steps);
   CHECK(read->routed[0].longTokens == 6);
+  CHECK(read->crashes.evidence == digest.crashes.evidence);
+  CHECK(read->crashes.verdicts == digest.crashes.verdicts);
+  CHECK(read->suspectsUnderWay == digest.suspectsUnderWay);
   CHECK_FALSE(ReadDigest(bytes, "another").ok());
   CHECK(rc::check([&bytes] {
     std::string changed = bytes;
@@ -343,6 +350,27 @@
   }));
 }
 
+// A gateway of the version before says nothing of crashes; its digest, seven
+// fields, is read all the same while a release is under way.
+TEST_CASE("a digest of an older gateway is read", "[digest]")
+{
+  using Older = std::tuple<std::string,
+                           std::uint64_t,
+                           std::uint64_t,
+                           std::uint64_t,
+                           std::int64_t,
+                           std::vector<int>,
+                           std::vector<int>>;
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, Older("g1", 7, 8, 9, 1234, {}, {}));
+  const std::string packed(buffer.data(), buffer.size());
+  const auto read =
+    ReadDigest(KeyedDigest(packed, "secret") + packed, "secret");
+  REQUIRE(read.ok());
+  CHECK(read->sequence == 8);
+  CHECK(read->crashes.IsEmpty());
+}
+
 TEST_CASE("a process that stood still is noticed", "[suspension]")
 {
   const auto loop = *EventLoop::Create();
--- a/test/SettingsGateway.cpp
+++ b/test/SettingsGateway.cpp
@@ -76,7 +76,8 @@
   const auto settings = ParseDaemonSettings(
     SettingsText(R"("gateway":{"callers":"127.0.0.1:3",)"
                  R"("decisions":{"home_servers":false,)"
-                 R"("cache_fetch":false,"late_last":false}})"),
+                 R"("cache_fetch":false,"late_last":false,)"
+                 R"("quarantine":false},"quarantine_s":30})"),
     "s.json",
     findings);
   CHECK(findings.IsEmpty());
@@ -85,6 +86,8 @@
   CHECK(settings.gateway.decisions.rankedReading);
   CHECK_FALSE(settings.gateway.decisions.cacheFetch);
   CHECK_FALSE(settings.gateway.decisions.lateLast);
+  CHECK_FALSE(settings.gateway.decisions.quarantine);
+  CHECK(settings.gateway.quarantine == seconds(30));
   ParseDaemonSettings(SettingsText(R"("gateway":{"callers":"127.0.0.1:3",)"
                                    R"("decisions":{"luck":false}})"),
                       "s.json",
