--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import time
@@ -16,10 +17,21 @@
 GRACE_S = 4
 
 
+# Below the ports that the system gives to outgoing connections: one of these could
+# take a port between its choice and the start of the process that is to listen.
+LISTEN_PORTS = range(15_000, 32_000)
+_given = set()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that is free and was not given out before."""
+    while True:
+        port = random.SystemRandom().choice(LISTEN_PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            if port not in _given:
+                _given.add(port)
+                return port
 
 
 async def post_soon(port, path, body):
