Let only a good end clear a request of suspicion

Callers would see servers end again under a request that was known: a server that fails a part of its requests answered it with its own 500, before it ran, and that cleared it at every gateway. Cause: any whole answer counted. Change: only a success clears. Why it holds: a server's failure says nothing of the run. The test failed first (the request was sent on after its third end) and passes.

--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -48,7 +48,7 @@
 
   void OnSent(RequestFingerprint aRequest);
   void OnDone(RequestFingerprint aRequest);
-  /// A server has given a whole answer to it, whatever its status.
+  /// A server has run it to a good end.
   void OnAnswered(RequestFingerprint aRequest);
   void OnBroken(const InstanceName& aInstance,
                 RequestFingerprint aRequest,
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -268,7 +268,10 @@
     this->Conclude(AttemptFailure::Garbled, "an answer with no proof");
     return;
   }
-  this->host.Crashes().OnAnswered(this->admitted.fingerprint);
+  // A server's own failure may have come before the request was run.
+  if (IsSuccess(answer.status)) {
+    this->host.Crashes().OnAnswered(this->admitted.fingerprint);
+  }
   // A stream has begun with another head, so this can't be passed on any more.
   if (this->streamBegun) {
     this->Conclude(AttemptFailure::Garbled, "no stream where one was to go on");
@@ -292,10 +295,9 @@
   if (!IsServerError(aAnswer.status)) {
     return true;
   }
-  const bool canRepeat =
-    this->MayRepeat() && this->reads + 1 < this->GetRoute().maxAttempts &&
-    this->host.RetriesOf(this->admitted.service->name).HasRoom(Now());
-  return !canRepeat;
+  return !this->MayRepeat() ||
+         this->reads + 1 >= this->GetRoute().maxAttempts ||
+         !this->host.RetriesOf(this->admitted.service->name).HasRoom(Now());
 }
 
 void
--- a/test/CrashingRequest.cpp
+++ b/test/CrashingRequest.cpp
@@ -268,3 +268,31 @@
   CHECK(site.sent.back().IsServed());
   CHECK(std::prev(site.sent.end(), kGateways)->IsServed());
 }
+
+// A request has ended two servers. A third one, which fails a part of what it
+// gets, answers it with its own 500 before it has run it to its end. Taken for
+// an answer, that would clear the request, and it would end three more.
+TEST_CASE("a server's own failure clears no request", "[crashing]")
+{
+  standins::SealedEngineSettings slow;
+  slow.work = milliseconds(200);
+  CrashSite site(3, 2, slow);
+  const auto send = [&] { site.Send(0, "/once/x", "ends servers"); };
+  const auto endUnderIt = [&] {
+    send();
+    site.Run(milliseconds(80));
+    site.CrashEngines(3);
+    site.Run(milliseconds(1000));
+  };
+  endUnderIt();
+  endUnderIt();
+  site.SetFault(Fault("error", true));
+  send();
+  site.Settle();
+  CHECK(site.sent.back().socket.Has("HTTP/1.1 500"));
+  site.SetFault(Fault("clear", true));
+  endUnderIt();
+  send();
+  site.Settle();
+  CHECK(site.sent.back().IsQuarantined());
+}
