Hold back other copies of a suspect until its last end can be told

Callers would see four servers end after a quarantine, where one trial has to do. Cause: a gateway told that its copy was done when it broke off, and that the server had ended only 50 ms later, after its probe; in between the copies that waited at other gateways went. Change: one that has just broken off is told as under way until the verdict on its server. Why it holds: the verdict and the end of the copy are then told in one message.

--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -207,9 +207,14 @@
   if (!this->options.isOn) {
     return;
   }
-  aDigest.crashes = this->ledger.News(Now());
+  const TimePoint now = Now();
+  aDigest.crashes = this->ledger.News(now);
   for (const RequestFingerprint request : this->ledger.Suspects()) {
-    if (this->copies.HasOwn(request) &&
+    // One that has just broken off counts until the verdict on its server can
+    // be told: in between, other gateways would send their copies.
+    const bool isUnderWay =
+      this->copies.HasOwn(request) || this->broken.HasJustBroken(request, now);
+    if (isUnderWay &&
         aDigest.suspectsUnderWay.size() < CrashLedger::kMostNews) {
       aDigest.suspectsUnderWay.push_back(request);
     }
--- a/test/CrashingRequest.cpp
+++ b/test/CrashingRequest.cpp
@@ -296,3 +296,26 @@
   site.Settle();
   CHECK(site.sent.back().IsQuarantined());
 }
+
+// A quarantine is over and four gateways get the request, a moment apart. One
+// copy tries whether it still ends its server; the others wait for what comes
+// of it, so that one more server ends and not four.
+TEST_CASE("after a quarantine one copy is tried", "[crashing]")
+{
+  standins::SealedEngineSettings slow = LongNotes();
+  slow.crashDelay = milliseconds(300);
+  CrashSite site(8, kGateways, slow, seconds(2));
+  while (site.crashes.size() < 3) {
+    site.Send(0, "/note/stream/x", CrashSite::kCrashBody);
+    site.Run(milliseconds(400));
+  }
+  site.Run(milliseconds(3500));
+  const std::size_t before = site.CrashingRuns();
+  for (std::size_t gateway = 0; gateway < kGateways; ++gateway) {
+    site.Send(gateway, "/note/stream/x", CrashSite::kCrashBody);
+    site.Run(milliseconds(120));
+  }
+  site.Settle();
+  CHECK(site.CrashingRuns() == before + 1);
+  CHECK(site.sent.back().IsQuarantined());
+}
