--- a/bench/ServerModel.h
+++ b/bench/ServerModel.h
@@ -123,7 +123,7 @@
   }
   QueuedRequest MakeRequest(const Arrival& aArrival, std::uint64_t aId) const;
   void Arrive(const Arrival& aArrival);
-  bool WouldWaitTooLong(const QueuedRequest& aRequest) const;
+  bool WouldWaitTooLong(const QueuedRequest& aRequest);
   void Enqueue(Job& aJob);
   void AbandonLate();
   void StartWhatFits();
@@ -246,7 +246,7 @@
 }
 
 inline bool
-ServerModel::WouldWaitTooLong(const QueuedRequest& aRequest) const
+ServerModel::WouldWaitTooLong(const QueuedRequest& aRequest)
 {
   const TimePoint deadline =
     aRequest.enqueued +
--- a/dogwoodvale/src/Sidecar/Dispatcher.cpp
+++ b/dogwoodvale/src/Sidecar/Dispatcher.cpp
@@ -102,7 +102,7 @@
   , lengths(std::move(aLengths))
   , starts(std::move(aStarts))
   , preemption(aPreemption)
-  , earlyRefusal(aEarlyRefusal)
+  , earlyRefusal(std::move(aEarlyRefusal))
   , random(DrawIncarnation())
 {
 }
@@ -144,7 +144,7 @@
 }
 
 bool
-Dispatcher::WouldExpire(const SidecarAttempt& aAttempt, TimePoint aNow) const
+Dispatcher::WouldExpire(const SidecarAttempt& aAttempt, TimePoint aNow)
 {
   // With fewer before it than run at once, the rate of starts says little: a
   // few long answers would make the wait look endless.
--- a/dogwoodvale/src/Sidecar/Dispatcher.h
+++ b/dogwoodvale/src/Sidecar/Dispatcher.h
@@ -79,7 +79,7 @@
   QueuedRequest Describe(const SidecarAttempt& aAttempt) const;
   /// Whether it could not start before its budget is spent, or its class's
   /// bound on waiting is out of reach.
-  bool WouldExpire(const SidecarAttempt& aAttempt, TimePoint aNow) const;
+  bool WouldExpire(const SidecarAttempt& aAttempt, TimePoint aNow);
   void Evict(std::span<const RequestId> aEvicted, TimePoint aNow);
   void Refuse(SidecarAttempt& aAttempt,
               ErrorCode aCode,
