Tell the store's eras apart

Cause: in a drill the store comes back as a copy some seconds old. Revisions and lease numbers are then given out again: a watch that goes on from a revision of before misses changes, and a lease's number may be another process's. A lease also counts the time for which the machine was suspended. The stand-in store and the tests' one learn the drill.

--- a/dogwoodvale/src/Core/Clock.h
+++ b/dogwoodvale/src/Core/Clock.h
@@ -26,6 +26,16 @@
   return std::chrono::duration_cast<Duration>(aTo - aFrom);
 }
 
+/// How long the machine has been suspended since its boot: time that passed for
+/// others and that the monotonic clock has not counted.
+Duration
+SuspendedTime();
+
+/// The time of day by this machine's clock, since 1970. It may be off, and
+/// jump.
+milliseconds
+TimeOfDay();
+
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Gateway/SuspensionWatch.h
+++ b/dogwoodvale/src/Gateway/SuspensionWatch.h
@@ -27,7 +27,8 @@
   void Check();
 
   Handler handler;
-  Duration lead{ 0 };
+  /// See SuspendedTime().
+  Duration suspendedBefore{ 0 };
   /// When the last check was due to run.
   TimePoint lastCheck;
   Timer timer;
--- a/dogwoodvale/src/Store/SlotLease.cpp
+++ b/dogwoodvale/src/Store/SlotLease.cpp
@@ -8,9 +8,16 @@
 
 constexpr int kRenewalsPerTtl = 3;
 constexpr int kRetriesPerTtl = 10;
+constexpr int kRevisionBits = 40;
 
 } // namespace
 
+FencingToken
+FencingTokenOf(StoreEra aEra, Revision aCreated)
+{
+  return (static_cast<FencingToken>(aEra) << kRevisionBits) + aCreated;
+}
+
 SlotLease::SlotLease(EventLoop& aLoop,
                      StoreClient& aStore,
                      const std::string& aKey,
@@ -79,17 +86,26 @@
 bool
 SlotLease::MayOrder(TimePoint aNow) const
 {
-  return this->state == State::Held &&
-         aNow + this->options.margin < this->expiresAt;
+  const Duration suspended = SuspendedTime() - this->suspendedBefore;
+  return this->state == State::Held && this->IsOfThisEra() &&
+         aNow + suspended + this->options.margin < this->expiresAt;
+}
+
+bool
+SlotLease::IsOfThisEra() const
+{
+  return this->store.Era() == this->leaseEra;
 }
 
 void
 SlotLease::DropLease()
 {
-  // Also ends a creation whose reply was lost: the key goes with its lease.
-  if (this->lease != 0) {
-    this->revokeCall = this->store.RevokeLease(std::exchange(this->lease, 0),
-                                               [](const WriteResult&) {});
+  // Also ends a creation whose reply was lost: the key goes with its lease. In
+  // a later era the lease's number may be another process's.
+  const LeaseId ended = std::exchange(this->lease, 0);
+  if (ended != 0 && this->IsOfThisEra()) {
+    this->revokeCall =
+      this->store.RevokeLease(ended, [](const WriteResult&) {});
   }
   this->fencing = 0;
 }
@@ -121,10 +137,12 @@
     return;
   }
   const KeyValue& slot = aResult->values.front();
-  const bool isOwn =
-    slot.value == this->holder && this->lease != 0 && slot.lease == this->lease;
+  const bool isOwn = slot.value == this->holder && this->lease != 0 &&
+                     slot.lease == this->lease &&
+                     aResult->era == this->leaseEra;
   if (isOwn) {
     // The reply to the creation was lost; reading settles it.
+    this->keyRevision = slot.modRevision;
     this->Hold(slot.createRevision);
     return;
   }
@@ -137,15 +155,18 @@
 {
   this->DropLease();
   const TimePoint sentAt = Now();
+  const Duration suspended = SuspendedTime();
   this->call = this->store.GrantLease(
     this->options.ttl,
-    [this, sentAt](const absl::StatusOr<LeaseGrant>& aResult) {
+    [this, sentAt, suspended](const absl::StatusOr<LeaseGrant>& aResult) {
       if (!aResult.ok()) {
         this->TryLater();
         return;
       }
       this->lease = aResult->id;
+      this->leaseEra = aResult->era;
       this->expiresAt = sentAt + aResult->ttl;
+      this->suspendedBefore = suspended;
       this->Create();
     });
 }
@@ -164,6 +185,12 @@
 {
   switch (aResult.outcome) {
     case WriteOutcome::Applied:
+      if (aResult.era != this->leaseEra) {
+        this->DropLease();
+        this->TryLater();
+        return;
+      }
+      this->keyRevision = aResult.revision;
       this->Hold(aResult.revision);
       return;
     case WriteOutcome::NotApplied:
@@ -177,14 +204,19 @@
 }
 
 void
-SlotLease::Hold(Revision aFencing)
+SlotLease::Hold(Revision aCreated)
 {
   this->state = State::Held;
-  this->fencing = aFencing;
+  this->fencing = FencingTokenOf(this->leaseEra, aCreated);
   this->acquiredAt = Now();
   this->backoff.Reset();
   this->timer.StartOnce(this->options.ttl / kRenewalsPerTtl);
-  Log(LogLevel::Info, "slot_acquired", "key", this->key, "fencing", aFencing);
+  Log(LogLevel::Info,
+      "slot_acquired",
+      "key",
+      this->key,
+      "fencing",
+      this->fencing);
   this->observer.OnSlotAcquired();
 }
 
@@ -192,18 +224,25 @@
 SlotLease::Renew()
 {
   const TimePoint sentAt = Now();
+  const Duration suspended = SuspendedTime();
   this->call = this->store.KeepAlive(
-    this->lease, [this, sentAt](const absl::StatusOr<LeaseGrant>& aResult) {
-      this->OnRenewed(aResult, sentAt);
+    this->lease,
+    [this, sentAt, suspended](const absl::StatusOr<LeaseGrant>& aResult) {
+      this->OnRenewed(aResult, sentAt, suspended);
     });
 }
 
 void
 SlotLease::OnRenewed(const absl::StatusOr<LeaseGrant>& aResult,
-                     TimePoint aSentAt)
+                     TimePoint aSentAt,
+                     Duration aSuspended)
 {
-  if (aResult.ok()) {
+  if (aResult.ok() && aResult->era != this->leaseEra) {
+    // The number is a new lease's, perhaps of another process.
+    this->Lose();
+  } else if (aResult.ok()) {
     this->expiresAt = aSentAt + aResult->ttl;
+    this->suspendedBefore = aSuspended;
     this->timer.StartOnce(this->options.ttl / kRenewalsPerTtl);
   } else if (absl::IsNotFound(aResult.status())) {
     this->Lose();
--- a/dogwoodvale/src/Store/SlotLease.h
+++ b/dogwoodvale/src/Store/SlotLease.h
@@ -11,6 +11,16 @@
 
 namespace dogwoodvale {
 
+/// Tells the orders of one holder from those of the next: who receives them
+/// refuses a lower one than it has seen.
+using FencingToken = std::int64_t;
+
+/// \param aCreated the revision that created the holder's key. Revisions of a
+/// later era may be lower, so the era stands above them. Fits into 53 bits, as
+/// far as JSON numbers are whole, for 2^13 eras of 2^40 revisions.
+FencingToken
+FencingTokenOf(StoreEra aEra, Revision aCreated);
+
 struct SlotLeaseOptions
 {
   /// Whole seconds.
@@ -33,8 +43,10 @@
 /// lives as long as its holder's lease is renewed.
 ///
 /// The holder trusts its own clock, not the store's word: a lease counts from
-/// when its renewal was sent. A holder that was paused past that finds on its
-/// first look at the clock that it holds nothing, before it hears of it.
+/// when its renewal was sent, the time included for which the machine was
+/// suspended. A holder that was paused past that finds on its first look at the
+/// clock that it holds nothing, before it hears of it. A lease of an earlier
+/// era of the store is none.
 class SlotLease
 {
 public:
@@ -56,8 +68,12 @@
 
   /// Whether an order may go out now. Look right before each one.
   bool MayOrder(TimePoint aNow) const;
-  /// The revision at which the slot's key came to be: higher for each holder.
-  Revision Fencing() const { return this->fencing; }
+  /// Higher for each holder, also over the store's eras.
+  FencingToken Fencing() const { return this->fencing; }
+  /// The store's era in which it is held.
+  StoreEra Era() const { return this->leaseEra; }
+  /// The key's latest change, for transactions that only its holder may make.
+  Revision KeyRevision() const { return this->keyRevision; }
   bool IsHeld() const { return this->state == State::Held; }
   bool IsWanted() const { return this->state != State::Idle; }
   TimePoint AcquiredAt() const { return this->acquiredAt; }
@@ -79,8 +95,11 @@
   void Create();
   void OnCreated(const WriteResult& aResult);
   void Renew();
-  void OnRenewed(const absl::StatusOr<LeaseGrant>& aResult, TimePoint aSentAt);
-  void Hold(Revision aFencing);
+  void OnRenewed(const absl::StatusOr<LeaseGrant>& aResult,
+                 TimePoint aSentAt,
+                 Duration aSuspended);
+  void Hold(Revision aCreated);
+  bool IsOfThisEra() const;
   void Lose();
   void TryLater();
   void DropLease();
@@ -98,8 +117,12 @@
   std::unique_ptr<StoreCall> call;
   std::unique_ptr<StoreCall> revokeCall;
   LeaseId lease = 0;
-  Revision fencing = 0;
+  StoreEra leaseEra = 0;
+  Revision keyRevision = 0;
+  FencingToken fencing = 0;
   TimePoint expiresAt;
+  /// See SuspendedTime(), when the lease was last renewed.
+  Duration suspendedBefore{ 0 };
   TimePoint acquiredAt;
 };
 
--- a/dogwoodvale/src/Store/StoreClient.h
+++ b/dogwoodvale/src/Store/StoreClient.h
@@ -81,6 +81,8 @@
     const std::string& aPrefix,
     StoreWatchHandler& aHandler) = 0;
 
+  /// The newest era that an answer has told.
+  virtual StoreEra Era() const { return 0; }
   /// Calls sent, a watch armed counting as one.
   virtual std::uint64_t CallsSent() const = 0;
 
--- a/dogwoodvale/src/Store/StoreTypes.h
+++ b/dogwoodvale/src/Store/StoreTypes.h
@@ -12,6 +12,10 @@
 /// The store's counter of changes, over all keys.
 using Revision = std::int64_t;
 using LeaseId = std::int64_t;
+/// How often the store has come back from an older copy of its data. What it
+/// acknowledged since that copy is gone, leases are, and revisions are given
+/// out again: those of two eras don't compare. 0 where the store doesn't tell.
+using StoreEra = std::uint64_t;
 
 struct KeyValue
 {
@@ -46,6 +50,8 @@
   Revision revision = 0;
   std::vector<KeyValue> values;
   bool hasMore = false;
+  /// All values are of this era.
+  StoreEra era = 0;
 };
 
 /// Holds if the key's property equals the value; an absent key has revisions
@@ -114,12 +120,14 @@
   Revision revision = 0;
   /// What the range operations of the branch that ran have read, in order.
   std::vector<std::vector<KeyValue>> reads;
+  StoreEra era = 0;
 };
 
 struct LeaseGrant
 {
   LeaseId id = 0;
   Duration ttl{ 0 };
+  StoreEra era = 0;
 };
 
 /// One change of a key.
--- a/standins/MetadataStore.cpp
+++ b/standins/MetadataStore.cpp
@@ -106,6 +106,34 @@
   return this->Read(PrefixRange(aPrefix)).size();
 }
 
+void
+MetadataStore::Reply(Exchange& aExchange,
+                     int aCode,
+                     const Json::Value& aBody) const
+{
+  aExchange.AddHeader("Store-Era", fmt::format("{}", this->era));
+  aExchange.ReplyJson(aCode, aBody);
+}
+
+void
+MetadataStore::GoBackTo(std::int64_t aRevision)
+{
+  if (!this->store.RollBackTo(aRevision, Now()).ok()) {
+    return;
+  }
+  ++this->era;
+  for (const KeyValue& item : this->Read(PrefixRange(""))) {
+    if (item.lease != 0) {
+      static_cast<void>(this->store.Revoke(item.lease));
+    }
+  }
+  std::list<Watch> waiting = std::move(this->watches);
+  this->watches.clear();
+  for (Watch& watch : waiting) {
+    watch.exchange->Drop();
+  }
+}
+
 void
 MetadataStore::SetFault(const Json::Value& aFault)
 {
@@ -115,6 +143,9 @@
   }
   this->busy = this->busy || aFault["busy"].asBool();
   this->silent = this->silent || aFault["silent"].asBool();
+  if (aFault["lose_changes"].isInt64()) {
+    this->GoBackTo(this->store.Revision() - aFault["lose_changes"].asInt64());
+  }
   if (aFault["forget"].asBool()) {
     static_cast<void>(this->store.Compact(this->store.Revision()));
     std::list<Watch> cut = std::move(this->watches);
@@ -134,7 +165,7 @@
   } else if (this->silent) {
     // Stays unanswered; a later exchange on another connection is served.
   } else if (this->busy) {
-    aExchange.ReplyJson(503, Json::Value(Json::objectValue));
+    this->Reply(aExchange, 503, Json::Value(Json::objectValue));
   } else {
     this->Serve(aExchange);
   }
@@ -181,7 +212,7 @@
              call.starts_with("lease-end/")) {
     this->ServeLease(aExchange);
   } else {
-    aExchange.ReplyJson(404, Json::Value(Json::objectValue));
+    this->Reply(aExchange, 404, Json::Value(Json::objectValue));
   }
 }
 
@@ -191,12 +222,12 @@
   const std::vector<KeyValue> found =
     this->Read({ aExchange.Query("key"), "" });
   if (found.empty()) {
-    aExchange.ReplyJson(404, Json::Value(Json::objectValue));
+    this->Reply(aExchange, 404, Json::Value(Json::objectValue));
     return;
   }
   Json::Value item = ToJson(found.front());
   item["storeRevision"] = Json::Int64(this->store.Revision());
-  aExchange.ReplyJson(200, item);
+  this->Reply(aExchange, 200, item);
 }
 
 void
@@ -220,7 +251,7 @@
     reply["items"].append(ToJson(item));
   }
   reply["storeRevision"] = Json::Int64(this->store.Revision());
-  aExchange.ReplyJson(200, reply);
+  this->Reply(aExchange, 200, reply);
 }
 
 void
@@ -231,8 +262,10 @@
   watch.prefix = aExchange.Query("prefix");
   watch.after = NumberOf(aExchange.Query("after"));
   watch.until = Now() + milliseconds(NumberOf(aExchange.Query("waitMs")));
-  if (watch.after < this->store.CompactRevision()) {
-    aExchange.ReplyJson(410, Json::Value(Json::objectValue));
+  const bool isKnown = watch.after >= this->store.CompactRevision() &&
+                       watch.after <= this->store.Revision();
+  if (!isKnown) {
+    this->Reply(aExchange, 410, Json::Value(Json::objectValue));
     return;
   }
   if (!this->TryTell(watch)) {
@@ -258,7 +291,7 @@
     reply["events"].append(one);
   }
   reply["storeRevision"] = Json::Int64(this->store.Revision());
-  aWatch.exchange->ReplyJson(200, reply);
+  this->Reply(*aWatch.exchange, 200, reply);
   return true;
 }
 
@@ -295,7 +328,7 @@
     }
   }
   if (!holds) {
-    aExchange.ReplyJson(412, present);
+    this->Reply(aExchange, 412, present);
     return;
   }
   std::vector<Operation> operations;
@@ -316,7 +349,7 @@
   const bool applied = this->store.Apply(operations).ok();
   Json::Value reply;
   reply["revision"] = Json::Int64(this->store.Revision());
-  aExchange.ReplyJson(applied ? 200 : 404, reply);
+  this->Reply(aExchange, applied ? 200 : 404, reply);
   this->TellWatches();
 }
 
@@ -334,13 +367,13 @@
       0, std::max<std::int64_t>(1, ttl / kMillisPerSecond), Now());
     reply["lease"] = Json::Int64(granted.value_or(0));
     reply["ttlMs"] = Json::Int64(ttl);
-    aExchange.ReplyJson(200, reply);
+    this->Reply(aExchange, 200, reply);
   } else if (path.find("/kv-keep/") != std::string::npos) {
     const auto left = this->store.KeepAlive(id, Now());
     reply["ttlMs"] = Json::Int64(left.value_or(0) * kMillisPerSecond);
-    aExchange.ReplyJson(left ? 200 : 404, reply);
+    this->Reply(aExchange, left ? 200 : 404, reply);
   } else {
-    aExchange.ReplyJson(this->store.Revoke(id) ? 200 : 404, reply);
+    this->Reply(aExchange, this->store.Revoke(id) ? 200 : 404, reply);
   }
 }
 
--- a/standins/MetadataStore.h
+++ b/standins/MetadataStore.h
@@ -14,7 +14,8 @@
 ///
 /// Routes: the store's own, and POST /standin/put {"key","value"} for what the
 /// operator and the engines write, POST /standin/remove {"key"}, POST
-/// /standin/fault {"busy":true,"silent":true,"forget":true,"clear":true}.
+/// /standin/fault {"busy":true,"silent":true,"forget":true,"clear":true,
+/// "lose_changes":N}.
 class MetadataStore : public RequestHandler
 {
 public:
@@ -27,8 +28,12 @@
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
   std::size_t CountKeys(const std::string& aPrefix) const;
+  std::int64_t Revision() const { return this->store.Revision(); }
+  /// Comes back as the copy of that revision: what was written since is gone,
+  /// leases too, and its era rises.
+  void GoBackTo(std::int64_t aRevision);
   /// busy: 503 to all; silent: no answer; forget: drops the history and cuts
-  /// the watches, once.
+  /// the watches, once; lose_changes: goes back by so many revisions, once.
   void SetFault(const Json::Value& aFault);
 
   void OnRequest(Exchange& aExchange) override;
@@ -55,7 +60,11 @@
   bool TryTell(const Watch& aWatch);
   std::vector<KeyValue> Read(const KeyRange& aRange) const;
 
+  /// All answers tell the era.
+  void Reply(Exchange& aExchange, int aCode, const Json::Value& aBody) const;
+
   KvStore store;
+  std::int64_t era = 1;
   std::list<Watch> watches;
   bool busy = false;
   bool silent = false;
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -38,6 +38,18 @@
     const auto found = this->data.find(aKey);
     return found == this->data.end() ? "" : found->second.value;
   }
+  /// The store comes back as an older copy of itself: leases are gone, and
+  /// numbers of leases and revisions are given out again.
+  void Rewind(std::map<std::string, KeyValue> aData)
+  {
+    ++this->era;
+    this->leases.clear();
+    this->lastLease = 0;
+    std::erase_if(aData,
+                  [](const auto& aItem) { return aItem.second.lease != 0; });
+    this->Restore(std::move(aData));
+  }
+  StoreEra Era() const override { return this->toldEra; }
   /// All data; give it back to Restore() for a store that lost what came since.
   std::map<std::string, KeyValue> Backup() const { return this->data; }
   void Restore(std::map<std::string, KeyValue> aData)
@@ -84,9 +96,10 @@
         aHandler(absl::UnavailableError("store down"));
         return;
       }
-      aHandler(
-        RangeResult{ .revision = this->revision,
-                     .values = this->Read(aQuery.key, aQuery.isPrefix) });
+      this->toldEra = this->era;
+      aHandler(RangeResult{ .revision = this->revision,
+                            .values = this->Read(aQuery.key, aQuery.isPrefix),
+                            .era = this->era });
     });
   }
 
@@ -100,13 +113,15 @@
                    .reads = {} });
         return;
       }
-      const WriteResult result = this->Run(aTransaction);
+      WriteResult result = this->Run(aTransaction);
+      result.era = this->era;
       if (this->mode == Mode::LosesReplies) {
         aHandler({ .outcome = WriteOutcome::Unknown,
                    .status = absl::DeadlineExceededError("no answer in time"),
                    .reads = {} });
         return;
       }
+      this->toldEra = this->era;
       aHandler(result);
     });
   }
@@ -120,7 +135,8 @@
         return;
       }
       this->leases[++this->lastLease] = aTtl;
-      aHandler(LeaseGrant{ this->lastLease, aTtl });
+      this->toldEra = this->era;
+      aHandler(LeaseGrant{ this->lastLease, aTtl, this->era });
     });
   }
 
@@ -133,7 +149,8 @@
       } else if (!this->leases.contains(aLease)) {
         aHandler(absl::NotFoundError("the lease has lapsed"));
       } else {
-        aHandler(LeaseGrant{ aLease, this->leases[aLease] });
+        this->toldEra = this->era;
+        aHandler(LeaseGrant{ aLease, this->leases[aLease], this->era });
       }
     });
   }
@@ -308,6 +325,9 @@
   std::set<Watcher*> watchers;
   Revision revision = 1;
   LeaseId lastLease = 0;
+  StoreEra era = 1;
+  /// The newest that an answer has told.
+  StoreEra toldEra = 0;
   std::uint64_t calls = 0;
 };
 
