--- /dev/null
+++ b/dogwoodvale/src/Duties/UsageLedger.cpp
@@ -0,0 +1,130 @@
+#include "dogwoodvale/Duties"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodvale {
+
+UsageLedger::UsageLedger(UsageSource aSelf)
+  : self(std::move(aSelf))
+{
+}
+
+void
+UsageLedger::Count(WindowId aWindow, const CustomerName& aCustomer)
+{
+  Counted& counted = this->sources[this->self][aWindow];
+  ++counted.total;
+  ++counted.sum;
+  ++counted.counts[aCustomer];
+  this->toTell[{ aWindow, aCustomer }] = kTellings;
+}
+
+std::vector<UsageNews>
+UsageLedger::Tell()
+{
+  std::vector<UsageNews> news;
+  const auto own = this->sources.find(this->self);
+  if (own == this->sources.end()) {
+    return news;
+  }
+  std::map<WindowId, UsageCounts> changed;
+  std::size_t told = 0;
+  for (auto it = this->toTell.begin();
+       it != this->toTell.end() && told < kMostTold;
+       ++told) {
+    const auto& [window, customer] = it->first;
+    changed[window][customer] = own->second[window].counts[customer];
+    it = --it->second == 0 ? this->toTell.erase(it) : std::next(it);
+  }
+  for (const auto& [window, counted] : own->second) {
+    news.push_back({ window, counted.total, std::move(changed[window]) });
+  }
+  return news;
+}
+
+void
+UsageLedger::Merge(Windows& aWindows, const UsageNews& aNews)
+{
+  Counted& counted = aWindows[aNews.window];
+  counted.total = std::max(counted.total, aNews.total);
+  for (const auto& [customer, count] : aNews.counts) {
+    if (counted.counts.size() >= kMostCustomers &&
+        !counted.counts.contains(customer)) {
+      continue;
+    }
+    std::uint64_t& known = counted.counts[customer];
+    const std::uint64_t newest = std::max(known, count);
+    counted.sum += newest - known;
+    known = newest;
+  }
+  while (aWindows.size() > kMostWindows) {
+    aWindows.erase(aWindows.begin());
+  }
+}
+
+void
+UsageLedger::Hear(const UsageSource& aSource, std::span<const UsageNews> aNews)
+{
+  // What others have heard of this process is never newer than what it knows.
+  if (aSource == this->self || aNews.empty()) {
+    return;
+  }
+  Windows& windows = this->sources[aSource];
+  for (const UsageNews& news : aNews) {
+    Merge(windows, news);
+  }
+}
+
+bool
+UsageLedger::IsWhole(WindowId aWindow) const
+{
+  return std::ranges::all_of(this->sources, [aWindow](const auto& aItem) {
+    const auto found = aItem.second.find(aWindow);
+    return found == aItem.second.end() ||
+           found->second.sum >= found->second.total;
+  });
+}
+
+UsageCounts
+UsageLedger::CountsOf(WindowId aWindow) const
+{
+  UsageCounts sum;
+  for (const auto& [source, windows] : this->sources) {
+    const auto found = windows.find(aWindow);
+    if (found == windows.end()) {
+      continue;
+    }
+    for (const auto& [customer, count] : found->second.counts) {
+      sum[customer] += count;
+    }
+  }
+  return sum;
+}
+
+std::map<UsageSource, std::vector<UsageNews>>
+UsageLedger::All() const
+{
+  std::map<UsageSource, std::vector<UsageNews>> all;
+  for (const auto& [source, windows] : this->sources) {
+    for (const auto& [window, counted] : windows) {
+      all[source].push_back({ window, counted.total, counted.counts });
+    }
+  }
+  return all;
+}
+
+void
+UsageLedger::DropBefore(WindowId aWindow)
+{
+  for (auto& [source, windows] : this->sources) {
+    windows.erase(windows.begin(), windows.lower_bound(aWindow));
+  }
+  std::erase_if(this->sources,
+                [](const auto& aItem) { return aItem.second.empty(); });
+  std::erase_if(this->toTell, [aWindow](const auto& aItem) {
+    return aItem.first.first < aWindow;
+  });
+}
+
+} // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -34,6 +34,9 @@
   // With no ranks told apart all reading counts, as that of the last.
   demand.rank = aPool.Decisions().rankedReading ? aRequest.places.inTime
                                                 : BackendWork::kRanks - 1;
+  if (aPool.Decisions().rankedTurns) {
+    demand.turnRank = aRequest.places.inTime;
+  }
   demand.isInteractive =
     aPool.Decisions().reservedServers && pauses.IsInteractive(bound);
   demand.isLong = aPool.Decisions().reservedServers && pauses.HasInteractive()
--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -215,6 +215,10 @@
   const std::uint64_t interactive = aOccupancy.interactive *
                                     this->gatewaysInCell /
                                     (this->work.PeerCount() + 1);
+  if (this->options.reservesAtOnce && interactive > 0 && servers.Peak() == 0) {
+    servers.SeedMost(
+      static_cast<std::uint32_t>(slots), aOccupancy.servers, aNow);
+  }
   servers.Update(
     interactive, static_cast<std::uint32_t>(slots), aOccupancy.servers, aNow);
   if (servers.Count() != before) {
@@ -452,9 +456,8 @@
   if (member == this->members.end() || aSteps.empty()) {
     return;
   }
-  const auto room = this->cacheTokens.find(member->second.instance.service);
   this->caches.OnUsed(
-    aInstance, aSteps, room == this->cacheTokens.end() ? 0 : room->second);
+    aInstance, aSteps, this->CacheRoomOf(member->second.instance.service));
 }
 
 void
@@ -463,6 +466,50 @@
   this->work.RemoveOwn(aInstance, aWork);
 }
 
+std::vector<ServiceLearning>
+BackendPool::Learned() const
+{
+  std::vector<ServiceLearning> learned;
+  for (const auto& [service, flow] : this->flows) {
+    ServiceLearning one{ service, flow.Learned() };
+    const auto servers = this->reserved.find(service);
+    if (servers != this->reserved.end()) {
+      one.interactivePeak = servers->second.Peak();
+    }
+    learned.push_back(std::move(one));
+  }
+  return learned;
+}
+
+void
+BackendPool::Seed(std::span<const ServiceLearning> aLearned, TimePoint aNow)
+{
+  for (const ServiceLearning& one : aLearned) {
+    this->flows[one.service].Seed(one.reading);
+    this->reserved[one.service].Seed(one.interactivePeak, aNow);
+  }
+}
+
+bool
+BackendPool::SeedCache(const InstanceName& aInstance,
+                       std::span<const PromptStep> aSteps)
+{
+  const auto member = this->members.find(aInstance);
+  if (member == this->members.end()) {
+    return false;
+  }
+  this->caches.Seed(
+    aInstance, aSteps, this->CacheRoomOf(member->second.instance.service));
+  return true;
+}
+
+std::uint64_t
+BackendPool::CacheRoomOf(const ServiceName& aService) const
+{
+  const auto room = this->cacheTokens.find(aService);
+  return room == this->cacheTokens.end() ? 0 : room->second;
+}
+
 HealthTracker*
 BackendPool::HealthOf(const InstanceName& aInstance)
 {
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -9,6 +9,15 @@
 
 namespace dogwoodvale {
 
+/// What a gateway has learned of a service.
+struct ServiceLearning
+{
+  ServiceName service;
+  PrefillLearning reading;
+  /// See ReservedServers::Peak().
+  double interactivePeak = 0;
+};
+
 /// The backend servers of all services: who may take work, the connections to
 /// each, what is under way there and how healthy each looks.
 class BackendPool
@@ -20,6 +29,9 @@
     Duration silentLinkTimeout = seconds(1);
     Duration connectTimeout = milliseconds(500);
     GatewayDecisions decisions;
+    /// Whether the first interactive requests of a service find as many
+    /// reserved servers as may be.
+    bool reservesAtOnce = false;
   };
 
   BackendPool(EventLoop& aLoop, Options aOptions);
@@ -74,6 +86,16 @@
   };
   Occupancy OccupancyOf(const ServiceName& aService) const;
 
+  /// What was learned of all services, for a gateway that starts.
+  std::vector<ServiceLearning> Learned() const;
+  /// Takes what another gateway, or this one before its restart, has learned;
+  /// what is measured here stays.
+  void Seed(std::span<const ServiceLearning> aLearned, TimePoint aNow);
+  /// The same of a server's cache, see CacheBelief::Seed().
+  /// \return whether the server is known.
+  bool SeedCache(const InstanceName& aInstance,
+                 std::span<const PromptStep> aSteps);
+
   void OnSent(const InstanceName& aInstance,
               const BackendWork& aWork,
               std::span<const PromptStep> aSteps);
@@ -119,6 +141,8 @@
 
   void Add(const DirectInstance& aInstance);
   void ListServices();
+  /// Tokens that fit into a server's cache; 0 while unknown.
+  std::uint64_t CacheRoomOf(const ServiceName& aService) const;
   void Reserve(const ServiceName& aService,
                const Occupancy& aOccupancy,
                TimePoint aNow);
--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -265,6 +265,7 @@
   this->copies.Expire(now);
   this->Judge(now);
   this->ledger.Expire(now);
+  this->keeper.Tend();
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -3,10 +3,38 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 #include "PeerDocuments.h"
 
 namespace dogwoodvale {
 
+namespace {
+
+/// The same for lists with equal entries.
+std::uint64_t
+SumOf(std::span<const DirectInstance> aRead,
+      const std::map<std::string, std::string>& aRejected)
+{
+  // The store tells entries in the order of their keys.
+  std::string text;
+  for (const DirectInstance& one : aRead) {
+    text += fmt::format("{} {} {} {} {} {}\n",
+                        one.name.Value(),
+                        one.service.Value(),
+                        one.address.ToString(),
+                        one.dataCentre.Value(),
+                        one.slots,
+                        one.leaving);
+  }
+  for (const auto& [key, value] : aRejected) {
+    text += fmt::format("{} {}\n", key, value);
+  }
+  return std::max<std::uint64_t>(XXH3_64bits(text.data(), text.size()), 1);
+}
+
+} // namespace
+
 DirectoryKeeper::DirectoryKeeper(EventLoop& aLoop,
                                  StoreClient& aStore,
                                  const DirectoryFormat& aFormat,
@@ -16,8 +44,14 @@
   , format(aFormat)
   , options(std::move(aOptions))
   , observer(aObserver)
-  , instancesTimer(aLoop, [this] { this->ReadInstances(); })
-  , gatewaysTimer(aLoop, [this] { this->TendMembership(); })
+  , instancesTimer(aLoop, [this] { this->ReadWhereDue(); })
+  , roster(aLoop,
+           aStore,
+           this->options.self,
+           [this](std::span<const GatewayMember> aGateways) {
+             this->observer.OnGateways(aGateways);
+           })
+  , random(DrawIncarnation())
 {
 }
 
@@ -25,8 +59,7 @@
 DirectoryKeeper::Start()
 {
   this->Refresh();
-  this->TendMembership();
-  this->gatewaysTimer.StartRepeating(kGatewaysPeriod);
+  this->roster.Start();
 }
 
 void
@@ -131,6 +164,64 @@
 
 // Backend servers.
 
+void
+DirectoryKeeper::ReadWhereDue()
+{
+  const Duration age = this->InstancesAge(Now());
+  const bool isDue = !this->options.sharesReads || !this->HasInstances() ||
+                     this->behindSince ||
+                     age >= this->options.instanceReadPeriod;
+  if (isDue) {
+    this->ReadInstances();
+  } else {
+    this->instancesTimer.StartOnce(this->options.instanceReadPeriod - age);
+  }
+}
+
+void
+DirectoryKeeper::NoteOthersList(const ListStamp& aList, TimePoint aNow)
+{
+  const TimePoint readAt = aNow - aList.age;
+  const bool isComparable =
+    this->options.sharesReads && aList.sum != 0 && this->listSum != 0;
+  // What is kept beside the list for a while goes with a read of its own.
+  const bool keepsMore = this->mergedAt < this->GraceEnd();
+  if (!isComparable || keepsMore || readAt <= this->instancesReadAt) {
+    return;
+  }
+  if (aList.sum == this->listSum) {
+    this->instancesReadAt = readAt;
+    this->behindSince.reset();
+    return;
+  }
+  if (!this->behindSince) {
+    this->behindSince = aNow;
+    std::uniform_int_distribution<Duration::rep> draw(0, kChangeSpread.count());
+    this->instancesTimer.StartOnce(Duration(draw(this->random)));
+  }
+}
+
+TimePoint
+DirectoryKeeper::GraceEnd() const
+{
+  return std::max({ this->keepMissingUntil,
+                    this->hintsUntil,
+                    this->departures.DistrustedUntil() });
+}
+
+ListStamp
+DirectoryKeeper::List(TimePoint aNow) const
+{
+  return { this->listSum,
+           std::chrono::ceil<milliseconds>(this->InstancesAge(aNow)) };
+}
+
+bool
+DirectoryKeeper::IsBehind(TimePoint aNow) const
+{
+  return this->behindSince && Between(*this->behindSince, aNow) > kBehindFor;
+}
+
 void
 DirectoryKeeper::ReadInstances()
 {
@@ -146,9 +237,11 @@
   // send to. A list that is seconds old does until the next read, which is not.
   query.allowStale = !this->HasInstances();
   this->instancesCall = this->store.Range(
-    query, [this](const absl::StatusOr<RangeResult>& aResult) {
+    query,
+    [this,
+     mayBeOld = query.allowStale](const absl::StatusOr<RangeResult>& aResult) {
       const std::unique_ptr<StoreCall> ended = std::move(this->instancesCall);
-      this->OnInstancesRead(aResult);
+      this->OnInstancesRead(aResult, mayBeOld);
     });
 }
 
@@ -212,13 +305,18 @@
 }
 
 void
-DirectoryKeeper::OnInstancesRead(const absl::StatusOr<RangeResult>& aResult)
+DirectoryKeeper::OnInstancesRead(const absl::StatusOr<RangeResult>& aResult,
+                                 bool aMayBeOld)
 {
   const TimePoint now = Now();
   this->NoteStore(aResult.ok(), MessageOf(aResult.status()), now);
   if (!aResult.ok()) {
     return;
   }
+  this->OnEra(aResult->era, now);
+  if (!this->HasInstances()) {
+    this->hintsUntil = now + kReturnGrace;
+  }
   std::vector<DirectInstance> read;
   std::map<std::string, std::string> rejectedNow;
   for (const KeyValue& value : aResult->values) {
@@ -232,6 +330,8 @@
   }
   this->rejected = std::move(rejectedNow);
   this->instancesReadAt = now;
+  this->behindSince.reset();
+  this->listSum = aMayBeOld ? 0 : SumOf(read, this->rejected);
   this->MergeInstances(std::move(read), now);
 }
 
@@ -264,8 +364,10 @@
 DirectoryKeeper::MergeInstances(std::vector<DirectInstance> aRead,
                                 TimePoint aNow)
 {
+  this->mergedAt = aNow;
   this->starts = LatestStarts(this->starts, aRead);
   Instances merged = LatestIncarnations(this->starts, std::move(aRead));
+  this->departures.DropGhosts(merged, aNow);
   // Entries may lapse while the store is away though their servers live. They
   // are back soon after its return; until then what is missing is kept.
   if (aNow < this->keepMissingUntil) {
@@ -274,6 +376,7 @@
       return this->IsRejected(aOne);
     });
   }
+  this->AddHints(merged, aNow);
   for (const auto& [name, instance] : this->instances) {
     const auto found = merged.find(name);
     if (found != merged.end()) {
@@ -284,12 +387,69 @@
   if (merged == this->instances) {
     return;
   }
+  this->departures.OnChange(this->instances, merged, aNow);
   this->instances = std::move(merged);
+  this->observer.OnInstances(this->Listed());
+}
+
+std::vector<DirectInstance>
+DirectoryKeeper::Listed() const
+{
   std::vector<DirectInstance> list;
   for (const auto& [name, instance] : this->instances) {
     list.push_back(instance);
   }
-  this->observer.OnInstances(list);
+  return list;
+}
+
+void
+DirectoryKeeper::TakeHints(std::span<const DirectInstance> aHints,
+                           TimePoint aNow)
+{
+  for (const DirectInstance& hint : aHints) {
+    if (!hint.leaving) {
+      this->hints[hint.name] = hint;
+    }
+  }
+  if (this->HasInstances()) {
+    this->MergeInstances(this->Listed(), aNow);
+  }
+}
+
+void
+DirectoryKeeper::AddHints(Instances& aMerged, TimePoint aNow) const
+{
+  if (aNow >= this->hintsUntil || this->hints.empty()) {
+    return;
+  }
+  Instances withHints = aMerged;
+  KeepMissing(withHints, this->hints, [this](const DirectInstance& aOne) {
+    return this->IsRejected(aOne);
+  });
+  const std::size_t missing = withHints.size() - aMerged.size();
+  const auto all = static_cast<double>(this->hints.size());
+  if (static_cast<double>(missing) >= kLostShare * all) {
+    Log(LogLevel::Info,
+        "instances_from_hints",
+        "count",
+        missing,
+        "listed",
+        aMerged.size());
+    aMerged = std::move(withHints);
+  }
+}
+
+void
+DirectoryKeeper::OnEra(StoreEra aEra, TimePoint aNow)
+{
+  const StoreEra before = std::exchange(this->era, aEra);
+  if (!this->HasInstances() || aEra == before) {
+    return;
+  }
+  // What lives writes its entry again; what has left since the copy was made is
+  // back for as long as its entry takes to lapse.
+  this->keepMissingUntil = aNow + kReturnGrace;
+  this->departures.DistrustUntil(aNow + Departures::kGhostLife);
 }
 
 std::string
@@ -297,9 +457,7 @@
 {
   InstanceList list;
   list.age = std::chrono::duration_cast<milliseconds>(this->InstancesAge(aNow));
-  for (const auto& [name, instance] : this->instances) {
-    list.instances.push_back(instance);
-  }
+  list.instances = this->Listed();
   return WriteInstanceList(list);
 }
 
@@ -331,6 +489,8 @@
       "age_ms",
       list->age.count());
   this->instancesReadAt = readAt;
+  this->listSum = 0;
+  this->behindSince.reset();
   this->MergeInstances(std::move(list->instances), now);
 }
 
@@ -340,124 +500,10 @@
   return Between(this->instancesReadAt, aNow);
 }
 
-// Gateways.
-
-void
-DirectoryKeeper::TendMembership()
-{
-  if (this->leaving) {
-    return;
-  }
-  if (this->leaseCall == nullptr) {
-    if (this->lease == 0) {
-      this->Join();
-    } else {
-      this->RenewLease();
-    }
-  }
-  if (this->gatewaysCall == nullptr) {
-    this->ReadGateways();
-  }
-}
-
-void
-DirectoryKeeper::Join()
-{
-  this->leaseCall = this->store.GrantLease(
-    kLeaseTtl, [this](const absl::StatusOr<LeaseGrant>& aGrant) {
-      const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
-      if (aGrant.ok()) {
-        this->lease = aGrant->id;
-        this->PutSelf();
-      }
-    });
-}
-
-void
-DirectoryKeeper::PutSelf()
-{
-  Operation put;
-  put.key =
-    fmt::format("{}{}", kGatewaysPrefix, this->options.self.name.Value());
-  put.value = WriteGatewayEntry(this->options.self.peers);
-  put.lease = this->lease;
-  Transaction transaction;
-  transaction.then.push_back(std::move(put));
-  this->leaseCall =
-    this->store.Commit(transaction, [this](const WriteResult& aResult) {
-      const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
-      if (aResult.outcome != WriteOutcome::Applied) {
-        // Joins anew with the next period; a write that took effect after all
-        // only names this gateway twice under one key.
-        this->lease = 0;
-      }
-    });
-}
-
-void
-DirectoryKeeper::RenewLease()
-{
-  this->leaseCall = this->store.KeepAlive(
-    this->lease, [this](const absl::StatusOr<LeaseGrant>& aLeft) {
-      const std::unique_ptr<StoreCall> ended = std::move(this->leaseCall);
-      if (absl::IsNotFound(aLeft.status())) {
-        this->lease = 0;
-        this->Join();
-      }
-    });
-}
-
-void
-DirectoryKeeper::ReadGateways()
-{
-  RangeQuery query;
-  query.key = kGatewaysPrefix;
-  query.isPrefix = true;
-  // Seconds of age do no harm here, and such a read is cheap for the store.
-  query.allowStale = true;
-  this->gatewaysCall = this->store.Range(
-    query, [this](const absl::StatusOr<RangeResult>& aResult) {
-      const std::unique_ptr<StoreCall> ended = std::move(this->gatewaysCall);
-      if (aResult.ok()) {
-        this->OnGatewaysRead(*aResult);
-      }
-    });
-}
-
-void
-DirectoryKeeper::OnGatewaysRead(const RangeResult& aResult)
-{
-  std::vector<GatewayMember> read;
-  for (const KeyValue& value : aResult.values) {
-    auto address = ReadGatewayEntry(value.value);
-    if (!address.ok()) {
-      Log(LogLevel::Warning,
-          "gateway_rejected",
-          "key",
-          value.key,
-          "reason",
-          MessageOf(address.status()));
-      continue;
-    }
-    read.push_back({ InstanceName(value.key.substr(kGatewaysPrefix.size())),
-                     *std::move(address) });
-  }
-  if (read != this->gateways) {
-    this->gateways = std::move(read);
-    Log(LogLevel::Info, "gateways", "count", this->gateways.size());
-    this->observer.OnGateways(this->gateways);
-  }
-}
-
 void
 DirectoryKeeper::Leave()
 {
-  this->leaving = true;
-  this->gatewaysTimer.Stop();
-  if (this->lease != 0) {
-    this->leaseCall =
-      this->store.RevokeLease(this->lease, [](const WriteResult&) {});
-  }
+  this->roster.Leave();
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -5,21 +5,14 @@
 #include <memory>
 #include <random>
 
+#include "Departures.h"
+#include "GatewayRoster.h"
 #include "Incarnations.h"
+#include "PeerDigest.h"
 #include "Ports.h"
 
 namespace dogwoodvale {
 
-/// Another gateway, as the store lists it.
-struct GatewayMember
-{
-  InstanceName name;
-  /// Where it talks with other gateways, by datagrams and by TCP.
-  SocketAddress peers;
-
-  bool operator==(const GatewayMember&) const = default;
-};
-
 /// Is told what the keeper has learned.
 class DirectoryObserver
 {
@@ -32,7 +25,7 @@
 };
 
 /// Keeps what the store tells: routes (watched), backend servers (read at a
-/// pace), and the gateways themselves (each one key under a lease).
+/// pace), and the gateways themselves, see GatewayRoster.
 ///
 /// Backend servers are read and not watched: each of them writes a heartbeat
 /// every second or so, and a watch would return for each one.
@@ -44,6 +37,8 @@
     GatewayMember self;
     /// How old the list of backend servers may get.
     Duration instanceReadPeriod = milliseconds(800);
+    /// Whether gateways with the same list read it for each other.
+    bool sharesReads = true;
   };
 
   DirectoryKeeper(EventLoop& aLoop,
@@ -63,6 +58,17 @@
   bool TakeRoutes(std::string_view aDocument, std::string_view aFrom);
   /// Takes another gateway's list, if it is newer than this one's.
   void TakeInstances(std::string_view aDocument, std::string_view aFrom);
+  /// Another gateway has this list from the store. Where it is this one's too,
+  /// it need not be read again so soon; where it is newer, it is read now.
+  void NoteOthersList(const ListStamp& aList, TimePoint aNow);
+  ListStamp List(TimePoint aNow) const;
+  /// Whether a newer list is known to be there and was not had for a while.
+  bool IsBehind(TimePoint aNow) const;
+  /// Backend servers that were listed a moment ago, for a start beside a store
+  /// that was away: entries that lapsed with it are back within kReturnGrace.
+  void TakeHints(std::span<const DirectInstance> aHints, TimePoint aNow);
+  GatewayRoster& Roster() { return this->roster; }
+  std::vector<DirectInstance> Listed() const;
 
   Epoch Version() const { return this->routes ? this->routes->Version() : 0; }
   const std::shared_ptr<const RouteTable>& Routes() const
@@ -97,22 +103,27 @@
   static constexpr Duration kReturnGrace = milliseconds(2200);
   /// What another gateway said of its contact counts for this long.
   static constexpr Duration kOthersWordLife = seconds(1);
-  static constexpr Duration kLeaseTtl = seconds(6);
-  static constexpr Duration kGatewaysPeriod = seconds(2);
-  static constexpr std::string_view kGatewaysPrefix = "dogwoodvale/gateways/";
+  /// How long a newer list may be missed until other gateways are asked for it.
+  static constexpr Duration kBehindFor = milliseconds(300);
+  /// Reads that a change makes necessary are spread over this.
+  static constexpr Duration kChangeSpread = milliseconds(100);
+  /// Hints are for a store that has lost entries, not for servers that have
+  /// left: they count where at least this share of them is missing.
+  static constexpr double kLostShare = 0.1;
 
 private:
   void ReadInstances();
-  void OnInstancesRead(const absl::StatusOr<RangeResult>& aResult);
+  void ReadWhereDue();
+  void OnInstancesRead(const absl::StatusOr<RangeResult>& aResult,
+                       bool aMayBeOld);
   void NoteRejected(const KeyValue& aValue, const absl::Status& aReason);
   bool IsRejected(const DirectInstance& aInstance) const;
   void MergeInstances(std::vector<DirectInstance> aRead, TimePoint aNow);
-  void TendMembership();
-  void Join();
-  void PutSelf();
-  void RenewLease();
-  void ReadGateways();
-  void OnGatewaysRead(const RangeResult& aResult);
+  /// Until when more or less than the store's list is in force.
+  TimePoint GraceEnd() const;
+  void AddHints(Instances& aMerged, TimePoint aNow) const;
+  /// The store came back as an older copy of itself.
+  void OnEra(StoreEra aEra, TimePoint aNow);
   void OnRoutesValue(const KeyValue& aValue);
   void NoteStore(bool aAnswers, std::string_view aReason, TimePoint aNow);
   bool WasAwayForOthers(TimePoint aNow) const;
@@ -123,22 +134,31 @@
   DirectoryObserver& observer;
   std::unique_ptr<StoreWatch> watch;
   std::unique_ptr<StoreCall> instancesCall;
-  std::unique_ptr<StoreCall> leaseCall;
-  std::unique_ptr<StoreCall> gatewaysCall;
   Timer instancesTimer;
-  Timer gatewaysTimer;
+  GatewayRoster roster;
+  std::mt19937_64 random;
   std::shared_ptr<const RouteTable> routes;
   std::string routesDocument;
   Instances instances;
   IncarnationStarts starts;
   /// Entries of the last read that name no server to use, with their values.
   std::map<std::string, std::string> rejected;
-  std::vector<GatewayMember> gateways;
-  LeaseId lease = 0;
+  Instances hints;
+  TimePoint hintsUntil{};
+  Departures departures;
+  /// Of the last read.
+  StoreEra era = 0;
   TimePoint routesHeardAt{};
+  /// When the store was last known to have just the list that is here.
   TimePoint instancesReadAt{};
+  /// Of the list that the store told; 0 where it was told by others or may be
+  /// old.
+  std::uint64_t listSum = 0;
+  /// When a newer list was first heard of that is not here yet.
+  std::optional<TimePoint> behindSince;
   /// Until then, what is missing from the list is kept.
   TimePoint keepMissingUntil{};
+  TimePoint mergedAt{};
   /// When reads began to succeed without a break.
   TimePoint contactSince{};
   TimePoint lastAnswerAt{};
@@ -147,7 +167,6 @@
   TimePoint othersHeardAt{};
   bool isWatching = true;
   bool storeAnswers = true;
-  bool leaving = false;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <json/json.h>
-
 #include "CallerLimits.h"
 #include "CellView.h"
 #include "GatewayLog.h"
@@ -22,8 +20,6 @@
 constexpr double kReadPeriodSpread = 0.15;
 /// After this many reads that did not come, other gateways are asked.
 constexpr int kMissedReads = 2;
-constexpr int kHttpOk = 200;
-constexpr int kHttpForbidden = 403;
 
 } // namespace
 
@@ -55,12 +51,20 @@
   , random(DrawIncarnation())
   , placer(DirectChooser::Create(aSettings.gateway.chooser),
            Placer::OptionsOf(aSettings.gateway.decisions))
-  , pool(aLoop, { .decisions = aSettings.gateway.decisions })
+  , pool(aLoop,
+         { .decisions = aSettings.gateway.decisions,
+           .reservesAtOnce = aSettings.gateway.decisions.warmStart })
   , crashes(
       aLoop,
       this->pool,
       *this->ports.store,
       { aSettings.gateway.decisions.quarantine, aSettings.gateway.quarantine })
+  , usage(aLoop,
+          *this->ports.store,
+          this->ports.usage.get(),
+          aSettings.instance,
+          this->incarnation,
+          aSettings.gateway.duties)
   , suspensions(aLoop, [this](Duration aLost) { this->OnSuspended(aLost); })
   , tendTimer(aLoop, [this] { this->Tend(); })
   , sweepTimer(aLoop, [this] { this->Sweep(); })
@@ -112,8 +116,16 @@
   DirectoryKeeper::Options options;
   options.self = { this->settings.instance, this->settings.peers };
   options.instanceReadPeriod = this->InstanceReadPeriod();
+  options.sharesReads = this->settings.gateway.decisions.sharedReads;
   this->directory = std::make_unique<DirectoryKeeper>(
     this->loop, *this->ports.store, *this->ports.directory, options, *this);
+  this->warmStart = std::make_unique<WarmStart>(
+    this->settings.instance,
+    *this->ports.store,
+    *this->directory,
+    this->pool,
+    WarmStart::Options{ this->settings.gateway.decisions.warmStart,
+                        this->settings.peerSecret });
   auto operatorServer =
     OperatorServer::Create(this->loop, this->settings.operators, *this);
   if (!operatorServer.ok()) {
@@ -136,6 +148,7 @@
   }
   this->callers = *std::move(server);
   this->directory->Start();
+  this->warmStart->Start();
   this->crashes.Start();
   this->tendTimer.StartRepeating(kTendPeriod);
   return absl::OkStatus();
@@ -226,6 +239,12 @@
     { aInstance, { aSteps.begin(), aSteps.end() }, aLongTokens });
 }
 
+void
+Gateway::OnBegan(const CustomerName& aCustomer, TimePoint aBegan)
+{
+  this->usage.Count(aCustomer, aBegan);
+}
+
 void
 Gateway::OnDone(GatewayRequest& aRequest)
 {
@@ -267,6 +286,7 @@
 Gateway::OnInstances(std::span<const DirectInstance> aInstances)
 {
   this->pool.SetInstances(aInstances);
+  this->warmStart->OnInstances();
   this->crashes.OnInstances();
 }
 
@@ -277,6 +297,8 @@
   const CellView view =
     ViewCells(this->settings.instance, aGateways, this->cells);
   this->cells = view.cells;
+  this->ownCell = view.own;
+  this->usage.SetGateways(aGateways, view.cells, view.own);
   this->peers->SetPeers(view.members, aGateways, this->settings.instance);
   this->pool.SetGateways(this->listedGateways,
                          std::max<std::size_t>(view.members.size(), 1),
@@ -301,6 +323,8 @@
   digest.routed = std::move(this->routed);
   this->routed.clear();
   this->crashes.Tell(digest);
+  digest.list = this->directory->List(Now());
+  this->usage.Tell(digest);
   return digest;
 }
 
@@ -317,6 +341,12 @@
   this->directory->NoteOthersContact(aDigest.storeContact, now);
   this->pool.Work().SetPeer(aDigest.gateway, aDigest.work, now);
   this->crashes.Hear(aDigest);
+  this->directory->NoteOthersList(aDigest.list, now);
+  // A gateway of another cell sends one now and then.
+  if (CellOf(aDigest.gateway, this->cells) == this->ownCell) {
+    this->usage.Hear(aDigest);
+    this->warmStart->OnHeard(aDigest.gateway, now);
+  }
   for (const RoutedPrompt& prompt : aDigest.routed) {
     this->pool.OnRead(prompt.instance, prompt.steps);
     if (prompt.longTokens > 0) {
@@ -337,6 +367,10 @@
     this->directory->TakeRoutes(aDocument, aFrom.ToString());
   } else if (aPath == PeerExchange::kInstancesPath) {
     this->directory->TakeInstances(aDocument, aFrom.ToString());
+  } else if (aPath == WarmStart::kPath) {
+    this->warmStart->Take(aDocument, aFrom.ToString());
+  } else if (aPath.starts_with(UsageDuty::kPath)) {
+    this->usage.TakeDocument(aPath, aDocument, aFrom);
   }
 }
 
@@ -346,7 +380,7 @@
   // The store may turn this machine away and serve the others.
   const Duration patience =
     kMissedReads * this->settings.gateway.instanceDrain / kReadsPerDrain;
-  if (!this->directory->HasInstances() ||
+  if (!this->directory->HasInstances() || this->directory->IsBehind(aNow) ||
       this->directory->InstancesAge(aNow) > patience) {
     this->peers->FetchFromAny(std::string(PeerExchange::kInstancesPath),
                               this->random);
@@ -355,6 +389,9 @@
     this->peers->FetchFromAny(std::string(PeerExchange::kRoutesPath),
                               this->random);
   }
+  if (this->warmStart->WantsDocument(aNow)) {
+    this->peers->FetchFromAny(std::string(WarmStart::kPath), this->random);
+  }
 }
 
 void
@@ -364,6 +401,10 @@
   this->pool.Tend(now);
   this->crashes.Tend();
   this->AskGatewaysWhereBehind(now);
+  if (!this->stopping) {
+    this->usage.Tend(*this->peers, this->random);
+    this->warmStart->Tend(now, this->ownCell == 0);
+  }
   FlushLog();
 }
 
@@ -375,7 +416,7 @@
   this->directory->Refresh();
 }
 
-// Operators and the end.
+// The end.
 
 void
 Gateway::BeginStop()
@@ -387,6 +428,7 @@
   this->stopSchedule = StopSchedule(Now(), this->settings.gateway.stopGrace);
   Log(LogLevel::Info, "draining", "requests", this->requests.size());
   this->callers->AnnounceClosing();
+  this->usage.Stop();
   this->directory->Leave();
   this->stopTimer.StartRepeating(kStopCheckPeriod);
 }
@@ -417,79 +459,4 @@
   }
 }
 
-absl::Status
-Gateway::Ready()
-{
-  if (this->stopping) {
-    return absl::UnavailableError("stopping");
-  }
-  if (this->directory->Routes() == nullptr) {
-    return absl::UnavailableError("no configuration yet");
-  }
-  if (!this->directory->HasInstances()) {
-    return absl::UnavailableError("no list of backend servers yet");
-  }
-  return absl::OkStatus();
-}
-
-std::string
-Gateway::Metrics()
-{
-  const TimePoint now = Now();
-  GatewayGauges gauges;
-  gauges.requests = this->requests.size();
-  gauges.instances = this->pool.Count();
-  gauges.peers = this->pool.Work().PeerCount();
-  gauges.digestsRefused = this->peers->DigestsRefused();
-  gauges.reserved = this->pool.ReservedCount();
-  gauges.serversCrashed = this->crashes.ServersEnded();
-  gauges.suspects = this->crashes.Ledger().SuspectCount();
-  gauges.quarantined = this->crashes.Ledger().QuarantinedCount(now);
-  gauges.instancesRejected = this->directory->RejectedCount();
-  gauges.version = this->directory->Version();
-  gauges.listAge = this->directory->InstancesAge(now);
-  gauges.routesAge = this->directory->RoutesAge(now);
-  return this->metrics.Render(gauges, *this->callers);
-}
-
-std::string
-Gateway::Statusz()
-{
-  Json::Value status;
-  status["role"] = "gateway";
-  status["instance"] = this->settings.instance.Value();
-  status["data_centre"] = this->settings.dataCentre.Value();
-  status["region"] = this->settings.region.Value();
-  status["version"] = DOGWOODVALE_VERSION;
-  status["incarnation"] = fmt::format("{:016x}", this->incarnation);
-  status["routes_version"] = Json::UInt64(this->directory->Version());
-  status["ready"] = this->Ready().ok();
-  status["stopping"] = this->stopping;
-  status["requests"] = Json::UInt64(this->requests.size());
-  status["instances"] = Json::UInt64(this->pool.Count());
-  status["gateways"] = Json::UInt64(this->GatewayCount());
-  status["list_age_ms"] = Json::Int64(this->ListAge().count() / 1000);
-  return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
-}
-
-OperatorResponse
-Gateway::Other(const HttpRequest& aRequest)
-{
-  const std::string path = aRequest.path.substr(0, aRequest.path.find('?'));
-  const bool isRoutes = path == PeerExchange::kRoutesPath;
-  if (!isRoutes && path != PeerExchange::kInstancesPath) {
-    return OperatorHandler::Other(aRequest);
-  }
-  if (!this->peers->IsProven(aRequest.path)) {
-    return { kHttpForbidden, "text/plain; charset=utf-8", "no proof\n" };
-  }
-  const std::string& routes = this->directory->RoutesDocument();
-  if ((isRoutes && routes.empty()) || !this->directory->HasInstances()) {
-    return OperatorHandler::Other(aRequest);
-  }
-  return { kHttpOk,
-           "application/json",
-           isRoutes ? routes : this->directory->InstancesDocument(Now()) };
-}
-
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -13,6 +13,8 @@
 #include "PeerExchange.h"
 #include "StopSchedule.h"
 #include "SuspensionWatch.h"
+#include "UsageDuty.h"
+#include "WarmStart.h"
 #include "dogwoodvale/Settings"
 
 namespace dogwoodvale {
@@ -55,6 +57,7 @@
   void OnSent(const InstanceName& aInstance,
               std::span<const PromptStep> aSteps,
               std::uint32_t aLongTokens) override;
+  void OnBegan(const CustomerName& aCustomer, TimePoint aBegan) override;
   void OnDone(GatewayRequest& aRequest) override;
 
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override;
@@ -89,6 +92,8 @@
               std::string_view aId);
   std::vector<SocketAddress> SeedAddresses() const;
   std::size_t GatewayCount() const;
+  /// What another gateway may ask for; nothing where there is no such thing.
+  std::optional<std::string> DocumentAt(std::string_view aPath) const;
 
   EventLoop& loop;
   DaemonSettings settings;
@@ -98,8 +103,10 @@
   Placer placer;
   BackendPool pool;
   CrashGuard crashes;
+  UsageDuty usage;
   GatewayMetrics metrics;
   std::unique_ptr<DirectoryKeeper> directory;
+  std::unique_ptr<WarmStart> warmStart;
   std::unique_ptr<PeerExchange> peers;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<OperatorServer> operators;
@@ -111,6 +118,7 @@
   std::vector<RoutedPrompt> routed;
   std::size_t listedGateways = 1;
   std::size_t cells = 1;
+  std::size_t ownCell = 0;
   std::uint64_t digestSequence = 0;
   bool stopping = false;
   bool accepting = true;
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -98,6 +98,10 @@
   set("servers_crashed", static_cast<double>(aGauges.serversCrashed));
   set("crash_suspects", static_cast<double>(aGauges.suspects));
   set("requests_quarantined", static_cast<double>(aGauges.quarantined));
+  set("usage_duty_held", aGauges.holdsUsageDuty ? 1.0 : 0.0);
+  set("usage_windows_accepted", static_cast<double>(aGauges.usageAccepted));
+  set("usage_windows_left_out", static_cast<double>(aGauges.usageLeftOut));
+  set("usage_windows_backlog", static_cast<double>(aGauges.usageBacklog));
   set("routes_version", static_cast<double>(aGauges.version));
   set("list_age_seconds",
       static_cast<double>(aGauges.listAge.count()) / kMicros);
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -24,6 +24,11 @@
   /// Requests that were under way there, and those kept from servers.
   std::size_t suspects = 0;
   std::size_t quarantined = 0;
+  /// The usage duty: whether it is held here, and windows since the start.
+  bool holdsUsageDuty = false;
+  std::uint64_t usageAccepted = 0;
+  std::uint64_t usageLeftOut = 0;
+  std::size_t usageBacklog = 0;
   Epoch version = 0;
   Duration listAge{ 0 };
   Duration routesAge{ 0 };
--- /dev/null
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -0,0 +1,144 @@
+#include "Gateway.h"
+
+#include <json/json.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpForbidden = 403;
+constexpr int kMicrosPerMilli = 1000;
+
+Json::Value
+UsageStatus(const UsageDuty& aUsage)
+{
+  const UsageReporter& reporter = *aUsage.Reporter();
+  const UsagePlan& plan = reporter.Plan();
+  const TimePoint now = Now();
+  Json::Value status;
+  status["holder"] = reporter.Holder().value_or(InstanceName()).Value();
+  status["holds"] = reporter.IsActive(now);
+  if (reporter.Holds()) {
+    status["fencing"] = Json::Int64(reporter.Fencing());
+    status["held_ms"] =
+      Json::Int64(Between(reporter.HeldSince(), now).count() / kMicrosPerMilli);
+  }
+  status["accepted"] = Json::UInt64(plan.Accepted());
+  status["left_out"] = Json::UInt64(plan.LeftOut());
+  status["backlog"] = Json::UInt64(aUsage.Backlog());
+  if (plan.LastAccepted()) {
+    status["last_window"] = Json::Int64(*plan.LastAccepted());
+  }
+  return status;
+}
+
+} // namespace
+
+absl::Status
+Gateway::Ready()
+{
+  if (this->stopping) {
+    return absl::UnavailableError("stopping");
+  }
+  if (this->directory->Routes() == nullptr) {
+    return absl::UnavailableError("no configuration yet");
+  }
+  if (!this->directory->HasInstances()) {
+    return absl::UnavailableError("no list of backend servers yet");
+  }
+  return absl::OkStatus();
+}
+
+std::string
+Gateway::Metrics()
+{
+  const TimePoint now = Now();
+  GatewayGauges gauges;
+  gauges.requests = this->requests.size();
+  gauges.instances = this->pool.Count();
+  gauges.peers = this->pool.Work().PeerCount();
+  gauges.digestsRefused = this->peers->DigestsRefused();
+  gauges.reserved = this->pool.ReservedCount();
+  gauges.serversCrashed = this->crashes.ServersEnded();
+  gauges.suspects = this->crashes.Ledger().SuspectCount();
+  gauges.quarantined = this->crashes.Ledger().QuarantinedCount(now);
+  gauges.instancesRejected = this->directory->RejectedCount();
+  gauges.version = this->directory->Version();
+  gauges.listAge = this->directory->InstancesAge(now);
+  gauges.routesAge = this->directory->RoutesAge(now);
+  if (const UsageReporter* reporter = this->usage.Reporter()) {
+    gauges.holdsUsageDuty = reporter->IsActive(now);
+    gauges.usageAccepted = reporter->Plan().Accepted();
+    gauges.usageLeftOut = reporter->Plan().LeftOut();
+    gauges.usageBacklog = this->usage.Backlog();
+  }
+  return this->metrics.Render(gauges, *this->callers);
+}
+
+std::string
+Gateway::Statusz()
+{
+  Json::Value status;
+  status["role"] = "gateway";
+  status["instance"] = this->settings.instance.Value();
+  status["data_centre"] = this->settings.dataCentre.Value();
+  status["region"] = this->settings.region.Value();
+  status["version"] = DOGWOODVALE_VERSION;
+  status["incarnation"] = fmt::format("{:016x}", this->incarnation);
+  status["routes_version"] = Json::UInt64(this->directory->Version());
+  status["ready"] = this->Ready().ok();
+  status["stopping"] = this->stopping;
+  status["requests"] = Json::UInt64(this->requests.size());
+  status["instances"] = Json::UInt64(this->pool.Count());
+  status["gateways"] = Json::UInt64(this->GatewayCount());
+  status["list_age_ms"] = Json::Int64(this->ListAge().count() / 1000);
+  if (this->usage.IsOn()) {
+    status["duties"]["usage"] = UsageStatus(this->usage);
+  }
+  return Json::writeString(Json::StreamWriterBuilder(), status) + "\n";
+}
+
+std::optional<std::string>
+Gateway::DocumentAt(std::string_view aPath) const
+{
+  if (!this->directory->HasInstances()) {
+    return std::nullopt;
+  }
+  if (aPath == PeerExchange::kRoutesPath) {
+    const std::string& routes = this->directory->RoutesDocument();
+    return routes.empty() ? std::nullopt : std::optional(routes);
+  }
+  if (aPath == PeerExchange::kInstancesPath) {
+    return this->directory->InstancesDocument(Now());
+  }
+  if (aPath == WarmStart::kPath) {
+    return this->warmStart->Document();
+  }
+  if (aPath.starts_with(UsageDuty::kPath)) {
+    return this->usage.Document();
+  }
+  return std::nullopt;
+}
+
+OperatorResponse
+Gateway::Other(const HttpRequest& aRequest)
+{
+  const std::string path = aRequest.path.substr(0, aRequest.path.find('?'));
+  if (!path.starts_with(PeerExchange::kPathPrefix)) {
+    return OperatorHandler::Other(aRequest);
+  }
+  if (!this->peers->IsProven(aRequest.path)) {
+    return { kHttpForbidden, "text/plain; charset=utf-8", "no proof\n" };
+  }
+  auto document = this->DocumentAt(path);
+  if (!document) {
+    return OperatorHandler::Other(aRequest);
+  }
+  const bool isJson = path != WarmStart::kPath;
+  return { kHttpOk,
+           isJson ? "application/json" : "application/octet-stream",
+           *std::move(document) };
+}
+
+} // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -212,6 +212,14 @@
   }
 }
 
+void
+GatewayRequest::NoteBegan(TimePoint aBegan)
+{
+  if (!std::exchange(this->hasRun, true)) {
+    this->host.OnBegan(this->admitted.customer, aBegan);
+  }
+}
+
 void
 GatewayRequest::NoteGap(TimePoint aNow)
 {
@@ -227,6 +235,7 @@
 {
   const TimePoint now = Now();
   this->NoteFirstSign(now);
+  this->NoteBegan(now);
   this->NoteGap(now);
   if (!this->streamBegun) {
     this->streamBegun = true;
@@ -268,6 +277,8 @@
     this->Conclude(AttemptFailure::Garbled, "an answer with no proof");
     return;
   }
+  // A whole answer comes when the run is over.
+  this->NoteBegan(this->sent->at);
   // A server's own failure may have come before the request was run.
   if (IsSuccess(answer.status)) {
     this->host.Crashes().OnAnswered(this->admitted.fingerprint);
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -57,6 +57,8 @@
   virtual void OnSent(const InstanceName& aInstance,
                       std::span<const PromptStep> aSteps,
                       std::uint32_t aLongTokens) = 0;
+  /// A server began to run it, the first time.
+  virtual void OnBegan(const CustomerName& aCustomer, TimePoint aBegan) = 0;
   /// The request is done; the host destroys it later, not in this call.
   virtual void OnDone(GatewayRequest& aRequest) = 0;
 };
@@ -119,6 +121,7 @@
                               TimePoint aNow) const;
   AttemptHealth HealthOf(const InstanceName& aInstance) const;
   void NoteFirstSign(TimePoint aNow);
+  void NoteBegan(TimePoint aBegan);
   void NoteGap(TimePoint aNow);
   void EndAttempt();
   /// The attempt failed, or its answer is not one to pass on: what next.
@@ -146,6 +149,7 @@
   /// Servers that read it.
   std::uint32_t reads = 0;
   bool mayHaveRun = false;
+  bool hasRun = false;
   bool streamBegun = false;
   std::optional<std::uint64_t> delivered;
   TimePoint lastEventsAt{};
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -20,16 +20,29 @@
   std::uint64_t prefill = 0;
   std::uint64_t memory = 0;
   std::uint32_t interactive = 0;
+  /// Without zeros at the end, as the next.
   std::vector<std::uint64_t> prefillByRank;
+  std::vector<std::uint32_t> requestsByRank;
 
   MSGPACK_DEFINE_ARRAY(instance,
                        requests,
                        prefill,
                        memory,
                        interactive,
-                       prefillByRank);
+                       prefillByRank,
+                       requestsByRank);
 };
 
+template<class Number>
+std::vector<Number>
+WithoutLastZeros(std::span<const Number> aNumbers)
+{
+  while (!aNumbers.empty() && aNumbers.back() == 0) {
+    aNumbers = aNumbers.first(aNumbers.size() - 1);
+  }
+  return { aNumbers.begin(), aNumbers.end() };
+}
+
 PackedWork
 Pack(const WorkLine& aLine)
 {
@@ -39,7 +52,9 @@
            work.Prefill(),
            work.memoryTokens,
            work.interactive,
-           { work.prefillTokens.begin(), work.prefillTokens.end() } };
+           WithoutLastZeros(std::span<const std::uint64_t>(work.prefillTokens)),
+           WithoutLastZeros(
+             std::span<const std::uint32_t>(work.requestsByRank)) };
 }
 
 WorkLine
@@ -51,13 +66,17 @@
   line.work.memoryTokens = aPacked.memory;
   line.work.interactive = aPacked.interactive;
   if (aPacked.prefillByRank.empty()) {
-    // Told without ranks: it may be ahead of anything.
+    // Told without ranks, if there is any: it may be ahead of anything.
     line.work.PrefillAt(0) = aPacked.prefill;
   }
   for (std::size_t rank = 0; rank < aPacked.prefillByRank.size(); ++rank) {
     line.work.PrefillAt(static_cast<std::uint32_t>(rank)) +=
       aPacked.prefillByRank[rank];
   }
+  for (std::size_t rank = 0; rank < aPacked.requestsByRank.size(); ++rank) {
+    line.work.RequestsAt(static_cast<std::uint32_t>(rank)) +=
+      aPacked.requestsByRank[rank];
+  }
   return line;
 }
 
@@ -120,7 +139,17 @@
   MSGPACK_DEFINE_ARRAY(request, round, isLifted, leftMillis);
 };
 
-/// A gateway of an older version sends and reads the first seven fields alone.
+struct PackedNews
+{
+  std::int64_t window = 0;
+  std::uint64_t total = 0;
+  std::vector<std::pair<std::string, std::uint64_t>> counts;
+
+  MSGPACK_DEFINE_ARRAY(window, total, counts);
+};
+
+/// A gateway of an older version sends and reads the first seven or ten fields
+/// alone.
 struct PackedDigest
 {
   std::string gateway;
@@ -133,6 +162,12 @@
   std::vector<PackedEvidence> evidence;
   std::vector<PackedVerdict> verdicts;
   std::vector<RequestFingerprint> suspectsUnderWay;
+  std::uint64_t listSum = 0;
+  std::int64_t listAgeMillis = 0;
+  std::int64_t timeOfDayMillis = 0;
+  std::int64_t trueTimeMillis = 0;
+  bool holdsUsageDuty = false;
+  std::vector<PackedNews> usage;
 
   MSGPACK_DEFINE_ARRAY(gateway,
                        incarnation,
@@ -143,7 +178,13 @@
                        routed,
                        evidence,
                        verdicts,
-                       suspectsUnderWay);
+                       suspectsUnderWay,
+                       listSum,
+                       listAgeMillis,
+                       timeOfDayMillis,
+                       trueTimeMillis,
+                       holdsUsageDuty,
+                       usage);
 };
 
 void
@@ -183,6 +224,38 @@
   aDigest.suspectsUnderWay = std::move(aPacked.suspectsUnderWay);
 }
 
+void
+PackUsage(const UsageWord& aWord, PackedDigest& aPacked)
+{
+  aPacked.timeOfDayMillis = aWord.timeOfDay.count();
+  aPacked.trueTimeMillis = aWord.trueTime.count();
+  aPacked.holdsUsageDuty = aWord.holdsDuty;
+  for (const UsageNews& news : aWord.counts) {
+    PackedNews packed{ news.window, news.total, {} };
+    for (const auto& [customer, count] : news.counts) {
+      packed.counts.emplace_back(customer.Value(), count);
+    }
+    aPacked.usage.push_back(std::move(packed));
+  }
+}
+
+UsageWord
+UnpackUsage(const PackedDigest& aPacked)
+{
+  UsageWord word;
+  word.timeOfDay = milliseconds(aPacked.timeOfDayMillis);
+  word.trueTime = milliseconds(aPacked.trueTimeMillis);
+  word.holdsDuty = aPacked.holdsUsageDuty;
+  for (const PackedNews& packed : aPacked.usage) {
+    UsageNews news{ packed.window, packed.total, {} };
+    for (const auto& [customer, count] : packed.counts) {
+      news.counts[CustomerName(customer)] = count;
+    }
+    word.counts.push_back(std::move(news));
+  }
+  return word;
+}
+
 } // namespace
 
 std::string
@@ -211,6 +284,9 @@
     toPack.routed.push_back(Pack(prompt));
   }
   PackCrashes(aDigest, toPack);
+  PackUsage(aDigest.usage, toPack);
+  toPack.listSum = aDigest.list.sum;
+  toPack.listAgeMillis = aDigest.list.age.count();
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, toPack);
   const std::string_view packed(buffer.data(), buffer.size());
@@ -254,6 +330,8 @@
   for (PackedPrompt& prompt : read.routed) {
     digest.routed.push_back(Unpack(std::move(prompt)));
   }
+  digest.list = { read.listSum, milliseconds(read.listAgeMillis) };
+  digest.usage = UnpackUsage(read);
   UnpackCrashes(std::move(read), digest);
   return digest;
 }
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dogwoodvale/Duties"
 #include "dogwoodvale/Placement"
 #include "dogwoodvale/Quarantine"
 
@@ -21,6 +22,26 @@
   std::uint32_t longTokens = 0;
 };
 
+/// Which list of backend servers a gateway has from the store.
+struct ListStamp
+{
+  /// The same for equal lists; 0 where there is none.
+  std::uint64_t sum = 0;
+  /// Since the store was known to have just this list.
+  milliseconds age{ 0 };
+};
+
+/// What a gateway tells of the usage duty.
+struct UsageWord
+{
+  /// Since 1970, by its own clock and as the gateways agree on it; 0 where it
+  /// tells none.
+  milliseconds timeOfDay{ 0 };
+  milliseconds trueTime{ 0 };
+  bool holdsDuty = false;
+  std::vector<UsageNews> counts;
+};
+
 /// What a gateway tells the others, a few times a second, in one datagram. It
 /// replaces what the same lifetime of that gateway told before.
 struct PeerDigest
@@ -40,6 +61,10 @@
   CrashNews crashes;
   /// Suspects of which a copy is at a server now, sent by this gateway.
   std::vector<RequestFingerprint> suspectsUnderWay;
+  /// The list of backend servers that it has from the store.
+  ListStamp list;
+  /// What it tells of the usage duty, where there is one.
+  UsageWord usage;
 };
 
 /// \param aSecret shared by all gateways; a digest made with another is refused
--- a/dogwoodvale/src/Gateway/PeerExchange.h
+++ b/dogwoodvale/src/Gateway/PeerExchange.h
@@ -63,6 +63,8 @@
   /// Datagrams that were no digest, or made with another secret.
   std::uint64_t DigestsRefused() const { return this->refused; }
 
+  /// Of all documents.
+  static constexpr std::string_view kPathPrefix = "/peer/";
   static constexpr std::string_view kRoutesPath = "/peer/routes";
   static constexpr std::string_view kInstancesPath = "/peer/instances";
   /// Digests that a gateway may receive in a second: each gateway sends to all
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dogwoodvale/Configuration"
+#include "dogwoodvale/Duties"
 #include "dogwoodvale/Http"
 #include "dogwoodvale/Placement"
 #include "dogwoodvale/Routing"
@@ -141,6 +142,8 @@
   std::unique_ptr<DirectoryFormat> directory;
   std::unique_ptr<CallerDialect> callers;
   std::unique_ptr<BackendDialect> backends;
+  /// Null where no usage is to be reported.
+  std::unique_ptr<UsagePort> usage;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/QuarantineKeeper.cpp
+++ b/dogwoodvale/src/Gateway/QuarantineKeeper.cpp
@@ -113,6 +113,23 @@
   this->WriteNext();
 }
 
+void
+QuarantineKeeper::Tend()
+{
+  const TimePoint now = Now();
+  std::erase_if(this->kept,
+                [now](const auto& aItem) { return aItem.second.until <= now; });
+  const StoreEra before = std::exchange(this->era, this->store.Era());
+  if (before == this->era) {
+    return;
+  }
+  for (const auto& [request, one] : this->kept) {
+    QuarantineVerdict verdict = one.verdict;
+    verdict.left = verdict.isLifted ? verdict.left : Between(now, one.until);
+    this->Keep(verdict);
+  }
+}
+
 void
 QuarantineKeeper::WriteNext()
 {
@@ -127,6 +144,7 @@
     ttl, [this, verdict](const absl::StatusOr<LeaseGrant>& aGrant) {
       const std::unique_ptr<StoreCall> ended = std::move(this->writeCall);
       if (aGrant.ok()) {
+        this->kept[verdict.request] = { verdict, Now() + aGrant->ttl };
         this->Put(verdict, aGrant->id);
       } else {
         this->writeTimer.StartOnce(kRetryPeriod);
--- a/dogwoodvale/src/Gateway/QuarantineKeeper.h
+++ b/dogwoodvale/src/Gateway/QuarantineKeeper.h
@@ -29,6 +29,9 @@
   /// Keeps it, in place of an earlier one of the same request. Tried again
   /// while the store gives no answer.
   void Keep(const QuarantineVerdict& aVerdict);
+  /// Keeps again what a store that came back as an older copy has lost. Call a
+  /// few times a second.
+  void Tend();
 
   static constexpr std::string_view kPrefix = "dogwoodvale/quarantine/";
   /// The store's longest lease.
@@ -49,6 +52,14 @@
   std::unique_ptr<StoreCall> readCall;
   std::unique_ptr<StoreCall> writeCall;
   std::map<RequestFingerprint, QuarantineVerdict> waiting;
+  struct Kept
+  {
+    QuarantineVerdict verdict;
+    TimePoint until{};
+  };
+  /// Written by this gateway, in force still.
+  std::map<RequestFingerprint, Kept> kept;
+  StoreEra era = 0;
   Timer readTimer;
   Timer writeTimer;
 };
--- a/dogwoodvale/src/Placement/CacheBelief.cpp
+++ b/dogwoodvale/src/Placement/CacheBelief.cpp
@@ -1,5 +1,8 @@
 #include "CacheBelief.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace dogwoodvale {
 
 void
@@ -64,6 +67,41 @@
   return tokens;
 }
 
+void
+CacheBelief::Seed(const InstanceName& aServer,
+                  std::span<const PromptStep> aSteps,
+                  std::uint64_t aRoom)
+{
+  Cache& cache = this->caches[aServer];
+  for (const PromptStep& step : aSteps) {
+    const bool isFull = cache.order.size() >= kMostSteps ||
+                        (aRoom > 0 && cache.tokens + step.tokens > aRoom);
+    if (isFull) {
+      return;
+    }
+    if (!cache.places.contains(step.hash)) {
+      cache.order.push_back(step);
+      cache.places[step.hash] = std::prev(cache.order.end());
+      cache.tokens += step.tokens;
+    }
+  }
+}
+
+std::vector<std::pair<InstanceName, std::vector<PromptStep>>>
+CacheBelief::Latest(std::size_t aMost) const
+{
+  std::vector<std::pair<InstanceName, std::vector<PromptStep>>> latest;
+  for (const auto& [server, cache] : this->caches) {
+    const auto count =
+      static_cast<std::ptrdiff_t>(std::min(aMost, cache.order.size()));
+    latest.emplace_back(
+      server,
+      std::vector<PromptStep>(cache.order.begin(),
+                              std::next(cache.order.begin(), count)));
+  }
+  return latest;
+}
+
 std::size_t
 CacheBelief::StepCount() const
 {
--- a/dogwoodvale/src/Placement/CacheBelief.h
+++ b/dogwoodvale/src/Placement/CacheBelief.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <list>
 #include <span>
+#include <utility>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -36,6 +38,16 @@
   /// with all before it.
   std::uint32_t TokensHeld(const InstanceName& aServer,
                            std::span<const PromptStep> aSteps) const;
+  /// Adds what the server probably held before this process began, behind what
+  /// is known of it, as far as there is room.
+  /// \param aSteps as Latest() has them.
+  void Seed(const InstanceName& aServer,
+            std::span<const PromptStep> aSteps,
+            std::uint64_t aRoom);
+  /// At most \p aMost of the steps that each server used last, the latest
+  /// first.
+  std::vector<std::pair<InstanceName, std::vector<PromptStep>>> Latest(
+    std::size_t aMost) const;
   /// Steps held by all servers together.
   std::size_t StepCount() const;
 
--- a/dogwoodvale/src/Placement/DirectChoice.cpp
+++ b/dogwoodvale/src/Placement/DirectChoice.cpp
@@ -61,6 +61,23 @@
            : cost;
 }
 
+/// Slots that have to come free at the server before the request gets one.
+/// Those of later ranks that wait there are passed.
+std::uint32_t
+TurnsUntilSlot(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+{
+  const BackendWork& work = aCandidate.work;
+  if (aCandidate.slots == 0 || work.requests < aCandidate.slots) {
+    return 0;
+  }
+  // A gateway of an older version doesn't tell ranks: these may be ahead.
+  const std::uint32_t unranked =
+    work.requests -
+    std::min(work.requests, work.RequestsUpTo(BackendWork::kRanks - 1));
+  const std::uint32_t ahead = work.RequestsUpTo(aDemand.turnRank) + unranked;
+  return ahead - std::min(ahead, aCandidate.slots) + 1;
+}
+
 double
 ModelCost(const DirectCandidate& aCandidate,
           const DirectDemand& aDemand,
@@ -80,10 +97,8 @@
     tokens += aCandidate.recentLongTokens;
     tokens += kTokensPerRunningRequest * work.requests;
   }
-  if (aCandidate.slots > 0 && work.requests >= aCandidate.slots) {
-    tokens += kTurnWeight * aDemand.tokensPerTurn *
-              (work.requests - aCandidate.slots + 1);
-  }
+  tokens +=
+    kTurnWeight * aDemand.tokensPerTurn * TurnsUntilSlot(aCandidate, aDemand);
   const auto memory =
     static_cast<double>(work.memoryTokens + aDemand.promptTokens);
   const double room =
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -21,6 +21,9 @@
   std::uint32_t sharedTokens = 0;
   /// Place in the order of service, 0 first, see OrderPlaces::inTime.
   std::uint32_t rank = 0;
+  /// The same in a full server's queue; the last where ranks are not told apart
+  /// there.
+  std::uint32_t turnRank = BackendWork::kRanks - 1;
   /// Carries the service's reading: not interactive, or where no request is,
   /// longer than the mean, see PrefillFlow.
   bool isLong = false;
--- a/dogwoodvale/src/Placement/Placer.cpp
+++ b/dogwoodvale/src/Placement/Placer.cpp
@@ -42,6 +42,7 @@
   BackendWork work;
   work.requests = 1;
   work.PrefillAt(aPlace) = aToRead;
+  work.RequestsAt(aPlace) = 1;
   work.memoryTokens = aRequest.demand.promptTokens + aRequest.outputTokens;
   work.interactive = aRequest.demand.isInteractive ? 1 : 0;
   return work;
--- a/dogwoodvale/src/Placement/PrefillFlow.cpp
+++ b/dogwoodvale/src/Placement/PrefillFlow.cpp
@@ -167,4 +167,25 @@
          aSlots;
 }
 
+PrefillLearning
+PrefillFlow::Learned() const
+{
+  return { this->meanTokens, this->tokensPerMicro, this->meanStayMicros };
+}
+
+void
+PrefillFlow::Seed(const PrefillLearning& aLearned)
+{
+  if (this->samples < kLeastSamples && aLearned.meanTokens > 0) {
+    this->meanTokens = aLearned.meanTokens;
+    this->samples = static_cast<std::uint32_t>(1.0 / kWeight);
+  }
+  if (this->tokensPerMicro == 0) {
+    this->tokensPerMicro = aLearned.tokensPerMicro;
+  }
+  if (this->meanStayMicros == 0) {
+    this->meanStayMicros = aLearned.meanStayMicros;
+  }
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Placement/PrefillFlow.h
+++ b/dogwoodvale/src/Placement/PrefillFlow.h
@@ -10,6 +10,14 @@
 
 namespace dogwoodvale {
 
+/// What was learned of a service's reading; zero where nothing was.
+struct PrefillLearning
+{
+  double meanTokens = 0;
+  double tokensPerMicro = 0;
+  double meanStayMicros = 0;
+};
+
 /// Which prompts of a service are long, and how much of them each backend
 /// server has had to read lately.
 ///
@@ -72,6 +80,10 @@
   /// free, at the mean; nothing before it is measured.
   std::optional<double> TokensPerTurn(std::uint32_t aSlots) const;
 
+  PrefillLearning Learned() const;
+  /// Begins with what was learned before, as far as nothing is measured here.
+  void Seed(const PrefillLearning& aLearned);
+
 private:
   struct Sum
   {
--- a/dogwoodvale/src/Placement/ReservedServers.cpp
+++ b/dogwoodvale/src/Placement/ReservedServers.cpp
@@ -34,6 +34,25 @@
     aInstance.Value().data(), aInstance.Value().size(), kSeed);
 }
 
+void
+ReservedServers::Seed(double aPeak, TimePoint aNow)
+{
+  if (aPeak > this->peak) {
+    this->peak = aPeak;
+    this->updatedAt = aNow;
+  }
+}
+
+void
+ReservedServers::SeedMost(std::uint32_t aSlots,
+                          std::size_t aServers,
+                          TimePoint aNow)
+{
+  this->Seed(kPlannedOccupancy * aSlots *
+               std::floor(kMostShare * static_cast<double>(aServers)),
+             aNow);
+}
+
 void
 ReservedServers::Update(std::uint64_t aInteractive,
                         std::uint32_t aSlots,
--- a/dogwoodvale/src/Placement/WorkTable.cpp
+++ b/dogwoodvale/src/Placement/WorkTable.cpp
@@ -31,12 +31,28 @@
   return this->prefillTokens[std::min<std::size_t>(aRank, kRanks - 1)];
 }
 
+std::uint32_t
+BackendWork::RequestsUpTo(std::uint32_t aRank) const
+{
+  const std::size_t end = std::min<std::size_t>(aRank, kRanks - 1) + 1;
+  return std::accumulate(this->requestsByRank.begin(),
+                         this->requestsByRank.begin() + end,
+                         std::uint32_t{ 0 });
+}
+
+std::uint32_t&
+BackendWork::RequestsAt(std::uint32_t aRank)
+{
+  return this->requestsByRank[std::min<std::size_t>(aRank, kRanks - 1)];
+}
+
 BackendWork&
 BackendWork::operator+=(const BackendWork& aOther)
 {
   this->requests += aOther.requests;
   for (std::size_t rank = 0; rank < kRanks; ++rank) {
     this->prefillTokens[rank] += aOther.prefillTokens[rank];
+    this->requestsByRank[rank] += aOther.requestsByRank[rank];
   }
   this->memoryTokens += aOther.memoryTokens;
   this->interactive += aOther.interactive;
@@ -50,6 +66,8 @@
   for (std::size_t rank = 0; rank < kRanks; ++rank) {
     this->prefillTokens[rank] =
       Less(this->prefillTokens[rank], aOther.prefillTokens[rank]);
+    this->requestsByRank[rank] =
+      Less(this->requestsByRank[rank], aOther.requestsByRank[rank]);
   }
   this->memoryTokens = Less(this->memoryTokens, aOther.memoryTokens);
   this->interactive = Less(this->interactive, aOther.interactive);
--- a/dogwoodvale/src/Placement/WorkTable.h
+++ b/dogwoodvale/src/Placement/WorkTable.h
@@ -27,11 +27,16 @@
   std::uint64_t memoryTokens = 0;
   /// Those of the requests that are interactive, see PauseProfile.
   std::uint32_t interactive = 0;
+  /// The requests by their rank.
+  std::array<std::uint32_t, kRanks> requestsByRank{};
 
   /// Waits to be read before a request of this rank, or with it.
   std::uint64_t PrefillUpTo(std::uint32_t aRank) const;
   std::uint64_t Prefill() const { return this->PrefillUpTo(kRanks - 1); }
   std::uint64_t& PrefillAt(std::uint32_t aRank);
+  /// Requests of this rank and of those before it.
+  std::uint32_t RequestsUpTo(std::uint32_t aRank) const;
+  std::uint32_t& RequestsAt(std::uint32_t aRank);
 
   bool operator==(const BackendWork&) const = default;
   bool IsNothing() const { return *this == BackendWork{}; }
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -33,6 +33,8 @@
 constexpr IntegerBounds kBoundMs{ 1, 3'600'000 };
 constexpr IntegerBounds kDescriptors{ 64, 10'000'000 };
 
+constexpr IntegerBounds kLeaseMs{ 1000, 600'000 };
+
 constexpr std::size_t kMaxStaticInstances = 100'000;
 constexpr std::size_t kMaxStoreAddresses = 16;
 
@@ -147,6 +149,28 @@
   reader.ReadBoolean("cache_fetch", aDecisions.cacheFetch);
   reader.ReadBoolean("late_last", aDecisions.lateLast);
   reader.ReadBoolean("quarantine", aDecisions.quarantine);
+  reader.ReadBoolean("ranked_turns", aDecisions.rankedTurns);
+  reader.ReadBoolean("warm_start", aDecisions.warmStart);
+  reader.ReadBoolean("shared_reads", aDecisions.sharedReads);
+  reader.Finish();
+}
+
+void
+ReadDuties(const ReadScope& aScope,
+           const Json::Value& aValue,
+           DutySettings& aDuties)
+{
+  ObjectReader reader(aScope, aValue, "\"duties\"");
+  reader.Require("api");
+  SocketAddress api;
+  if (reader.ReadAddress("api", api)) {
+    aDuties.api = api;
+  }
+  reader.Require("assigned");
+  reader.ReadStrings("assigned", aDuties.assigned);
+  reader.ReadMilliseconds("lease_ms", kLeaseMs, aDuties.lease);
+  ReadSeconds(reader, "usage_window_s", aDuties.usageWindow);
+  ReadSeconds(reader, "usage_due_s", aDuties.usageDue);
   reader.Finish();
 }
 
@@ -173,6 +197,9 @@
   if (const Json::Value* decisions = reader.Find("decisions")) {
     ReadDecisions(aScope, *decisions, aGateway.decisions);
   }
+  if (const Json::Value* duties = reader.Find("duties")) {
+    ReadDuties(aScope, *duties, aGateway.duties);
+  }
   reader.Finish();
 }
 
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -107,6 +107,27 @@
   bool lateLast = true;
   /// Requests that crash servers are kept from them, see CrashLedger.
   bool quarantine = true;
+  /// Only requests that come first by rank count as ahead in a full server's
+  /// queue.
+  bool rankedTurns = true;
+  /// What gateways have learned outlives their loss, see WarmState.
+  bool warmStart = true;
+  /// Gateways with the same list of backend servers read it for each other.
+  bool sharedReads = true;
+};
+
+/// What one process at a time does for all, see Duties.
+struct DutySettings
+{
+  /// Where duties are carried out; none where there are none.
+  std::optional<SocketAddress> api;
+  /// Names of duties, as the receiver calls them.
+  std::vector<std::string> assigned;
+  /// How long a holder that is not heard of stays the holder.
+  Duration lease = seconds(3);
+  Duration usageWindow = seconds(5);
+  /// From a window's end until its report is due.
+  Duration usageDue = seconds(10);
 };
 
 /// Settings of a gateway.
@@ -131,6 +152,7 @@
   /// How backend servers are chosen, one of kGatewayChooserNames.
   std::string chooser = "expected_delay";
   GatewayDecisions decisions;
+  DutySettings duties;
 };
 
 /// A sidecar that the settings name.
--- a/test/PlacementUnderLoad.cpp
+++ b/test/PlacementUnderLoad.cpp
@@ -74,6 +74,8 @@
   const auto playWith = [seed](bool aReserved) {
     GatewayDecisions decisions;
     decisions.reservedServers = aReserved;
+    // Alone, so that what is measured is the reservation.
+    decisions.rankedTurns = false;
     Kind digest{
       150, 13'300, 3720, 120, 400, seconds(1), milliseconds(800), 5
     };
--- /dev/null
+++ b/test/WarmStart.cpp
@@ -0,0 +1,143 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "support/PlatformSite.h"
+
+using namespace dogwoodvale;
+using test::PlatformSite;
+
+namespace {
+
+constexpr std::string_view kSecret = "a secret of the test's own";
+
+WarmState
+SomeState()
+{
+  WarmState state;
+  DirectInstance instance;
+  instance.server = InstanceName("e1");
+  instance.started = 17;
+  instance.name = IncarnationName("e1", 17);
+  instance.service = ServiceName("s");
+  instance.address = { "127.0.0.1", 80 };
+  instance.dataCentre = DataCentreName("z");
+  instance.slots = 4;
+  state.instances = { instance };
+  state.gateways = { { InstanceName("g1"), { "127.0.0.1", 81 } } };
+  state.services = { { ServiceName("s"), { 100.0, 0.04, 2e6 }, 12.0 } };
+  state.caches = { { instance.name, { { 5, 100 }, { 6, 200 } } } };
+  return state;
+}
+
+} // namespace
+
+TEST_CASE("a warm state comes through as it was", "[warm]")
+{
+  const WarmState state = SomeState();
+  const auto read = ReadWarmState(WriteWarmState(state, kSecret), kSecret);
+  REQUIRE(read.ok());
+  CHECK(read->instances == state.instances);
+  CHECK(read->gateways == state.gateways);
+  CHECK(read->caches == state.caches);
+  REQUIRE(read->services.size() == 1);
+  CHECK(read->services[0].reading.tokensPerMicro == 0.04);
+  CHECK(read->services[0].interactivePeak == 12.0);
+}
+
+// Something else writes where the state is kept, or a write was torn.
+TEST_CASE("a warm state that is torn or forged is refused", "[warm]")
+{
+  const std::string bytes = WriteWarmState(SomeState(), kSecret);
+  CHECK_FALSE(ReadWarmState(bytes, "another secret, also long").ok());
+  CHECK(rc::check([&] {
+    std::string broken = bytes;
+    const auto at = *rc::gen::inRange<std::size_t>(0, broken.size());
+    if (*rc::gen::arbitrary<bool>()) {
+      broken.resize(at);
+    } else {
+      broken[at] = static_cast<char>(broken[at] ^ 0x10);
+    }
+    RC_ASSERT(!ReadWarmState(broken, kSecret).ok());
+  }));
+}
+
+TEST_CASE("what is learned goes before what is handed on", "[warm]")
+{
+  PrefillFlow flow;
+  flow.Seed({ 9000, 0.04, 2e6 });
+  CHECK(flow.ExpectedRead(4000) == Duration(100'000));
+  CHECK(flow.IsLong(9001));
+  for (int i = 0; i < 200; ++i) {
+    flow.OnRequest(1000);
+    flow.OnFirstToken(InstanceName("e"), 10'000, milliseconds(100));
+  }
+  flow.Seed({ 9000, 0.04, 2e6 });
+  CHECK(flow.ExpectedRead(10'000) < milliseconds(110));
+
+  CacheBelief caches;
+  const InstanceName server("e");
+  caches.OnUsed(server, std::vector<PromptStep>{ { 1, 100 } }, 250);
+  caches.Seed(
+    server, std::vector<PromptStep>{ { 1, 100 }, { 2, 100 }, { 3, 100 } }, 250);
+  CHECK(caches.TokensHeld(server, std::vector<PromptStep>{ { 2, 100 } }) ==
+        100);
+  CHECK(caches.TokensHeld(server, std::vector<PromptStep>{ { 3, 100 } }) == 0);
+  CHECK(caches.Latest(1)[0].second ==
+        std::vector<PromptStep>{ PromptStep{ 1, 100 } });
+
+  ReservedServers servers;
+  servers.SeedMost(32, 55, Now());
+  servers.Update(1, 32, 55, Now());
+  CHECK(servers.Count() == 13);
+}
+
+// All gateways are killed at once while the store is away, and the entries of
+// the servers lapse. The servers live, yet requests of the first seconds find
+// none: 0 of 20 are served without what the gateways knew, 20 with it.
+TEST_CASE("gateways that all start anew find the servers that live", "[warm]")
+{
+  const auto servedAfterLoss = [](bool aWarm) {
+    PlatformSite site(4);
+    site.decisions.warmStart = aWarm;
+    site.ReadyGateway("g1");
+    site.ReadyGateway("g2");
+    site.Until([&] { return site.store->CountKeys("dogwoodvale/warm") > 0; },
+               seconds(4));
+    site.gateways.clear();
+    for (int i = 2; i <= 4; ++i) {
+      site.store->Remove(fmt::format("servers/e{}", i));
+    }
+    // The one entry that is back already names a server that has ended.
+    site.engines[0].reset();
+    Gateway& gateway = site.ReadyGateway("g3");
+    site.Until([] { return false; }, milliseconds(50));
+    int served = 0;
+    for (int i = 0; i < 20; ++i) {
+      const std::string answer =
+        site.Ask(gateway, "/again/x", fmt::format("id{}", i));
+      served += answer.find(" 200 ") != std::string::npos ? 1 : 0;
+    }
+    return served;
+  };
+  CHECK(servedAfterLoss(false) == 0);
+  CHECK(servedAfterLoss(true) == 20);
+}
+
+// An entry that stays missing is gone: its server gets nothing any more once
+// entries of living ones have had time to come back.
+TEST_CASE("a server that stays missing is given up", "[warm]")
+{
+  PlatformSite site(2);
+  site.ReadyGateway("g1");
+  REQUIRE(site.Until(
+    [&] { return site.store->CountKeys("dogwoodvale/warm") > 0; }, seconds(4)));
+  site.gateways.clear();
+  site.store->Remove("servers/e2");
+  Gateway& gateway = site.ReadyGateway("g2");
+  const auto knows = [&](int aCount) {
+    return gateway.Statusz().find(fmt::format("\"instances\" : {}", aCount)) !=
+           std::string::npos;
+  };
+  CHECK(site.Until([&] { return knows(2); }, seconds(1)));
+  CHECK(site.Until([&] { return knows(1); }, seconds(5)));
+}
--- a/test/support/LoadPlay.h
+++ b/test/support/LoadPlay.h
@@ -246,6 +246,9 @@
     demand.steps = StepsOf(aParts);
     demand.sharedTokens = SharedTokens(demand.steps);
     demand.rank = PlacesOf(aKind.rank, kRankCount).inTime;
+    if (aPool.Decisions().rankedTurns) {
+      demand.turnRank = demand.rank;
+    }
     flow.OnRequest(demand.promptTokens);
     pauses.OnRequest(aKind.pause);
     demand.isInteractive = isReserving && pauses.IsInteractive(aKind.pause);
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -103,6 +103,8 @@
     settings.gateway.retryRatio = 1.0;
     settings.gateway.stopGrace = seconds(2);
     settings.gateway.quarantine = this->quarantine;
+    settings.gateway.decisions = this->decisions;
+    settings.gateway.duties = this->duties;
     auto ports = platform::CreatePorts(*this->loop, settings);
     this->gateways.push_back(
       *Gateway::Create(*this->loop, settings, *std::move(ports)));
@@ -161,6 +163,8 @@
 
   /// Given to gateways that start from now on.
   Duration quarantine = seconds(600);
+  GatewayDecisions decisions;
+  DutySettings duties;
   std::unique_ptr<EventLoop> loop = *EventLoop::Create();
   std::unique_ptr<standins::MetadataStore> store =
     *standins::MetadataStore::Create(*this->loop, { "127.0.0.1", 0 });
