Seed reserved servers by what was learned, not by the most there may be

Cause: the first seconds after a start. Two ways were compared: every start begins with as many reserved servers as may be (a quarter), or with the peak that the warm state tells. Change: the second alone.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -215,10 +215,6 @@
   const std::uint64_t interactive = aOccupancy.interactive *
                                     this->gatewaysInCell /
                                     (this->work.PeerCount() + 1);
-  if (this->options.reservesAtOnce && interactive > 0 && servers.Peak() == 0) {
-    servers.SeedMost(
-      static_cast<std::uint32_t>(slots), aOccupancy.servers, aNow);
-  }
   servers.Update(
     interactive, static_cast<std::uint32_t>(slots), aOccupancy.servers, aNow);
   if (servers.Count() != before) {
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -29,9 +29,6 @@
     Duration silentLinkTimeout = seconds(1);
     Duration connectTimeout = milliseconds(500);
     GatewayDecisions decisions;
-    /// Whether the first interactive requests of a service find as many
-    /// reserved servers as may be.
-    bool reservesAtOnce = false;
   };
 
   BackendPool(EventLoop& aLoop, Options aOptions);
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -51,9 +51,7 @@
   , random(DrawIncarnation())
   , placer(DirectChooser::Create(aSettings.gateway.chooser),
            Placer::OptionsOf(aSettings.gateway.decisions))
-  , pool(aLoop,
-         { .decisions = aSettings.gateway.decisions,
-           .reservesAtOnce = aSettings.gateway.decisions.warmStart })
+  , pool(aLoop, { .decisions = aSettings.gateway.decisions })
   , crashes(
       aLoop,
       this->pool,
--- a/dogwoodvale/src/Placement/ReservedServers.cpp
+++ b/dogwoodvale/src/Placement/ReservedServers.cpp
@@ -43,16 +43,6 @@
   }
 }
 
-void
-ReservedServers::SeedMost(std::uint32_t aSlots,
-                          std::size_t aServers,
-                          TimePoint aNow)
-{
-  this->Seed(kPlannedOccupancy * aSlots *
-               std::floor(kMostShare * static_cast<double>(aServers)),
-             aNow);
-}
-
 void
 ReservedServers::Update(std::uint64_t aInteractive,
                         std::uint32_t aSlots,
--- a/dogwoodvale/src/Placement/ReservedServers.h
+++ b/dogwoodvale/src/Placement/ReservedServers.h
@@ -29,9 +29,6 @@
 public:
   /// Interactive requests that were under way before this process began.
   void Seed(double aPeak, TimePoint aNow);
-  /// Begins with as many as may be reserved. A process that has just started
-  /// knows too little of the others' work, and all would send to one server.
-  void SeedMost(std::uint32_t aSlots, std::size_t aServers, TimePoint aNow);
   double Peak() const { return this->peak; }
 
   /// What is known of the service now, a few times a second.
