Tell a server that keeps up from one that does not, in early refusal

Change: a class that gets at most 1.25 newcomers for each start may wait up to half of its bound, else a quarter as before.

--- a/dogwoodvale/src/Scheduling/EarlyRefusal.cpp
+++ b/dogwoodvale/src/Scheduling/EarlyRefusal.cpp
@@ -1,12 +1,13 @@
 #include "EarlyRefusal.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dogwoodvale {
 
 namespace {
 
-/// Classes whose waits are followed.
+/// Classes whose newcomers are counted.
 constexpr std::size_t kMaxClasses = 1024;
 
 double
@@ -33,26 +34,35 @@
                      aOptions.shareInBurst,
                      aOptions.shareOfMaxWait);
   }
+  if (aOptions.keepsUpWith < 1) {
+    return MakeError(absl::StatusCode::kInvalidArgument,
+                     "early refusal: {} newcomers for each start are below 1",
+                     aOptions.keepsUpWith);
+  }
   return EarlyRefusal(aOptions);
 }
 
-bool
-EarlyRefusal::IsStanding(const QueuedRequest& aNewcomer,
-                         double aWait,
-                         TimePoint aNow)
+double
+EarlyRefusal::OfferedRate(const AbstractRequestQueue& aQueue,
+                          const ClassName& aClass,
+                          Duration aMemory,
+                          TimePoint aNow)
 {
-  const double bound =
-    this->options.shareOfMaxWait * SecondsOf(aNewcomer.maxWait);
-  if (aWait <= bound) {
-    this->aboveSince.erase(aNewcomer.className);
-    return false;
+  if (this->offered.size() >= kMaxClasses) {
+    this->offered.clear();
   }
-  if (this->aboveSince.size() >= kMaxClasses) {
-    this->aboveSince.clear();
-  }
-  const auto [since, isNew] =
-    this->aboveSince.try_emplace(aNewcomer.className, aNow);
-  return !isNew && SecondsOf(Between(since->second, aNow)) >= bound;
+  Offered& known = this->offered[aClass];
+  const double memory = SecondsOf(aMemory);
+  const std::size_t waiting = aQueue.SizeOfClass(aClass);
+  // Those that were let in without being asked about have made it longer.
+  const std::size_t came =
+    std::max<std::size_t>(1, waiting - std::min(waiting, known.waiting));
+  known.count =
+    known.count * std::exp(-SecondsOf(Between(known.at, aNow)) / memory) +
+    static_cast<double>(came);
+  known.at = aNow;
+  known.waiting = waiting;
+  return known.count / memory;
 }
 
 bool
@@ -68,13 +78,15 @@
   if (aQueue.OldestWait(aNewcomer.className, aNow) > aNewcomer.maxWait) {
     return true;
   }
-  const double wait = EstimatedWait(aQueue, aStarts, aNewcomer, aNow);
-  if (this->IsStanding(aNewcomer, wait, aNow)) {
-    return true;
-  }
+  const double rate =
+    this->OfferedRate(aQueue, aNewcomer.className, aStarts.Memory(), aNow);
+  const bool keepsUp = rate <= this->options.keepsUpWith *
+                                 aStarts.StartRateOf(aNewcomer.className, aNow);
+  const double share =
+    keepsUp ? this->options.shareInBurst : this->options.shareOfMaxWait;
   const double longest =
-    this->options.shareInBurst * SecondsOf(aNewcomer.maxWait);
-  return wait > std::min(longest, SecondsOf(aRemaining));
+    std::min(share * SecondsOf(aNewcomer.maxWait), SecondsOf(aRemaining));
+  return EstimatedWait(aQueue, aStarts, aNewcomer, aNow) > longest;
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Scheduling/EarlyRefusal.h
+++ b/dogwoodvale/src/Scheduling/EarlyRefusal.h
@@ -11,11 +11,10 @@
 /// caller (or the entry) goes elsewhere or comes back later, rather than learn
 /// the same after a wait.
 ///
-/// A queue that stands is told from one that passes by how long a class's
-/// expected wait has been too long without a break (as CoDel tells them). A
-/// burst that the server works off by itself refuses nobody; under lasting
-/// overload newcomers are refused before the late ones of their class have
-/// waited beyond its bound.
+/// A class that gets more newcomers than the server starts has a queue that
+/// stands: they are refused before the late ones of the class have waited
+/// beyond its bound. Otherwise the queue is a burst's, which the server works
+/// off by itself, and a longer wait is allowed.
 class EarlyRefusal
 {
 public:
@@ -25,13 +24,14 @@
     /// above 0, at most 1. Below 1 since those that become late wait for longer
     /// than what is expected at their arrival.
     double shareOfMaxWait = 0.25;
-    /// The same while the queue may still pass: at least shareOfMaxWait, at
-    /// most 1. A wait above shareOfMaxWait that lasts for that share of the
-    /// bound is a standing one.
-    double shareInBurst = 0.375;
+    /// The same while the server keeps up; at least shareOfMaxWait, at most 1.
+    double shareInBurst = 0.5;
+    /// The server keeps up with at most so many newcomers for each start; at
+    /// least 1.
+    double keepsUpWith = 1.25;
   };
 
-  /// \return InvalidArgument when a share is out of its range.
+  /// \return InvalidArgument when an option is out of its range.
   static absl::StatusOr<EarlyRefusal> Create(const Options& aOptions);
 
   /// Whether \p aNewcomer should be refused: its class is beyond its bound
@@ -52,12 +52,23 @@
   {
   }
 
-  /// Whether the class's expected wait has been above its share for long.
-  bool IsStanding(const QueuedRequest& aNewcomer, double aWait, TimePoint aNow);
+  /// Newcomers of a class, also those that were refused; older ones fade.
+  struct Offered
+  {
+    double count = 0;
+    TimePoint at{};
+    /// Of the class, when the last of them came.
+    std::size_t waiting = 0;
+  };
+
+  /// Newcomers of the class a second, this one included.
+  double OfferedRate(const AbstractRequestQueue& aQueue,
+                     const ClassName& aClass,
+                     Duration aMemory,
+                     TimePoint aNow);
 
   Options options;
-  /// Since when each class's expected wait has been above its share.
-  absl::flat_hash_map<ClassName, TimePoint> aboveSince;
+  absl::flat_hash_map<ClassName, Offered> offered;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Store/SlotLease.cpp
+++ b/dogwoodvale/src/Store/SlotLease.cpp
@@ -237,15 +237,15 @@
                      TimePoint aSentAt,
                      Duration aSuspended)
 {
-  if (aResult.ok() && aResult->era != this->leaseEra) {
-    // The number is a new lease's, perhaps of another process.
+  // A number of another era is a new lease's, perhaps of another process.
+  const bool isGone = aResult.ok() ? aResult->era != this->leaseEra
+                                   : absl::IsNotFound(aResult.status());
+  if (isGone) {
     this->Lose();
   } else if (aResult.ok()) {
     this->expiresAt = aSentAt + aResult->ttl;
     this->suspendedBefore = aSuspended;
     this->timer.StartOnce(this->options.ttl / kRenewalsPerTtl);
-  } else if (absl::IsNotFound(aResult.status())) {
-    this->Lose();
   } else {
     this->timer.StartOnce(this->options.ttl / kRetriesPerTtl);
   }
--- a/test/SchedulingEstimates.cpp
+++ b/test/SchedulingEstimates.cpp
@@ -212,10 +212,11 @@
   REQUIRE_FALSE(EarlyRefusal::Create({ 0 }).ok());
 }
 
-// One of two servers stops. The other starts a little more than comes, yet a
-// burst of a second makes newcomers refused that it would have started well
-// within the class's bound; where the queue stands they still are refused.
-TEST_CASE("a queue that passes refuses nobody, one that stands does")
+// One of two servers stops. The other starts a little more than comes, yet
+// after a burst of a second newcomers are refused that it would have started
+// well within the class's bound. Where more comes than it starts they still
+// are.
+TEST_CASE("a server that keeps up refuses no burst", "[refusal]")
 {
   EarlyRefusal refusal = *EarlyRefusal::Create({});
   auto starts = *WaitEstimator::Create(seconds(5));
@@ -223,28 +224,37 @@
   const QueuedRequest review = MakeRequest(1000, 2, "review", "a");
   TimePoint now = kStart;
   std::uint64_t sequence = 0;
-  // The bound is 60 s. 20 start a second: 400 waiting are 20 s.
-  const auto refusesAfter = [&](Duration aPause, std::size_t aWaiting) {
-    for (const TimePoint end = now + aPause; now < end;
+  int refused = 0;
+  // 20 start a second; the bound is 60 s, a quarter of it is 300 waiting.
+  const auto play = [&](Duration aLength, int aComing) {
+    refused = 0;
+    for (const TimePoint end = now + aLength; now < end;
          now += milliseconds(50)) {
       starts.OnStart(review, now);
-    }
-    while (queue.Size() < aWaiting) {
-      queue.Enqueue(MakeRequest(++sequence, 2, "review", "a", now), now);
-    }
-    while (queue.Size() > aWaiting) {
       queue.Dequeue(now);
+      for (int i = 0; i < aComing; ++i) {
+        if (refusal.Refuses(queue, starts, review, seconds(600), now)) {
+          ++refused;
+        } else {
+          queue.Enqueue(MakeRequest(++sequence, 2, "review", "a", now), now);
+        }
+      }
     }
-    return refusal.Refuses(queue, starts, review, seconds(600), now);
   };
-  CHECK_FALSE(refusesAfter(seconds(5), 400));
-  CHECK_FALSE(refusesAfter(seconds(10), 400));
-  CHECK_FALSE(refusesAfter(seconds(1), 200));
-  CHECK_FALSE(refusesAfter(seconds(1), 400));
-  CHECK_FALSE(refusesAfter(seconds(14), 400));
-  CHECK(refusesAfter(seconds(2), 400));
-  CHECK(refusesAfter(seconds(1), 600));
+  play(seconds(20), 1);
+  for (int i = 0; i < 310; ++i) {
+    queue.Enqueue(MakeRequest(++sequence, 2, "review", "a", now), now);
+  }
+  play(seconds(20), 1);
+  const int afterBurst = refused;
+  play(seconds(20), 1);
+  CHECK(refused == 0);
+  INFO("refused while the burst counted: " << afterBurst);
+  play(seconds(30), 2);
+  CHECK(refused > 300);
+  CHECK(queue.Size() < 340);
   CHECK_FALSE(EarlyRefusal::Create({ .shareInBurst = 0.2 }).ok());
+  CHECK_FALSE(EarlyRefusal::Create({ .keepsUpWith = 0.9 }).ok());
 }
 
 // A sidecar that has just started has few starts to tell a rate by, and must
