Read the list for each other in one cell only

After each change all 300 gateways read a list of several pages within 0.1 s. Change: fleets of several cells read by themselves as before.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -62,6 +62,9 @@
   /// it need not be read again so soon; where it is newer, it is read now.
   void NoteOthersList(const ListStamp& aList, TimePoint aNow);
   ListStamp List(TimePoint aNow) const;
+  /// Whether gateways read for each other. In a large fleet all would read at
+  /// once after each change, more than the store serves in time.
+  void SetSharing(bool aShares) { this->options.sharesReads = aShares; }
   /// Whether a newer list is known to be there and was not had for a while.
   bool IsBehind(TimePoint aNow) const;
   /// Backend servers that were listed a moment ago, for a start beside a store
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -297,6 +297,8 @@
   this->cells = view.cells;
   this->ownCell = view.own;
   this->usage.SetGateways(aGateways, view.cells, view.own);
+  this->directory->SetSharing(this->settings.gateway.decisions.sharedReads &&
+                              view.cells == 1);
   this->peers->SetPeers(view.members, aGateways, this->settings.instance);
   this->pool.SetGateways(this->listedGateways,
                          std::max<std::size_t>(view.members.size(), 1),
--- a/dogwoodvale/src/Placement/DirectChoice.cpp
+++ b/dogwoodvale/src/Placement/DirectChoice.cpp
@@ -8,10 +8,7 @@
 
 /// How much a turn in the queue of a full server counts beside the time that it
 /// takes. A few turns make a request late for certain, where one that shares an
-/// engine with long prompts may still be in time. At 2, two to five of ten
-/// short requests of a burst queue until they are late while other servers have
-/// slots free; at 8, one or two (test/PlacementUnderLoad.cpp); 20 gains no
-/// more.
+/// engine with long prompts may still be in time.
 constexpr double kTurnWeight = 8.0;
 /// Prefill that one running request is taken to stand for: each slows every
 /// step a little.
@@ -21,15 +18,10 @@
 constexpr double kDelayToOthers = 0.3;
 /// How much reading a token again that another server has in its cache counts
 /// beside the delay that it is: it takes capacity from all, and puts the same
-/// part into a second cache. In a burst at the limit of 52 simulated engines, 5
-/// read 59 M tokens of shared parts again in 46 s and 20 read 37 M, and 0.26 of
-/// the long prompts' worth was served or 0.37; with room to spare they differ
-/// by less than the noise.
+/// part into a second cache.
 constexpr double kReadAgain = 20.0;
 /// At most so many of the request's targets: it waits for a holder as long as
-/// it may still be in time there. With no such bound a service of twelve
-/// simulated engines with small caches serves 0.05 less of its long prompts'
-/// worth (three loads, three seeds each).
+/// it may still be in time there.
 constexpr double kHolderTargets = 1.0;
 /// Share of the cache above which running requests begin to preempt others.
 constexpr double kFullCacheShare = 0.85;
--- a/dogwoodvale/src/Placement/Placer.cpp
+++ b/dogwoodvale/src/Placement/Placer.cpp
@@ -10,9 +10,7 @@
 namespace {
 
 /// Share of the target from which an expected first token counts as late. Below
-/// one, as a rush goes on while a prompt waits and more urgent ones pass it: in
-/// the first 8 s of one at 53 simulated engines the median of 241 long prompts
-/// began after 904 ms where 625 ms were expected.
+/// one, as a rush goes on while a prompt waits and more urgent ones pass it.
 constexpr double kLateShare = 0.9;
 
 /// Tokens of the prompt that the server has to read itself.
--- a/dogwoodvale/src/Placement/ReservedServers.cpp
+++ b/dogwoodvale/src/Placement/ReservedServers.cpp
@@ -10,18 +10,14 @@
 namespace {
 
 /// Share of a reserved server's slots that is planned to be taken: the rest is
-/// for a burst until the number has followed, and for the loss of a server. At
-/// 0.8, 52 simulated engines at their limit served 0.57 of the short answers'
-/// worth instead of 0.71.
+/// for a burst until the number has followed, and for the loss of a server.
 constexpr double kPlannedOccupancy = 0.5;
 /// In which the peak falls to a third. Longer than the answers take, so that a
 /// lull between two waves does not give the servers back to long prompts.
 constexpr Duration kPeakFall = seconds(4);
 /// At most this share of the servers. A reserved server reads next to nothing,
 /// so in a burst of interactive requests a larger share takes more from the
-/// long prompts than it gives: with a half, twelve simulated engines served
-/// 0.13 less of the long prompts' worth and 0.01 more of the short ones' (two
-/// loads). What finds no room goes where least is read.
+/// long prompts than it gives. What finds no room goes where least is read.
 constexpr double kMostShare = 0.25;
 
 } // namespace
