--- a/test/Placement.cpp
+++ b/test/Placement.cpp
@@ -218,3 +218,35 @@
   pool.Tend(now);
   CHECK(pool.ReservedCount() == 4);
 }
+
+// Notes get nothing for two seconds while scans of over twice their size begin:
+// reserved servers are full of notes, and one with free turns looks worse for
+// the scans that wait there, which a note passes.
+TEST_CASE("an urgent request passes later ones that wait at a full server",
+          "[placement]")
+{
+  const auto full = [](const std::string& aName, std::uint32_t aUrgent) {
+    DirectCandidate server;
+    server.name = InstanceName(aName);
+    server.slots = 32;
+    server.work.requests = 50;
+    server.work.RequestsAt(0) = aUrgent;
+    server.work.RequestsAt(1) = 50 - aUrgent;
+    return server;
+  };
+  DirectDemand note;
+  note.promptTokens = 800;
+  note.rank = 0;
+  note.turnRank = 0;
+  const std::vector<DirectCandidate> servers{ full("notes", 40),
+                                              full("scans", 10) };
+  CHECK(Chosen(servers, note) == "scans");
+  // A scan waits behind all of them, wherever it goes.
+  DirectDemand scan = note;
+  scan.rank = scan.turnRank = 1;
+  CHECK(DirectCost(servers[0], scan, 0) == DirectCost(servers[1], scan, 0));
+  // What an older gateway tells without ranks may be ahead of anything.
+  DirectCandidate untold = servers[1];
+  untold.work.requestsByRank = {};
+  CHECK(DirectCost(untold, note, 0) > DirectCost(servers[0], note, 0));
+}
