Read the list by oneself however fresh others call it

Gateways passed on how fresh others had told the list to be; with each hop it looked younger by the time that the word was under way, so where a digest takes long it hardly aged and none of the gateways read it. Change: a gateway tells the age of its own last read alone, and reads by itself within one and a half periods whatever it hears.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -164,17 +164,28 @@
 
 // Backend servers.
 
+Duration
+DirectoryKeeper::UntilDue(TimePoint aNow) const
+{
+  if (!this->options.sharesReads || !this->HasInstances() ||
+      this->behindSince) {
+    return Duration::zero();
+  }
+  const Duration period = this->options.instanceReadPeriod;
+  const auto most = Duration(static_cast<Duration::rep>(
+    kMostPeriods * static_cast<double>(period.count())));
+  return std::min(period - this->InstancesAge(aNow),
+                  most - Between(this->ownReadAt, aNow));
+}
+
 void
 DirectoryKeeper::ReadWhereDue()
 {
-  const Duration age = this->InstancesAge(Now());
-  const bool isDue = !this->options.sharesReads || !this->HasInstances() ||
-                     this->behindSince ||
-                     age >= this->options.instanceReadPeriod;
-  if (isDue) {
+  const Duration left = this->UntilDue(Now());
+  if (left <= Duration::zero()) {
     this->ReadInstances();
   } else {
-    this->instancesTimer.StartOnce(this->options.instanceReadPeriod - age);
+    this->instancesTimer.StartOnce(left);
   }
 }
 
@@ -213,7 +224,7 @@
 DirectoryKeeper::List(TimePoint aNow) const
 {
   return { this->listSum,
-           std::chrono::ceil<milliseconds>(this->InstancesAge(aNow)) };
+           std::chrono::ceil<milliseconds>(Between(this->ownReadAt, aNow)) };
 }
 
 bool
@@ -330,6 +341,7 @@
   }
   this->rejected = std::move(rejectedNow);
   this->instancesReadAt = now;
+  this->ownReadAt = now;
   this->behindSince.reset();
   this->listSum = aMayBeOld ? 0 : SumOf(read, this->rejected);
   this->MergeInstances(std::move(read), now);
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -61,6 +61,9 @@
   /// Another gateway has this list from the store. Where it is this one's too,
   /// it need not be read again so soon; where it is newer, it is read now.
   void NoteOthersList(const ListStamp& aList, TimePoint aNow);
+  /// Of the last read of this gateway's own. What others told is not passed on:
+  /// with each hop it would look younger by the time that the word was under
+  /// way, and never age.
   ListStamp List(TimePoint aNow) const;
   /// Whether gateways read for each other. In a large fleet all would read at
   /// once after each change, more than the store serves in time.
@@ -110,6 +113,9 @@
   static constexpr Duration kBehindFor = milliseconds(300);
   /// Reads that a change makes necessary are spread over this.
   static constexpr Duration kChangeSpread = milliseconds(100);
+  /// However fresh others say that the list is, a gateway reads it by itself
+  /// within so many periods: their word may have been under way for long.
+  static constexpr double kMostPeriods = 1.5;
   /// Hints are for a store that has lost entries, not for servers that have
   /// left: they count where at least this share of them is missing.
   static constexpr double kLostShare = 0.1;
@@ -117,6 +123,8 @@
 private:
   void ReadInstances();
   void ReadWhereDue();
+  /// Until the list is to be read; zero or less where it is due.
+  Duration UntilDue(TimePoint aNow) const;
   void OnInstancesRead(const absl::StatusOr<RangeResult>& aResult,
                        bool aMayBeOld);
   void NoteRejected(const KeyValue& aValue, const absl::Status& aReason);
@@ -154,6 +162,8 @@
   TimePoint routesHeardAt{};
   /// When the store was last known to have just the list that is here.
   TimePoint instancesReadAt{};
+  /// When this gateway last read it from the store.
+  TimePoint ownReadAt{};
   /// Of the list that the store told; 0 where it was told by others or may be
   /// old.
   std::uint64_t listSum = 0;
--- a/test/DirectoryKeeper.cpp
+++ b/test/DirectoryKeeper.cpp
@@ -304,3 +304,64 @@
   setup.store.mode = FakeStore::Mode::Up;
   CHECK(setup.Until([&] { return !setup.observer.Has("e1"); }));
 }
+
+namespace {
+
+/// A keeper of which nothing is kept beside the list any more.
+struct SettledSetup : Setup
+{
+  SettledSetup()
+  {
+    this->Pass(DirectoryKeeper::kReturnGrace + milliseconds(200));
+  }
+  std::uint64_t CallsIn(Duration aTime, bool aTold)
+  {
+    const std::uint64_t before = this->store.CallsSent();
+    for (Duration at{ 0 }; at < aTime; at += milliseconds(10)) {
+      if (aTold) {
+        this->keeper.NoteOthersList(
+          { this->keeper.List(Now()).sum, milliseconds(1) }, Now());
+      }
+      this->Pass(milliseconds(10));
+    }
+    return this->store.CallsSent() - before;
+  }
+};
+
+} // namespace
+
+// A request reaches a server 3.1 s after it said that it leaves: gateways told
+// each other that their list is fresh, each time by some milliseconds too
+// young, and none of them read it.
+TEST_CASE("a list that others call fresh is read by oneself all the same",
+          "[directory]")
+{
+  SettledSetup setup;
+  const std::uint64_t alone = setup.CallsIn(milliseconds(900), false);
+  const std::uint64_t told = setup.CallsIn(milliseconds(900), true);
+  // Of 18 periods, and at least every one and a half of them.
+  CHECK(told < alone);
+  CHECK(told >= 10);
+  // Its age is that of the gateway's own read.
+  setup.keeper.NoteOthersList({ setup.keeper.List(Now()).sum, milliseconds(0) },
+                              Now());
+  setup.store.mode = FakeStore::Mode::Down;
+  setup.Pass(milliseconds(200));
+  setup.keeper.NoteOthersList({ setup.keeper.List(Now()).sum, milliseconds(0) },
+                              Now());
+  CHECK(setup.keeper.List(Now()).age >= milliseconds(150));
+}
+
+TEST_CASE("a newer list that others have is read at once", "[directory]")
+{
+  SettledSetup setup;
+  const std::uint64_t sum = setup.keeper.List(Now()).sum;
+  REQUIRE(sum != 0);
+  setup.store.mode = FakeStore::Mode::Down;
+  setup.Pass(milliseconds(100));
+  setup.keeper.NoteOthersList({ sum + 1, milliseconds(0) }, Now());
+  CHECK_FALSE(setup.keeper.IsBehind(Now()));
+  CHECK(setup.Until([&] { return setup.keeper.IsBehind(Now()); }));
+  setup.store.mode = FakeStore::Mode::Up;
+  CHECK(setup.Until([&] { return !setup.keeper.IsBehind(Now()); }));
+}
