Log the rate that a backend server's answers name

To tell the hypotheses of the incident apart: a line server_rate_limit when what a server's answers name changes, one server_notice_malformed when it can't be read. Nothing decides by it yet.

--- /dev/null
+++ b/dogwoodvale/src/Backpressure/BackpressureNotice.h
@@ -0,0 +1,20 @@
+#ifndef DOGWOODVALE_BACKPRESSURE_BACKPRESSURENOTICE_H
+#define DOGWOODVALE_BACKPRESSURE_BACKPRESSURENOTICE_H
+
+#include <optional>
+
+namespace dogwoodvale {
+
+/// What the head of one answer states of its server's needs.
+struct BackpressureNotice
+{
+  /// Requests a second that the server takes from all gateways together; not
+  /// negative. An answer without it says that there is no such bound.
+  std::optional<double> rateLimit;
+  /// A field was there and could not be read; it is ignored.
+  bool isMalformed = false;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -1,6 +1,7 @@
 #include "BackendPool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodvale {
 
@@ -19,6 +20,8 @@
   return settings;
 }
 
+constexpr int kMicrosPerMilli = 1000;
+
 /// A service with fewer servers for each cell is not split: with so many,
 /// hashed names leave a cell seldom more than a third short of its part.
 constexpr std::size_t kLeastServersPerCell = 16;
@@ -82,7 +85,10 @@
         MessageOf(made.status()));
     return;
   }
-  this->members[aInstance.name] = { aInstance, *std::move(made), true };
+  Member& member = this->members[aInstance.name];
+  member.instance = aInstance;
+  member.client = *std::move(made);
+  member.noticedAt = Now();
   this->health.try_emplace(aInstance.service, MakeHealthSettings())
     .first->second.Add(aInstance.name);
   Log(LogLevel::Info,
@@ -515,6 +521,38 @@
            : &this->health.at(found->second.instance.service);
 }
 
+void
+BackendPool::OnNotice(const InstanceName& aInstance,
+                      const BackpressureNotice& aNotice,
+                      TimePoint aNow)
+{
+  const auto found = this->members.find(aInstance);
+  if (found == this->members.end()) {
+    return;
+  }
+  Member& member = found->second;
+  const BackpressureNotice before = std::exchange(member.notice, aNotice);
+  if (aNotice.isMalformed && !before.isMalformed) {
+    Log(LogLevel::Warning,
+        "server_notice_malformed",
+        "instance",
+        aInstance.Value());
+  }
+  if (aNotice.rateLimit != before.rateLimit) {
+    Log(LogLevel::Info,
+        "server_rate_limit",
+        "instance",
+        aInstance.Value(),
+        "per_second",
+        aNotice.rateLimit.value_or(0),
+        "before",
+        before.rateLimit.value_or(0),
+        "before_for_ms",
+        Between(member.noticedAt, aNow).count() / kMicrosPerMilli);
+    member.noticedAt = aNow;
+  }
+}
+
 void
 BackendPool::OnWrongInstance(const InstanceName& aInstance)
 {
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -100,6 +100,10 @@
   void OnDone(const InstanceName& aInstance, const BackendWork& aWork);
   /// The health of the instance; a no-op for one that is gone.
   HealthTracker* HealthOf(const InstanceName& aInstance);
+  /// The head of one of the instance's answers came.
+  void OnNotice(const InstanceName& aInstance,
+                const BackpressureNotice& aNotice,
+                TimePoint aNow);
   /// Another instance has its address: takes it out at once.
   void OnWrongInstance(const InstanceName& aInstance);
 
@@ -126,6 +130,9 @@
     std::unique_ptr<BackendClient> client;
     /// In the newest list.
     bool isListed = true;
+    /// What its newest answer stated, and since when it has.
+    BackpressureNotice notice;
+    TimePoint noticedAt{};
   };
 
   /// The servers of one service, in the order in which they are reserved.
--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -113,6 +113,7 @@
   this->headers = WithoutHopByHop(aHeaders);
   this->isStream = this->plan.expectsStream && IsSuccess(aStatus) &&
                    this->answer.mediaType.starts_with(kEventStream);
+  this->listener.OnAttemptHead(this->answer);
 }
 
 void
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -39,6 +39,8 @@
 {
 public:
   virtual ~AttemptListener() = default;
+  /// The head of an answer, whatever comes of the answer.
+  virtual void OnAttemptHead(const BackendAnswer& aHead) = 0;
   /// Whole events of a stream; the first call is the first sign of the answer.
   virtual void OnAttemptEvents(std::string_view aBytes) = 0;
   /// The stream is whole.
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -230,6 +230,15 @@
   this->lastEventsAt = aNow;
 }
 
+void
+GatewayRequest::OnAttemptHead(const BackendAnswer& aHead)
+{
+  // Another server that has the address now speaks for itself only.
+  if (!aHead.wrongInstance) {
+    this->host.Backends().OnNotice(this->sent->instance, aHead.notice, Now());
+  }
+}
+
 void
 GatewayRequest::OnAttemptEvents(std::string_view aBytes)
 {
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -86,6 +86,7 @@
   void OnCallerGone() override;
   void OnDrained() override;
 
+  void OnAttemptHead(const BackendAnswer& aHead) override;
   void OnAttemptEvents(std::string_view aBytes) override;
   void OnAttemptStreamEnd() override;
   void OnAttemptAnswer(std::string_view aBody) override;
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dogwoodvale/Backpressure"
 #include "dogwoodvale/Configuration"
 #include "dogwoodvale/Duties"
 #include "dogwoodvale/Http"
@@ -120,6 +121,7 @@
   bool isGenuine = false;
   /// Empty, or the media type of the body.
   std::string mediaType;
+  BackpressureNotice notice;
 };
 
 /// How backend servers speak.
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -56,6 +56,9 @@
   if (aFault["crash_after"].isNumeric()) {
     this->faults.crashAfter = aFault["crash_after"].asUInt64();
   }
+  if (aFault.isMember("rate_limit")) {
+    this->faults.rateLimit = aFault["rate_limit"].asString();
+  }
 }
 
 Json::Value
@@ -93,6 +96,7 @@
     this->Control(aExchange);
     return;
   }
+  this->arrivals.push_back({ aExchange.Header(kId), Now() });
   const std::string expected = aExchange.Header(kExpect);
   if (!expected.empty() && expected != this->settings.instance) {
     aExchange.AddHeader("Dogwoodvale-Instance-Id", this->settings.instance);
@@ -101,12 +105,21 @@
   }
   if (this->faults.refuse) {
     aExchange.AddHeader("Dogwoodvale-Not-Executed", "1");
+    this->AddNeeds(aExchange);
     aExchange.ReplyJson(503, Json::Value(Json::objectValue));
     return;
   }
   this->Begin(aExchange);
 }
 
+void
+SealedEngine::AddNeeds(Exchange& aExchange) const
+{
+  if (!this->faults.rateLimit.empty()) {
+    aExchange.AddHeader("Server-Limit", this->faults.rateLimit);
+  }
+}
+
 void
 SealedEngine::Begin(Exchange& aExchange)
 {
@@ -170,6 +183,7 @@
     aExchange.AddHeader("Dogwoodvale-Response-Seal",
                         "seal-of-" + this->settings.instance);
   }
+  this->AddNeeds(aExchange);
 }
 
 bool
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -49,13 +49,20 @@
   std::string end = "running";
 };
 
+/// A request that reached an engine, run or not.
+struct SealedArrival
+{
+  std::string id;
+  TimePoint at{};
+};
+
 /// A stand-in of a backend server on the users' platform, model engine or plain
 /// service: proves its answers, streams events with ids, resumes after an
 /// event, and says when it has not run a request.
 ///
 /// A path that contains "/stream/" is answered by events. POST /standin/fault
 /// {"crash_after":N,"refuse":true,"error":true,"hang":true,"skip":true,
-/// "no_proof":true,"clear":true}; GET /standin/record.
+/// "no_proof":true,"rate_limit":"2.5","clear":true}; GET /standin/record.
 class SealedEngine : public RequestHandler
 {
 public:
@@ -66,10 +73,12 @@
 
   const SocketAddress& Address() const { return this->server->Address(); }
   const std::vector<SealedRun>& Runs() const { return this->runs; }
+  const std::vector<SealedArrival>& Arrivals() const { return this->arrivals; }
   Json::Value Record() const;
   /// refuse: 503 that says it has not run; error: 500 after running; hang: runs
   /// and never answers; crash_after: cuts each stream after so many events;
-  /// skip: leaves out an event; no_proof: answers without its mark.
+  /// skip: leaves out an event; no_proof: answers without its mark; rate_limit:
+  /// the text in which all answers name the requests a second that it takes.
   void SetFault(const Json::Value& aFault);
   bool HasCrashed() const { return this->crashed; }
 
@@ -85,6 +94,7 @@
     bool skip = false;
     bool noProof = false;
     std::uint64_t crashAfter = 0;
+    std::string rateLimit;
   };
   struct Work
   {
@@ -99,6 +109,7 @@
   SealedEngine(EventLoop& aLoop, const SealedEngineSettings& aSettings);
   void Control(Exchange& aExchange);
   void Begin(Exchange& aExchange);
+  void AddNeeds(Exchange& aExchange) const;
   void OnTick();
   /// \return whether the exchange is over.
   bool Step(Exchange& aExchange, Work& aWork, TimePoint aNow);
@@ -108,6 +119,7 @@
   SealedEngineSettings settings;
   Faults faults;
   std::vector<SealedRun> runs;
+  std::vector<SealedArrival> arrivals;
   std::map<Exchange*, Work> working;
   bool crashed = false;
   Timer tick;
--- a/test/support/CrashSite.h
+++ b/test/support/CrashSite.h
@@ -2,16 +2,15 @@
 #define DOGWOODVALE_TEST_SUPPORT_CRASHSITE_H
 
 #include <algorithm>
-#include <list>
 
-#include "PlatformSite.h"
+#include "FleetSite.h"
 
 namespace dogwoodvale::test {
 
 /// A site whose engines crash under one body. A crashed engine's connections
 /// break off, its entry lapses later, and it is back, as another incarnation,
 /// later still.
-class CrashSite : public PlatformSite
+class CrashSite : public FleetSite
 {
 public:
   static constexpr const char* kCrashBody = "crashes whoever runs it";
@@ -22,8 +21,7 @@
             int aGateways,
             standins::SealedEngineSettings aSettings = {},
             Duration aQuarantine = seconds(600))
-    : PlatformSite(0)
-    , engineSettings(std::move(aSettings))
+    : engineSettings(std::move(aSettings))
   {
     this->quarantine = aQuarantine;
     for (int i = 0; i < aEngines; ++i) {
@@ -33,69 +31,6 @@
     this->tend.StartRepeating(milliseconds(1));
   }
 
-  /// Starts so many and waits until each is ready and hears all of them.
-  void StartGateways(int aCount)
-  {
-    for (int i = 0; i < aCount; ++i) {
-      this->AddGateway(fmt::format("g{}", ++this->startedGateways));
-    }
-    // Gateways that have just started read of each other after two seconds.
-    const std::string all =
-      fmt::format("{{reason=\"peers\"}} {}\n", this->gateways.size() - 1);
-    this->Until([&] {
-      return std::ranges::all_of(this->gateways, [&](const auto& aOne) {
-        return aOne->Ready().ok() &&
-               aOne->Metrics().find(all) != std::string::npos;
-      });
-    });
-  }
-
-  /// One caller's try, on a connection of its own.
-  struct Try
-  {
-    std::string id;
-    RawSocket socket;
-    bool IsServed()
-    {
-      return this->socket.IsClosed() &&
-             this->socket.received.find("HTTP/1.1 200") == 0 &&
-             this->socket.received.ends_with("0\r\n\r\n");
-    }
-    bool IsRefused() { return this->socket.Has("HTTP/1.1 503"); }
-    bool IsQuarantined()
-    {
-      return this->IsRefused() && this->socket.Has("\"quarantined\"");
-    }
-  };
-
-  Try& Send(std::size_t aGateway,
-            const std::string& aPath,
-            const std::string& aBody)
-  {
-    Try made;
-    made.id = fmt::format("try-{}", ++this->tries);
-    made.socket =
-      RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
-    made.socket.Send(
-      RequestText(aPath, made.id, "Connection: close\r\n", aBody));
-    this->sent.push_back(std::move(made));
-    return this->sent.back();
-  }
-
-  void Run(Duration aTime) const
-  {
-    this->loop->RunUntil([] { return false; }, aTime);
-  }
-
-  /// Waits until each try has its answer.
-  bool Settle()
-  {
-    return this->Until([&] {
-      return std::ranges::all_of(
-        this->sent, [](Try& aTry) { return aTry.socket.IsClosed(); });
-    });
-  }
-
   /// Crashes all engines, or the first \p aCount, with what they run.
   void CrashEngines(std::size_t aCount)
   {
@@ -143,7 +78,6 @@
   }
 
   std::vector<TimePoint> crashes;
-  std::list<Try> sent;
 
 private:
   struct Running
@@ -204,12 +138,10 @@
 
   standins::SealedEngineSettings engineSettings;
   bool isCured = false;
-  int startedGateways = 0;
   std::vector<Running> running;
   std::vector<Gone> gone;
   std::vector<standins::SealedRun> pastRuns;
   int started = 0;
-  int tries = 0;
   Timer tend{ *this->loop, [this] { this->Tend(); } };
 };
 
--- /dev/null
+++ b/test/support/FleetSite.h
@@ -0,0 +1,93 @@
+#ifndef DOGWOODVALE_TEST_SUPPORT_FLEETSITE_H
+#define DOGWOODVALE_TEST_SUPPORT_FLEETSITE_H
+
+#include <algorithm>
+#include <list>
+
+#include "PlatformSite.h"
+
+namespace dogwoodvale::test {
+
+/// A site of several gateways, and callers whose tries each have a connection
+/// of their own.
+class FleetSite : public PlatformSite
+{
+public:
+  FleetSite()
+    : PlatformSite(0)
+  {
+  }
+
+  /// Starts so many and waits until each is ready and hears all of them.
+  void StartGateways(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      this->AddGateway(fmt::format("g{}", ++this->startedGateways));
+    }
+    // Gateways that have just started read of each other after two seconds.
+    const std::string all =
+      fmt::format("{{reason=\"peers\"}} {}\n", this->gateways.size() - 1);
+    this->Until([&] {
+      return std::ranges::all_of(this->gateways, [&](const auto& aOne) {
+        return aOne->Ready().ok() &&
+               aOne->Metrics().find(all) != std::string::npos;
+      });
+    });
+  }
+
+  /// One caller's try, on a connection of its own.
+  struct Try
+  {
+    std::string id;
+    RawSocket socket;
+    bool IsServed()
+    {
+      return this->socket.IsClosed() &&
+             this->socket.received.find("HTTP/1.1 200") == 0 &&
+             this->socket.received.ends_with("0\r\n\r\n");
+    }
+    bool IsRefused() { return this->socket.Has("HTTP/1.1 503"); }
+    bool IsQuarantined()
+    {
+      return this->IsRefused() && this->socket.Has("\"quarantined\"");
+    }
+  };
+
+  Try& Send(std::size_t aGateway,
+            const std::string& aPath,
+            const std::string& aBody)
+  {
+    Try made;
+    made.id = fmt::format("try-{}", ++this->tries);
+    made.socket =
+      RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
+    made.socket.Send(
+      RequestText(aPath, made.id, "Connection: close\r\n", aBody));
+    this->sent.push_back(std::move(made));
+    return this->sent.back();
+  }
+
+  void Run(Duration aTime) const
+  {
+    this->loop->RunUntil([] { return false; }, aTime);
+  }
+
+  /// Waits until each try has its answer.
+  bool Settle()
+  {
+    return this->Until([&] {
+      return std::ranges::all_of(
+        this->sent, [](Try& aTry) { return aTry.socket.IsClosed(); });
+    });
+  }
+
+  std::list<Try> sent;
+
+private:
+  int startedGateways = 0;
+  int tries = 0;
+};
+
+} // namespace dogwoodvale::test
+
+#endif
