Log that a backend server's answer says it leaves

To tell the hypotheses of the incident apart: a line server_leaving at the first answer of a server that says so. Nothing decides by it yet. The stand-in engine says it on demand; what several tests of fleets share is in FleetSite now.

--- a/dogwoodvale/src/Backpressure/BackpressureNotice.h
+++ b/dogwoodvale/src/Backpressure/BackpressureNotice.h
@@ -11,6 +11,8 @@
   /// Requests a second that the server takes from all gateways together; not
   /// negative. An answer without it says that there is no such bound.
   std::optional<double> rateLimit;
+  /// The server takes no new work and ends soon.
+  bool isLeaving = false;
   /// A field was there and could not be read; it is ignored.
   bool isMalformed = false;
 };
--- a/dogwoodvale/src/Gateway/ServerNeeds.cpp
+++ b/dogwoodvale/src/Gateway/ServerNeeds.cpp
@@ -69,6 +69,14 @@
         "instance",
         aServer.Value());
   }
+  if (aNotice.isLeaving && this->leaving.insert(aServer).second) {
+    Log(LogLevel::Info,
+        "server_leaving",
+        "instance",
+        aServer.Value(),
+        "from",
+        "answer");
+  }
   if (const auto change =
         this->rates.OnAnswer(aServer, aNotice.rateLimit, aNow)) {
     LogRateChange(
@@ -106,6 +114,7 @@
 {
   this->rates.Forget(aServer);
   this->malformed.erase(aServer);
+  this->leaving.erase(aServer);
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/ServerNeeds.h
+++ b/dogwoodvale/src/Gateway/ServerNeeds.h
@@ -37,6 +37,8 @@
 
 private:
   ServerRates rates;
+  /// Servers that have said in an answer that they leave.
+  std::set<InstanceName> leaving;
   /// Servers whose last notice could not be read.
   std::set<InstanceName> malformed;
 };
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -53,6 +53,7 @@
   set("hang", this->faults.hang);
   set("skip", this->faults.skip);
   set("no_proof", this->faults.noProof);
+  set("leaving", this->faults.leaving);
   if (aFault["crash_after"].isNumeric()) {
     this->faults.crashAfter = aFault["crash_after"].asUInt64();
   }
@@ -118,6 +119,9 @@
   if (!this->faults.rateLimit.empty()) {
     aExchange.AddHeader("Server-Limit", this->faults.rateLimit);
   }
+  if (this->faults.leaving) {
+    aExchange.AddHeader("Server-Leaving", "1");
+  }
 }
 
 void
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -62,7 +62,8 @@
 ///
 /// A path that contains "/stream/" is answered by events. POST /standin/fault
 /// {"crash_after":N,"refuse":true,"error":true,"hang":true,"skip":true,
-/// "no_proof":true,"rate_limit":"2.5","clear":true}; GET /standin/record.
+/// "no_proof":true,"rate_limit":"2.5","leaving":true,
+/// "clear":true}; GET /standin/record.
 class SealedEngine : public RequestHandler
 {
 public:
@@ -78,7 +79,8 @@
   /// refuse: 503 that says it has not run; error: 500 after running; hang: runs
   /// and never answers; crash_after: cuts each stream after so many events;
   /// skip: leaves out an event; no_proof: answers without its mark; rate_limit:
-  /// the text in which all answers name the requests a second that it takes.
+  /// the text in which all answers name the requests a second that it takes;
+  /// leaving: all answers say that it leaves.
   void SetFault(const Json::Value& aFault);
   bool HasCrashed() const { return this->crashed; }
 
@@ -95,6 +97,7 @@
     bool noProof = false;
     std::uint64_t crashAfter = 0;
     std::string rateLimit;
+    bool leaving = false;
   };
   struct Work
   {
--- a/test/CrashingRequest.cpp
+++ b/test/CrashingRequest.cpp
@@ -130,14 +130,6 @@
   });
 }
 
-Json::Value
-Fault(const char* aName, Json::Value aValue)
-{
-  Json::Value fault(Json::objectValue);
-  fault[aName] = std::move(aValue);
-  return fault;
-}
-
 } // namespace
 
 // All engines of a service are killed at once, four times, with the same poll
@@ -183,14 +175,14 @@
 TEST_CASE("engines that reset answers blame no request", "[crashing]")
 {
   CrashSite site(4, kGateways);
-  site.SetFault(Fault("crash_after", 1));
+  site.SetFault(CrashSite::Fault("crash_after", 1));
   SendPolls(site, "/note/stream/x", milliseconds(800));
   site.Settle();
   CHECK(site.crashes.empty());
   CHECK(QuarantinedCount(site) == 0);
   CHECK(site.gateways[0]->Metrics().find("{reason=\"crash_suspects\"} 0\n") !=
         std::string::npos);
-  site.SetFault(Fault("clear", true));
+  site.SetFault(CrashSite::Fault("clear", true));
   site.Run(milliseconds(100));
   CHECK(
     site.Send(0, "/note/stream/x", "always the same").socket.Read().empty());
@@ -286,11 +278,11 @@
   };
   endUnderIt();
   endUnderIt();
-  site.SetFault(Fault("error", true));
+  site.SetFault(CrashSite::Fault("error", true));
   send();
   site.Settle();
   CHECK(site.sent.back().socket.Has("HTTP/1.1 500"));
-  site.SetFault(Fault("clear", true));
+  site.SetFault(CrashSite::Fault("clear", true));
   endUnderIt();
   send();
   site.Settle();
--- a/test/PlatformNotices.cpp
+++ b/test/PlatformNotices.cpp
@@ -51,6 +51,21 @@
   }
 }
 
+TEST_CASE("a server that leaves says 1", "[notices]")
+{
+  const auto leaving = [](const char* aValue) {
+    const std::vector<HeaderField> headers{ { "server-leaving", aValue } };
+    return NoticeOf(headers);
+  };
+  CHECK(leaving("1").isLeaving);
+  CHECK_FALSE(leaving("1").isMalformed);
+  CHECK_FALSE(leaving("0").isLeaving);
+  CHECK_FALSE(leaving("0").isMalformed);
+  CHECK_FALSE(leaving("yes").isLeaving);
+  CHECK(leaving("yes").isMalformed);
+  CHECK_FALSE(NoticeOf({}).isLeaving);
+}
+
 TEST_CASE("of two rate limits the smaller holds", "[notices]")
 {
   const std::vector<HeaderField> headers{ { "Server-Limit", "7" },
--- a/test/RateLimitedServers.cpp
+++ b/test/RateLimitedServers.cpp
@@ -12,37 +12,6 @@
 /// From a server's first word to the moment from which it holds everywhere.
 constexpr Duration kKnown = milliseconds(500);
 
-Json::Value
-RateLimit(const char* aPerSecond)
-{
-  Json::Value fault(Json::objectValue);
-  fault["rate_limit"] = aPerSecond;
-  return fault;
-}
-
-/// Sends one try each \p aStep, at each gateway in turn.
-void
-Play(FleetSite& aSite, Duration aTime, Duration aStep = milliseconds(10))
-{
-  const auto steps = aTime / aStep;
-  for (int step = 0; step < steps; ++step) {
-    aSite.Send(static_cast<std::size_t>(step) % kGateways, "/stream/x", "note");
-    aSite.Run(aStep);
-  }
-  aSite.Settle();
-}
-
-std::size_t
-ArrivedBetween(const standins::SealedEngine& aEngine,
-               TimePoint aFrom,
-               TimePoint aUntil)
-{
-  return static_cast<std::size_t>(std::ranges::count_if(
-    aEngine.Arrivals(), [&](const standins::SealedArrival& aOne) {
-      return aOne.at >= aFrom && aOne.at < aUntil;
-    }));
-}
-
 /// The most that reached the engine in any window from \p aFrom on.
 std::size_t
 MostInWindow(const standins::SealedEngine& aEngine, TimePoint aFrom)
@@ -50,15 +19,15 @@
   std::size_t most = 0;
   for (const standins::SealedArrival& first : aEngine.Arrivals()) {
     if (first.at >= aFrom) {
-      most =
-        std::max(most, ArrivedBetween(aEngine, first.at, first.at + kWindow));
+      most = std::max(
+        most, FleetSite::ArrivedBetween(aEngine, first.at, first.at + kWindow));
     }
   }
   return most;
 }
 
 double
-Rest(FleetSite::Try& aTry)
+RetryAfter(FleetSite::Try& aTry)
 {
   const std::size_t at = aTry.socket.received.find("Retry-After: ");
   constexpr std::size_t kNameLength = 13;
@@ -68,13 +37,6 @@
                          nullptr);
 }
 
-std::size_t
-ServedCount(FleetSite& aSite)
-{
-  return static_cast<std::size_t>(
-    std::ranges::count_if(aSite.sent, &FleetSite::Try::IsServed));
-}
-
 } // namespace
 
 // Guards against a server in need being sent as much as before: nobody read the
@@ -85,12 +47,12 @@
   standins::SealedEngine& limited = site.AddEngine("limited");
   site.AddEngine("free");
   site.StartGateways(kGateways);
-  Play(site, milliseconds(300));
-  limited.SetFault(RateLimit("4.4"));
+  site.Play(milliseconds(300));
+  limited.SetFault(FleetSite::Fault("rate_limit", "4.4"));
   const TimePoint named = Now();
-  Play(site, seconds(5));
+  site.Play(seconds(5));
   CHECK(MostInWindow(limited, named + kKnown) <= 31);
-  CHECK(ServedCount(site) == site.sent.size());
+  CHECK(site.ServedCount() == site.sent.size());
 }
 
 // Guards against refusing more than a service in need can't take, and against
@@ -103,24 +65,24 @@
   std::vector<standins::SealedEngine*> engines;
   for (const char* name : { "e1", "e2", "e3" }) {
     engines.push_back(&site.AddEngine(name));
-    engines.back()->SetFault(RateLimit("6"));
+    engines.back()->SetFault(FleetSite::Fault("rate_limit", "6"));
   }
   site.StartGateways(kGateways);
-  Play(site, seconds(4));
+  site.Play(seconds(4));
   const TimePoint from = Now();
   const std::size_t sentBefore = site.sent.size();
-  Play(site, seconds(4));
+  site.Play(seconds(4));
   std::size_t arrived = 0;
   for (const standins::SealedEngine* engine : engines) {
     CHECK(MostInWindow(*engine, from) <= 41);
-    arrived += ArrivedBetween(*engine, from, from + kWindow);
+    arrived += FleetSite::ArrivedBetween(*engine, from, from + kWindow);
   }
   // 0.7 of what three servers name for four seconds.
   CHECK(arrived >= 50);
   auto one = std::next(site.sent.begin(), static_cast<long>(sentBefore));
   for (; one != site.sent.end(); ++one) {
     CHECK((one->IsServed() || one->IsRefused()));
-    CHECK((one->IsServed() || Rest(*one) > 0));
+    CHECK((one->IsServed() || RetryAfter(*one) > 0));
   }
 }
 
@@ -131,16 +93,14 @@
 {
   FleetSite site;
   standins::SealedEngine& engine = site.AddEngine("e1");
-  engine.SetFault(RateLimit("8"));
+  engine.SetFault(FleetSite::Fault("rate_limit", "8"));
   site.StartGateways(kGateways);
-  Play(site, seconds(4));
-  Json::Value clear(Json::objectValue);
-  clear["clear"] = true;
-  engine.SetFault(clear);
-  Play(site, seconds(2));
+  site.Play(seconds(4));
+  engine.SetFault(FleetSite::Fault("clear"));
+  site.Play(seconds(2));
   const TimePoint from = Now();
-  Play(site, seconds(1));
-  CHECK(ArrivedBetween(engine, from, from + seconds(1)) >= 80);
+  site.Play(seconds(1));
+  CHECK(FleetSite::ArrivedBetween(engine, from, from + seconds(1)) >= 80);
 }
 
 // Guards against a new way to a server that passes the rate by: whoever wants
--- a/test/support/FleetSite.h
+++ b/test/support/FleetSite.h
@@ -81,6 +81,43 @@
     });
   }
 
+  /// Sends one try each \p aStep, at each gateway in turn, and waits for all
+  /// answers.
+  void Play(Duration aTime, Duration aStep = milliseconds(10))
+  {
+    const auto steps = aTime / aStep;
+    for (int step = 0; step < steps; ++step) {
+      this->Send(static_cast<std::size_t>(step) % this->gateways.size(),
+                 "/stream/x",
+                 "note");
+      this->Run(aStep);
+    }
+    this->Settle();
+  }
+
+  static std::size_t ArrivedBetween(const standins::SealedEngine& aEngine,
+                                    TimePoint aFrom,
+                                    TimePoint aUntil)
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      aEngine.Arrivals(), [&](const standins::SealedArrival& aOne) {
+        return aOne.at >= aFrom && aOne.at < aUntil;
+      }));
+  }
+
+  std::size_t ServedCount()
+  {
+    return static_cast<std::size_t>(
+      std::ranges::count_if(this->sent, &Try::IsServed));
+  }
+
+  static Json::Value Fault(const char* aName, const Json::Value& aValue = true)
+  {
+    Json::Value fault(Json::objectValue);
+    fault[aName] = aValue;
+    return fault;
+  }
+
   std::list<Try> sent;
 
 private:
