Send nothing to a server whose answers say that it leaves

What callers and servers saw: a server said in its answers that it leaves, while the store was down, and got requests until the store was back 13 s later.

Cause: only the store's list told gateways who leaves; the server's own word was not read. Class: a fact with one source, which may be away, where the party concerned says it itself. Evidence: the gateways log the word and go on; with the store's return the requests end at once.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -251,7 +251,8 @@
 bool
 BackendPool::TakesWork(const Member& aMember) const
 {
-  return aMember.isListed && !aMember.instance.leaving;
+  return aMember.isListed && !aMember.instance.leaving &&
+         !this->needs.IsLeaving(aMember.instance.name);
 }
 
 bool
@@ -487,8 +488,7 @@
 BackendPool::IsLeaving(const InstanceName& aInstance) const
 {
   const auto found = this->members.find(aInstance);
-  return found == this->members.end() || !found->second.isListed ||
-         found->second.instance.leaving;
+  return found == this->members.end() || !this->TakesWork(found->second);
 }
 
 InstanceName
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -158,6 +158,14 @@
   MSGPACK_DEFINE_ARRAY(server, isLimited, perSecond, ageMillis);
 };
 
+struct PackedLeaving
+{
+  std::string server;
+  std::int64_t ageMillis = 0;
+
+  MSGPACK_DEFINE_ARRAY(server, ageMillis);
+};
+
 /// A gateway of an older version sends and reads the first fields alone, as
 /// many as it knows.
 struct PackedDigest
@@ -179,6 +187,7 @@
   bool holdsUsageDuty = false;
   std::vector<PackedNews> usage;
   std::vector<PackedRate> rates;
+  std::vector<PackedLeaving> leaving;
 
   MSGPACK_DEFINE_ARRAY(gateway,
                        incarnation,
@@ -196,7 +205,8 @@
                        trueTimeMillis,
                        holdsUsageDuty,
                        usage,
-                       rates);
+                       rates,
+                       leaving);
 };
 
 void
@@ -325,6 +335,9 @@
   PackCrashes(aDigest, toPack);
   PackUsage(aDigest.usage, toPack);
   PackRates(aDigest.rates, toPack);
+  for (const LeavingNews& news : aDigest.leaving) {
+    toPack.leaving.push_back({ news.server.Value(), news.age.count() });
+  }
   toPack.listSum = aDigest.list.sum;
   toPack.listAgeMillis = aDigest.list.age.count();
   msgpack::sbuffer buffer;
@@ -373,6 +386,10 @@
   digest.list = { read.listSum, milliseconds(read.listAgeMillis) };
   digest.usage = UnpackUsage(read);
   digest.rates = UnpackRates(std::move(read.rates));
+  for (PackedLeaving& line : read.leaving) {
+    digest.leaving.push_back(
+      { InstanceName(std::move(line.server)), milliseconds(line.ageMillis) });
+  }
   UnpackCrashes(std::move(read), digest);
   return digest;
 }
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -68,6 +68,8 @@
   UsageWord usage;
   /// Rates that backend servers have named in their answers.
   std::vector<RateNews> rates;
+  /// Backend servers that have said in an answer that they leave.
+  std::vector<LeavingNews> leaving;
 };
 
 /// \param aSecret shared by all gateways; a digest made with another is refused
--- a/dogwoodvale/src/Gateway/ServerNeeds.cpp
+++ b/dogwoodvale/src/Gateway/ServerNeeds.cpp
@@ -37,6 +37,21 @@
       aAge.count());
 }
 
+void
+LogLeaving(const InstanceName& aServer,
+           std::string_view aFrom,
+           milliseconds aAge)
+{
+  Log(LogLevel::Info,
+      "server_leaving",
+      "instance",
+      aServer.Value(),
+      "from",
+      aFrom,
+      "age_ms",
+      aAge.count());
+}
+
 } // namespace
 
 ServerNeeds::ServerNeeds(InstanceName aSelf)
@@ -69,13 +84,8 @@
         "instance",
         aServer.Value());
   }
-  if (aNotice.isLeaving && this->leaving.insert(aServer).second) {
-    Log(LogLevel::Info,
-        "server_leaving",
-        "instance",
-        aServer.Value(),
-        "from",
-        "answer");
+  if (aNotice.isLeaving && this->leaving.OnAnswer(aServer, aNow)) {
+    LogLeaving(aServer, "answer", milliseconds(0));
   }
   if (const auto change =
         this->rates.OnAnswer(aServer, aNotice.rateLimit, aNow)) {
@@ -88,6 +98,7 @@
 ServerNeeds::Tell(PeerDigest& aDigest, TimePoint aNow) const
 {
   aDigest.rates = this->rates.Tell(aNow);
+  aDigest.leaving = this->leaving.Tell(aNow);
 }
 
 void
@@ -95,6 +106,13 @@
                   const std::function<bool(const InstanceName&)>& aIsUsed,
                   TimePoint aNow)
 {
+  // Kept also of servers that are not listed yet: a list that comes later may
+  // be older than the word.
+  for (const LeavingNews& news : aDigest.leaving) {
+    if (this->leaving.Hear(news, aNow)) {
+      LogLeaving(news.server, aDigest.gateway.Value(), news.age);
+    }
+  }
   for (const RateNews& news : aDigest.rates) {
     if (!aIsUsed(news.server)) {
       continue;
@@ -114,7 +132,6 @@
 {
   this->rates.Forget(aServer);
   this->malformed.erase(aServer);
-  this->leaving.erase(aServer);
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/ServerNeeds.h
+++ b/dogwoodvale/src/Gateway/ServerNeeds.h
@@ -34,11 +34,15 @@
 
   ServerRates& Rates() { return this->rates; }
   const ServerRates& Rates() const { return this->rates; }
+  /// The server has said that it leaves, in an answer here or elsewhere.
+  bool IsLeaving(const InstanceName& aServer) const
+  {
+    return this->leaving.Contains(aServer);
+  }
 
 private:
   ServerRates rates;
-  /// Servers that have said in an answer that they leave.
-  std::set<InstanceName> leaving;
+  LeavingServers leaving;
   /// Servers whose last notice could not be read.
   std::set<InstanceName> malformed;
 };
--- a/test/LeavingServers.cpp
+++ b/test/LeavingServers.cpp
@@ -37,3 +37,79 @@
   CHECK(ArrivedFrom(leaving, said + kDrain) == 0);
   CHECK(site.ServedCount() == site.sent.size());
 }
+
+// Guards against an older list, or a gateway that starts late, bringing a
+// leaving server back.
+TEST_CASE("no list takes back that a server leaves", "[backpressure]")
+{
+  FleetSite site;
+  standins::SealedEngine& leaving = site.AddEngine("leaving");
+  site.AddEngine("stays");
+  site.StartGateways(2);
+  site.Play(milliseconds(200));
+  leaving.SetFault(FleetSite::Fault("leaving"));
+  site.Play(milliseconds(200));
+  site.Run(kDrain);
+  const TimePoint from = Now();
+  site.Register("leaving", leaving, "ready");
+  site.StartGateways(1);
+  site.Play(seconds(1));
+  CHECK(ArrivedFrom(leaving, from) == 0);
+  CHECK(site.ServedCount() == site.sent.size());
+}
+
+TEST_CASE("a server that starts again under its name gets work",
+          "[backpressure]")
+{
+  FleetSite site;
+  standins::SealedEngine& engine = site.AddEngine("e1");
+  site.StartGateways(2);
+  engine.SetFault(FleetSite::Fault("leaving"));
+  site.Play(milliseconds(200));
+  site.sent.clear();
+  site.Play(milliseconds(100));
+  CHECK(site.ServedCount() == 0);
+  CHECK(std::ranges::all_of(site.sent, &FleetSite::Try::IsRefused));
+  engine.SetFault(FleetSite::Fault("clear"));
+  site.Register("e1", engine, "ready", 1'790'000'009'000);
+  site.Run(milliseconds(500));
+  site.sent.clear();
+  site.Play(milliseconds(200));
+  CHECK(site.ServedCount() == site.sent.size());
+}
+
+TEST_CASE("the word that a server leaves is told for a while and kept longer",
+          "[backpressure]")
+{
+  const InstanceName server("e1");
+  const TimePoint start = TimePoint{} + seconds(100);
+  LeavingServers own;
+  CHECK(own.OnAnswer(server, start));
+  CHECK_FALSE(own.OnAnswer(server, start + seconds(1)));
+  REQUIRE(own.Tell(start + seconds(5)).size() == 1);
+  CHECK(own.Tell(start + seconds(5))[0].age == seconds(5));
+  CHECK(own.Tell(start + LeavingServers::kTell).empty());
+  CHECK(own.Contains(server));
+
+  LeavingServers other;
+  CHECK(other.Hear({ server, seconds(50) }, start));
+  CHECK_FALSE(other.Hear({ server, seconds(1) }, start));
+  // Passing the word on does not make it younger.
+  CHECK(other.Tell(start + seconds(10)).empty());
+  CHECK(other.Contains(server));
+  CHECK_FALSE(other.Hear({ InstanceName("e2"), std::chrono::hours(1) }, start));
+}
+
+TEST_CASE("of too many leaving servers the earliest are forgotten",
+          "[backpressure]")
+{
+  LeavingServers servers;
+  const TimePoint start = TimePoint{} + seconds(100);
+  for (std::size_t i = 0; i < LeavingServers::kMost + 10; ++i) {
+    servers.OnAnswer(InstanceName(fmt::format("e{}", i)),
+                     start + i * milliseconds(1));
+  }
+  CHECK_FALSE(servers.Contains(InstanceName("e0")));
+  CHECK(servers.Contains(InstanceName("e10")));
+  CHECK(servers.Tell(start + seconds(10)).size() == LeavingServers::kMostNews);
+}
