--- a/dogwoodvale/src/Backpressure/BackpressureNotice.h
+++ b/dogwoodvale/src/Backpressure/BackpressureNotice.h
@@ -3,6 +3,8 @@
 
 #include <optional>
 
+#include "dogwoodvale/Core"
+
 namespace dogwoodvale {
 
 /// What the head of one answer states of its server's needs.
@@ -13,6 +15,9 @@
   std::optional<double> rateLimit;
   /// The server takes no new work and ends soon.
   bool isLeaving = false;
+  /// The server turned the request away and wants nothing from this gateway for
+  /// so long.
+  std::optional<Duration> restFor;
   /// A field was there and could not be read; it is ignored.
   bool isMalformed = false;
 };
--- a/dogwoodvale/src/Gateway/ServerNeeds.cpp
+++ b/dogwoodvale/src/Gateway/ServerNeeds.cpp
@@ -52,6 +52,17 @@
       aAge.count());
 }
 
+void
+LogRest(const InstanceName& aServer, Duration aRest)
+{
+  Log(LogLevel::Info,
+      "server_rests",
+      "instance",
+      aServer.Value(),
+      "for_ms",
+      aRest.count() / kMicrosPerMilli);
+}
+
 } // namespace
 
 ServerNeeds::ServerNeeds(InstanceName aSelf)
@@ -87,6 +98,9 @@
   if (aNotice.isLeaving && this->leaving.OnAnswer(aServer, aNow)) {
     LogLeaving(aServer, "answer", milliseconds(0));
   }
+  if (aNotice.restFor) {
+    LogRest(aServer, *aNotice.restFor);
+  }
   if (const auto change =
         this->rates.OnAnswer(aServer, aNotice.rateLimit, aNow)) {
     LogRateChange(
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -57,6 +57,9 @@
   if (aFault["crash_after"].isNumeric()) {
     this->faults.crashAfter = aFault["crash_after"].asUInt64();
   }
+  if (aFault.isMember("retry_after")) {
+    this->faults.retryAfter = aFault["retry_after"].asString();
+  }
   if (aFault.isMember("rate_limit")) {
     this->faults.rateLimit = aFault["rate_limit"].asString();
   }
@@ -106,6 +109,9 @@
   }
   if (this->faults.refuse) {
     aExchange.AddHeader("Dogwoodvale-Not-Executed", "1");
+    if (!this->faults.retryAfter.empty()) {
+      aExchange.AddHeader("Retry-After", this->faults.retryAfter);
+    }
     this->AddNeeds(aExchange);
     aExchange.ReplyJson(503, Json::Value(Json::objectValue));
     return;
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -62,7 +62,7 @@
 ///
 /// A path that contains "/stream/" is answered by events. POST /standin/fault
 /// {"crash_after":N,"refuse":true,"error":true,"hang":true,"skip":true,
-/// "no_proof":true,"rate_limit":"2.5","leaving":true,
+/// "no_proof":true,"rate_limit":"2.5","leaving":true,"retry_after":"1.5",
 /// "clear":true}; GET /standin/record.
 class SealedEngine : public RequestHandler
 {
@@ -80,7 +80,8 @@
   /// and never answers; crash_after: cuts each stream after so many events;
   /// skip: leaves out an event; no_proof: answers without its mark; rate_limit:
   /// the text in which all answers name the requests a second that it takes;
-  /// leaving: all answers say that it leaves.
+  /// leaving: all answers say that it leaves; retry_after: the
+  /// text in which a refusal names the seconds of rest that it asks for.
   void SetFault(const Json::Value& aFault);
   bool HasCrashed() const { return this->crashed; }
 
@@ -98,6 +99,7 @@
     std::uint64_t crashAfter = 0;
     std::string rateLimit;
     bool leaving = false;
+    std::string retryAfter;
   };
   struct Work
   {
--- a/test/RateLimitedServers.cpp
+++ b/test/RateLimitedServers.cpp
@@ -26,17 +26,6 @@
   return most;
 }
 
-double
-RetryAfter(FleetSite::Try& aTry)
-{
-  const std::size_t at = aTry.socket.received.find("Retry-After: ");
-  constexpr std::size_t kNameLength = 13;
-  return at == std::string::npos
-           ? 0.0
-           : std::strtod(aTry.socket.received.c_str() + at + kNameLength,
-                         nullptr);
-}
-
 } // namespace
 
 // Guards against a server in need being sent as much as before: nobody read the
@@ -82,7 +71,7 @@
   auto one = std::next(site.sent.begin(), static_cast<long>(sentBefore));
   for (; one != site.sent.end(); ++one) {
     CHECK((one->IsServed() || one->IsRefused()));
-    CHECK((one->IsServed() || RetryAfter(*one) > 0));
+    CHECK((one->IsServed() || one->RetryAfter() > 0));
   }
 }
 
@@ -121,7 +110,9 @@
   const TimePoint now = Now();
   pool.Needs().SetGateways(fleet, now);
   CHECK(pool.Acquire(instance.name, {}, now) != nullptr);
-  pool.OnNotice(instance.name, { 1.0, false }, now);
+  BackpressureNotice limited;
+  limited.rateLimit = 1.0;
+  pool.OnNotice(instance.name, limited, now);
   CHECK(pool.Acquire(instance.name, {}, now) == nullptr);
   const TimePoint later = now + seconds(10);
   std::size_t given = 0;
--- a/test/support/FleetSite.h
+++ b/test/support/FleetSite.h
@@ -39,6 +39,7 @@
   struct Try
   {
     std::string id;
+    std::size_t gateway = 0;
     RawSocket socket;
     bool IsServed()
     {
@@ -47,6 +48,16 @@
              this->socket.received.ends_with("0\r\n\r\n");
     }
     bool IsRefused() { return this->socket.Has("HTTP/1.1 503"); }
+    /// Seconds; 0 where the answer names none.
+    double RetryAfter() const
+    {
+      constexpr std::string_view kField = "Retry-After: ";
+      const std::size_t at = this->socket.received.find(kField);
+      return at == std::string::npos
+               ? 0.0
+               : std::strtod(this->socket.received.c_str() + at + kField.size(),
+                             nullptr);
+    }
     bool IsQuarantined()
     {
       return this->IsRefused() && this->socket.Has("\"quarantined\"");
@@ -59,6 +70,7 @@
   {
     Try made;
     made.id = fmt::format("try-{}", ++this->tries);
+    made.gateway = aGateway;
     made.socket =
       RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
     made.socket.Send(
@@ -105,6 +117,13 @@
       }));
   }
 
+  /// The gateway that a try was sent to.
+  std::size_t GatewayOf(const std::string& aId) const
+  {
+    const auto found = std::ranges::find(this->sent, aId, &Try::id);
+    return found == this->sent.end() ? this->gateways.size() : found->gateway;
+  }
+
   std::size_t ServedCount()
   {
     return static_cast<std::size_t>(
