Bound a rate that another gateway tells, too; test the new fields of digests

A number that is none would have passed std::clamp and stopped a bucket for good; it comes to the least rate now.

--- a/dogwoodvale/src/Backpressure/LeavingServers.h
+++ b/dogwoodvale/src/Backpressure/LeavingServers.h
@@ -14,6 +14,8 @@
   InstanceName server;
   /// Since the first gateway had the server's word.
   milliseconds age{ 0 };
+
+  bool operator==(const LeavingNews&) const = default;
 };
 
 /// Servers that have said in an answer that they leave, here or at another
--- a/dogwoodvale/src/Backpressure/ServerRates.cpp
+++ b/dogwoodvale/src/Backpressure/ServerRates.cpp
@@ -14,10 +14,12 @@
 std::optional<double>
 Bounded(std::optional<double> aPerSecond)
 {
-  return aPerSecond
-           ? std::optional(std::clamp(
-               *aPerSecond, ServerRates::kLeastRate, ServerRates::kMostRate))
-           : std::nullopt;
+  if (!aPerSecond) {
+    return std::nullopt;
+  }
+  // In this order what is no number comes to the least.
+  return std::min(std::max(ServerRates::kLeastRate, *aPerSecond),
+                  ServerRates::kMostRate);
 }
 
 } // namespace
@@ -115,6 +117,7 @@
     dated.resize(kMostNews);
   }
   std::vector<RateNews> news;
+  news.reserve(dated.size());
   for (auto& [changedAt, one] : dated) {
     news.push_back(std::move(one));
   }
--- a/dogwoodvale/src/Backpressure/ServerRates.h
+++ b/dogwoodvale/src/Backpressure/ServerRates.h
@@ -19,6 +19,8 @@
   std::optional<double> perSecond;
   /// Since the answer came that said so.
   milliseconds age{ 0 };
+
+  bool operator==(const RateNews&) const = default;
 };
 
 /// A change of the rate that a server names.
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -325,6 +325,9 @@
   digest.crashes.evidence = { { 10, 11, CrashWeight::Late } };
   digest.crashes.verdicts = { { 12, 13, true, seconds(14) } };
   digest.suspectsUnderWay = { 15 };
+  digest.rates = { { InstanceName("e3"), 2.5, milliseconds(16) },
+                   { InstanceName("e4"), std::nullopt, milliseconds(17) } };
+  digest.leaving = { { InstanceName("e5"), milliseconds(18) } };
   const std::string bytes = WriteDigest(digest, "secret");
   const auto read = ReadDigest(bytes, "secret");
   REQUIRE(read.ok());
@@ -341,6 +344,8 @@
   CHECK(read->crashes.evidence == digest.crashes.evidence);
   CHECK(read->crashes.verdicts == digest.crashes.verdicts);
   CHECK(read->suspectsUnderWay == digest.suspectsUnderWay);
+  CHECK(read->rates == digest.rates);
+  CHECK(read->leaving == digest.leaving);
   CHECK_FALSE(ReadDigest(bytes, "another").ok());
   CHECK(rc::check([&bytes] {
     std::string changed = bytes;
--- a/test/ServerRates.cpp
+++ b/test/ServerRates.cpp
@@ -1,3 +1,5 @@
+#include <cmath>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -110,6 +112,16 @@
   CHECK(sent <= 8);
 }
 
+TEST_CASE("a rate that is no number comes to the least", "[rates]")
+{
+  const auto fleet = Gateways(1);
+  ServerRates rates = Settled(fleet[0], fleet);
+  rates.Hear({ kServer, std::nan(""), milliseconds(0) }, kStart);
+  const std::size_t sent = SentIn(rates, kStart, seconds(120));
+  CHECK(sent >= 2);
+  CHECK(sent <= 10);
+}
+
 TEST_CASE("a server that names a huge rate is not bounded by it", "[rates]")
 {
   const auto fleet = Gateways(1);
