Keep a server that leaves out for as long as it is listed

Its word is remembered for ten minutes; one that is still listed after that, with its address in the list as ready, would have got work again once another server left. The pool marks the listed server itself now, as it does for a word of the list.

LeavingServers has the case; its other cases pass.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -187,6 +187,9 @@
   }
   for (auto it = this->members.begin(); it != this->members.end();) {
     Member& member = it->second;
+    // For as long as it is listed, however long the word is remembered.
+    member.instance.leaving =
+      member.instance.leaving || this->needs.IsLeaving(it->first);
     if (!this->TakesWork(member)) {
       member.client->CloseIdleConnections();
     }
--- a/test/LeavingServers.cpp
+++ b/test/LeavingServers.cpp
@@ -113,3 +113,32 @@
   CHECK(servers.Contains(InstanceName("e10")));
   CHECK(servers.Tell(start + seconds(10)).size() == LeavingServers::kMostNews);
 }
+
+TEST_CASE(
+  "a server that is listed for longer than its word is remembered stays "
+  "out",
+  "[backpressure]")
+{
+  auto loop = *EventLoop::Create();
+  BackendPool pool(*loop, {});
+  std::vector<DirectInstance> listed;
+  for (const char* name : { "e1", "e2" }) {
+    DirectInstance instance;
+    instance.name = InstanceName(name);
+    instance.server = instance.name;
+    instance.service = ServiceName("s");
+    instance.address = { "127.0.0.1", 9 };
+    listed.push_back(instance);
+  }
+  pool.SetInstances(listed);
+  BackpressureNotice leaving;
+  leaving.isLeaving = true;
+  const TimePoint now = Now();
+  pool.OnNotice(listed[0].name, leaving, now);
+  pool.Tend(now);
+  const TimePoint late = now + LeavingServers::kMemory;
+  pool.OnNotice(listed[1].name, leaving, late);
+  pool.SetInstances(listed);
+  CHECK(pool.Acquire(listed[0].name, {}, late) == nullptr);
+  CHECK(pool.IsLeaving(listed[0].name));
+}
