--- a/test/LeavingServers.cpp
+++ b/test/LeavingServers.cpp
@@ -142,3 +142,24 @@
   CHECK(pool.Acquire(listed[0].name, {}, late) == nullptr);
   CHECK(pool.IsLeaving(listed[0].name));
 }
+
+// Guards against a list that a gateway reads late, older than the word that it
+// has heard.
+TEST_CASE("a server that is listed after its word was heard gets no work",
+          "[backpressure]")
+{
+  auto loop = *EventLoop::Create();
+  BackendPool pool(*loop, {});
+  DirectInstance instance;
+  instance.name = InstanceName("e1");
+  instance.server = instance.name;
+  instance.service = ServiceName("s");
+  instance.address = { "127.0.0.1", 9 };
+  const TimePoint now = Now();
+  PeerDigest digest;
+  digest.gateway = InstanceName("g2");
+  digest.leaving = { { instance.name, milliseconds(10) } };
+  pool.Hear(digest, now);
+  pool.SetInstances({ &instance, 1 });
+  CHECK(pool.Acquire(instance.name, {}, now) == nullptr);
+}
--- a/test/ServerRates.cpp
+++ b/test/ServerRates.cpp
@@ -299,3 +299,34 @@
   play.Play(20, seconds(10));
   CHECK(play.lateSent >= 190);
 }
+
+// Guards against late requests that come all the time taking each request that
+// becomes free, so that early ones find none when they come.
+TEST_CASE("early requests that come together find what was saved for them",
+          "[rates]")
+{
+  constexpr double kPerSecond = 20;
+  constexpr std::size_t kTogether = 8;
+  RankReserve reserve;
+  TokenBucket bucket(kPerSecond, kPerSecond, 0);
+  std::size_t earlySent = 0;
+  std::size_t lateSent = 0;
+  const auto trySend = [&](std::uint32_t aRank, TimePoint aNow) -> std::size_t {
+    if (!reserve.Admits(aRank, bucket.Available(aNow), kPerSecond, aNow)) {
+      return 0;
+    }
+    bucket.TryTake(1, aNow);
+    reserve.OnSent(aRank);
+    return 1;
+  };
+  for (int tick = 0; tick < 2000; ++tick) {
+    const TimePoint now = kStart + tick * milliseconds(10);
+    lateSent += trySend(3, now);
+    for (std::size_t i = 0; tick % 100 == 99 && i < kTogether; ++i) {
+      earlySent += trySend(0, now);
+    }
+  }
+  // The first seconds save up.
+  CHECK(earlySent >= 18 * kTogether);
+  CHECK(lateSent >= 180);
+}
