--- a/test/RateModel.cpp
+++ b/test/RateModel.cpp
@@ -171,9 +171,11 @@
     }
     for (std::size_t i = 0; i < aFleet.servers; ++i) {
       this->servers.emplace_back(fmt::format("server-{}", i));
+      this->serverCells.push_back(CellOf(this->servers.back(), this->split));
     }
     this->arrivals.resize(aFleet.servers);
     this->sent.resize(aFleet.servers);
+    this->toldAt.resize(aFleet.gateways * aFleet.servers);
     std::uniform_real_distribution<double> uneven(0.3, 1.7);
     for (const InstanceName& name : this->names) {
       const std::size_t cell = CellOf(name, this->cells);
@@ -193,7 +195,7 @@
       this->cellOf.push_back(cell);
       std::vector<std::size_t> reachable;
       for (std::size_t i = 0; i < this->servers.size(); ++i) {
-        if (this->CanUse(this->reach.size(), this->servers[i])) {
+        if (this->CanUse(this->reach.size(), i)) {
           reachable.push_back(i);
         }
       }
@@ -233,7 +235,7 @@
   {
     TimePoint at{};
     std::size_t to = 0;
-    std::vector<RateNews> news;
+    std::shared_ptr<const std::vector<RateNews>> news;
   };
 
   double Worst(std::span<const TimePoint> aArrivals) const
@@ -268,26 +270,42 @@
       this->answers.pop_front();
       this->gates[answer.gateway]->OnAnswer(
         this->servers[answer.server], this->fleet.rate, this->now);
-      this->toldAt.try_emplace({ answer.gateway, answer.server }, this->now);
+      this->NoteTold(answer.gateway, answer.server);
     }
     while (!this->underWay.empty() && this->underWay.front().at <= this->now) {
       const Digest digest = std::move(this->underWay.front());
       this->underWay.pop_front();
-      for (const RateNews& news : digest.news) {
-        if (this->CanUse(digest.to, news.server)) {
+      for (const RateNews& news : *digest.news) {
+        const std::size_t number = NumberOf(news.server);
+        if (this->CanUse(digest.to, number)) {
           this->gates[digest.to]->Hear(news, this->now);
-          const std::string& name = news.server.Value();
-          const auto number = std::stoul(name.substr(name.find('-') + 1));
-          this->toldAt.try_emplace({ digest.to, number }, this->now);
+          this->NoteTold(digest.to, number);
         }
       }
     }
   }
 
-  bool CanUse(std::size_t aGateway, const InstanceName& aServer) const
+  TimePoint& ToldAt(std::size_t aGateway, std::size_t aServer)
   {
-    return this->split == 1 ||
-           CellOf(aServer, this->split) == this->cellOf[aGateway];
+    return this->toldAt[aGateway * this->fleet.servers + aServer];
+  }
+
+  void NoteTold(std::size_t aGateway, std::size_t aServer)
+  {
+    TimePoint& told = this->ToldAt(aGateway, aServer);
+    told = told == TimePoint{} ? this->now : told;
+  }
+
+  static std::size_t NumberOf(const InstanceName& aServer)
+  {
+    const std::string& name = aServer.Value();
+    return std::strtoul(name.c_str() + name.find('-') + 1, nullptr, 10);
+  }
+
+  bool CanUse(std::size_t aGateway, std::size_t aServer) const
+  {
+    return this->serverCells[aServer] == this->cellOf[aGateway] ||
+           this->split == 1;
   }
 
   void Send(double aLoad)
@@ -328,8 +346,8 @@
       this->servers[chosen], this->split, this->now);
     ++this->sent[chosen];
     // Only what a gateway sends that has had the word for a while counts.
-    const auto told = this->toldAt.find({ aGateway, chosen });
-    if (told != this->toldAt.end() && this->now >= told->second + kKnown) {
+    const TimePoint told = this->ToldAt(aGateway, chosen);
+    if (told != TimePoint{} && this->now >= told + kKnown) {
       this->arrivals[chosen].push_back(this->now);
     }
     this->answers.push_back({ this->now + kAnswerTakes, aGateway, chosen });
@@ -349,9 +367,10 @@
           0) {
         continue;
       }
-      const auto news = this->gates[i]->Tell(this->now);
+      const auto news = std::make_shared<const std::vector<RateNews>>(
+        this->gates[i]->Tell(this->now));
       ++this->digests;
-      for (const RateNews& one : news) {
+      for (const RateNews& one : *news) {
         constexpr double kFixedBytes = 13;
         this->newsBytes +=
           kFixedBytes + static_cast<double>(one.server.Value().size());
@@ -378,12 +397,13 @@
   std::vector<std::unique_ptr<RateGate>> gates;
   std::vector<double> weights;
   std::vector<std::size_t> cellOf;
+  std::vector<std::size_t> serverCells;
   std::vector<std::vector<std::size_t>> reach;
   /// Those that count, by server, and how many there were of all.
   std::vector<std::vector<TimePoint>> arrivals;
   std::vector<std::size_t> sent;
   /// When a gateway had a server's word first, from the server or another.
-  std::map<std::pair<std::size_t, std::size_t>, TimePoint> toldAt;
+  std::vector<TimePoint> toldAt;
   std::deque<Answer> answers;
   std::deque<Digest> underWay;
   TimePoint now = kStart;
