Reserve the peers' ports of gateways under test

The gateway binds it later, by UDP and TCP, after its other sockets: by then one of these, another test's socket or a connection in TIME_WAIT may have it. Create() then failed with "Address already in use", and dereferencing the result aborted the test.

--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "../RawSockets.h"
+#include "PortReservation.h"
 #include "platform/Adapters.h"
 #include "standins/MetadataStore.h"
 #include "standins/SealedEngine.h"
@@ -93,7 +94,7 @@
     settings.role = Role::Gateway;
     settings.instance = InstanceName(aName);
     settings.dataCentre = DataCentreName("z");
-    settings.peers = { "127.0.0.1", FreePort() };
+    settings.peers = { "127.0.0.1", this->peerPorts.emplace_back().Port() };
     settings.operators = { "127.0.0.1", 0 };
     settings.peerSecret = "a secret of the test's own";
     settings.platform.store = { this->store->Address() };
@@ -158,9 +159,6 @@
     return caller.received;
   }
 
-  /// A TCP port that was free a moment ago.
-  static std::uint16_t FreePort() { return RawSocket::Listen().Address().port; }
-
   /// Given to gateways that start from now on.
   Duration quarantine = seconds(600);
   GatewayDecisions decisions;
@@ -169,6 +167,8 @@
   std::unique_ptr<standins::MetadataStore> store =
     *standins::MetadataStore::Create(*this->loop, { "127.0.0.1", 0 });
   std::vector<std::unique_ptr<standins::SealedEngine>> engines;
+  /// Of the gateways, which tell others their port before they bind it.
+  std::vector<PortReservation> peerPorts;
   std::vector<std::unique_ptr<Gateway>> gateways;
 };
 
