--- a/test/support/LoadPlay.h
+++ b/test/support/LoadPlay.h
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
 #include <map>
 
 #include "bench/EngineModel.h"
@@ -32,6 +33,8 @@
   /// Longest pause between events with which an answer is on time.
   Duration pause = seconds(60);
   std::uint32_t rank = 0;
+  /// A caller leaves when so long after its request no answer has begun.
+  Duration patience = std::chrono::hours(1);
 };
 
 /// The engines of a play.
@@ -53,6 +56,9 @@
 {
   int asked = 0;
   int onTime = 0;
+  int begun = 0;
+  /// Callers that left with nothing.
+  int lost = 0;
 
   double Share() const { return static_cast<double>(onTime) / asked; }
 };
@@ -113,6 +119,12 @@
   {
     this->tallies.assign(this->kinds.size(), Tally{});
     this->countedSince = this->now;
+    return this->Continue(aLength);
+  }
+
+  /// As Run(), counting on.
+  std::vector<Tally> Continue(Duration aLength)
+  {
     const TimePoint end = this->now + aLength;
     std::vector<TimePoint> next;
     for (const Kind& kind : this->kinds) {
@@ -122,6 +134,7 @@
       const auto kind =
         static_cast<std::size_t>(std::ranges::min_element(next) - next.begin());
       this->StepEnginesUntil(next[kind]);
+      this->LeaveUntil(next[kind]);
       this->TendGateways();
       this->now = next[kind];
       this->Arrive(kind);
@@ -147,6 +160,7 @@
   struct Running
   {
     BackendPool* pool = nullptr;
+    InstanceName engine;
     std::size_t kind = 0;
     TimePoint arrived{};
     BackendWork work;
@@ -288,6 +302,7 @@
     this->caches.OnUsed(engine.name, aDemand.steps, this->fleet.cacheTokens);
     Running running;
     running.pool = aGateway.pool.get();
+    running.engine = engine.name;
     running.kind = aKind;
     running.arrived = this->now;
     running.ahead = aPlacement.prefillAhead;
@@ -305,6 +320,7 @@
                        this->now,
                        static_cast<int>(aPlacement.place));
     this->requests[this->lastId] = running;
+    this->callers[aKind].push_back(this->lastId);
     if (!engine.stepEnds) {
       engine.stepEnds = engine.model.Step(this->now);
     }
@@ -350,6 +366,8 @@
       const Duration latency = Between(running.arrived, this->now);
       running.isOnTime = latency <= this->kinds[running.kind].target;
       this->Count(running, running.isOnTime ? 1 : 0);
+      this->tallies[running.kind].begun +=
+        running.arrived >= this->countedSince ? 1 : 0;
       running.lastEvent = this->now;
       flow.OnFirstToken(aEngine.name, running.ahead + running.prefill, latency);
       BackendWork read;
@@ -367,6 +385,36 @@
     }
   }
 
+  /// Takes out the requests whose callers have left by then.
+  void LeaveUntil(TimePoint aTime)
+  {
+    for (auto& [kind, ids] : this->callers) {
+      const Duration patience = this->kinds[kind].patience;
+      while (!ids.empty()) {
+        const auto found = this->requests.find(ids.front());
+        if (found != this->requests.end() &&
+            Between(found->second.arrived, aTime) < patience) {
+          break;
+        }
+        if (found != this->requests.end() && !found->second.hasFirst) {
+          this->Leave(found->first, found->second);
+        }
+        ids.pop_front();
+      }
+    }
+  }
+
+  void Leave(std::uint64_t aId, const Running& aRunning)
+  {
+    Engine& engine =
+      *std::ranges::find(this->engines, aRunning.engine, &Engine::name);
+    engine.model.Cancel({ 0, aId });
+    aRunning.pool->OnDone(aRunning.engine, aRunning.work);
+    this->tallies[aRunning.kind].lost +=
+      aRunning.arrived >= this->countedSince ? 1 : 0;
+    this->requests.erase(aId);
+  }
+
   void Count(const Running& aRunning, int aOnTime)
   {
     if (aRunning.arrived >= this->countedSince) {
@@ -408,6 +456,8 @@
   std::mt19937_64 random;
   std::vector<Engine> engines;
   std::map<std::uint64_t, Running> requests;
+  /// Sent requests of each kind, the oldest first.
+  std::map<std::size_t, std::deque<std::uint64_t>> callers;
   std::uint64_t lastId = 0;
   TimePoint countedSince{};
   TimePoint now = TimePoint() + std::chrono::hours(1);
