--- a/test/system/planned_stop.sh
+++ b/test/system/planned_stop.sh
@@ -54,8 +54,6 @@
 start_load "$SITE/plan.json" 8 --ready-path /readyz \
   --ready-targets "$(site_query "$SITE" '",".join(e["operators"] for e in s["entries"])')"
 expect "the engine is at work" wait_until 10 has_executed "$(backend_of "$engine")" 5
-# Slow, so that there is surely a posting under way when its sidecar has to go.
-fault "$(backend_of "$plain")" '{"slow":4}'
 curl -s -N -m 20 "http://$(entry_callers 1)/v1/chat/completions" \
   -H 'Authorization: Bearer key-sacco-01' -H 'X-Dogwoodvale-Class: desk' \
   -d '{"model":"cheque-reader","stream":true,"max_tokens":500,
