--- a/test/RankOrderUnderLoad.cpp
+++ b/test/RankOrderUnderLoad.cpp
@@ -26,25 +26,41 @@
   fleet.gateways = 30;
   fleet.cacheTokens = 295'000;
   fleet.digestPeriod = milliseconds(145);
-  Kind scan{
-    230, 6300,      2890, 52, 581, milliseconds(600), milliseconds(250),
-    2,   seconds(2)
-  };
-  Kind note{
-    380, 200, 628, 292, 636, milliseconds(250), milliseconds(150), 0, seconds(2)
-  };
+  Kind scan{ .perSecond = 230,
+             .sharedTokens = 6300,
+             .ownTokens = 2890,
+             .answerTokens = 52,
+             .subjects = 581,
+             .target = milliseconds(600),
+             .pause = milliseconds(250),
+             .rank = 2,
+             .patience = seconds(2) };
+  Kind note{ .perSecond = 380,
+             .sharedTokens = 200,
+             .ownTokens = 628,
+             .answerTokens = 292,
+             .subjects = 636,
+             .target = milliseconds(250),
+             .pause = milliseconds(150),
+             .rank = 0,
+             .patience = seconds(2) };
+  constexpr std::size_t kScans = 0;
+  constexpr std::size_t kNotes = 1;
   LoadPlay play(fleet, {}, { scan, note }, seed);
   play.Run(seconds(4));
-  play.SetRate(0, 450);
-  play.SetRate(1, 1200);
+  play.SetRate(kScans, 450);
+  play.SetRate(kNotes, 1200);
   play.Run(seconds(3));
-  play.SetRate(0, 230);
-  play.SetRate(1, 380);
-  const std::vector<Tally> got = play.Continue(seconds(2));
-  INFO("seed " << seed << ": of " << got[1].asked << " notes " << got[1].lost
-               << " lost, of " << got[0].asked << " scans " << got[0].begun
+  play.SetRate(kScans, scan.perSecond);
+  play.SetRate(kNotes, note.perSecond);
+  const std::vector<Tally> tallies = play.Continue(seconds(2));
+  const Tally& scans = tallies[kScans];
+  const Tally& notes = tallies[kNotes];
+  INFO("seed " << seed << ": of " << notes.asked << " notes " << notes.lost
+               << " lost, of " << scans.asked << " scans " << scans.begun
                << " begun");
+  // At most one in so many.
   constexpr int kMostLost = 12;
   constexpr int kFewBegun = 10;
-  CHECK((got[1].lost * kMostLost <= got[1].asked || got[0].begun < kFewBegun));
+  CHECK((notes.lost * kMostLost <= notes.asked || scans.begun < kFewBegun));
 }
--- a/test/support/LoadPlay.h
+++ b/test/support/LoadPlay.h
@@ -320,7 +320,7 @@
                        this->now,
                        static_cast<int>(aPlacement.place));
     this->requests[this->lastId] = running;
-    this->callers[aKind].push_back(this->lastId);
+    this->sentByKind[aKind].push_back(this->lastId);
     if (!engine.stepEnds) {
       engine.stepEnds = engine.model.Step(this->now);
     }
@@ -388,7 +388,7 @@
   /// Takes out the requests whose callers have left by then.
   void LeaveUntil(TimePoint aTime)
   {
-    for (auto& [kind, ids] : this->callers) {
+    for (auto& [kind, ids] : this->sentByKind) {
       const Duration patience = this->kinds[kind].patience;
       while (!ids.empty()) {
         const auto found = this->requests.find(ids.front());
@@ -457,7 +457,7 @@
   std::vector<Engine> engines;
   std::map<std::uint64_t, Running> requests;
   /// Sent requests of each kind, the oldest first.
-  std::map<std::size_t, std::deque<std::uint64_t>> callers;
+  std::map<std::size_t, std::deque<std::uint64_t>> sentByKind;
   std::uint64_t lastId = 0;
   TimePoint countedSince{};
   TimePoint now = TimePoint() + std::chrono::hours(1);
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -94,7 +94,8 @@
     settings.role = Role::Gateway;
     settings.instance = InstanceName(aName);
     settings.dataCentre = DataCentreName("z");
-    settings.peers = { "127.0.0.1", this->peerPorts.emplace_back().Port() };
+    this->peerPorts.push_back(PortReservation::Draw());
+    settings.peers = { "127.0.0.1", this->peerPorts.back().Port() };
     settings.operators = { "127.0.0.1", 0 };
     settings.peerSecret = "a secret of the test's own";
     settings.platform.store = { this->store->Address() };
--- a/test/support/PortReservation.h
+++ b/test/support/PortReservation.h
@@ -24,24 +24,28 @@
   static constexpr std::uint16_t kFirst = 10'000;
   static constexpr std::uint16_t kLast = 14'999;
 
-  PortReservation()
+  static PortReservation Draw()
   {
     std::random_device entropy;
     std::uniform_int_distribution<std::uint16_t> draw(kFirst, kLast);
     for (int attempt = 0; attempt < kAttempts; ++attempt) {
-      this->port = draw(entropy);
+      const std::uint16_t port = draw(entropy);
       // Held on an address that only reservations use, so that the port stays
       // free where it is to be used.
-      this->held = Bind(SOCK_STREAM, kReservations, this->port);
-      if (this->held >= 0 && IsFree(SOCK_STREAM, this->port) &&
-          IsFree(SOCK_DGRAM, this->port)) {
-        return;
+      PortReservation made(port, Bind(SOCK_STREAM, kReservations, port));
+      if (made.held >= 0 && IsFree(SOCK_STREAM, port) &&
+          IsFree(SOCK_DGRAM, port)) {
+        return made;
       }
-      this->Release();
     }
     throw std::runtime_error("no port is free for a test");
   }
-  ~PortReservation() { this->Release(); }
+  ~PortReservation()
+  {
+    if (this->held >= 0) {
+      close(this->held);
+    }
+  }
 
   PortReservation(PortReservation&& aOther) noexcept
     : port(aOther.port)
@@ -53,6 +57,12 @@
   std::uint16_t Port() const { return this->port; }
 
 private:
+  PortReservation(std::uint16_t aPort, int aHeld)
+    : port(aPort)
+    , held(aHeld)
+  {
+  }
+
   static constexpr int kAttempts = 100;
   static constexpr in_addr_t kReservations = 0x7F000002; // 127.0.0.2
 
@@ -81,15 +91,9 @@
     return true;
   }
 
-  void Release()
-  {
-    if (this->held >= 0) {
-      close(std::exchange(this->held, -1));
-    }
-  }
-
-  std::uint16_t port = 0;
-  int held = -1;
+  std::uint16_t port;
+  /// The socket that keeps others from drawing the port; -1 if there is none.
+  int held;
 };
 
 } // namespace dogwoodvale::test
