Show what each read of the configuration brought

The logs could not tell a read that was given up from a store that was silent, nor what parsing cost. Failed fetches and reads tell their bytes and time, the line routes_in_force the document's size and parsing time.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr int kMicrosPerMilli = 1000;
+
 /// The same for lists with equal entries.
 std::uint64_t
 SumOf(std::span<const DirectInstance> aRead,
@@ -125,7 +127,9 @@
 bool
 DirectoryKeeper::TakeRoutes(std::string_view aDocument, std::string_view aFrom)
 {
+  const TimePoint begun = Now();
   auto parsed = this->format.ParseRoutes(aDocument);
+  const auto parseMillis = Between(begun, Now()).count() / kMicrosPerMilli;
   if (!parsed.ok()) {
     Log(LogLevel::Error,
         "routes_rejected",
@@ -138,6 +142,18 @@
   // A store that comes back with older data, or a gateway that is behind, must
   // not undo a change: only a higher version is taken.
   if ((*parsed)->Version() <= this->Version()) {
+    Log(LogLevel::Info,
+        "routes_not_newer",
+        "version",
+        (*parsed)->Version(),
+        "in_force",
+        this->Version(),
+        "from",
+        aFrom,
+        "bytes",
+        aDocument.size(),
+        "parse_ms",
+        parseMillis);
     return false;
   }
   Log(LogLevel::Info,
@@ -149,7 +165,11 @@
       "from",
       aFrom,
       "routes",
-      (*parsed)->RouteCount());
+      (*parsed)->RouteCount(),
+      "bytes",
+      aDocument.size(),
+      "parse_ms",
+      parseMillis);
   this->routes = *std::move(parsed);
   this->routesDocument = aDocument;
   this->observer.OnRoutes(this->routes);
--- a/dogwoodvale/src/Gateway/PeerExchange.cpp
+++ b/dogwoodvale/src/Gateway/PeerExchange.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kMaxDatagram = 60'000;
 constexpr Duration kFetchTimeout = milliseconds(800);
 constexpr int kHttpOk = 200;
+constexpr int kMicrosPerMilli = 1000;
 constexpr std::string_view kProofField = "?proof=";
 
 /// Gateways talk over IPv4, as their settings give addresses.
@@ -229,6 +230,7 @@
   auto fetch = std::make_unique<Fetching>();
   Fetching* key = fetch.get();
   fetch->path = aPath;
+  fetch->startedAt = Now();
   fetch->exchange = HttpExchange::Start(
     this->loop, call, [this, key, aFrom, aPath](const HttpAnswer& aAnswer) {
       const auto found = std::ranges::find_if(
@@ -240,7 +242,22 @@
       this->fetches.erase(found);
       if (aAnswer.status.ok() && aAnswer.code == kHttpOk) {
         this->host.OnDocument(aPath, aAnswer.body, aFrom);
+        return;
       }
+      Log(LogLevel::Info,
+          "fetch_failed",
+          "path",
+          aPath,
+          "from",
+          aFrom.ToString(),
+          "reason",
+          MessageOf(aAnswer.status),
+          "code",
+          aAnswer.code,
+          "bytes",
+          aAnswer.received,
+          "took_ms",
+          Between(ended->startedAt, Now()).count() / kMicrosPerMilli);
     });
   this->fetches.push_back(std::move(fetch));
 }
--- a/dogwoodvale/src/Gateway/PeerExchange.h
+++ b/dogwoodvale/src/Gateway/PeerExchange.h
@@ -76,6 +76,7 @@
   struct Fetching
   {
     std::string path;
+    TimePoint startedAt;
     std::unique_ptr<class HttpExchange> exchange;
   };
 
--- a/dogwoodvale/src/Store/HttpExchange.cpp
+++ b/dogwoodvale/src/Store/HttpExchange.cpp
@@ -48,6 +48,8 @@
     bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
     evbuffer_add_cb(
       bufferevent_get_output(stream), &EvhttpExchange::OnOutput, this);
+    evbuffer_add_cb(
+      bufferevent_get_input(stream), &EvhttpExchange::OnInput, this);
     evhttp_request* request = this->MakeRequest(aCall);
     const evhttp_cmd_type method =
       aCall.method == "POST" ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
@@ -86,6 +88,13 @@
     }
   }
 
+  static void OnInput(evbuffer* /*aBuffer*/,
+                      const evbuffer_cb_info* aInfo,
+                      void* aSelf)
+  {
+    static_cast<EvhttpExchange*>(aSelf)->answer.received += aInfo->n_added;
+  }
+
   static void OnChunk(evhttp_request* aRequest, void* aSelf)
   {
     auto* self = static_cast<EvhttpExchange*>(aSelf);
@@ -171,6 +180,8 @@
     bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
     evbuffer_remove_cb(
       bufferevent_get_output(stream), &EvhttpExchange::OnOutput, this);
+    evbuffer_remove_cb(
+      bufferevent_get_input(stream), &EvhttpExchange::OnInput, this);
     evhttp_connection_free(std::exchange(this->connection, nullptr));
   }
 
--- a/dogwoodvale/src/Store/HttpExchange.h
+++ b/dogwoodvale/src/Store/HttpExchange.h
@@ -20,6 +20,8 @@
   std::string body;
   /// Whether the server may have seen the request.
   bool written = false;
+  /// Bytes that came, of a failed exchange too; heads count.
+  std::size_t received = 0;
 };
 
 struct HttpCall
