Test gateways behind narrow links with a large configuration

Fails on the code as it is: after a reset of their connections to the store four gateways never have 1,400 more routes, a gateway is never ready beside them, and of eight changes 0.2 s apart the newest is not in force 5 s later.

--- /dev/null
+++ b/test/ConfigurationOverNarrowLinks.cpp
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+
+#include "support/NarrowLink.h"
+#include "support/PlatformSite.h"
+
+using namespace dogwoodvale;
+using test::NarrowLink;
+using test::PlatformSite;
+
+namespace {
+
+constexpr int kManyRoutes = 1400;
+constexpr std::size_t kBytesPerSecond = 300'000;
+
+/// Gateways that reach the store over a narrow link each.
+struct NarrowSite : PlatformSite
+{
+  explicit NarrowSite(int aGateways)
+  {
+    for (int i = 1; i <= aGateways; ++i) {
+      this->AddNarrowGateway();
+    }
+    REQUIRE(this->Until([this] {
+      return std::ranges::all_of(
+        this->gateways, [](const auto& aOne) { return aOne->Ready().ok(); });
+    }));
+  }
+
+  Gateway& AddNarrowGateway()
+  {
+    this->links.push_back(std::make_unique<NarrowLink>(
+      *this->loop, this->store->Address(), kBytesPerSecond));
+    this->storeRelay = this->links.back()->Address();
+    return this->AddGateway(fmt::format("g{}", this->links.size()));
+  }
+
+  void PutMany(int aVersion) const
+  {
+    this->PutConfiguration(aVersion, 2000, kManyRoutes);
+  }
+
+  bool AllHave(int aVersion) const
+  {
+    const std::string text = fmt::format("\"routes_version\" : {},", aVersion);
+    return std::ranges::all_of(this->gateways, [&](const auto& aOne) {
+      return aOne->Statusz().find(text) != std::string::npos;
+    });
+  }
+
+  void Pass(Duration aTime) const
+  {
+    this->Until([] { return false; }, aTime);
+  }
+
+  std::vector<std::unique_ptr<NarrowLink>> links;
+};
+
+/// One read of kManyRoutes that is lost midway and one that is whole take about
+/// 3 s over such a link.
+constexpr Duration kInForceWithin = seconds(5);
+
+} // namespace
+
+// Gateways never apply a configuration whose read outlasts the limit of a call.
+TEST_CASE("a large configuration arrives though its first read is cut",
+          "[narrow]")
+{
+  NarrowSite site(4);
+  site.PutMany(2);
+  site.Pass(milliseconds(300));
+  for (const auto& link : site.links) {
+    link->Reset();
+  }
+  CHECK(site.Until([&] { return site.AllHave(2); }, kInForceWithin));
+}
+
+// A gateway is never ready beside a configuration that it can't read in time.
+TEST_CASE("a gateway starts beside a large configuration", "[narrow]")
+{
+  NarrowSite site(0);
+  site.PutMany(2);
+  Gateway& gateway = site.AddNarrowGateway();
+  CHECK(site.Until([&] { return gateway.Ready().ok(); }, kInForceWithin));
+  CHECK(site.AllHave(2));
+}
+
+// Each change that comes during a read delays the newest by a whole document.
+TEST_CASE("changes faster than a read leave the newest in force in time",
+          "[narrow]")
+{
+  NarrowSite site(2);
+  constexpr int kLast = 9;
+  for (int version = 2; version <= kLast; ++version) {
+    site.PutMany(version);
+    site.Pass(milliseconds(200));
+  }
+  CHECK(site.Until([&] { return site.AllHave(kLast); }, kInForceWithin));
+}
+
+// A link that falls silent in the midst of an answer holds a gateway up for
+// good.
+TEST_CASE("an answer that stands still is given up for another gateway's copy",
+          "[narrow]")
+{
+  NarrowSite site(2);
+  site.PutMany(2);
+  site.Pass(milliseconds(300));
+  site.links[0]->SetSilent(true);
+  CHECK(site.Until([&] { return site.AllHave(2); }, kInForceWithin));
+}
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -2,6 +2,7 @@
 #define DOGWOODVALE_TEST_SUPPORT_PLATFORMSITE_H
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,7 +54,10 @@
 
   /// Routes /stream/ (resumable), /once/ (may not be repeated), /again/ (may),
   /// /read/stream/ (names its prompts).
-  void PutConfiguration(int aVersion, int aTimeoutMillis = 2000) const
+  /// \param aMoreRoutes routes /more-1/ and so on, as /again/.
+  void PutConfiguration(int aVersion,
+                        int aTimeoutMillis = 2000,
+                        int aMoreRoutes = 0) const
   {
     const auto route = [&](const char* aPrefix,
                            const char* aKind,
@@ -72,10 +76,15 @@
         aResume,
         aPrompts);
     };
+    std::string more;
+    for (int i = 1; i <= aMoreRoutes; ++i) {
+      const std::string prefix = fmt::format("/more-{}/", i);
+      more += "," + route(prefix.c_str(), "idempotent", 2, false);
+    }
     this->store->Put(
       "op/config",
       fmt::format(
-        R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"s",)"
+        R"({{"version":{},"routes":[{},{},{},{},{}{}],"services":[{{"name":"s",)"
         R"("healthPath":"/health","maxConnections":16}}],)"
         R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}},)"
@@ -85,7 +94,8 @@
         route("/note/stream/", "streaming", 1, false),
         route("/once/", "non_idempotent", 2, false),
         route("/again/", "idempotent", 2, false),
-        route("/read/stream/", "streaming", 1, false, true)));
+        route("/read/stream/", "streaming", 1, false, true),
+        more));
   }
 
   Gateway& AddGateway(const std::string& aName)
@@ -98,7 +108,8 @@
     settings.peers = { "127.0.0.1", this->peerPorts.back().Port() };
     settings.operators = { "127.0.0.1", 0 };
     settings.peerSecret = "a secret of the test's own";
-    settings.platform.store = { this->store->Address() };
+    settings.platform.store = { this->storeRelay.value_or(
+      this->store->Address()) };
     settings.platform.storeTimeout = milliseconds(300);
     settings.gateway.callers = { "127.0.0.1", 0 };
     settings.gateway.instanceDrain = milliseconds(300);
@@ -162,6 +173,8 @@
 
   /// Given to gateways that start from now on.
   Duration quarantine = seconds(600);
+  /// Where they reach the store, if not directly.
+  std::optional<SocketAddress> storeRelay;
   GatewayDecisions decisions;
   DutySettings duties;
   std::unique_ptr<EventLoop> loop = *EventLoop::Create();
