Give up a transfer for standing still, not for its age

Callers saw 404 on a route of the newest configuration for as long as traffic went on: behind a link of 10 Mbit/s a gateway that had lost its watch never applied a large configuration. One call to the store had 1,000 ms and a fetch from another gateway 800 ms, whatever their size; 1.08 MB take longer there. What lost the watch was the process itself: a stall of its loop was taken for a suspension, after which everything was read anew.

A transfer now goes on while it brings 4 kB in each of these spans (TransferLimit; calls to the store, and HttpExchange, which the list client, the tool and engine orders use too). After a suspension the watch is armed anew instead of everything being read.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -60,14 +60,16 @@
 void
 DirectoryKeeper::Start()
 {
-  this->Refresh();
+  this->watch = this->store.Watch(this->format.RoutesPrefix(), *this);
+  this->ReadInstances();
   this->roster.Start();
 }
 
 void
 DirectoryKeeper::Refresh()
 {
-  this->watch = this->store.Watch(this->format.RoutesPrefix(), *this);
+  this->watch->Rearm();
+  // Begun before, it would be taken for fresh when it ends.
   this->instancesCall.reset();
   this->ReadInstances();
 }
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -48,7 +48,7 @@
                   DirectoryObserver& aObserver);
 
   void Start();
-  /// Reads everything anew, e.g. after the process was suspended.
+  /// Asks the store anew, e.g. after the process was suspended.
   void Refresh();
   /// Ends this gateway's own entry.
   void Leave();
--- a/dogwoodvale/src/Store/HttpExchange.cpp
+++ b/dogwoodvale/src/Store/HttpExchange.cpp
@@ -24,7 +24,7 @@
     , onDone(std::move(aOnDone))
     , timeout(aCall.timeout)
     , deliver(aLoop, [this] { this->Deliver(); })
-    , deadline(aLoop, [this] { this->GiveUp(); })
+    , deadline(aLoop, [this] { this->OnDeadline(); })
   {
     this->deadline.StartOnce(this->timeout);
     this->Send(aLoop, aCall);
@@ -83,8 +83,10 @@
   {
     // evhttp fills the buffer only once connected, so that a refused
     // connection never gets here and surely had no effect.
+    auto* self = static_cast<EvhttpExchange*>(aSelf);
+    self->moved += aInfo->n_deleted;
     if (aInfo->n_deleted > 0) {
-      static_cast<EvhttpExchange*>(aSelf)->answer.written = true;
+      self->answer.written = true;
     }
   }
 
@@ -92,7 +94,9 @@
                       const evbuffer_cb_info* aInfo,
                       void* aSelf)
   {
-    static_cast<EvhttpExchange*>(aSelf)->answer.received += aInfo->n_added;
+    auto* self = static_cast<EvhttpExchange*>(aSelf);
+    self->answer.received += aInfo->n_added;
+    self->moved += aInfo->n_added;
   }
 
   static void OnChunk(evhttp_request* aRequest, void* aSelf)
@@ -135,8 +139,14 @@
     this->Finish();
   }
 
-  void GiveUp()
+  void OnDeadline()
   {
+    // A stream's deadline starts anew with each part.
+    const bool goesOn = !this->onPart && this->limit.Check(this->moved);
+    if (goesOn) {
+      this->deadline.StartOnce(this->timeout);
+      return;
+    }
     this->Close();
     this->answer.status = absl::DeadlineExceededError("no answer in time");
     this->Finish();
@@ -192,6 +202,9 @@
   Timer deadline;
   evhttp_connection* connection = nullptr;
   HttpAnswer answer;
+  TransferLimit limit;
+  /// Bytes sent and received.
+  std::size_t moved = 0;
   std::string part;
   bool isDone = false;
 };
--- a/dogwoodvale/src/Store/HttpExchange.h
+++ b/dogwoodvale/src/Store/HttpExchange.h
@@ -31,8 +31,9 @@
   std::string method = "GET";
   std::string path;
   std::string body;
-  /// For the whole exchange; of a streamed answer, for the silence between its
-  /// parts.
+  /// For each stretch of the exchange in which less than
+  /// TransferLimit::kLeastBytes are sent and received; of a streamed answer,
+  /// for the silence between its parts.
   Duration timeout = seconds(1);
   std::size_t maxBodyBytes = 64U << 20U;
 };
--- a/dogwoodvale/src/Store/HttpStoreWatch.h
+++ b/dogwoodvale/src/Store/HttpStoreWatch.h
@@ -23,6 +23,8 @@
                  std::string aPrefix,
                  StoreWatchHandler& aHandler);
 
+  void Rearm() override { this->Read(); }
+
 private:
   void Read();
   void Arm(Revision aFrom);
--- a/dogwoodvale/src/Store/StoreClient.h
+++ b/dogwoodvale/src/Store/StoreClient.h
@@ -43,6 +43,10 @@
 {
 public:
   virtual ~StoreWatch() = default;
+  /// Asks anew on a fresh connection, e.g. after the process stood still, when
+  /// the old one may be dead without a word. An answer that is coming in is
+  /// left to come.
+  virtual void Rearm() = 0;
 };
 
 /// The platform's key-value store.
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -203,6 +203,8 @@
     Watcher(const Watcher&) = delete;
     Watcher& operator=(const Watcher&) = delete;
 
+    void Rearm() override { this->timer.StartOnce(this->store.latency); }
+
     void Snapshot()
     {
       if (this->store.mode == Mode::Down) {
