--- a/dogwoodvale/src/Configuration/RouteTable.cpp
+++ b/dogwoodvale/src/Configuration/RouteTable.cpp
@@ -1,6 +1,7 @@
 #include "RouteTable.h"
 
 #include <algorithm>
+#include <set>
 
 #include <absl/strings/ascii.h>
 
@@ -93,18 +94,28 @@
 void
 RouteTable::RankTiers()
 {
+  // Routes and customers are many, their tiers few.
+  std::set<Tier> ofCustomers;
+  for (const KeyedCustomer& customer : this->parts.customers) {
+    if (customer.tier) {
+      ofCustomers.insert(*customer.tier);
+    }
+  }
+  absl::flat_hash_map<ServiceName, std::set<Tier>> ofRoutes;
   for (const HostRoute& route : this->parts.routes) {
     for (const WeightedService& target : route.services) {
-      auto& pairs = this->ranks[target.service];
-      pairs.emplace_back(route.tier, route.tier);
-      for (const KeyedCustomer& customer : this->parts.customers) {
-        pairs.emplace_back(route.tier, customer.tier.value_or(route.tier));
-      }
+      ofRoutes[target.service].insert(route.tier);
     }
   }
-  for (auto& [service, pairs] : this->ranks) {
-    std::ranges::sort(pairs);
-    pairs.erase(std::unique(pairs.begin(), pairs.end()), pairs.end());
+  for (const auto& [service, tiers] : ofRoutes) {
+    std::set<std::pair<Tier, Tier>> pairs;
+    for (const Tier tier : tiers) {
+      pairs.emplace(tier, tier);
+      for (const Tier own : ofCustomers) {
+        pairs.emplace(tier, own);
+      }
+    }
+    this->ranks[service].assign(pairs.begin(), pairs.end());
   }
 }
 
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -130,8 +130,13 @@
 DirectoryKeeper::TakeRoutes(std::string_view aDocument, std::string_view aFrom)
 {
   this->routesBytesRead += aDocument.size();
+  if (aDocument == this->routesDocument) {
+    return false;
+  }
   const TimePoint begun = Now();
-  auto parsed = this->format.ParseRoutes(aDocument);
+  // A store that comes back with older data, or a gateway that is behind, must
+  // not undo a change: only a higher version is taken.
+  auto parsed = this->format.ParseRoutes(aDocument, this->Version());
   const auto parseMillis = Between(begun, Now()).count() / kMicrosPerMilli;
   if (!parsed.ok()) {
     Log(LogLevel::Error,
@@ -142,13 +147,9 @@
         MessageOf(parsed.status()));
     return false;
   }
-  // A store that comes back with older data, or a gateway that is behind, must
-  // not undo a change: only a higher version is taken.
-  if ((*parsed)->Version() <= this->Version()) {
+  if (*parsed == nullptr) {
     Log(LogLevel::Info,
         "routes_not_newer",
-        "version",
-        (*parsed)->Version(),
         "in_force",
         this->Version(),
         "from",
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -56,8 +56,11 @@
   virtual std::string RoutesPrefix() const = 0;
   /// Prefix of the keys of backend servers, one key each.
   virtual std::string InstancesPrefix() const = 0;
+  /// \return null for a version that is not above \p aInForce; the rest of it
+  /// is not read then.
   virtual absl::StatusOr<std::shared_ptr<const RouteTable>> ParseRoutes(
-    std::string_view aValue) const = 0;
+    std::string_view aValue,
+    Epoch aInForce) const = 0;
   /// \return an error for an entry that names no server to use, e.g. one that
   /// something else has written there.
   virtual absl::StatusOr<DirectInstance> ParseInstance(
--- a/test/DirectoryKeeper.cpp
+++ b/test/DirectoryKeeper.cpp
@@ -15,10 +15,14 @@
   std::string RoutesPrefix() const override { return "routes"; }
   std::string InstancesPrefix() const override { return "instances/"; }
   absl::StatusOr<std::shared_ptr<const RouteTable>> ParseRoutes(
-    std::string_view aValue) const override
+    std::string_view aValue,
+    Epoch aInForce) const override
   {
     RouteTableParts parts;
     parts.version = std::strtoull(std::string(aValue).c_str(), nullptr, 10);
+    if (parts.version != 0 && parts.version <= aInForce) {
+      return nullptr;
+    }
     return RouteTable::Create(parts);
   }
   absl::StatusOr<DirectInstance> ParseInstance(
--- a/test/PlatformAdapter.cpp
+++ b/test/PlatformAdapter.cpp
@@ -285,15 +285,16 @@
 TEST_CASE("a wrong configuration is named, not taken", "[directory]")
 {
   const auto format = platform::CreateDirectoryFormat();
-  CHECK_FALSE(format->ParseRoutes("{").ok());
-  CHECK_FALSE(format->ParseRoutes("[]").ok());
-  CHECK_FALSE(format->ParseRoutes(R"({"version":"x"})").ok());
-  CHECK_FALSE(format->ParseRoutes(R"({"version":1,"routes":[7]})").ok());
+  CHECK_FALSE(format->ParseRoutes("{", 0).ok());
+  CHECK_FALSE(format->ParseRoutes("[]", 0).ok());
+  CHECK_FALSE(format->ParseRoutes(R"({"version":"x"})", 0).ok());
+  CHECK_FALSE(format->ParseRoutes(R"({"version":1,"routes":[7]})", 0).ok());
   const auto split = format->ParseRoutes(
     R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
     R"("kind":"streaming","timeoutMs":10.5,"maxAttempts":2,)"
     R"("trafficSplit":[{"service":"a","weight":90},)"
-    R"({"service":"b","weight":10}]}]})");
+    R"({"service":"b","weight":10}]}]})",
+    0);
   REQUIRE(split.ok());
   const HostRoute* route = (*split)->FindRoute("h", "/p/x");
   REQUIRE(route != nullptr);
@@ -423,7 +424,7 @@
     }
   }));
   REQUIRE(rc::check([&] {
-    const auto read = format->ParseRoutes(mutated(routes));
+    const auto read = format->ParseRoutes(mutated(routes), 0);
     if (read.ok()) {
       RC_ASSERT((*read)->RouteCount() <= 1U);
     }
