Refuse as not run what an outdated configuration does not know

A gateway that had heard of a newer configuration answered 404 and 401 from its own, which callers do not repeat. It answers 503, not run, with Retry-After until it has that version or nobody tells of it any more. Routes and keys that it knows are served as before. The test is red without the change (404).

--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -50,6 +50,17 @@
 
 } // namespace
 
+RequestError
+RefusalWhileBehind(const RequestError& aError)
+{
+  const bool mayBeOutdated = aError.code == ErrorCode::UnknownRoute ||
+                             aError.code == ErrorCode::Unauthorized;
+  return mayBeOutdated ? Refusal(ErrorCode::NotReady,
+                                 "a newer configuration is on its way",
+                                 kConfigurationSoon)
+                       : aError;
+}
+
 std::variant<AdmittedRequest, RequestError>
 AdmitRequest(const HttpRequest& aRequest,
              CallerEnvelope aEnvelope,
--- a/dogwoodvale/src/Gateway/Admission.h
+++ b/dogwoodvale/src/Gateway/Admission.h
@@ -39,6 +39,11 @@
              BackendPool& aPool,
              std::mt19937_64& aRandom);
 
+/// What a gateway answers that knows of a newer configuration than its own: a
+/// route or a key that it lacks may be there by now.
+RequestError
+RefusalWhileBehind(const RequestError& aError);
+
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -192,7 +192,9 @@
                              this->pool,
                              this->random);
   if (const auto* error = std::get_if<RequestError>(&result)) {
-    this->Refuse(*aExchange, *error, id);
+    const bool isBehind = this->catchUp.IsBehind(Now());
+    this->Refuse(
+      *aExchange, isBehind ? RefusalWhileBehind(*error) : *error, id);
     return;
   }
   auto& admitted = std::get<AdmittedRequest>(result);
--- a/test/ConfigurationOverNarrowLinks.cpp
+++ b/test/ConfigurationOverNarrowLinks.cpp
@@ -109,6 +109,32 @@
   CHECK(site.Until([&] { return site.AllHave(2); }, kInForceWithin));
 }
 
+// A caller is told that a route does not exist which the newest configuration
+// has.
+TEST_CASE("a gateway that knows of a newer configuration denies no route",
+          "[narrow]")
+{
+  PlatformSite site(1);
+  Gateway& gateway = site.ReadyGateway();
+  CHECK(site.Ask(gateway, "/new/x", "a-1").starts_with("HTTP/1.1 404"));
+  PeerDigest digest;
+  digest.gateway = InstanceName("g2");
+  digest.incarnation = 1;
+  digest.sequence = 1;
+  digest.routesVersion = 2;
+  gateway.OnDigest(digest, { "127.0.0.1", 9 });
+  const std::string refused = site.Ask(gateway, "/new/x", "a-2");
+  CHECK(refused.starts_with("HTTP/1.1 503"));
+  CHECK(refused.find("Retry-After: ") != std::string::npos);
+  CHECK(site.Ask(gateway, "/again/x", "a-3").starts_with("HTTP/1.1 200"));
+  site.PutConfiguration(2);
+  CHECK(site.Until([&] {
+    return gateway.Statusz().find("\"routes_version\" : 2,") !=
+           std::string::npos;
+  }));
+  CHECK(site.Ask(gateway, "/new/x", "a-4").starts_with("HTTP/1.1 404"));
+}
+
 // Others draw a large configuration whole from the few that have it.
 TEST_CASE("gateways hand on the configuration compressed", "[narrow]")
 {
