Keep what a peer sends after it was given up

An entry or a sidecar gives a peer 1,500 ms for an answer of up to 4 MB and then dropped it when it came, so that over a narrow link no answer ever counted. Pages are named by their hash: what comes late is kept, and the next request asks for the rest. The test is red without the change (epoch 0 instead of 3).

--- a/dogwoodvale/src/Store/ConfigurationKeeper.cpp
+++ b/dogwoodvale/src/Store/ConfigurationKeeper.cpp
@@ -237,6 +237,13 @@
   const absl::StatusOr<ConfigurationBundle>& aAnswer)
 {
   if (aPeer.IsEmpty() || aPeer != this->asked) {
+    // On a narrow link each answer may outlast the time after which another
+    // peer is asked. What came is kept, so that the next has less to bring.
+    if (aAnswer.ok() && !aAnswer->root.empty() &&
+        this->state.Propose(aAnswer->root).ok()) {
+      this->state.AddPages(aAnswer->pages);
+      this->Settle();
+    }
     return;
   }
   if (!aAnswer.ok() || aAnswer->root.empty()) {
--- a/test/ConfigurationKeeper.cpp
+++ b/test/ConfigurationKeeper.cpp
@@ -471,6 +471,36 @@
   CHECK(peers.tries == 2);
 }
 
+// Over a narrow link each peer is given up shortly before its answer is whole,
+// and a configuration never comes into force.
+TEST_CASE("an answer that comes after its peer was given up counts")
+{
+  const auto loop = *EventLoop::Create();
+  struct Peers : PeerFetch
+  {
+    bool Fetch(const InstanceName& aPeer, const ConfigurationRequest&) override
+    {
+      this->asked.push_back(aPeer);
+      return true;
+    }
+    std::vector<InstanceName> asked;
+  } peers;
+  KeeperOptions options;
+  options.fetchTimeout = milliseconds(20);
+  options.askAgain = seconds(10);
+  Process process(*loop, options, nullptr, peers);
+  const Change change = MakeChange(3);
+  const std::string hash = Sha256Hex(change.root);
+  process.keeper.OnPeerEpoch(InstanceName("e1"), 3, hash, std::nullopt);
+  process.keeper.OnPeerEpoch(InstanceName("e2"), 3, hash, std::nullopt);
+  REQUIRE(loop->RunUntil([&] { return peers.asked.size() == 2; }, seconds(2)));
+  ConfigurationBundle bundle;
+  bundle.root = change.root;
+  bundle.pages = change.pages;
+  process.keeper.OnFetched(peers.asked.front(), bundle);
+  CHECK(process.highest == 3);
+}
+
 TEST_CASE("a bad change is reported, and the next good one taken")
 {
   Site site(4);
