Let the tool wait for a large answer that makes progress

Found while looking for the incident's cause elsewhere: dogwoodvalectl ended its wait for a configuration one second after the limit of a call, while the client below it goes on as long as bytes come. The client's own end counts now; the tool's wait ends after ten minutes in any case. No test plays a narrow link for the tool.

--- a/dogwoodvale/src/Control/FleetView.cpp
+++ b/dogwoodvale/src/Control/FleetView.cpp
@@ -180,8 +180,7 @@
   call.timeout = this->timeout;
   const auto exchange = HttpExchange::Start(
     this->loop, call, [&](const HttpAnswer& aAnswer) { answer = aAnswer; });
-  this->loop.RunUntil([&] { return answer.has_value(); },
-                      this->timeout + seconds(1));
+  this->loop.RunUntil([&] { return answer.has_value(); }, kLongestTransfer);
   if (!answer || !answer->status.ok() || answer->code != 200) {
     return MakeError(absl::StatusCode::kUnavailable,
                      "{} does not give its configuration",
--- a/dogwoodvale/src/Control/FleetView.h
+++ b/dogwoodvale/src/Control/FleetView.h
@@ -12,6 +12,10 @@
 
 namespace dogwoodvale {
 
+/// Ends the tool's wait in any case; above what a client that watches for
+/// progress needs for a large answer on a narrow link.
+inline constexpr Duration kLongestTransfer = std::chrono::minutes(10);
+
 /// What one process says of itself.
 struct ProcessStatus
 {
