--- a/test/PlatformAdapter.cpp
+++ b/test/PlatformAdapter.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/Adapters.h"
 #include "standins/MetadataStore.h"
+#include "support/NarrowLink.h"
 #include "support/ScriptedServer.h"
 
 using namespace dogwoodvale;
@@ -172,6 +173,42 @@
   CHECK(setup.Until([&] { return watcher.last == "(deleted)"; }));
 }
 
+// Each reset of a connection costs a whole read of what is watched.
+TEST_CASE("a watch that is cut goes on from its revision", "[kv]")
+{
+  StoreSetup setup;
+  constexpr std::size_t kWide = 10'000'000;
+  test::NarrowLink link(*setup.loop, setup.store->Address(), kWide);
+  const auto client =
+    *platform::CreateKvStore(*setup.loop, link.Address(), milliseconds(200));
+  Watcher watcher;
+  setup.store->Put("w", "one");
+  const auto watch = client->Watch("w", watcher);
+  REQUIRE(setup.Until([&] { return watcher.last == "one"; }));
+  setup.Until([] { return false; }, milliseconds(100));
+  link.Reset();
+  setup.store->Put("w", "two");
+  CHECK(setup.Until([&] { return watcher.last == "two"; }));
+  CHECK(watcher.losses == 1);
+  CHECK(watcher.snapshots == 1);
+}
+
+// A stall of the loop costs a whole read of what is watched.
+TEST_CASE("a watch that is armed anew goes on from its revision", "[kv]")
+{
+  StoreSetup setup;
+  Watcher watcher;
+  setup.store->Put("w", "one");
+  const auto watch = setup.client->Watch("w", watcher);
+  REQUIRE(setup.Until([&] { return watcher.last == "one"; }));
+  setup.Until([] { return false; }, milliseconds(100));
+  watch->Rearm();
+  setup.store->Put("w", "two");
+  CHECK(setup.Until([&] { return watcher.last == "two"; }));
+  CHECK(watcher.losses == 0);
+  CHECK(watcher.snapshots == 1);
+}
+
 TEST_CASE("what callers say is read, what is malformed left out", "[dialect]")
 {
   const auto dialect = platform::CreateCallerDialect();
@@ -296,6 +333,8 @@
     R"({"service":"b","weight":10}]}]})",
     0);
   REQUIRE(split.ok());
+  const auto known = format->ParseRoutes(R"({"version":3,"routes":[7]})", 3);
+  CHECK((known.ok() && *known == nullptr));
   const HostRoute* route = (*split)->FindRoute("h", "/p/x");
   REQUIRE(route != nullptr);
   CHECK(route->timeout == Duration(10'500));
