Count a gateway as behind from when it heard of the version that it lacks

A version of which nobody tells any more left its time behind: the gauge then showed seconds at the next change, and the store's answer was not awaited.

--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -144,8 +144,7 @@
   OperatorResponse response{ kHttpOk,
                              isJson ? "application/json"
                                     : "application/octet-stream",
-                             *std::move(document),
-                             "" };
+                             *std::move(document) };
   const std::string_view accepted =
     FindHeader(aRequest.headers, "accept-encoding");
   if (accepted == kCompressionName) {
--- a/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
+++ b/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
@@ -13,6 +13,9 @@
   if (aVersion == 0) {
     return;
   }
+  if (!this->IsBehind(aNow)) {
+    this->behindSince.reset();
+  }
   Teller& teller = this->tellers[aGateway];
   teller.version = aVersion;
   teller.at = aNow;
--- a/test/RoutesCatchUp.cpp
+++ b/test/RoutesCatchUp.cpp
@@ -73,6 +73,8 @@
   CHECK(setup.catchUp.IsBehind(At(100)));
   CHECK_FALSE(setup.catchUp.IsBehind(At(3001)));
   CHECK(setup.catchUp.Newest(At(3001)) == 5);
+  setup.catchUp.OnTold(kSecond, 6, At(9000));
+  CHECK(setup.catchUp.BehindFor(At(9100)) == milliseconds(100));
 }
 
 // The first gateway with a new version sends it to all others.
