--- a/dogwoodvale/src/Core/Clock.h
+++ b/dogwoodvale/src/Core/Clock.h
@@ -2,6 +2,7 @@
 #define DOGWOODVALE_CORE_CLOCK_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace dogwoodvale {
 
@@ -26,6 +27,13 @@
   return std::chrono::duration_cast<Duration>(aTo - aFrom);
 }
 
+/// In whole milliseconds, as logs and status pages tell times.
+constexpr std::int64_t
+WholeMillis(Duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
 /// How long the machine has been suspended since its boot: time that passed for
 /// others and that the monotonic clock has not counted.
 Duration
--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr int kMicrosPerMilli = 1000;
-
 } // namespace
 
 CrashGuard::CrashGuard(EventLoop& aLoop,
@@ -183,7 +181,7 @@
       "score",
       this->ledger.ScoreOf(aRequest),
       "left_ms",
-      verdict.left.count() / kMicrosPerMilli,
+      WholeMillis(verdict.left),
       "from",
       aFrom);
   return verdict;
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr int kMicrosPerMilli = 1000;
-
 /// The same for lists with equal entries.
 std::uint64_t
 SumOf(std::span<const DirectInstance> aRead,
@@ -137,7 +135,7 @@
   // A store that comes back with older data, or a gateway that is behind, must
   // not undo a change: only a higher version is taken.
   auto parsed = this->format.ParseRoutes(aDocument, this->Version());
-  const auto parseMillis = Between(begun, Now()).count() / kMicrosPerMilli;
+  const auto parseMillis = WholeMillis(Between(begun, Now()));
   if (!parsed.ok()) {
     Log(LogLevel::Error,
         "routes_rejected",
@@ -329,7 +327,7 @@
         "reason",
         aReason,
         "last_answer_ms",
-        Between(this->lastAnswerAt, aNow).count() / 1000,
+        WholeMillis(Between(this->lastAnswerAt, aNow)),
         "keeps_missing",
         this->keepMissingUntil > aNow);
   }
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -445,7 +445,7 @@
 void
 Gateway::OnSuspended(Duration aLost)
 {
-  Log(LogLevel::Warning, "suspended", "for_ms", aLost.count() / 1000);
+  Log(LogLevel::Warning, "suspended", "for_ms", WholeMillis(aLost));
   this->pool.CloseIdleConnections();
   this->pool.Needs().OnSuspended(Now());
   this->directory->Refresh();
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -4,14 +4,6 @@
 
 namespace {
 
-constexpr int kMicrosPerMilli = 1000;
-
-Duration::rep
-Millis(Duration aTime)
-{
-  return aTime.count() / kMicrosPerMilli;
-}
-
 std::string_view
 EndOf(const GatewayOutcome& aOutcome)
 {
@@ -101,15 +93,15 @@
       "timeliness",
       TimelinessName(placement.timeliness),
       "expected_ms",
-      Millis(placement.firstToken),
+      WholeMillis(placement.firstToken),
       "first_ms",
-      Millis(outcome.firstSign),
+      WholeMillis(outcome.firstSign),
       "gap_ms",
-      Millis(outcome.longestGap),
+      WholeMillis(outcome.longestGap),
       "total_ms",
-      Millis(outcome.total),
+      WholeMillis(outcome.total),
       "list_age_ms",
-      Millis(aListAge));
+      WholeMillis(aListAge));
 }
 
 void
@@ -133,13 +125,13 @@
       "attempt",
       outcome.attempts,
       "after_ms",
-      Millis(aFailed.spent),
+      WholeMillis(aFailed.spent),
       "left_ms",
-      Millis(aFailed.left),
+      WholeMillis(aFailed.left),
       "events",
       outcome.events,
       "list_age_ms",
-      Millis(aListAge),
+      WholeMillis(aListAge),
       "next",
       aFailed.next);
 }
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -8,7 +8,6 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpForbidden = 403;
-constexpr int kMicrosPerMilli = 1000;
 
 Json::Value
 UsageStatus(const UsageDuty& aUsage)
@@ -22,7 +21,7 @@
   if (reporter.Holds()) {
     status["fencing"] = Json::Int64(reporter.Fencing());
     status["held_ms"] =
-      Json::Int64(Between(reporter.HeldSince(), now).count() / kMicrosPerMilli);
+      Json::Int64(WholeMillis(Between(reporter.HeldSince(), now)));
   }
   status["accepted"] = Json::UInt64(plan.Accepted());
   status["left_out"] = Json::UInt64(plan.LeftOut());
@@ -97,7 +96,7 @@
   status["requests"] = Json::UInt64(this->requests.size());
   status["instances"] = Json::UInt64(this->pool.Count());
   status["gateways"] = Json::UInt64(this->GatewayCount());
-  status["list_age_ms"] = Json::Int64(this->ListAge().count() / 1000);
+  status["list_age_ms"] = Json::Int64(WholeMillis(this->ListAge()));
   if (this->usage.IsOn()) {
     status["duties"]["usage"] = UsageStatus(this->usage);
   }
--- a/dogwoodvale/src/Gateway/PeerExchange.cpp
+++ b/dogwoodvale/src/Gateway/PeerExchange.cpp
@@ -17,7 +17,6 @@
 constexpr std::size_t kMaxDatagram = 60'000;
 constexpr Duration kFetchTimeout = milliseconds(800);
 constexpr int kHttpOk = 200;
-constexpr int kMicrosPerMilli = 1000;
 constexpr std::string_view kProofField = "?proof=";
 
 /// Gateways talk over IPv4, as their settings give addresses.
@@ -256,7 +255,7 @@
             "bytes",
             aAnswer.received,
             "took_ms",
-            Between(ended->startedAt, Now()).count() / kMicrosPerMilli);
+            WholeMillis(Between(ended->startedAt, Now())));
       }
       if (hasCome) {
         this->host.OnDocument(aPath, aAnswer.body, aFrom);
--- a/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
+++ b/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
@@ -93,12 +93,12 @@
 
 void
 RoutesCatchUp::OnAnswer(const SocketAddress& aGateway,
-                        bool aCame,
+                        bool aTaken,
                         TimePoint aNow)
 {
   this->isAsking = false;
   const auto found = this->tellers.find(aGateway);
-  if (!aCame && found != this->tellers.end()) {
+  if (!aTaken && found != this->tellers.end()) {
     found->second.avoidedUntil = aNow + kAvoidFor;
   }
 }
--- a/dogwoodvale/src/Gateway/RoutesCatchUp.h
+++ b/dogwoodvale/src/Gateway/RoutesCatchUp.h
@@ -27,8 +27,8 @@
   /// \return whom to ask now, if anybody; until OnAsked() it may be drawn anew.
   std::optional<SocketAddress> Next(TimePoint aNow, std::mt19937_64& aRandom);
   void OnAsked() { this->isAsking = true; }
-  /// What was asked for came, or did not.
-  void OnAnswer(const SocketAddress& aGateway, bool aCame, TimePoint aNow);
+  /// \param aTaken whether a copy came that took effect.
+  void OnAnswer(const SocketAddress& aGateway, bool aTaken, TimePoint aNow);
 
   /// The newest version that a gateway told of lately, or what is in force.
   Epoch Newest(TimePoint aNow) const;
@@ -41,7 +41,7 @@
 
   /// The store's own answer to a watch that stands is awaited for this long.
   static constexpr Duration kStoreFirst = milliseconds(300);
-  /// A gateway that did not answer is not asked again for this long.
+  /// A gateway whose answer brought nothing is not asked again for this long.
   static constexpr Duration kAvoidFor = seconds(1);
   /// What a gateway told counts for this long after its last digest.
   static constexpr Duration kWordLife = seconds(3);
--- a/dogwoodvale/src/Gateway/ServerNeeds.cpp
+++ b/dogwoodvale/src/Gateway/ServerNeeds.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr int kMicrosPerMilli = 1000;
 /// For a read of the roster that is answered late.
 constexpr Duration kRosterSlack = seconds(1);
 
@@ -30,7 +29,7 @@
       "before",
       aChange.before.value_or(0),
       "before_for_ms",
-      aChange.lasted.count() / kMicrosPerMilli,
+      WholeMillis(aChange.lasted),
       "from",
       aFrom,
       "age_ms",
@@ -60,7 +59,7 @@
       "instance",
       aServer.Value(),
       "for_ms",
-      aRest.count() / kMicrosPerMilli);
+      WholeMillis(aRest));
 }
 
 } // namespace
--- a/dogwoodvale/src/Gateway/WarmStart.cpp
+++ b/dogwoodvale/src/Gateway/WarmStart.cpp
@@ -94,7 +94,7 @@
       "caches",
       state->caches.size(),
       "since_start_ms",
-      Between(this->startedAt, now).count() / 1000);
+      WholeMillis(Between(this->startedAt, now)));
   this->hasDocument = this->hasDocument || aFrom != "store";
   this->directory.Roster().TakeHints(state->gateways, now);
   this->directory.TakeHints(state->instances, now);
--- a/dogwoodvale/src/Peer/Http2Control.cpp
+++ b/dogwoodvale/src/Peer/Http2Control.cpp
@@ -173,7 +173,7 @@
   if (now - this->lastReceived >= this->SilenceBound()) {
     this->Close(MakeError(absl::StatusCode::kDeadlineExceeded,
                           "the peer was silent for {} ms",
-                          Between(this->lastReceived, now).count() / 1000));
+                          WholeMillis(Between(this->lastReceived, now))));
     return;
   }
   if (now - this->lastSent >= this->HeartbeatPeriod()) {
--- a/test/RawSockets.h
+++ b/test/RawSockets.h
@@ -14,6 +14,17 @@
 
 namespace dogwoodvale::test {
 
+/// \param aPort 0 for any that is free.
+inline sockaddr_in
+Loopback(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
 /// A bare TCP end on loopback, so that a test decides every byte.
 class RawSocket
 {
@@ -144,15 +155,6 @@
   bool wasReset = false;
 
 private:
-  static sockaddr_in Loopback(std::uint16_t aPort)
-  {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(aPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-  }
-
   int descriptor;
 };
 
--- a/test/support/NarrowLink.h
+++ b/test/support/NarrowLink.h
@@ -157,15 +157,6 @@
     std::unique_ptr<bufferevent, Free> far;
   };
 
-  static sockaddr_in Loopback(std::uint16_t aPort)
-  {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(aPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-  }
-
   void Accept(evutil_socket_t aSocket)
   {
     this->relays.push_back(std::make_unique<Relay>(*this, aSocket));
