Split the routes from the keeper of the list of servers

No behaviour changes: the tests of both, of the gateway, of narrow links, eras and warm starts pass.

--- a/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.cpp
@@ -44,6 +44,11 @@
   , format(aFormat)
   , options(std::move(aOptions))
   , observer(aObserver)
+  , routes(aStore,
+           aFormat,
+           [this](std::shared_ptr<const RouteTable> aRoutes) {
+             this->observer.OnRoutes(std::move(aRoutes));
+           })
   , instancesTimer(aLoop, [this] { this->ReadWhereDue(); })
   , roster(aLoop,
            aStore,
@@ -58,7 +63,7 @@
 void
 DirectoryKeeper::Start()
 {
-  this->watch = this->store.Watch(this->format.RoutesPrefix(), *this);
+  this->routes.Start();
   this->ReadInstances();
   this->roster.Start();
 }
@@ -66,126 +71,12 @@
 void
 DirectoryKeeper::Refresh()
 {
-  this->watch->Rearm();
+  this->routes.Rearm();
   // Begun before, it would be taken for fresh when it ends.
   this->instancesCall.reset();
   this->ReadInstances();
 }
 
-// Routes.
-
-void
-DirectoryKeeper::OnSnapshot(Revision /*aRevision*/,
-                            std::span<const KeyValue> aValues)
-{
-  this->OnContact();
-  for (const KeyValue& value : aValues) {
-    this->OnRoutesValue(value);
-  }
-}
-
-void
-DirectoryKeeper::OnChanges(Revision /*aRevision*/,
-                           std::span<const StoreChange> aChanges)
-{
-  this->OnContact();
-  for (const StoreChange& change : aChanges) {
-    if (change.kind == StoreChange::Kind::Put) {
-      this->OnRoutesValue(change.value);
-    }
-  }
-}
-
-void
-DirectoryKeeper::OnContact()
-{
-  this->routesHeardAt = Now();
-  if (!std::exchange(this->isWatching, true)) {
-    Log(LogLevel::Info, "routes_watch_regained", "version", this->Version());
-  }
-}
-
-void
-DirectoryKeeper::OnLost(const absl::Status& aReason)
-{
-  if (std::exchange(this->isWatching, false)) {
-    Log(LogLevel::Warning,
-        "routes_watch_lost",
-        "reason",
-        MessageOf(aReason),
-        "version",
-        this->Version());
-  }
-}
-
-void
-DirectoryKeeper::OnRoutesValue(const KeyValue& aValue)
-{
-  this->TakeRoutes(aValue.value, "store");
-}
-
-bool
-DirectoryKeeper::TakeRoutes(std::string_view aDocument, std::string_view aFrom)
-{
-  this->routesBytesRead += aDocument.size();
-  if (aDocument == this->routesDocument) {
-    return false;
-  }
-  const TimePoint begun = Now();
-  // A store that comes back with older data, or a gateway that is behind, must
-  // not undo a change: only a higher version is taken.
-  auto parsed = this->format.ParseRoutes(aDocument, this->Version());
-  const auto parseMillis = WholeMillis(Between(begun, Now()));
-  if (!parsed.ok()) {
-    Log(LogLevel::Error,
-        "routes_rejected",
-        "from",
-        aFrom,
-        "reason",
-        MessageOf(parsed.status()));
-    return false;
-  }
-  if (*parsed == nullptr) {
-    Log(LogLevel::Info,
-        "routes_not_newer",
-        "in_force",
-        this->Version(),
-        "from",
-        aFrom,
-        "bytes",
-        aDocument.size(),
-        "parse_ms",
-        parseMillis);
-    return false;
-  }
-  Log(LogLevel::Info,
-      "routes_in_force",
-      "version",
-      (*parsed)->Version(),
-      "before",
-      this->Version(),
-      "from",
-      aFrom,
-      "routes",
-      (*parsed)->RouteCount(),
-      "bytes",
-      aDocument.size(),
-      "parse_ms",
-      parseMillis);
-  this->routes = *std::move(parsed);
-  this->routesDocument = aDocument;
-  this->observer.OnRoutes(this->routes);
-  return true;
-}
-
-Duration
-DirectoryKeeper::RoutesAge(TimePoint aNow) const
-{
-  return Between(this->routesHeardAt, aNow);
-}
-
-// Backend servers.
-
 Duration
 DirectoryKeeper::UntilDue(TimePoint aNow) const
 {
--- a/dogwoodvale/src/Gateway/DirectoryKeeper.h
+++ b/dogwoodvale/src/Gateway/DirectoryKeeper.h
@@ -10,6 +10,7 @@
 #include "Incarnations.h"
 #include "PeerDigest.h"
 #include "Ports.h"
+#include "RoutesKeeper.h"
 
 namespace dogwoodvale {
 
@@ -24,12 +25,12 @@
   virtual void OnGateways(std::span<const GatewayMember> aGateways) = 0;
 };
 
-/// Keeps what the store tells: routes (watched), backend servers (read at a
-/// pace), and the gateways themselves, see GatewayRoster.
+/// Keeps what the store tells: routes (watched, see RoutesKeeper), backend
+/// servers (read at a pace), and the gateways themselves, see GatewayRoster.
 ///
 /// Backend servers are read and not watched: each of them writes a heartbeat
 /// every second or so, and a watch would return for each one.
-class DirectoryKeeper final : public StoreWatchHandler
+class DirectoryKeeper
 {
 public:
   struct Options
@@ -53,9 +54,6 @@
   /// Ends this gateway's own entry.
   void Leave();
 
-  /// Offers routes that another gateway had from the store.
-  /// \return whether they were taken.
-  bool TakeRoutes(std::string_view aDocument, std::string_view aFrom);
   /// Takes another gateway's list, if it is newer than this one's.
   void TakeInstances(std::string_view aDocument, std::string_view aFrom);
   /// Another gateway has this list from the store. Where it is this one's too,
@@ -76,37 +74,19 @@
   GatewayRoster& Roster() { return this->roster; }
   std::vector<DirectInstance> Listed() const;
 
-  /// Of routes that the store and other gateways told, taken or not.
-  std::uint64_t RoutesBytesRead() const { return this->routesBytesRead; }
-  /// Whether the store's watch of the routes stands, as far as is known.
-  bool IsWatchingRoutes() const { return this->isWatching; }
-  Epoch Version() const { return this->routes ? this->routes->Version() : 0; }
-  const std::shared_ptr<const RouteTable>& Routes() const
-  {
-    return this->routes;
-  }
+  RoutesKeeper& Routes() { return this->routes; }
+  const RoutesKeeper& Routes() const { return this->routes; }
   /// Another gateway has had the store's answers without a break for so long.
   void NoteOthersContact(Duration aContact, TimePoint aNow);
   /// For how long the store has answered without a break; zero while it does
   /// not.
   Duration StoreContact(TimePoint aNow) const;
-  /// As received, for other gateways.
-  const std::string& RoutesDocument() const { return this->routesDocument; }
   std::string InstancesDocument(TimePoint aNow) const;
   /// Since the store last answered a read of the instances.
   Duration InstancesAge(TimePoint aNow) const;
   /// Entries of backend servers that could not be read, at the last read.
   std::size_t RejectedCount() const { return this->rejected.size(); }
   bool HasInstances() const { return this->instancesReadAt != TimePoint{}; }
-  /// Since the store last gave a sign of life about the routes.
-  Duration RoutesAge(TimePoint aNow) const;
-
-  void OnSnapshot(Revision aRevision,
-                  std::span<const KeyValue> aValues) override;
-  void OnChanges(Revision aRevision,
-                 std::span<const StoreChange> aChanges) override;
-  void OnContact() override;
-  void OnLost(const absl::Status& aReason) override;
 
   /// How long after the store's return an entry that lapsed with it may be
   /// missing though its server lives.
@@ -139,7 +119,6 @@
   void AddHints(Instances& aMerged, TimePoint aNow) const;
   /// The store came back as an older copy of itself.
   void OnEra(StoreEra aEra, TimePoint aNow);
-  void OnRoutesValue(const KeyValue& aValue);
   void NoteStore(bool aAnswers, std::string_view aReason, TimePoint aNow);
   bool WasAwayForOthers(TimePoint aNow) const;
 
@@ -147,14 +126,11 @@
   const DirectoryFormat& format;
   Options options;
   DirectoryObserver& observer;
-  std::unique_ptr<StoreWatch> watch;
+  RoutesKeeper routes;
   std::unique_ptr<StoreCall> instancesCall;
   Timer instancesTimer;
   GatewayRoster roster;
   std::mt19937_64 random;
-  std::shared_ptr<const RouteTable> routes;
-  std::string routesDocument;
-  std::uint64_t routesBytesRead = 0;
   Instances instances;
   IncarnationStarts starts;
   /// Entries of the last read that name no server to use, with their values.
@@ -164,7 +140,6 @@
   Departures departures;
   /// Of the last read.
   StoreEra era = 0;
-  TimePoint routesHeardAt{};
   /// When the store was last known to have just the list that is here.
   TimePoint instancesReadAt{};
   /// When this gateway last read it from the store.
@@ -183,7 +158,6 @@
   /// The same of the gateway that has had contact longest, and when it said so.
   TimePoint othersContactSince{};
   TimePoint othersHeardAt{};
-  bool isWatching = true;
   bool storeAnswers = true;
 };
 
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -175,7 +175,8 @@
                 std::string_view aId)
 {
   this->metrics.CountRefusal(aError);
-  LogRefusal(aExchange.Request(), aError, aId, this->directory->Version());
+  LogRefusal(
+    aExchange.Request(), aError, aId, this->directory->Routes().Version());
   aExchange.Respond(HttpStatusOf(aError),
                     this->ports.callers->ErrorHeaders(aError),
                     ErrorBody(aError));
@@ -188,7 +189,7 @@
   const std::string id = envelope.attemptId;
   auto result = AdmitRequest(aExchange->Request(),
                              std::move(envelope),
-                             this->directory->Routes(),
+                             this->directory->Routes().Table(),
                              this->pool,
                              this->random);
   if (const auto* error = std::get_if<RequestError>(&result)) {
@@ -326,7 +327,7 @@
   digest.gateway = this->settings.instance;
   digest.incarnation = this->incarnation;
   digest.sequence = ++this->digestSequence;
-  digest.routesVersion = this->directory->Version();
+  digest.routesVersion = this->directory->Routes().Version();
   digest.storeContact = std::chrono::duration_cast<milliseconds>(
     this->directory->StoreContact(Now()));
   digest.work = this->pool.Work().OwnLines();
@@ -375,7 +376,7 @@
 {
   if (aPath == PeerExchange::kRoutesPath) {
     const bool isTaken =
-      this->directory->TakeRoutes(aDocument, aFrom.ToString());
+      this->directory->Routes().Take(aDocument, aFrom.ToString());
     this->catchUp.OnAnswer(aFrom, isTaken, Now());
   } else if (aPath == PeerExchange::kInstancesPath) {
     this->directory->TakeInstances(aDocument, aFrom.ToString());
@@ -398,7 +399,7 @@
 Gateway::AskForRoutes(TimePoint aNow)
 {
   const std::string path(PeerExchange::kRoutesPath);
-  this->catchUp.SetWatching(this->directory->IsWatchingRoutes());
+  this->catchUp.SetWatching(this->directory->Routes().IsWatching());
   const std::optional<SocketAddress> from =
     this->catchUp.Next(aNow, this->random);
   if (from && this->peers->Fetch(*from, path)) {
@@ -419,7 +420,8 @@
   }
   this->AskForRoutes(aNow);
   // Before the first digest nobody is known to have routes; the seeds may.
-  if (this->directory->Routes() == nullptr && !this->catchUp.IsBehind(aNow)) {
+  if (this->directory->Routes().Table() == nullptr &&
+      !this->catchUp.IsBehind(aNow)) {
     this->peers->FetchFromAny(std::string(PeerExchange::kRoutesPath),
                               this->random);
   }
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -88,8 +88,6 @@
   void Tend();
   void AskGatewaysWhereBehind(TimePoint aNow);
   void AskForRoutes(TimePoint aNow);
-  /// The routes for another gateway; they are compressed once a version.
-  const std::string& CompressedRoutes() const;
   void CheckStopped();
   void Sweep();
   void OnSuspended(Duration aLost);
@@ -113,8 +111,6 @@
   GatewayMetrics metrics;
   std::unique_ptr<DirectoryKeeper> directory;
   RoutesCatchUp catchUp;
-  /// The version that was compressed last, and what came of it.
-  mutable std::pair<Epoch, std::string> compressedRoutes;
   std::unique_ptr<WarmStart> warmStart;
   std::unique_ptr<PeerExchange> peers;
   std::unique_ptr<CallerServer> callers;
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -40,7 +40,7 @@
   if (this->stopping) {
     return absl::UnavailableError("stopping");
   }
-  if (this->directory->Routes() == nullptr) {
+  if (this->directory->Routes().Table() == nullptr) {
     return absl::UnavailableError("no configuration yet");
   }
   if (!this->directory->HasInstances()) {
@@ -65,12 +65,12 @@
   gauges.suspects = this->crashes.Ledger().SuspectCount();
   gauges.quarantined = this->crashes.Ledger().QuarantinedCount(now);
   gauges.instancesRejected = this->directory->RejectedCount();
-  gauges.version = this->directory->Version();
+  gauges.version = this->directory->Routes().Version();
   gauges.newestVersion = this->catchUp.Newest(now);
-  gauges.routesBytesRead = this->directory->RoutesBytesRead();
+  gauges.routesBytesRead = this->directory->Routes().BytesRead();
   gauges.behindFor = this->catchUp.BehindFor(now);
   gauges.listAge = this->directory->InstancesAge(now);
-  gauges.routesAge = this->directory->RoutesAge(now);
+  gauges.routesAge = this->directory->Routes().Age(now);
   if (const UsageReporter* reporter = this->usage.Reporter()) {
     gauges.holdsUsageDuty = reporter->IsActive(now);
     gauges.usageAccepted = reporter->Plan().Accepted();
@@ -90,7 +90,7 @@
   status["region"] = this->settings.region.Value();
   status["version"] = DOGWOODVALE_VERSION;
   status["incarnation"] = fmt::format("{:016x}", this->incarnation);
-  status["routes_version"] = Json::UInt64(this->directory->Version());
+  status["routes_version"] = Json::UInt64(this->directory->Routes().Version());
   status["ready"] = this->Ready().ok();
   status["stopping"] = this->stopping;
   status["requests"] = Json::UInt64(this->requests.size());
@@ -110,7 +110,7 @@
     return std::nullopt;
   }
   if (aPath == PeerExchange::kRoutesPath) {
-    const std::string& routes = this->directory->RoutesDocument();
+    const std::string& routes = this->directory->Routes().Document();
     return routes.empty() ? std::nullopt : std::optional(routes);
   }
   if (aPath == PeerExchange::kInstancesPath) {
@@ -147,22 +147,12 @@
   const std::string_view accepted =
     FindHeader(aRequest.headers, "accept-encoding");
   if (accepted == kCompressionName) {
-    response.body = path == PeerExchange::kRoutesPath ? this->CompressedRoutes()
-                                                      : Compress(response.body);
+    response.body = path == PeerExchange::kRoutesPath
+                      ? this->directory->Routes().CompressedDocument()
+                      : Compress(response.body);
     response.contentEncoding = kCompressionName;
   }
   return response;
 }
 
-const std::string&
-Gateway::CompressedRoutes() const
-{
-  auto& [version, bytes] = this->compressedRoutes;
-  if (version != this->directory->Version()) {
-    version = this->directory->Version();
-    bytes = Compress(this->directory->RoutesDocument());
-  }
-  return bytes;
-}
-
 } // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/RoutesKeeper.cpp
@@ -0,0 +1,140 @@
+#include "RoutesKeeper.h"
+
+#include <utility>
+
+namespace dogwoodvale {
+
+RoutesKeeper::RoutesKeeper(StoreClient& aStore,
+                           const DirectoryFormat& aFormat,
+                           Handler aHandler)
+  : store(aStore)
+  , format(aFormat)
+  , handler(std::move(aHandler))
+{
+}
+
+void
+RoutesKeeper::Start()
+{
+  this->watch = this->store.Watch(this->format.RoutesPrefix(), *this);
+}
+
+void
+RoutesKeeper::Rearm()
+{
+  this->watch->Rearm();
+}
+
+void
+RoutesKeeper::OnSnapshot(Revision /*aRevision*/,
+                         std::span<const KeyValue> aValues)
+{
+  this->OnContact();
+  for (const KeyValue& value : aValues) {
+    this->Take(value.value, "store");
+  }
+}
+
+void
+RoutesKeeper::OnChanges(Revision /*aRevision*/,
+                        std::span<const StoreChange> aChanges)
+{
+  this->OnContact();
+  for (const StoreChange& change : aChanges) {
+    if (change.kind == StoreChange::Kind::Put) {
+      this->Take(change.value.value, "store");
+    }
+  }
+}
+
+void
+RoutesKeeper::OnContact()
+{
+  this->heardAt = Now();
+  if (!std::exchange(this->isWatching, true)) {
+    Log(LogLevel::Info, "routes_watch_regained", "version", this->Version());
+  }
+}
+
+void
+RoutesKeeper::OnLost(const absl::Status& aReason)
+{
+  if (std::exchange(this->isWatching, false)) {
+    Log(LogLevel::Warning,
+        "routes_watch_lost",
+        "reason",
+        MessageOf(aReason),
+        "version",
+        this->Version());
+  }
+}
+
+bool
+RoutesKeeper::Take(std::string_view aDocument, std::string_view aFrom)
+{
+  this->bytesRead += aDocument.size();
+  if (aDocument == this->document) {
+    return false;
+  }
+  const TimePoint begun = Now();
+  auto parsed = this->format.ParseRoutes(aDocument, this->Version());
+  const auto parseMillis = WholeMillis(Between(begun, Now()));
+  if (!parsed.ok()) {
+    Log(LogLevel::Error,
+        "routes_rejected",
+        "from",
+        aFrom,
+        "reason",
+        MessageOf(parsed.status()));
+    return false;
+  }
+  if (*parsed == nullptr) {
+    Log(LogLevel::Info,
+        "routes_not_newer",
+        "in_force",
+        this->Version(),
+        "from",
+        aFrom,
+        "bytes",
+        aDocument.size(),
+        "parse_ms",
+        parseMillis);
+    return false;
+  }
+  Log(LogLevel::Info,
+      "routes_in_force",
+      "version",
+      (*parsed)->Version(),
+      "before",
+      this->Version(),
+      "from",
+      aFrom,
+      "routes",
+      (*parsed)->RouteCount(),
+      "bytes",
+      aDocument.size(),
+      "parse_ms",
+      parseMillis);
+  this->table = *std::move(parsed);
+  this->document = aDocument;
+  this->compressed.clear();
+  this->handler(this->table);
+  return true;
+}
+
+Duration
+RoutesKeeper::Age(TimePoint aNow) const
+{
+  return Between(this->heardAt, aNow);
+}
+
+const std::string&
+RoutesKeeper::CompressedDocument()
+{
+  if (this->compressed.empty()) {
+    this->compressed = Compress(this->document);
+  }
+  return this->compressed;
+}
+
+} // namespace dogwoodvale
--- a/test/DirectoryKeeper.cpp
+++ b/test/DirectoryKeeper.cpp
@@ -123,10 +123,10 @@
   setup.store.Write("routes", "5");
   setup.Pass(milliseconds(100));
   CHECK(setup.observer.versions == std::vector<Epoch>{ 5 });
-  CHECK_FALSE(setup.keeper.TakeRoutes("3", "g2"));
-  CHECK(setup.keeper.TakeRoutes("9", "g2"));
-  CHECK(setup.keeper.Version() == 9);
-  CHECK_FALSE(setup.keeper.TakeRoutes("0", "g2"));
+  CHECK_FALSE(setup.keeper.Routes().Take("3", "g2"));
+  CHECK(setup.keeper.Routes().Take("9", "g2"));
+  CHECK(setup.keeper.Routes().Version() == 9);
+  CHECK_FALSE(setup.keeper.Routes().Take("0", "g2"));
 }
 
 TEST_CASE("a server that leaves does not come back by an older list",
