Test the tool's reading of a large configuration over a narrow link

500 kB over 200 kB/s with a limit of 300 ms. The test's relay cut what it had not passed on yet when the far end closed; it passes that on first now.

--- a/test/Control.cpp
+++ b/test/Control.cpp
@@ -5,6 +5,7 @@
 
 #include "dogwoodvale/Control"
 #include "support/FakeStore.h"
+#include "support/NarrowLink.h"
 #include "support/ScriptedServer.h"
 
 using namespace dogwoodvale;
@@ -336,3 +337,28 @@
         ExitCode::Unreachable);
   CHECK(run({ "status", "--processes", dead }) == ExitCode::Unreachable);
 }
+
+// The tool can't repair a store from a fleet behind a narrow link: it gives up
+// each large configuration that comes in.
+TEST_CASE("a process's configuration is read whole over a narrow link")
+{
+  Site site;
+  constexpr std::size_t kBytesPerSecond = 200'000;
+  constexpr std::size_t kPageBytes = 500'000;
+  const std::string content(kPageBytes, 'x');
+  site.configuration =
+    EncodeBundle({ .epoch = 3,
+                   .root = "root",
+                   .pages = { { Sha256Hex(content), content } } });
+  test::NarrowLink link(*site.loop, site.process.Address(), kBytesPerSecond);
+  FleetView fleet(*site.loop, { link.Address() }, milliseconds(300));
+  const auto read = fleet.ReadConfiguration(link.Address());
+  REQUIRE(read.ok());
+  CHECK(read->epoch == 3);
+  CHECK(read->pages.size() == 1);
+  // An answer that stands still ends the wait all the same.
+  link.SetSilent(true);
+  const TimePoint begun = Now();
+  CHECK_FALSE(fleet.ReadConfiguration(link.Address()).ok());
+  CHECK(Between(begun, Now()) < seconds(3));
+}
--- a/test/support/NarrowLink.h
+++ b/test/support/NarrowLink.h
@@ -143,13 +143,30 @@
       bufferevent_write_buffer(isAnswer ? self->near.get() : self->far.get(),
                                input);
     }
-    static void OnEvent(bufferevent* /*aSide*/, short aWhat, void* aSelf)
+    static void OnEvent(bufferevent* aSide, short aWhat, void* aSelf)
     {
-      if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-        auto* self = static_cast<Relay*>(aSelf);
-        self->link.relays.remove_if(
-          [self](const auto& aOne) { return aOne.get() == self; });
+      if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+        return;
       }
+      auto* self = static_cast<Relay*>(aSelf);
+      bufferevent* other =
+        aSide == self->far.get() ? self->near.get() : self->far.get();
+      if (evbuffer_get_length(bufferevent_get_output(other)) == 0) {
+        self->End();
+        return;
+      }
+      // What came before the end is passed on first.
+      bufferevent_disable(aSide, EV_READ | EV_WRITE);
+      bufferevent_setcb(other, nullptr, &Relay::OnDrained, OnEvent, self);
+    }
+    static void OnDrained(bufferevent* /*aSide*/, void* aSelf)
+    {
+      static_cast<Relay*>(aSelf)->End();
+    }
+    void End()
+    {
+      this->link.relays.remove_if(
+        [this](const auto& aOne) { return aOne.get() == this; });
     }
 
     NarrowLink& link;
