Add the interfaces of reported load, decode model, rank guard and shares

Cause: two deployments have servers of uneven, changing speed and customers who compete for scarce capacity; the parts that answer this are built side by side and meet in the digests, the settings and the candidates for a request. No decision reads them yet.

--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -166,6 +166,77 @@
   MSGPACK_DEFINE_ARRAY(server, ageMillis);
 };
 
+struct PackedLoad
+{
+  std::string instance;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  /// 0 if the server does not state it.
+  double timeFactor = 0;
+  std::int64_t ageMillis = 0;
+
+  MSGPACK_DEFINE_ARRAY(instance,
+                       running,
+                       waiting,
+                       slots,
+                       timeFactor,
+                       ageMillis);
+};
+
+struct PackedResidual
+{
+  std::string instance;
+  double logRatioSum = 0;
+  double weight = 0;
+
+  MSGPACK_DEFINE_ARRAY(instance, logRatioSum, weight);
+};
+
+struct PackedDecode
+{
+  std::string service;
+  std::array<double, DecodeUpdate::kMatrixEntries> matrix{};
+  std::array<double, DecodeUpdate::kTerms> vector{};
+  double weight = 0;
+  double interactiveStreams = 0;
+  double interactiveTokens = 0;
+  double interactiveIntervals = 0;
+  double longestToMean = 0;
+  std::vector<PackedResidual> residuals;
+
+  MSGPACK_DEFINE_ARRAY(service,
+                       matrix,
+                       vector,
+                       weight,
+                       interactiveStreams,
+                       interactiveTokens,
+                       interactiveIntervals,
+                       longestToMean,
+                       residuals);
+};
+
+struct PackedRank
+{
+  std::string service;
+  std::uint32_t rank = 0;
+  std::uint32_t overdue = 0;
+  std::uint32_t lost = 0;
+  std::uint32_t begun = 0;
+
+  MSGPACK_DEFINE_ARRAY(service, rank, overdue, lost, begun);
+};
+
+struct PackedShare
+{
+  std::string service;
+  std::vector<std::pair<std::string, double>> busiest;
+  double otherUse = 0;
+  std::uint32_t otherCustomers = 0;
+
+  MSGPACK_DEFINE_ARRAY(service, busiest, otherUse, otherCustomers);
+};
+
 /// A gateway of an older version sends and reads only the leading fields that
 /// it knows.
 struct PackedDigest
@@ -188,6 +259,10 @@
   std::vector<PackedUsageUpdate> usage;
   std::vector<PackedRate> rates;
   std::vector<PackedLeaving> leaving;
+  std::vector<PackedLoad> loads;
+  std::vector<PackedDecode> decode;
+  std::vector<PackedRank> ranks;
+  std::vector<PackedShare> shares;
 
   MSGPACK_DEFINE_ARRAY(gateway,
                        incarnation,
@@ -206,7 +281,11 @@
                        isUsageReporter,
                        usage,
                        rates,
-                       leaving);
+                       leaving,
+                       loads,
+                       decode,
+                       ranks,
+                       shares);
 };
 
 void
@@ -305,6 +384,137 @@
   return rates;
 }
 
+void
+PackLoads(std::span<const LoadUpdate> aLoads, PackedDigest& aPacked)
+{
+  for (const LoadUpdate& update : aLoads) {
+    aPacked.loads.push_back({ update.instance.Value(),
+                              update.load.running,
+                              update.load.waiting,
+                              update.load.slots,
+                              update.load.timeFactor.value_or(0),
+                              update.age.count() });
+  }
+}
+
+std::vector<LoadUpdate>
+UnpackLoads(std::vector<PackedLoad>&& aPacked)
+{
+  std::vector<LoadUpdate> loads;
+  for (PackedLoad& packed : aPacked) {
+    LoadUpdate update{ InstanceName(std::move(packed.instance)),
+                       { packed.running, packed.waiting, packed.slots, {} },
+                       milliseconds(packed.ageMillis) };
+    if (packed.timeFactor > 0) {
+      update.load.timeFactor = packed.timeFactor;
+    }
+    loads.push_back(std::move(update));
+  }
+  return loads;
+}
+
+void
+PackDecode(std::span<const DecodeUpdate> aUpdates, PackedDigest& aPacked)
+{
+  for (const DecodeUpdate& update : aUpdates) {
+    PackedDecode packed{ update.service.Value(),
+                         update.matrix,
+                         update.vector,
+                         update.weight,
+                         update.interactiveStreams,
+                         update.interactiveTokens,
+                         update.interactiveIntervals,
+                         update.longestToMean,
+                         {} };
+    for (const ServerResidual& residual : update.residuals) {
+      packed.residuals.push_back(
+        { residual.instance.Value(), residual.logRatioSum, residual.weight });
+    }
+    aPacked.decode.push_back(std::move(packed));
+  }
+}
+
+std::vector<DecodeUpdate>
+UnpackDecode(std::vector<PackedDecode>&& aPacked)
+{
+  std::vector<DecodeUpdate> updates;
+  for (PackedDecode& packed : aPacked) {
+    DecodeUpdate update{ ServiceName(std::move(packed.service)),
+                         packed.matrix,
+                         packed.vector,
+                         packed.weight,
+                         packed.interactiveStreams,
+                         packed.interactiveTokens,
+                         packed.interactiveIntervals,
+                         packed.longestToMean,
+                         {} };
+    for (PackedResidual& residual : packed.residuals) {
+      update.residuals.push_back({ InstanceName(std::move(residual.instance)),
+                                   residual.logRatioSum,
+                                   residual.weight });
+    }
+    updates.push_back(std::move(update));
+  }
+  return updates;
+}
+
+void
+PackRanks(std::span<const RankUpdate> aRanks, PackedDigest& aPacked)
+{
+  for (const RankUpdate& update : aRanks) {
+    aPacked.ranks.push_back({ update.service.Value(),
+                              update.rank,
+                              update.overdue,
+                              update.lost,
+                              update.begun });
+  }
+}
+
+std::vector<RankUpdate>
+UnpackRanks(std::vector<PackedRank>&& aPacked)
+{
+  std::vector<RankUpdate> ranks;
+  for (PackedRank& packed : aPacked) {
+    ranks.push_back({ ServiceName(std::move(packed.service)),
+                      packed.rank,
+                      packed.overdue,
+                      packed.lost,
+                      packed.begun });
+  }
+  return ranks;
+}
+
+void
+PackShares(std::span<const ShareUpdate> aShares, PackedDigest& aPacked)
+{
+  for (const ShareUpdate& update : aShares) {
+    PackedShare packed{
+      update.service.Value(), {}, update.otherUse, update.otherCustomers
+    };
+    for (const CustomerUse& one : update.busiest) {
+      packed.busiest.emplace_back(one.customer.Value(), one.use);
+    }
+    aPacked.shares.push_back(std::move(packed));
+  }
+}
+
+std::vector<ShareUpdate>
+UnpackShares(std::vector<PackedShare>&& aPacked)
+{
+  std::vector<ShareUpdate> shares;
+  for (PackedShare& packed : aPacked) {
+    ShareUpdate update{ ServiceName(std::move(packed.service)),
+                        {},
+                        packed.otherUse,
+                        packed.otherCustomers };
+    for (auto& [customer, use] : packed.busiest) {
+      update.busiest.push_back({ CustomerName(std::move(customer)), use });
+    }
+    shares.push_back(std::move(update));
+  }
+  return shares;
+}
+
 } // namespace
 
 std::string
@@ -338,6 +548,10 @@
   for (const LeavingUpdate& update : aDigest.leaving) {
     toPack.leaving.push_back({ update.server.Value(), update.age.count() });
   }
+  PackLoads(aDigest.loads, toPack);
+  PackDecode(aDigest.decode, toPack);
+  PackRanks(aDigest.ranks, toPack);
+  PackShares(aDigest.shares, toPack);
   toPack.listSum = aDigest.list.checksum;
   toPack.listAgeMillis = aDigest.list.age.count();
   msgpack::sbuffer buffer;
@@ -391,6 +605,10 @@
     digest.leaving.push_back(
       { InstanceName(std::move(line.server)), milliseconds(line.ageMillis) });
   }
+  digest.loads = UnpackLoads(std::move(read.loads));
+  digest.decode = UnpackDecode(std::move(read.decode));
+  digest.ranks = UnpackRanks(std::move(read.ranks));
+  digest.shares = UnpackShares(std::move(read.shares));
   UnpackCrashes(std::move(read), digest);
   return digest;
 }
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -73,6 +73,14 @@
   std::vector<RateUpdate> rates;
   /// Backend servers that have announced their departure in an answer.
   std::vector<LeavingUpdate> leaving;
+  /// Loads that backend servers have reported to the sender.
+  std::vector<LoadUpdate> loads;
+  /// What the sender's streams show of the speed of backend servers.
+  std::vector<DecodeUpdate> decode;
+  /// Requests that go without an answer.
+  std::vector<RankUpdate> ranks;
+  /// Use of the services by customer.
+  std::vector<ShareUpdate> shares;
 };
 
 /// Serialises and authenticates a digest.
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -127,6 +127,10 @@
   /// Media type of the body; empty if not stated.
   std::string mediaType;
   BackpressureNotice notice;
+  /// The load that the server states; nothing if it states none.
+  std::optional<ServerLoad> load;
+  /// It states a load that cannot be parsed.
+  bool isLoadMalformed = false;
 };
 
 /// Writes requests to backend servers and reads the heads of their answers.
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -61,6 +61,13 @@
   /// Among the candidates, the one that should prefill a new shared part, see
   /// HomeScore().
   bool isHome = false;
+  /// Requests at the server by its own recent report and what was sent there
+  /// since; nothing without a recent report.
+  std::optional<std::uint32_t> reportedRequests;
+  /// How long work takes there, 1 being the usual time: over some seconds, and
+  /// at this moment if a recent report states it.
+  double timeFactor = 1.0;
+  std::optional<double> presentTimeFactor;
 };
 
 /// Expected cost of sending the request to the server, lower is better: for a
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -152,6 +152,11 @@
   reader.ReadBoolean("ranked_turns", aDecisions.rankedTurns);
   reader.ReadBoolean("warm_start", aDecisions.warmStart);
   reader.ReadBoolean("shared_reads", aDecisions.sharedReads);
+  reader.ReadBoolean("reported_load", aDecisions.reportedLoad);
+  reader.ReadBoolean("predicted_times", aDecisions.predictedTimes);
+  reader.ReadBoolean("rank_guard", aDecisions.rankGuard);
+  reader.ReadBoolean("customer_shares", aDecisions.customerShares);
+  reader.ReadBoolean("memory_admission", aDecisions.memoryAdmission);
   reader.Finish();
 }
 
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -114,6 +114,19 @@
   bool warmStart = true;
   /// Gateways with the same list of backend servers read it for each other.
   bool sharedReads = true;
+  /// Loads that servers report are used, see ReportedLoads.
+  bool reportedLoad = true;
+  /// Where servers state how fast they are, requests are placed by predicted
+  /// times, see DecodeModel.
+  bool predictedTimes = true;
+  /// Requests of later ranks wait while earlier ones go without an answer, see
+  /// RankGuard.
+  bool rankGuard = true;
+  /// Customers beyond their share of a service that is short of capacity are
+  /// served after the others, see CustomerShares.
+  bool customerShares = true;
+  /// A server gets no more requests than its memory holds.
+  bool memoryAdmission = true;
 };
 
 /// What one process at a time does for all, see Duties.
