--- a/dogwoodvale/src/Routing/ServerLoad.h
+++ b/dogwoodvale/src/Routing/ServerLoad.h
@@ -20,6 +20,20 @@
   std::optional<double> timeFactor;
 
   bool operator==(const ServerLoad&) const = default;
+
+  /// Whether the values are within the bounds of a report. The bound on slots
+  /// is far above any server; a time factor outside its bounds would make every
+  /// estimate that is multiplied by it useless.
+  bool IsValid() const
+  {
+    constexpr std::uint32_t kMaxSlots = 100'000;
+    constexpr double kMinTimeFactor = 0.01;
+    constexpr double kMaxTimeFactor = 100.0;
+    return this->slots >= 1 && this->slots <= kMaxSlots &&
+           this->running <= this->slots &&
+           (!this->timeFactor || (*this->timeFactor >= kMinTimeFactor &&
+                                  *this->timeFactor <= kMaxTimeFactor));
+  }
 };
 
 } // namespace dogwoodvale
