Take in, exchange and show the loads that servers report

Cause: nothing fed ReportedLoads, and an operator could not see whether the load that gateways believe in is the one that the server has. Change: BackendPool owns the reports and takes them from heads of answers and from digests, and sends its own ones; it removes them with their instance. The candidates' reportedRequests, timeFactor and presentTimeFactor are filled in; no decision reads them. `event=request` gets believed, reported and time_factor_pct; the gauges load_reports_recent, _malformed and _ignored show what was used and what was not. gateway.decisions.reported_load=false takes in and sends nothing. The stand-in engine states a load on demand.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -94,6 +94,9 @@
   member.client = *std::move(made);
   this->health.try_emplace(aInstance.service, MakeHealthSettings())
     .first->second.Add(aInstance.name);
+  if (this->options.decisions.reportedLoad) {
+    this->loads.Add(aInstance.name);
+  }
   Log(LogLevel::Info,
       "instance_added",
       "instance",
@@ -206,6 +209,7 @@
     }
     Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
     this->caches.Forget(it->first);
+    this->loads.Forget(it->first);
     this->backpressure.Forget(it->first);
     this->prefillByService[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
@@ -399,6 +403,9 @@
     if (prefill != this->prefillByService.end()) {
       candidate.recentLongTokens = prefill->second.RecentLongTokens(name, aNow);
     }
+    candidate.reportedRequests = this->loads.ReportedRequests(name, aNow);
+    candidate.timeFactor = this->loads.MeanTimeFactor(name, aNow).value_or(1.0);
+    candidate.presentTimeFactor = this->loads.PresentTimeFactor(name, aNow);
     found.push_back(std::move(candidate));
   }
   if (this->options.decisions.homeServers) {
@@ -438,6 +445,7 @@
     this->reserves[member.instance.service].OnSent(aDemand.rank);
   }
   this->backpressure.OnSent(aInstance, split, aNow);
+  this->loads.OnSent(aInstance, aNow);
   return member.client.get();
 }
 
@@ -636,10 +644,30 @@
   }
 }
 
+void
+BackendPool::OnStatedLoad(const InstanceName& aInstance,
+                          const BackendAnswer& aHead,
+                          TimePoint aNow)
+{
+  if (!this->options.decisions.reportedLoad) {
+    return;
+  }
+  if (aHead.isLoadMalformed) {
+    this->loads.OnMalformed();
+  } else if (aHead.load && aHead.wrongInstance) {
+    this->loads.OnWrongInstance();
+  } else if (aHead.load) {
+    this->loads.OnReport(aInstance, *aHead.load, aNow);
+  }
+}
+
 void
 BackendPool::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->work.SetPeer(aDigest.gateway, aDigest.work, aNow);
+  if (this->options.decisions.reportedLoad) {
+    this->loads.OnPeerReports(aDigest.loads, aNow);
+  }
   this->backpressure.ApplyDigest(
     aDigest,
     [this](const InstanceName& aName) { return this->MayUse(aName); },
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -127,6 +127,11 @@
   void OnNotice(const InstanceName& aInstance,
                 const BackpressureNotice& aNotice,
                 TimePoint aNow);
+  /// The head of one of the instance's answers arrived; takes in the load that
+  /// it states.
+  void OnStatedLoad(const InstanceName& aInstance,
+                    const BackendAnswer& aHead,
+                    TimePoint aNow);
   /// Takes in what another gateway reports about the servers.
   void ApplyDigest(const PeerDigest& aDigest, TimePoint aNow);
   /// Another instance answers at the instance's address: no more work is sent
@@ -143,6 +148,8 @@
     return this->prefillByService[aService];
   }
   WorkTable& Work() { return this->work; }
+  /// Contains no reports while GatewayDecisions::reportedLoad is off.
+  ReportedLoads& Loads() { return this->loads; }
   const CacheTracker& Caches() const { return this->caches; }
   bool HasAny() const { return !this->members.empty(); }
   std::size_t Count() const { return this->members.size(); }
@@ -218,6 +225,7 @@
   ServerBackpressure backpressure;
   std::map<ServiceName, RankReserve> reserves;
   WorkTable work;
+  ReportedLoads loads;
   CacheTracker caches;
   /// Tokens that fit into the cache of one server.
   std::map<ServiceName, std::uint64_t> cacheTokens;
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -338,6 +338,7 @@
   this->routed.clear();
   this->crashes.AddToDigest(digest);
   this->pool.Backpressure().AddToDigest(digest, Now());
+  digest.loads = this->pool.Loads().TakeUpdates(Now());
   digest.list = this->directory->List(Now());
   this->usage.AddToDigest(digest);
   return digest;
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -1,9 +1,13 @@
 #include "GatewayLog.h"
 
+#include <cmath>
+
 namespace dogwoodvale {
 
 namespace {
 
+constexpr double kPercent = 100.0;
+
 std::string_view
 EndName(const GatewayOutcome& aOutcome)
 {
@@ -88,6 +92,12 @@
       placement.prefillAhead,
       "interactive",
       admitted.demand.isInteractive,
+      "believed",
+      outcome.believedRequests,
+      "reported",
+      outcome.reportedRequests ? std::int64_t{ *outcome.reportedRequests } : -1,
+      "time_factor_pct",
+      std::llround(outcome.timeFactor * kPercent),
       "place",
       placement.priority,
       "timeliness",
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -96,6 +96,10 @@
   set("reserved_servers", static_cast<double>(aGauges.reserved));
   set("servers_resting", static_cast<double>(aGauges.backingOff));
   set("servers_rate_limited", static_cast<double>(aGauges.rateLimited));
+  set("load_reports_recent", static_cast<double>(aGauges.loadReportsRecent));
+  set("load_reports_malformed",
+      static_cast<double>(aGauges.loadReportsMalformed));
+  set("load_reports_ignored", static_cast<double>(aGauges.loadReportsIgnored));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
   set("servers_crashed", static_cast<double>(aGauges.serversCrashed));
   set("crash_suspects", static_cast<double>(aGauges.suspects));
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -21,6 +21,11 @@
   std::size_t backingOff = 0;
   /// Backend servers that limit the rate of requests.
   std::size_t rateLimited = 0;
+  /// Backend servers with a recent load report; since the start, reports that
+  /// could not be parsed, and those ignored, see ReportedLoads::IgnoredCount().
+  std::size_t loadReportsRecent = 0;
+  std::uint64_t loadReportsMalformed = 0;
+  std::uint64_t loadReportsIgnored = 0;
   /// Store entries of backend servers that could not be parsed.
   std::size_t instancesRejected = 0;
   /// Backend servers that exited with requests in flight, since the start.
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -61,6 +61,9 @@
   gauges.reserved = this->pool.ReservedCount();
   gauges.rateLimited = this->pool.Backpressure().Rates().LimitedCount();
   gauges.backingOff = this->pool.Backpressure().Backoffs().BackingOffCount(now);
+  gauges.loadReportsRecent = this->pool.Loads().RecentCount(now);
+  gauges.loadReportsMalformed = this->pool.Loads().MalformedCount();
+  gauges.loadReportsIgnored = this->pool.Loads().IgnoredCount();
   gauges.serversCrashed = this->crashes.ServersCrashed();
   gauges.suspects = this->crashes.Ledger().SuspectCount();
   gauges.quarantined = this->crashes.Ledger().QuarantinedCount(now);
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -109,6 +109,9 @@
   const DirectCandidate& server = candidates[placed->server];
   this->outcome.instance = server.name;
   this->outcome.cachedTokens = server.cachedTokens;
+  this->outcome.believedRequests = server.work.requests;
+  this->outcome.reportedRequests = server.reportedRequests;
+  this->outcome.timeFactor = server.timeFactor;
   this->outcome.placement = *placed;
   if (placed->timeliness == Timeliness::Hopeless) {
     this->GiveUp(ErrorCode::QueueFull, "all servers are behind", placed->wait);
@@ -242,10 +245,13 @@
 void
 GatewayRequest::OnAttemptHead(const BackendAnswer& aHead)
 {
+  const TimePoint now = Now();
+  BackendPool& pool = this->host.Backends();
+  pool.OnStatedLoad(this->sent->instance, aHead, now);
   // If another instance has taken over the address, the notice does not apply
   // to the instance that the request was meant for.
   if (!aHead.wrongInstance) {
-    this->host.Backends().OnNotice(this->sent->instance, aHead.notice, Now());
+    pool.OnNotice(this->sent->instance, aHead.notice, now);
   }
 }
 
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -29,6 +29,12 @@
   Placement placement;
   /// Prompt tokens expected in the cache of the server placed last.
   std::uint32_t cachedTokens = 0;
+  /// Requests at that server when it was chosen: according to the gateways, and
+  /// to the server's own recent report if there is one.
+  std::uint32_t believedRequests = 0;
+  std::optional<std::uint32_t> reportedRequests;
+  /// See DirectCandidate::timeFactor.
+  double timeFactor = 1.0;
   /// From acceptance to the first part of an answer; 0 if none came.
   Duration firstResponse{ 0 };
   /// The longest time between two consecutive parts of a stream.
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -63,6 +63,9 @@
   if (aFault.isMember("rate_limit")) {
     this->faults.rateLimit = aFault["rate_limit"].asString();
   }
+  if (aFault.isMember("load")) {
+    this->faults.load = aFault["load"].asString();
+  }
 }
 
 Json::Value
@@ -104,6 +107,7 @@
   const std::string expected = aExchange.Header(kExpect);
   if (!expected.empty() && expected != this->settings.instance) {
     aExchange.AddHeader("Dogwoodvale-Instance-Id", this->settings.instance);
+    this->AddLoad(aExchange);
     aExchange.ReplyJson(421, Json::Value(Json::objectValue));
     return;
   }
@@ -122,9 +126,18 @@
   this->Begin(aExchange);
 }
 
+void
+SealedEngine::AddLoad(Exchange& aExchange) const
+{
+  if (!this->faults.load.empty()) {
+    aExchange.AddHeader("Dogwoodvale-Instance-Load", this->faults.load);
+  }
+}
+
 void
 SealedEngine::AddNeeds(Exchange& aExchange) const
 {
+  this->AddLoad(aExchange);
   if (!this->faults.rateLimit.empty()) {
     aExchange.AddHeader("Server-Limit", this->faults.rateLimit);
   }
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -64,7 +64,7 @@
 /// A path that contains "/stream/" is answered by events. POST /standin/fault
 /// {"crash_after":N,"refuse":true,"error":true,"hang":true,"skip":true,
 /// "no_proof":true,"rate_limit":"2.5","leaving":true,"retry_after":"1.5",
-/// "clear":true}; GET /standin/record.
+/// "load":"3,0,64,120","clear":true}; GET /standin/record.
 class SealedEngine : public RequestHandler
 {
 public:
@@ -82,7 +82,8 @@
   /// skip: leaves out an event; no_proof: answers without its mark; rate_limit:
   /// the text in which all answers name the requests a second that it takes;
   /// leaving: all answers say that it leaves; retry_after: the
-  /// text in which a refusal names the seconds of rest that it asks for.
+  /// text in which a refusal names the seconds of rest that it asks for; load:
+  /// the text in which all answers state its load.
   void SetFault(const Json::Value& aFault);
   bool HasCrashed() const { return this->crashed; }
 
@@ -101,6 +102,7 @@
     std::string rateLimit;
     bool leaving = false;
     std::string retryAfter;
+    std::string load;
   };
   struct Work
   {
@@ -115,6 +117,7 @@
   SealedEngine(EventLoop& aLoop, const SealedEngineSettings& aSettings);
   void Control(Exchange& aExchange);
   void Begin(Exchange& aExchange);
+  void AddLoad(Exchange& aExchange) const;
   void AddNeeds(Exchange& aExchange) const;
   void OnTick();
   /// \return whether the exchange is over.
--- a/test/Gateway.cpp
+++ b/test/Gateway.cpp
@@ -278,6 +278,65 @@
   CHECK(reused.Runs().empty());
 }
 
+// Guards against a load that is parsed but never reaches the servers' state,
+// from answers of every kind, and that is counted for another instance.
+TEST_CASE("the loads that servers state are taken in and counted", "[gateway]")
+{
+  const auto gauge = [](Gateway& aGateway, std::string_view aName, int aValue) {
+    return Has(aGateway.Metrics(),
+               fmt::format("{{reason=\"{}\"}} {}\n", aName, aValue));
+  };
+  PlatformSite site(1);
+  const auto ask = [&](Gateway& aGateway, const char* aId, const char* aLoad) {
+    site.engines[0]->SetFault(Fault("load", aLoad));
+    site.Ask(aGateway, "/again/x", aId);
+  };
+  SECTION("of the server that was asked")
+  {
+    Gateway& gateway = site.ReadyGateway("g1");
+    CHECK(gauge(gateway, "load_reports_recent", 0));
+    ask(gateway, "id-1", "1,0,4,120");
+    CHECK(gauge(gateway, "load_reports_recent", 1));
+    CHECK(gauge(gateway, "load_reports_malformed", 0));
+    ask(gateway, "id-2", "5,0,4");
+    CHECK(gauge(gateway, "load_reports_malformed", 1));
+    site.engines[0]->SetFault(Fault("refuse"));
+    ask(gateway, "id-3", "4,9,4,300");
+    CHECK(gauge(gateway, "load_reports_recent", 1));
+    CHECK(gauge(gateway, "load_reports_ignored", 0));
+  }
+  SECTION("of another instance at its address")
+  {
+    site.Register("e2", *site.engines[0], "ready");
+    site.store->Remove("servers/e1");
+    Gateway& gateway = site.ReadyGateway("g1");
+    ask(gateway, "id-1", "1,0,4,120");
+    CHECK(gauge(gateway, "load_reports_recent", 0));
+    CHECK(gauge(gateway, "load_reports_ignored", 1));
+  }
+  SECTION("not with the decision off")
+  {
+    site.decisions.reportedLoad = false;
+    Gateway& gateway = site.ReadyGateway("g1");
+    ask(gateway, "id-1", "1,0,4,120");
+    ask(gateway, "id-2", "5,0,4");
+    CHECK(gauge(gateway, "load_reports_recent", 0));
+    CHECK(gauge(gateway, "load_reports_malformed", 0));
+  }
+  SECTION("to another gateway")
+  {
+    Gateway& first = site.ReadyGateway("g1");
+    Gateway& second = site.ReadyGateway("g2");
+    REQUIRE(site.Until([&] {
+      return Has(first.Statusz(), "\"gateways\" : 2") &&
+             Has(second.Statusz(), "\"gateways\" : 2");
+    }));
+    ask(first, "id-1", "1,0,4,120");
+    CHECK(site.Until([&] { return gauge(second, "load_reports_recent", 1); },
+                     milliseconds(450)));
+  }
+}
+
 TEST_CASE("a new configuration takes effect at once and is never reverted",
           "[gateway]")
 {
