Test the appended fields of digests and the new switches

Cause: no test read back the digest's loads, decode sums, ranks and shares, nor a digest of a version that lacks some of them, nor the five new switches. Change: round trip of all four fields; digests cut after the departures and after each appended field but the last; each switch alone turns off its own decision.

--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -331,6 +331,34 @@
   digest.rates = { { InstanceName("e3"), 2.5, milliseconds(16) },
                    { InstanceName("e4"), std::nullopt, milliseconds(17) } };
   digest.leaving = { { InstanceName("e5"), milliseconds(18) } };
+  digest.loads = {
+    { InstanceName("e6"), { 19, 20, 21, 1.37 }, milliseconds(22) },
+    { InstanceName("e7"), { 0, 0, 1, std::nullopt }, milliseconds(0) }
+  };
+  DecodeUpdate decode;
+  decode.service = ServiceName("s1");
+  for (std::size_t i = 0; i < decode.matrix.size(); ++i) {
+    decode.matrix[i] = 0.1 + static_cast<double>(i);
+  }
+  decode.vector = { 17.0, 0.56, 7.6, -2.9 };
+  decode.weight = 23.5;
+  decode.interactiveStreams = 24.5;
+  decode.interactiveTokens = 25.5;
+  decode.interactiveIntervals = 26.5;
+  decode.longestToMean = 3.7;
+  decode.residuals = { { InstanceName("e8"), -0.5, 27.5 },
+                       { InstanceName("e9"), 0.25, 28.5 } };
+  DecodeUpdate empty;
+  empty.service = ServiceName("s2");
+  digest.decode = { decode, empty };
+  digest.ranks = { { ServiceName("s1"), 2, 29, 30, 31 },
+                   { ServiceName("s2"), 3, 0, 0, 0 } };
+  digest.shares = { { ServiceName("s1"),
+                      { { CustomerName("c1"), 32.5 },
+                        { CustomerName("c2"), 33.5 } },
+                      34.5,
+                      35 },
+                    { ServiceName("s2"), {}, 0, 0 } };
   const std::string bytes = WriteDigest(digest, "secret");
   const auto read = ReadDigest(bytes, "secret");
   REQUIRE(read.ok());
@@ -349,6 +377,10 @@
   CHECK(read->suspectsInFlight == digest.suspectsInFlight);
   CHECK(read->rates == digest.rates);
   CHECK(read->leaving == digest.leaving);
+  CHECK(read->loads == digest.loads);
+  CHECK(read->decode == digest.decode);
+  CHECK(read->ranks == digest.ranks);
+  CHECK(read->shares == digest.shares);
   CHECK_FALSE(ReadDigest(bytes, "another").ok());
   CHECK(rc::check([&bytes] {
     std::string changed = bytes;
@@ -379,6 +411,50 @@
   CHECK(read->crashes.IsEmpty());
 }
 
+// Guards a rolling upgrade to the version that appends loads, decode sums,
+// ranks and shares: a digest that ends with the departures is still decoded,
+// and the leading fields of a new one can be read by the older version.
+TEST_CASE("a digest without the appended fields is decoded", "[digest]")
+{
+  PeerDigest digest;
+  digest.gateway = InstanceName("g1");
+  digest.incarnation = 7;
+  digest.sequence = 8;
+  digest.rates = { { InstanceName("e3"), 2.5, milliseconds(16) } };
+  digest.leaving = { { InstanceName("e5"), milliseconds(18) } };
+  digest.loads = { { InstanceName("e6"), { 1, 2, 3, 1.5 }, milliseconds(4) } };
+  digest.decode.resize(1);
+  digest.ranks = { { ServiceName("s"), 1, 2, 3, 4 } };
+  digest.shares = { { ServiceName("s"), {}, 1.5, 2 } };
+  const std::string bytes =
+    WriteDigest(digest, "secret").substr(kKeyedDigestBytes);
+  const auto whole = msgpack::unpack(bytes.data(), bytes.size());
+  std::vector<msgpack::object> fields;
+  whole.get().convert(fields);
+  constexpr std::size_t kAppended = 4;
+  constexpr std::size_t kOlderFields = 18;
+  REQUIRE(fields.size() == kOlderFields + kAppended);
+  // From no appended field to all but one.
+  for (std::size_t count = kOlderFields; count < fields.size(); ++count) {
+    msgpack::sbuffer buffer;
+    msgpack::pack(
+      buffer,
+      std::vector<msgpack::object>(
+        fields.begin(), fields.begin() + static_cast<std::ptrdiff_t>(count)));
+    const std::string older(buffer.data(), buffer.size());
+    const auto read =
+      ReadDigest(KeyedDigest(older, "secret") + older, "secret");
+    REQUIRE(read.ok());
+    CHECK(read->sequence == 8);
+    CHECK(read->rates == digest.rates);
+    CHECK(read->leaving == digest.leaving);
+    CHECK(read->loads.empty() == (count == kOlderFields));
+    CHECK(read->decode.size() == (count > kOlderFields + 1 ? 1 : 0));
+    CHECK(read->ranks.size() == (count > kOlderFields + 2 ? 1 : 0));
+    CHECK(read->shares.empty());
+  }
+}
+
 TEST_CASE("a suspension of the process is detected", "[suspension]")
 {
   const auto loop = *EventLoop::Create();
--- a/test/SettingsGateway.cpp
+++ b/test/SettingsGateway.cpp
@@ -95,6 +95,42 @@
   CHECK_FALSE(findings.IsEmpty());
 }
 
+// Guards against a switch that is read into another's field, and against one
+// that is off by default.
+TEST_CASE("each new decision has a switch of its own, on by default",
+          "[settings]")
+{
+  using Decisions = GatewayDecisions;
+  const std::vector<std::pair<std::string, bool Decisions::*>> switches{
+    { "reported_load", &Decisions::reportedLoad },
+    { "predicted_times", &Decisions::predictedTimes },
+    { "rank_guard", &Decisions::rankGuard },
+    { "customer_shares", &Decisions::customerShares },
+    { "memory_admission", &Decisions::memoryAdmission },
+  };
+  const auto read = [](const std::string& aDecisions) {
+    Findings findings;
+    const auto settings = ParseDaemonSettings(
+      SettingsText(fmt::format(
+        R"("gateway":{{"callers":"127.0.0.1:3","decisions":{{{}}}}})",
+        aDecisions)),
+      "s.json",
+      findings);
+    CHECK(findings.IsEmpty());
+    return settings.gateway.decisions;
+  };
+  const Decisions byDefault = read("");
+  for (const auto& [key, member] : switches) {
+    INFO(key);
+    CHECK(byDefault.*member);
+    const Decisions without = read(fmt::format(R"("{}":false)", key));
+    for (const auto& [other, otherMember] : switches) {
+      INFO(other);
+      CHECK(without.*otherMember == (other != key));
+    }
+  }
+}
+
 TEST_CASE("a gateway's chooser is one of those that there are", "[settings]")
 {
   Findings findings;
