Feed the decode model from streams, digests and the warm state

Cause: the model learns only if the gateway measures its streams, and a gateway has too few streams of each server to learn alone. Change: BackendPool keeps the activity of its servers (sampled when a prompt is sent there, at a stream's first event and end and at maintenance, not for each event) and a model for each service. GatewayRequest measures complete streams (StreamObserver). Digests carry the sums about once a second; the warm state carries the sums of all gateways as an appended field. New are the gauge pause_error_median_pct and the log fields expected_pause_us and mean_pause_us. Placement does not read any of it. test_DecodeModel, test_ServerActivity, test_WarmStart, test_Gateway, test_GatewayParts, test_Placement and test_PlacementUnderLoad pass.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -201,11 +201,17 @@
     }
     if (member.isListed || member.client->OpenConnections() > 0 ||
         !this->work.Own(it->first).IsZero()) {
+      this->CountRequests(it->first, aNow);
       ++it;
       continue;
     }
     Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
     this->caches.Forget(it->first);
+    this->activity.Forget(it->first);
+    if (const auto model = this->decode.find(member.instance.service);
+        model != this->decode.end()) {
+      model->second.Forget(it->first);
+    }
     this->backpressure.Forget(it->first);
     this->prefillByService[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
@@ -214,6 +220,9 @@
     std::erase(listed.inCell, it->first);
     it = this->members.erase(it);
   }
+  for (auto& [service, model] : this->decode) {
+    model.RunMaintenance(aNow);
+  }
 }
 
 void
@@ -538,10 +547,11 @@
 void
 BackendPool::OnSent(const InstanceName& aInstance,
                     const BackendWork& aWork,
-                    std::span<const PromptStep> aSteps)
+                    std::span<const PromptStep> aSteps,
+                    TimePoint aNow)
 {
   this->work.AddOwn(aInstance, aWork);
-  this->OnPrefill(aInstance, aSteps);
+  this->OnPrefill(aInstance, aSteps, aNow);
 }
 
 void
@@ -555,7 +565,8 @@
 
 void
 BackendPool::OnPrefill(const InstanceName& aInstance,
-                       std::span<const PromptStep> aSteps)
+                       std::span<const PromptStep> aSteps,
+                       TimePoint aNow)
 {
   // Other gateways may report servers that this gateway doesn't have; their
   // entries would never be removed.
@@ -563,6 +574,15 @@
   if (member == this->members.end() || aSteps.empty()) {
     return;
   }
+  if (this->options.decisions.predictedTimes) {
+    double tokens = 0;
+    for (const PromptStep& step : aSteps) {
+      tokens += step.tokens;
+    }
+    tokens -= this->caches.CachedPrefixTokens(aInstance, aSteps);
+    this->activity.OnPrefill(aInstance, std::max(tokens, 0.0), aNow);
+    this->CountRequests(aInstance, aNow);
+  }
   this->caches.OnUsed(
     aInstance, aSteps, this->CacheCapacityOf(member->second.instance.service));
 }
@@ -574,15 +594,19 @@
 }
 
 std::vector<ServiceEstimates>
-BackendPool::Estimates() const
+BackendPool::Estimates(TimePoint aNow) const
 {
   std::vector<ServiceEstimates> estimates;
   for (const auto& [service, prefill] : this->prefillByService) {
-    ServiceEstimates one{ service, prefill.Estimates() };
+    ServiceEstimates one{ service, prefill.Estimates(), 0, {} };
     const auto servers = this->reserved.find(service);
     if (servers != this->reserved.end()) {
       one.interactivePeak = servers->second.Peak();
     }
+    if (const DecodeModel* model = this->DecodeOf(service)) {
+      one.decode = model->Sums(aNow);
+    }
+    one.decode.service = service;
     estimates.push_back(std::move(one));
   }
   return estimates;
@@ -594,6 +618,9 @@
   for (const ServiceEstimates& one : aEstimates) {
     this->prefillByService[one.service].Seed(one.reading);
     this->reserved[one.service].Seed(one.interactivePeak, aNow);
+    if (this->options.decisions.predictedTimes && one.decode.weight > 0) {
+      this->decode[one.service].Seed(one.decode, aNow);
+    }
   }
 }
 
@@ -617,6 +644,101 @@
   return room == this->cacheTokens.end() ? 0 : room->second;
 }
 
+void
+BackendPool::CountRequests(const InstanceName& aInstance, TimePoint aNow)
+{
+  if (this->options.decisions.predictedTimes) {
+    this->activity.SetRequests(
+      aInstance, this->work.Total(aInstance).requests, aNow);
+  }
+}
+
+ServerActivity::Snapshot
+BackendPool::ActivityOf(const InstanceName& aInstance, TimePoint aNow)
+{
+  if (this->members.contains(aInstance)) {
+    this->CountRequests(aInstance, aNow);
+  }
+  return this->activity.Of(aInstance, aNow);
+}
+
+std::optional<double>
+BackendPool::ReportedFactorOf(const InstanceName&, TimePoint) const
+{
+  return std::nullopt;
+}
+
+void
+BackendPool::OnStream(const InstanceName& aInstance,
+                      StreamSample aSample,
+                      TimePoint aNow)
+{
+  const auto found = this->members.find(aInstance);
+  if (!this->options.decisions.predictedTimes || found == this->members.end()) {
+    return;
+  }
+  aSample.reportedFactor = this->ReportedFactorOf(aInstance, aNow).value_or(1);
+  this->decode[found->second.instance.service].OnStream(
+    aInstance, aSample, aNow);
+}
+
+const DecodeModel*
+BackendPool::DecodeOf(const ServiceName& aService) const
+{
+  const auto found = this->decode.find(aService);
+  return found == this->decode.end() ? nullptr : &found->second;
+}
+
+std::optional<Duration>
+BackendPool::ExpectedPause(const InstanceName& aInstance, TimePoint aNow) const
+{
+  const auto found = this->members.find(aInstance);
+  const DecodeModel* model = found == this->members.end()
+                               ? nullptr
+                               : this->DecodeOf(found->second.instance.service);
+  if (model == nullptr || !model->IsLearned()) {
+    return std::nullopt;
+  }
+  const ServerActivity::Rates rates = this->activity.RatesOf(aInstance, aNow);
+  DecodeLoad load;
+  load.timeFactor =
+    model->TimeFactorOf(aInstance, this->ReportedFactorOf(aInstance, aNow));
+  load.requests = this->work.Total(aInstance).requests + 1.0;
+  load.tokensPerSecond = rates.tokensPerSecond;
+  load.promptsPerSecond = rates.promptsPerSecond;
+  return model->MeanPause(load);
+}
+
+void
+BackendPool::AddDecodeUpdates(PeerDigest& aDigest, TimePoint aNow)
+{
+  std::size_t residuals = 0;
+  for (auto& [service, model] : this->decode) {
+    // The models that are left out are still due for the next digest, so that
+    // one digest never carries the residuals of many services.
+    if (residuals >= DecodeModel::kMaxResidualsPerUpdate) {
+      return;
+    }
+    if (std::optional<DecodeUpdate> update = model.TakeUpdate(aNow)) {
+      update->service = service;
+      residuals += update->residuals.size();
+      aDigest.decode.push_back(*std::move(update));
+    }
+  }
+}
+
+std::optional<double>
+BackendPool::PauseError() const
+{
+  std::optional<double> worst;
+  for (const auto& [service, model] : this->decode) {
+    if (const std::optional<double> error = model.MedianError()) {
+      worst = std::max(worst.value_or(0), *error);
+    }
+  }
+  return worst;
+}
+
 HealthTracker*
 BackendPool::HealthOf(const InstanceName& aInstance)
 {
@@ -640,6 +762,14 @@
 BackendPool::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->work.SetPeer(aDigest.gateway, aDigest.work, aNow);
+  for (const DecodeUpdate& update : aDigest.decode) {
+    // Models are kept only for services that this gateway has.
+    if (this->options.decisions.predictedTimes &&
+        this->byService.contains(update.service)) {
+      this->decode[update.service].OnPeerUpdate(
+        aDigest.gateway, aDigest.incarnation, aDigest.sequence, update, aNow);
+    }
+  }
   this->backpressure.ApplyDigest(
     aDigest,
     [this](const InstanceName& aName) { return this->MayUse(aName); },
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -18,6 +18,8 @@
   PrefillEstimates reading;
   /// See ReservedServers::Peak().
   double interactivePeak = 0;
+  /// See DecodeModel::Sums(); a weight of 0 if there are none.
+  DecodeUpdate decode;
 };
 
 /// The backend servers of all services: which of them accept work, the
@@ -66,7 +68,8 @@
   /// The prompt, sent by this gateway or another, enters the cache of the
   /// instance. No-op for an instance that the pool does not have.
   void OnPrefill(const InstanceName& aInstance,
-                 std::span<const PromptStep> aSteps);
+                 std::span<const PromptStep> aSteps,
+                 TimePoint aNow);
   /// A long prompt was sent to the instance, by this gateway or another.
   void OnLongPrompt(const InstanceName& aInstance,
                     std::uint32_t aTokens,
@@ -106,7 +109,7 @@
   Occupancy OccupancyOf(const ServiceName& aService) const;
 
   /// The estimates of all services, for the warm start of a gateway.
-  std::vector<ServiceEstimates> Estimates() const;
+  std::vector<ServiceEstimates> Estimates(TimePoint aNow) const;
   /// Takes over estimates of another gateway, or of this one before its
   /// restart; values measured here are kept.
   void Seed(std::span<const ServiceEstimates> aEstimates, TimePoint aNow);
@@ -117,9 +120,30 @@
 
   void OnSent(const InstanceName& aInstance,
               const BackendWork& aWork,
-              std::span<const PromptStep> aSteps);
+              std::span<const PromptStep> aSteps,
+              TimePoint aNow);
   /// A part of the work (the prefill) or all of it is done.
   void OnDone(const InstanceName& aInstance, const BackendWork& aWork);
+  /// What the server has had to do until now, to be passed to StreamObserver;
+  /// zero if GatewayDecisions::predictedTimes is off.
+  ServerActivity::Snapshot ActivityOf(const InstanceName& aInstance,
+                                      TimePoint aNow);
+  /// A stream of the instance is complete. Its reported factor is set here.
+  void OnStream(const InstanceName& aInstance,
+                StreamSample aSample,
+                TimePoint aNow);
+  /// Predicted mean pause of a stream that is sent to the instance now; nothing
+  /// until the decode model is learned.
+  std::optional<Duration> ExpectedPause(const InstanceName& aInstance,
+                                        TimePoint aNow) const;
+  /// Adds the sums of the decode models to a digest.
+  void AddDecodeUpdates(PeerDigest& aDigest, TimePoint aNow);
+  /// Median relative error of the predicted pauses, of the service where it is
+  /// largest; nothing before the first prediction.
+  std::optional<double> PauseError() const;
+  /// The decode model of a service; null before its first sums.
+  const DecodeModel* DecodeOf(const ServiceName& aService) const;
+  const ServerActivity& Activity() const { return this->activity; }
   /// The health tracker of the instance's service; null if the pool does not
   /// have the instance.
   HealthTracker* HealthOf(const InstanceName& aInstance);
@@ -170,6 +194,11 @@
   };
 
   void Add(const DirectInstance& aInstance);
+  /// Passes the known number of requests of a server to the activity.
+  void CountRequests(const InstanceName& aInstance, TimePoint aNow);
+  /// The mean time factor that the server states; nothing without reports.
+  std::optional<double> ReportedFactorOf(const InstanceName& aInstance,
+                                         TimePoint aNow) const;
   /// Rebuilds byService from the members and the cells.
   void ListServices();
   /// Tokens that fit into the cache of one server; 0 while unknown.
@@ -218,6 +247,8 @@
   ServerBackpressure backpressure;
   std::map<ServiceName, RankReserve> reserves;
   WorkTable work;
+  ServerActivity activity;
+  std::map<ServiceName, DecodeModel> decode;
   CacheTracker caches;
   /// Tokens that fit into the cache of one server.
   std::map<ServiceName, std::uint64_t> cacheTokens;
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -83,6 +83,8 @@
   {
     return this->splitter.LastId();
   }
+  /// Number of whole events with an id that have arrived.
+  std::uint64_t EventCount() const { return this->splitter.EventCount(); }
   void SetReadingPaused(bool aPaused);
   /// How the connection broke after the request was sent; nothing if it did
   /// not break.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -338,6 +338,7 @@
   this->routed.clear();
   this->crashes.AddToDigest(digest);
   this->pool.Backpressure().AddToDigest(digest, Now());
+  this->pool.AddDecodeUpdates(digest, Now());
   digest.list = this->directory->List(Now());
   this->usage.AddToDigest(digest);
   return digest;
@@ -364,7 +365,7 @@
     this->warmStart->OnHeard(aDigest.gateway, now);
   }
   for (const RoutedPrompt& prompt : aDigest.routed) {
-    this->pool.OnPrefill(prompt.instance, prompt.steps);
+    this->pool.OnPrefill(prompt.instance, prompt.steps, now);
     if (prompt.longTokens > 0) {
       this->pool.OnLongPrompt(prompt.instance, prompt.longTokens, now);
     }
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -101,7 +101,11 @@
       "total_ms",
       WholeMillis(outcome.total),
       "list_age_ms",
-      WholeMillis(aListAge));
+      WholeMillis(aListAge),
+      "expected_pause_us",
+      outcome.expectedPause.count(),
+      "mean_pause_us",
+      outcome.meanPause.count());
 }
 
 void
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -94,6 +94,10 @@
   set("peers", static_cast<double>(aGauges.peers));
   set("digests_refused", static_cast<double>(aGauges.digestsRefused));
   set("reserved_servers", static_cast<double>(aGauges.reserved));
+  if (aGauges.pauseError) {
+    constexpr double kPercent = 100.0;
+    set("pause_error_median_pct", *aGauges.pauseError * kPercent);
+  }
   set("servers_resting", static_cast<double>(aGauges.backingOff));
   set("servers_rate_limited", static_cast<double>(aGauges.rateLimited));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -167,7 +167,10 @@
           .work = placement.work,
           .at = now,
           .hadFreeSlot = aCandidate.work.requests < aCandidate.slots };
-  pool.OnSent(aCandidate.name, placement.work, this->admitted.demand.steps);
+  this->outcome.expectedPause =
+    pool.ExpectedPause(aCandidate.name, now).value_or(Duration::zero());
+  pool.OnSent(
+    aCandidate.name, placement.work, this->admitted.demand.steps, now);
   const std::uint32_t longTokens =
     this->admitted.demand.isLong
       ? static_cast<std::uint32_t>(placement.work.Prefill())
@@ -239,6 +242,37 @@
   this->lastEventsAt = aNow;
 }
 
+std::uint64_t
+GatewayRequest::EventsOfAttempt() const
+{
+  return std::max(this->attempt->EventCount(), this->outcome.events);
+}
+
+void
+GatewayRequest::RecordStream(TimePoint aNow)
+{
+  // A resumed stream has been at two servers.
+  if (this->outcome.resumes > 0) {
+    return;
+  }
+  BackendPool& pool = this->host.Backends();
+  const InstanceName& instance = this->sent->instance;
+  const std::uint64_t events = this->EventsOfAttempt();
+  this->outcome.meanPause =
+    this->observer.MeanPause(events, this->lastEventsAt);
+  std::optional<StreamSample> sample =
+    this->observer.Sample(events,
+                          this->lastEventsAt,
+                          this->outcome.longestGap,
+                          pool.ActivityOf(instance, aNow));
+  if (sample) {
+    sample->isInteractive = this->admitted.demand.isInteractive;
+    sample->ownPrefillTokens =
+      static_cast<double>(this->outcome.placement.work.Prefill());
+    pool.OnStream(instance, *sample, aNow);
+  }
+}
+
 void
 GatewayRequest::OnAttemptHead(const BackendAnswer& aHead)
 {
@@ -261,12 +295,17 @@
     this->outcome.status = this->attempt->Answer().status;
     this->exchange->StartStream(this->outcome.status, this->attempt->Headers());
   }
-  ++this->outcome.events;
+  if (++this->outcome.events == 1) {
+    this->observer.OnFirstEvents(
+      this->EventsOfAttempt(),
+      this->host.Backends().ActivityOf(this->sent->instance, now));
+  }
   this->lastDeliveredEvent = this->attempt->LastEvent();
   this->exchange->SendPart(aBytes);
   if (this->exchange != nullptr && this->attempt != nullptr &&
       this->exchange->PendingBytes() > kCallerBufferBytes) {
     this->attempt->SetReadingPaused(true);
+    this->observer.OnReadingPaused();
   }
 }
 
@@ -512,7 +551,8 @@
   this->done = true;
   this->deadline.Stop();
   this->suspectTimer.Stop();
-  this->outcome.total = Between(this->accepted, Now());
+  const TimePoint now = Now();
+  this->outcome.total = Between(this->accepted, now);
   if (this->outcome.complete && this->sent) {
     BackendPool& pool = this->host.Backends();
     const ServiceName& service = this->admitted.service->name;
@@ -520,6 +560,7 @@
     if (this->streamStarted) {
       pool.PausesOf(service).OnStream(this->GetRoute().targetGap,
                                       this->outcome.longestGap);
+      this->RecordStream(now);
     }
     this->HealthOf(this->sent->instance).OnAnswered();
   }
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -9,6 +9,7 @@
 #include "AttemptHealth.h"
 #include "BackendPool.h"
 #include "DirectAttempt.h"
+#include "StreamObserver.h"
 #include "SuspectWait.h"
 
 namespace dogwoodvale {
@@ -33,6 +34,10 @@
   Duration firstResponse{ 0 };
   /// The longest time between two consecutive parts of a stream.
   Duration longestGap{ 0 };
+  /// Mean time between two events of a stream; 0 if it has no two.
+  Duration meanPause{ 0 };
+  /// As predicted when the request was sent; 0 if it was not.
+  Duration expectedPause{ 0 };
   /// From acceptance to the end.
   Duration total{ 0 };
   std::uint32_t attempts = 0;
@@ -133,6 +138,11 @@
   void RecordFirstResponse(TimePoint aNow);
   void RecordExecutionStart(TimePoint aStarted);
   void RecordGap(TimePoint aNow);
+  /// Events that have arrived in this attempt; those without an id count as one
+  /// for each part of the answer.
+  std::uint64_t EventsOfAttempt() const;
+  /// Passes the measurements of the complete stream to the decode model.
+  void RecordStream(TimePoint aNow);
   void EndAttempt();
   /// Retries, resumes or gives up after a failed attempt or an answer that must
   /// not be forwarded.
@@ -173,6 +183,7 @@
   /// Id of the last event passed on to the caller.
   std::optional<std::uint64_t> lastDeliveredEvent;
   TimePoint lastEventsAt{};
+  StreamObserver observer;
   SuspectWait suspectWait;
   Timer suspectTimer;
   GatewayOutcome outcome;
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -4,6 +4,8 @@
 
 #include <openssl/crypto.h>
 
+#include "PackedDecode.h"
+
 namespace dogwoodvale {
 
 namespace {
@@ -184,38 +186,6 @@
                        ageMillis);
 };
 
-struct PackedResidual
-{
-  std::string instance;
-  double logRatioSum = 0;
-  double weight = 0;
-
-  MSGPACK_DEFINE_ARRAY(instance, logRatioSum, weight);
-};
-
-struct PackedDecode
-{
-  std::string service;
-  std::array<double, DecodeUpdate::kMatrixEntries> matrix{};
-  std::array<double, DecodeUpdate::kTerms> vector{};
-  double weight = 0;
-  double interactiveStreams = 0;
-  double interactiveTokens = 0;
-  double interactiveIntervals = 0;
-  double longestToMean = 0;
-  std::vector<PackedResidual> residuals;
-
-  MSGPACK_DEFINE_ARRAY(service,
-                       matrix,
-                       vector,
-                       weight,
-                       interactiveStreams,
-                       interactiveTokens,
-                       interactiveIntervals,
-                       longestToMean,
-                       residuals);
-};
-
 struct PackedRank
 {
   std::string service;
@@ -413,51 +383,6 @@
   return loads;
 }
 
-void
-PackDecode(std::span<const DecodeUpdate> aUpdates, PackedDigest& aPacked)
-{
-  for (const DecodeUpdate& update : aUpdates) {
-    PackedDecode packed{ update.service.Value(),
-                         update.matrix,
-                         update.vector,
-                         update.weight,
-                         update.interactiveStreams,
-                         update.interactiveTokens,
-                         update.interactiveIntervals,
-                         update.longestToMean,
-                         {} };
-    for (const ServerResidual& residual : update.residuals) {
-      packed.residuals.push_back(
-        { residual.instance.Value(), residual.logRatioSum, residual.weight });
-    }
-    aPacked.decode.push_back(std::move(packed));
-  }
-}
-
-std::vector<DecodeUpdate>
-UnpackDecode(std::vector<PackedDecode>&& aPacked)
-{
-  std::vector<DecodeUpdate> updates;
-  for (PackedDecode& packed : aPacked) {
-    DecodeUpdate update{ ServiceName(std::move(packed.service)),
-                         packed.matrix,
-                         packed.vector,
-                         packed.weight,
-                         packed.interactiveStreams,
-                         packed.interactiveTokens,
-                         packed.interactiveIntervals,
-                         packed.longestToMean,
-                         {} };
-    for (PackedResidual& residual : packed.residuals) {
-      update.residuals.push_back({ InstanceName(std::move(residual.instance)),
-                                   residual.logRatioSum,
-                                   residual.weight });
-    }
-    updates.push_back(std::move(update));
-  }
-  return updates;
-}
-
 void
 PackRanks(std::span<const RankUpdate> aRanks, PackedDigest& aPacked)
 {
@@ -549,7 +474,9 @@
     toPack.leaving.push_back({ update.server.Value(), update.age.count() });
   }
   PackLoads(aDigest.loads, toPack);
-  PackDecode(aDigest.decode, toPack);
+  for (const DecodeUpdate& update : aDigest.decode) {
+    toPack.decode.push_back(Pack(update));
+  }
   PackRanks(aDigest.ranks, toPack);
   PackShares(aDigest.shares, toPack);
   toPack.listSum = aDigest.list.checksum;
@@ -606,7 +533,9 @@
       { InstanceName(std::move(line.server)), milliseconds(line.ageMillis) });
   }
   digest.loads = UnpackLoads(std::move(read.loads));
-  digest.decode = UnpackDecode(std::move(read.decode));
+  for (PackedDecode& update : read.decode) {
+    digest.decode.push_back(Unpack(std::move(update)));
+  }
   digest.ranks = UnpackRanks(std::move(read.ranks));
   digest.shares = UnpackShares(std::move(read.shares));
   UnpackCrashes(std::move(read), digest);
--- a/dogwoodvale/src/Gateway/WarmStart.cpp
+++ b/dogwoodvale/src/Gateway/WarmStart.cpp
@@ -56,7 +56,7 @@
   state.instances = this->directory.Listed();
   const auto gateways = this->directory.Roster().Members();
   state.gateways.assign(gateways.begin(), gateways.end());
-  state.services = this->pool.Estimates();
+  state.services = this->pool.Estimates(Now());
   const std::size_t servers = std::max<std::size_t>(this->pool.Count(), 1);
   state.caches = this->pool.Caches().MostRecentlyUsed(
     std::min(WarmState::kMaxStepsPerServer, WarmState::kMaxSteps / servers));
--- a/dogwoodvale/src/Gateway/WarmState.cpp
+++ b/dogwoodvale/src/Gateway/WarmState.cpp
@@ -8,6 +8,8 @@
 
 #include <openssl/crypto.h>
 
+#include "PackedDecode.h"
+
 namespace dogwoodvale {
 
 namespace {
@@ -69,6 +71,9 @@
   MSGPACK_DEFINE_ARRAY(instance, steps, tokens);
 };
 
+/// Fields are only appended: a build of an older version reads the leading ones
+/// that it knows, and reads of a state that it has written leave the others at
+/// their defaults.
 struct PackedState
 {
   std::uint32_t format = 0;
@@ -76,8 +81,9 @@
   std::vector<PackedGateway> gateways;
   std::vector<PackedService> services;
   std::vector<PackedCache> caches;
+  std::vector<PackedDecode> decode;
 
-  MSGPACK_DEFINE_ARRAY(format, instances, gateways, services, caches);
+  MSGPACK_DEFINE_ARRAY(format, instances, gateways, services, caches, decode);
 };
 
 PackedState
@@ -103,6 +109,9 @@
                                 one.reading.tokensPerMicro,
                                 one.reading.meanStayMicros,
                                 one.interactivePeak });
+    if (one.decode.weight > 0) {
+      packed.decode.push_back(Pack(one.decode));
+    }
   }
   for (const auto& [instance, steps] : aState.caches) {
     PackedCache cache;
@@ -152,7 +161,7 @@
 }
 
 void
-UnpackLearning(const PackedState& aPacked, WarmState& aState)
+UnpackLearning(PackedState&& aPacked, WarmState& aState)
 {
   for (const PackedService& one : aPacked.services) {
     const std::array<double, 4> numbers = { one.meanTokens,
@@ -166,7 +175,17 @@
       aState.services.push_back(
         { ServiceName(one.service),
           { one.meanTokens, one.tokensPerMicro, one.meanStayMicros },
-          one.interactivePeak });
+          one.interactivePeak,
+          {} });
+    }
+  }
+  // DecodeModel checks the sums, as it does those of digests.
+  for (PackedDecode& packed : aPacked.decode) {
+    DecodeUpdate sums = Unpack(std::move(packed));
+    const auto found = std::ranges::find(
+      aState.services, sums.service, &ServiceEstimates::service);
+    if (found != aState.services.end()) {
+      found->decode = std::move(sums);
     }
   }
   for (const PackedCache& cache : aPacked.caches) {
@@ -227,7 +246,7 @@
   if (!status.ok()) {
     return status;
   }
-  UnpackLearning(read, state);
+  UnpackLearning(std::move(read), state);
   return state;
 }
 
--- a/dogwoodvale/src/Placement/DecodeModel.cpp
+++ b/dogwoodvale/src/Placement/DecodeModel.cpp
@@ -100,6 +100,35 @@
   aSums.weight += 1.0;
 }
 
+double
+Multiply(const Row& aOne, const Row& aOther)
+{
+  return std::inner_product(aOne.begin(), aOne.end(), aOther.begin(), 0.0);
+}
+
+Row
+Times(Row aRow, double aFactor)
+{
+  for (double& term : aRow) {
+    term *= aFactor;
+  }
+  return aRow;
+}
+
+/// The equations as they were if the time factor of all streams were larger by
+/// \p aFactor.
+DecodeUpdate
+WithFactor(DecodeUpdate aSums, double aFactor)
+{
+  for (double& entry : aSums.matrix) {
+    entry *= aFactor * aFactor;
+  }
+  for (double& entry : aSums.vector) {
+    entry *= aFactor;
+  }
+  return aSums;
+}
+
 /// The upper triangle of \p aMatrix as a whole matrix.
 std::array<Row, kTerms>
 Expand(const std::array<double, DecodeUpdate::kMatrixEntries>& aMatrix)
@@ -284,68 +313,73 @@
   if (!IsUsable(aSample)) {
     return;
   }
+  const auto intervals = static_cast<double>(aSample.intervals);
   const double span = Millis(aSample.span);
   const Row terms = TermsOf(aSample);
-  const ServerFactor server = this->FactorOf(aInstance);
   const double predicted =
-    aSample.reportedFactor *
-    std::inner_product(
-      terms.begin(), terms.end(), this->coefficients.begin(), 0.0);
-  if (this->isLearned && predicted > 0) {
-    this->errors.Add(std::abs(server.prediction * predicted / span - 1.0));
-    this->RecordResidual(aInstance, std::log(span / predicted), aNow);
-  }
-  DecodeUpdate& sums = this->own.sums;
-  Scale(sums, DecayBetween(this->own.at, aNow, kSumsTime));
-  this->own.at = std::max(this->own.at, aNow);
-  Row row = terms;
-  for (double& term : row) {
-    term *= aSample.reportedFactor * server.fit / span;
-  }
-  AddRow(sums, row);
+    aSample.reportedFactor * Multiply(terms, this->coefficients);
+  const bool isPredicted = this->isLearned && predicted > 0;
+  if (isPredicted) {
+    const double factor = this->FactorOf(aInstance).prediction;
+    this->errors.Add(std::abs(factor * predicted / span - 1.0));
+  }
+  if (this->ownServers.size() < kMaxServers ||
+      this->ownServers.contains(aInstance)) {
+    OwnServer& server = this->ownServers[aInstance];
+    Scale(server.sums, DecayBetween(server.at, aNow, kSumsTime));
+    server.at = std::max(server.at, aNow);
+    AddRow(server.sums, Times(terms, aSample.reportedFactor / span));
+    if (isPredicted) {
+      Residual& residual = server.residual;
+      const double decay = DecayBetween(residual.at, aNow, kResidualTime);
+      residual.logRatioSum =
+        residual.logRatioSum * decay +
+        std::clamp(std::log(span / predicted), -kMaxLogRatio, kMaxLogRatio);
+      residual.weight = residual.weight * decay + 1.0;
+      residual.at = std::max(residual.at, aNow);
+      residual.isUnsent = true;
+      for (std::size_t i = 0; i < kTerms; ++i) {
+        server.terms[i] = server.terms[i] * decay + terms[i] / intervals;
+      }
+    }
+  }
+  Scale(this->ownOther, DecayBetween(this->ownAt, aNow, kSumsTime));
+  this->ownAt = std::max(this->ownAt, aNow);
   if (aSample.isInteractive) {
-    sums.interactiveStreams += 1.0;
-    sums.interactiveTokens += aSample.ownPrefillTokens;
-    sums.interactiveIntervals += static_cast<double>(aSample.intervals);
+    this->ownOther.interactiveStreams += 1.0;
+    this->ownOther.interactiveTokens += aSample.ownPrefillTokens;
+    this->ownOther.interactiveIntervals += intervals;
   }
-  const double mean = span / static_cast<double>(aSample.intervals);
-  this->ratios.Add(
-    std::clamp(Millis(aSample.longestPause) / mean, 1.0, kMaxLongestToMean));
+  this->ratios.Add(std::clamp(
+    Millis(aSample.longestPause) * intervals / span, 1.0, kMaxLongestToMean));
   this->SolveIfDue(aNow);
 }
 
 void
-DecodeModel::RecordResidual(const InstanceName& aInstance,
-                            double aLogRatio,
-                            TimePoint aNow)
+DecodeModel::Fold(const OwnServer& aServer, double aFitFactor)
 {
-  Residuals& residuals = this->own.residuals;
-  if (residuals.size() >= kMaxServers && !residuals.contains(aInstance)) {
-    return;
-  }
-  Residual& residual = residuals[aInstance];
-  const double decay = DecayBetween(residual.at, aNow, kResidualTime);
-  residual.logRatioSum = residual.logRatioSum * decay +
-                         std::clamp(aLogRatio, -kMaxLogRatio, kMaxLogRatio);
-  residual.weight = residual.weight * decay + 1.0;
-  residual.at = std::max(residual.at, aNow);
-  residual.isUnsent = true;
+  const TimePoint at = std::max(this->ownAt, aServer.at);
+  Scale(this->ownOther, DecayBetween(this->ownAt, at, kSumsTime));
+  this->ownAt = at;
+  AddScaled(this->ownOther,
+            WithFactor(aServer.sums, aFitFactor),
+            DecayBetween(aServer.at, at, kSumsTime));
 }
 
 void
 DecodeModel::Take(Peer& aPeer, const DecodeUpdate& aUpdate, TimePoint aNow)
 {
   aPeer.receivedAt = aNow;
-  aPeer.known.at = aNow;
-  aPeer.known.sums = aUpdate;
-  aPeer.known.sums.residuals.clear();
+  aPeer.sums = aUpdate;
+  aPeer.sums.residuals.clear();
   for (const ServerResidual& residual : aUpdate.residuals) {
-    const bool hasRoom = aPeer.known.residuals.size() < kMaxServers ||
-                         aPeer.known.residuals.contains(residual.instance);
+    const bool hasRoom = aPeer.residuals.size() < kMaxServers ||
+                         aPeer.residuals.contains(residual.instance);
     if (hasRoom && IsPlausible(residual)) {
-      aPeer.known.residuals[residual.instance] = { residual.logRatioSum,
-                                                   residual.weight,
-                                                   aNow };
+      aPeer.residuals[residual.instance] = { .logRatioSum =
+                                               residual.logRatioSum,
+                                             .weight = residual.weight,
+                                             .at = aNow };
     }
   }
 }
@@ -385,28 +419,30 @@
 std::optional<DecodeUpdate>
 DecodeModel::TakeUpdate(TimePoint aNow)
 {
-  const bool isDue =
-    !this->sentAt || Between(*this->sentAt, aNow) >= kUpdatePeriod;
-  DecodeUpdate update = this->own.sums;
-  Scale(update, DecayBetween(this->own.at, aNow, kSumsTime));
-  if (!isDue || update.weight < kMinResidualWeight) {
+  if (this->sentAt && Between(*this->sentAt, aNow) < kUpdatePeriod) {
+    return std::nullopt;
+  }
+  DecodeUpdate update = this->OwnSums(aNow);
+  if (update.weight < kMinResidualWeight) {
     return std::nullopt;
   }
   this->sentAt = aNow;
   update.longestToMean = this->ratios.Value().value_or(0);
-  std::vector<std::pair<const InstanceName, Residual>*> unsent;
-  for (auto& entry : this->own.residuals) {
-    if (entry.second.isUnsent) {
+  std::vector<std::pair<const InstanceName, OwnServer>*> unsent;
+  for (auto& entry : this->ownServers) {
+    if (entry.second.residual.isUnsent) {
       unsent.push_back(&entry);
     }
   }
+  // Those sent longest ago come first, so that none is left out for ever.
   if (unsent.size() > kMaxResidualsPerUpdate) {
-    std::ranges::sort(
-      unsent, {}, [](const auto* aEntry) { return aEntry->second.sentAt; });
+    std::ranges::sort(unsent, {}, [](const auto* aEntry) {
+      return aEntry->second.residual.sentAt;
+    });
     unsent.resize(kMaxResidualsPerUpdate);
   }
   for (auto* entry : unsent) {
-    Residual& residual = entry->second;
+    Residual& residual = entry->second.residual;
     const double decay = DecayBetween(residual.at, aNow, kResidualTime);
     update.residuals.push_back(
       { entry->first, residual.logRatioSum * decay, residual.weight * decay });
@@ -416,23 +452,36 @@
   return update;
 }
 
+DecodeUpdate
+DecodeModel::OwnSums(TimePoint aNow) const
+{
+  DecodeUpdate sums;
+  AddScaled(sums, this->ownOther, DecayBetween(this->ownAt, aNow, kSumsTime));
+  for (const auto& [name, server] : this->ownServers) {
+    AddScaled(sums,
+              WithFactor(server.sums, this->FactorOf(name).fit),
+              DecayBetween(server.at, aNow, kSumsTime));
+  }
+  return sums;
+}
+
 DecodeUpdate
 DecodeModel::Total(TimePoint aNow) const
 {
-  DecodeUpdate total;
+  DecodeUpdate total = this->OwnSums(aNow);
   double longestSum = kPriorLongestWeight * kPriorLongestToMean;
   double longestWeight = kPriorLongestWeight;
-  const auto add = [&](const Contribution& aOne, double aLongest) {
-    const double decay = DecayBetween(aOne.at, aNow, kSumsTime);
-    AddScaled(total, aOne.sums, decay);
-    if (aLongest >= 1.0) {
-      longestSum += aLongest * aOne.sums.weight * decay;
-      longestWeight += aOne.sums.weight * decay;
-    }
-  };
-  add(this->own, this->ratios.Value().value_or(0));
+  if (const std::optional<double> ratio = this->ratios.Value()) {
+    longestSum += *ratio * total.weight;
+    longestWeight += total.weight;
+  }
   for (const auto& [name, peer] : this->peers) {
-    add(peer.known, peer.known.sums.longestToMean);
+    const double decay = DecayBetween(peer.receivedAt, aNow, kSumsTime);
+    AddScaled(total, peer.sums, decay);
+    if (peer.sums.longestToMean >= 1.0) {
+      longestSum += peer.sums.longestToMean * peer.sums.weight * decay;
+      longestWeight += peer.sums.weight * decay;
+    }
   }
   total.longestToMean = longestSum / longestWeight;
   return total;
@@ -442,17 +491,19 @@
 DecodeModel::TotalResiduals(TimePoint aNow) const
 {
   Residuals total;
-  const auto add = [&](const Contribution& aOne) {
-    for (const auto& [name, residual] : aOne.residuals) {
-      const double decay = DecayBetween(residual.at, aNow, kResidualTime);
-      Residual& sum = total[name];
-      sum.logRatioSum += residual.logRatioSum * decay;
-      sum.weight += residual.weight * decay;
-    }
+  const auto add = [&](const InstanceName& aName, const Residual& aOne) {
+    const double decay = DecayBetween(aOne.at, aNow, kResidualTime);
+    Residual& sum = total[aName];
+    sum.logRatioSum += aOne.logRatioSum * decay;
+    sum.weight += aOne.weight * decay;
   };
-  add(this->own);
-  for (const auto& [name, peer] : this->peers) {
-    add(peer.known);
+  for (const auto& [name, server] : this->ownServers) {
+    add(name, server.residual);
+  }
+  for (const auto& [gateway, peer] : this->peers) {
+    for (const auto& [name, residual] : peer.residuals) {
+      add(name, residual);
+    }
   }
   return total;
 }
@@ -485,10 +536,14 @@
 void
 DecodeModel::Forget(const InstanceName& aInstance)
 {
+  const auto found = this->ownServers.find(aInstance);
+  if (found != this->ownServers.end()) {
+    this->Fold(found->second, this->FactorOf(aInstance).fit);
+    this->ownServers.erase(found);
+  }
   this->factors.erase(aInstance);
-  this->own.residuals.erase(aInstance);
   for (auto& [name, peer] : this->peers) {
-    peer.known.residuals.erase(aInstance);
+    peer.residuals.erase(aInstance);
   }
 }
 
@@ -498,16 +553,12 @@
   absl::erase_if(this->peers, [aNow](const auto& aItem) {
     return Between(aItem.second.receivedAt, aNow) > kPeerTtl;
   });
-  const auto prune = [aNow](Residuals& aResiduals) {
-    absl::erase_if(aResiduals, [aNow](const auto& aItem) {
+  for (auto& [name, peer] : this->peers) {
+    absl::erase_if(peer.residuals, [aNow](const auto& aItem) {
       const Residual& one = aItem.second;
       return one.weight * DecayBetween(one.at, aNow, kResidualTime) <
              kMinResidualWeight;
     });
-  };
-  prune(this->own.residuals);
-  for (auto& [name, peer] : this->peers) {
-    prune(peer.known.residuals);
   }
   this->SolveIfDue(aNow);
 }
@@ -529,8 +580,7 @@
   // With fewer streams, the earlier estimates are better than new ones.
   if (total.weight >= kMinWeight) {
     if (const std::optional<Row> fitted = Fit(total)) {
-      this->coefficients = *fitted;
-      this->isLearned = true;
+      this->SetCoefficients(*fitted);
     }
   }
   if (total.interactiveStreams >= 1.0) {
@@ -539,6 +589,32 @@
     this->interactiveTokens =
       total.interactiveTokens / total.interactiveStreams;
   }
+  this->UpdateFactors(aNow);
+}
+
+void
+DecodeModel::SetCoefficients(const Row& aCoefficients)
+{
+  // The residuals are relative to the coefficients, so they follow them.
+  for (auto& [name, server] : this->ownServers) {
+    const double before = Multiply(server.terms, this->coefficients);
+    const double after = Multiply(server.terms, aCoefficients);
+    if (before > 0 && after > 0) {
+      Residual& residual = server.residual;
+      const double bound = kMaxLogRatio * residual.weight;
+      residual.logRatioSum = std::clamp(
+        residual.logRatioSum + residual.weight * std::log(before / after),
+        -bound,
+        bound);
+    }
+  }
+  this->coefficients = aCoefficients;
+  this->isLearned = true;
+}
+
+void
+DecodeModel::UpdateFactors(TimePoint aNow)
+{
   const Residuals residuals = this->TotalResiduals(aNow);
   double logSum = 0;
   double weight = kResidualPrior;
--- a/dogwoodvale/src/Placement/DecodeModel.h
+++ b/dogwoodvale/src/Placement/DecodeModel.h
@@ -144,17 +144,24 @@
   };
   using Residuals = absl::flat_hash_map<InstanceName, Residual>;
 
-  /// The sums of one gateway, decayed to the time \c at.
-  struct Contribution
+  /// This gateway's streams at one server.
+  struct OwnServer
   {
-    /// Without residuals.
+    /// Normal equations without the server's residual, decayed to the time
+    /// \c at. They are scaled by the residual only when they are used: the
+    /// first residuals are far off, and sums made with them would have to decay
+    /// before the coefficients are right.
     DecodeUpdate sums;
     TimePoint at{};
-    Residuals residuals;
+    Residual residual;
+    /// Sum of the terms per interval, with the weights of the residual.
+    std::array<double, kTerms> terms{};
   };
   struct Peer
   {
-    Contribution known;
+    /// Without residuals.
+    DecodeUpdate sums;
+    Residuals residuals;
     Incarnation incarnation = 0;
     std::uint64_t sequence = 0;
     TimePoint receivedAt{};
@@ -170,19 +177,26 @@
   };
 
   ServerFactor FactorOf(const InstanceName& aInstance) const;
+  /// This gateway's sums, without residuals.
+  DecodeUpdate OwnSums(TimePoint aNow) const;
   /// Sums of all gateways, without residuals.
   DecodeUpdate Total(TimePoint aNow) const;
   /// Sums of the residuals of all gateways.
   Residuals TotalResiduals(TimePoint aNow) const;
   /// Replaces the known sums of a gateway.
   void Take(Peer& aPeer, const DecodeUpdate& aUpdate, TimePoint aNow);
-  void RecordResidual(const InstanceName& aInstance,
-                      double aLogRatio,
-                      TimePoint aNow);
+  /// Adds the sums of a server that is no longer kept to the others.
+  void Fold(const OwnServer& aServer, double aFitFactor);
+  void SetCoefficients(const std::array<double, kTerms>& aCoefficients);
+  void UpdateFactors(TimePoint aNow);
   void SolveIfDue(TimePoint aNow);
   void Solve(TimePoint aNow);
 
-  Contribution own;
+  absl::flat_hash_map<InstanceName, OwnServer> ownServers;
+  /// Sums of this gateway that belong to no server in ownServers, decayed to
+  /// the time ownAt.
+  DecodeUpdate ownOther;
+  TimePoint ownAt{};
   /// By name; the sums of Seed() are kept under the empty name.
   absl::flat_hash_map<InstanceName, Peer> peers;
   MovingQuantile ratios{ 0.9, 256 };
--- a/test/WarmStart.cpp
+++ b/test/WarmStart.cpp
@@ -1,6 +1,10 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <limits>
+
+#include <msgpack.hpp>
+
 #include "support/PlatformSite.h"
 
 using namespace dogwoodvale;
@@ -24,11 +28,60 @@
   instance.slots = 4;
   state.instances = { instance };
   state.gateways = { { InstanceName("g1"), { "127.0.0.1", 81 } } };
-  state.services = { { ServiceName("s"), { 100.0, 0.04, 2e6 }, 12.0 } };
+  state.services = { { ServiceName("s"), { 100.0, 0.04, 2e6 }, 12.0, {} } };
   state.caches = { { instance.name, { { 5, 100 }, { 6, 200 } } } };
   return state;
 }
 
+/// Sums of streams whose time is 30 ms per interval.
+DecodeUpdate
+SomeSums()
+{
+  DecodeModel model;
+  TimePoint now = Now();
+  StreamSample sample;
+  sample.intervals = 10;
+  sample.span = milliseconds(300);
+  sample.longestPause = milliseconds(60);
+  sample.meanRequests = 20;
+  sample.isInteractive = true;
+  sample.ownPrefillTokens = 500;
+  for (int i = 0; i < 100; ++i) {
+    model.OnStream(IncarnationName("e1", 17), sample, now += milliseconds(10));
+  }
+  DecodeUpdate sums = model.Sums(now);
+  sums.service = ServiceName("s");
+  return sums;
+}
+
+/// The fields of a state that builds before the decode model write and read.
+struct OldState
+{
+  std::uint32_t format = 0;
+  std::vector<msgpack::object> instances;
+  std::vector<msgpack::object> gateways;
+  std::vector<msgpack::object> services;
+  std::vector<msgpack::object> caches;
+
+  MSGPACK_DEFINE_ARRAY(format, instances, gateways, services, caches);
+};
+
+/// The fields of a service in an OldState.
+struct OldService
+{
+  std::string service;
+  double meanTokens = 0;
+  double tokensPerMicro = 0;
+  double meanStayMicros = 0;
+  double interactivePeak = 0;
+
+  MSGPACK_DEFINE_ARRAY(service,
+                       meanTokens,
+                       tokensPerMicro,
+                       meanStayMicros,
+                       interactivePeak);
+};
+
 } // namespace
 
 TEST_CASE("a warm state is read back as it was written", "[warm]")
@@ -44,6 +97,76 @@
   CHECK(read->services[0].interactivePeak == 12.0);
 }
 
+TEST_CASE("the sums of the decode model are in the warm state", "[warm]")
+{
+  WarmState state = SomeState();
+  state.services[0].decode = SomeSums();
+  const auto read = ReadWarmState(WriteWarmState(state, kSecret), kSecret);
+  REQUIRE(read.ok());
+  REQUIRE(read->services.size() == 1);
+  CHECK(read->services[0].decode == state.services[0].decode);
+  DecodeModel model;
+  model.Seed(read->services[0].decode, Now());
+  REQUIRE(model.IsLearned());
+  CHECK(model.MeanPause({ 1.0, 20, 0, 0 }) > milliseconds(28));
+  CHECK(model.MeanPause({ 1.0, 20, 0, 0 }) < milliseconds(32));
+}
+
+// During an upgrade, gateways of both versions write and read the state.
+TEST_CASE("warm states are read across versions", "[warm]")
+{
+  WarmState state = SomeState();
+  state.services[0].decode = SomeSums();
+  const std::string bytes = WriteWarmState(state, kSecret);
+  const std::string packed = bytes.substr(kKeyedDigestBytes);
+  const msgpack::object_handle handle =
+    msgpack::unpack(packed.data(), packed.size());
+
+  // An older build reads the leading fields, at each level as they were.
+  OldState old;
+  handle.get().convert(old);
+  CHECK(old.instances.size() == 1);
+  CHECK(old.caches.size() == 1);
+  REQUIRE(old.services.size() == 1);
+  OldService service;
+  old.services[0].convert(service);
+  CHECK(service.service == "s");
+  CHECK(service.interactivePeak == 12.0);
+
+  // What it writes has no sums.
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, old);
+  const std::string_view written(buffer.data(), buffer.size());
+  std::string oldBytes = KeyedDigest(written, kSecret);
+  oldBytes += written;
+  const auto read = ReadWarmState(oldBytes, kSecret);
+  REQUIRE(read.ok());
+  CHECK(read->instances == state.instances);
+  CHECK(read->caches == state.caches);
+  REQUIRE(read->services.size() == 1);
+  CHECK(read->services[0].reading.meanTokens == 100.0);
+  CHECK(read->services[0].interactivePeak == 12.0);
+  CHECK(read->services[0].decode.weight == 0);
+}
+
+// The sums are of gateways that may have had a fault.
+TEST_CASE("invalid sums in the warm state teach nothing", "[warm]")
+{
+  WarmState state = SomeState();
+  for (const double garbage : { std::numeric_limits<double>::quiet_NaN(),
+                                std::numeric_limits<double>::infinity(),
+                                -1.0 }) {
+    state.services[0].decode = SomeSums();
+    state.services[0].decode.matrix[0] = garbage;
+    const auto read = ReadWarmState(WriteWarmState(state, kSecret), kSecret);
+    REQUIRE(read.ok());
+    REQUIRE(read->services.size() == 1);
+    DecodeModel model;
+    model.Seed(read->services[0].decode, Now());
+    CHECK_FALSE(model.IsLearned());
+  }
+}
+
 // The stored state was overwritten by something else, or only partly written.
 TEST_CASE("a corrupted or forged warm state is rejected", "[warm]")
 {
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -218,7 +218,7 @@
       }
       other.pool->Work().SetPeer(aSender.name, lines, this->now);
       for (const Sent& sent : aSender.sent) {
-        other.pool->OnPrefill(sent.engine, sent.steps);
+        other.pool->OnPrefill(sent.engine, sent.steps, this->now);
         other.pool->OnLongPrompt(sent.engine, sent.longTokens, this->now);
       }
     }
@@ -320,7 +320,7 @@
     running.prefill = running.work.Prefill();
     const std::uint32_t longTokens =
       aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
-    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps);
+    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps, this->now);
     aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
     aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
     const RequestId id{ 0, ++this->lastId };
