--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -339,6 +339,7 @@
   this->crashes.AddToDigest(digest);
   this->pool.Backpressure().AddToDigest(digest, Now());
   this->pool.AddDecodeUpdates(digest, Now());
+  digest.loads = this->pool.Loads().TakeUpdates(Now());
   digest.list = this->directory->List(Now());
   this->usage.AddToDigest(digest);
   return digest;
