--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -399,6 +399,7 @@
 UnpackRanks(std::vector<PackedRank>&& aPacked)
 {
   std::vector<RankUpdate> ranks;
+  ranks.reserve(aPacked.size());
   for (PackedRank& packed : aPacked) {
     ranks.push_back({ ServiceName(std::move(packed.service)),
                       packed.rank,
@@ -474,6 +475,7 @@
     toPack.leaving.push_back({ update.server.Value(), update.age.count() });
   }
   PackLoads(aDigest.loads, toPack);
+  toPack.decode.reserve(aDigest.decode.size());
   for (const DecodeUpdate& update : aDigest.decode) {
     toPack.decode.push_back(Pack(update));
   }
@@ -533,6 +535,7 @@
       { InstanceName(std::move(line.server)), milliseconds(line.ageMillis) });
   }
   digest.loads = UnpackLoads(std::move(read.loads));
+  digest.decode.reserve(read.decode.size());
   for (PackedDecode& update : read.decode) {
     digest.decode.push_back(Unpack(std::move(update)));
   }
