Bound predicted pauses also for a load that is not a number

Cause: converting a pause that is not a number to a Duration is undefined. Change: such a pause counts as the longest one. test_DecodeModel, test_ServerActivity and test_PausePredictions pass.

--- a/dogwoodvale/src/Placement/DecodeModel.cpp
+++ b/dogwoodvale/src/Placement/DecodeModel.cpp
@@ -53,8 +53,10 @@
 Duration
 FromMillis(double aMillis)
 {
+  // Not a number compares false, and so becomes the longest pause as well.
+  const bool isBelow = aMillis < kMaxPauseMillis;
   const std::chrono::duration<double, std::milli> time(
-    std::clamp(aMillis, 0.0, kMaxPauseMillis));
+    isBelow ? std::max(aMillis, 0.0) : kMaxPauseMillis);
   return std::chrono::duration_cast<Duration>(time);
 }
 
