Refuse the excess of customers over their share first

Cause: while a service is short of capacity, the requests of a customer at many times its usual rate delay all others of the same rank. Change: gateways record the use of a service by customer and exchange it in digests, at most four services each. While a service is short, a request of a customer over its share takes the late priority of its rank, and is refused as not run if it would be late because of the work ahead of it, or all its servers are full. A request that may have reached a server is not refused by it. The switch is gateway.decisions.customer_shares. Shown by over_share in event=request, event=capacity_shortage, the gauge services_short and two counts per customer. PlatformSite takes further tenants.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -25,6 +25,10 @@
 /// rarely has less than two thirds of its even share.
 constexpr std::size_t kMinServersPerCell = 16;
 
+/// Services whose use one digest carries. With 32 customers each they take 6 kB
+/// of the 60 kB of a digest; the others follow in the next ones.
+constexpr std::size_t kSharesPerDigest = 4;
+
 /// The longest prompt prefix that other requests may share with this one, if
 /// any: the last step belongs to the request alone.
 std::optional<PrefixHash>
@@ -141,6 +145,9 @@
   this->gatewaysInCell = aInCell;
   this->cells = aCells;
   this->cell = aCell;
+  for (auto& [service, shared] : this->sharing) {
+    shared.shares.SetGateways(aInCell);
+  }
   this->ListServices();
 }
 
@@ -173,6 +180,7 @@
   for (const InstanceName& gateway : this->work.Expire(aNow)) {
     Log(LogLevel::Warning, "gateway_silent", "gateway", gateway.Value());
   }
+  this->LogShortages(aNow);
   for (auto& [service, tracker] : this->health) {
     const Occupancy now = this->OccupancyOf(service);
     this->Reserve(service, now, aNow);
@@ -644,6 +652,82 @@
     aDigest,
     [this](const InstanceName& aName) { return this->MayUse(aName); },
     aNow);
+  this->ApplyShares(aDigest, aNow);
+}
+
+BackendPool::Sharing*
+BackendPool::SharingOf(const ServiceName& aService)
+{
+  if (!this->options.decisions.customerShares) {
+    return nullptr;
+  }
+  const auto [found, isNew] = this->sharing.try_emplace(aService);
+  if (isNew) {
+    found->second.shares.SetGateways(this->gatewaysInCell);
+  }
+  return &found->second;
+}
+
+void
+BackendPool::ApplyShares(const PeerDigest& aDigest, TimePoint aNow)
+{
+  // Digests of other cells come too rarely, and their callers use other servers
+  // unless the service is not split.
+  if (CellOf(aDigest.gateway, this->cells) != this->cell) {
+    return;
+  }
+  for (const ShareUpdate& update : aDigest.shares) {
+    // Services that this gateway does not have would never be removed.
+    Sharing* shared = this->byService.contains(update.service)
+                        ? this->SharingOf(update.service)
+                        : nullptr;
+    if (shared != nullptr) {
+      shared->shares.OnPeerUpdate(aDigest.gateway, update, aNow);
+    }
+  }
+}
+
+void
+BackendPool::AddSharesToDigest(PeerDigest& aDigest, TimePoint aNow)
+{
+  // Begins after the last service reported, so that each gets its turn.
+  auto next = this->sharing.upper_bound(this->lastReported);
+  for (std::size_t i = 0;
+       i < this->sharing.size() && aDigest.shares.size() < kSharesPerDigest;
+       ++i, ++next) {
+    if (next == this->sharing.end()) {
+      next = this->sharing.begin();
+    }
+    if (auto update = next->second.shares.TakeUpdate(next->first, aNow)) {
+      this->lastReported = next->first;
+      aDigest.shares.push_back(*std::move(update));
+    }
+  }
+}
+
+std::size_t
+BackendPool::ShortCount(TimePoint aNow)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->sharing, [aNow](auto& aItem) {
+      return aItem.second.shortage.IsShort(aNow);
+    }));
+}
+
+void
+BackendPool::LogShortages(TimePoint aNow)
+{
+  for (auto& [service, shared] : this->sharing) {
+    const bool isShort = shared.shortage.IsShort(aNow);
+    if (std::exchange(shared.wasShort, isShort) != isShort) {
+      Log(LogLevel::Info,
+          "capacity_shortage",
+          "service",
+          service.Value(),
+          "short",
+          isShort);
+    }
+  }
 }
 
 void
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -133,6 +133,21 @@
   /// to it.
   void OnWrongInstance(const InstanceName& aInstance);
 
+  /// Use of the service by customer and its shortage; null if customers have no
+  /// shares (GatewayDecisions::customerShares).
+  struct Sharing
+  {
+    CustomerShares shares;
+    CapacityShortage shortage;
+    /// For the log.
+    bool wasShort = false;
+  };
+  Sharing* SharingOf(const ServiceName& aService);
+  /// Puts the use of the services into a digest, as far as reports are due.
+  void AddSharesToDigest(PeerDigest& aDigest, TimePoint aNow);
+  /// Number of services that are short of capacity.
+  std::size_t ShortCount(TimePoint aNow);
+
   const GatewayDecisions& Decisions() const { return this->options.decisions; }
   PauseProfile& PausesOf(const ServiceName& aService)
   {
@@ -191,6 +206,9 @@
                   std::uint32_t aRank,
                   std::span<const DirectCandidate> aCandidates,
                   TimePoint aNow);
+  void ApplyShares(const PeerDigest& aDigest, TimePoint aNow);
+  /// Logs which services have become short of capacity or no longer are.
+  void LogShortages(TimePoint aNow);
   /// Whether the pool has the server and gateways of this cell use it.
   bool MayUse(const InstanceName& aName) const;
   /// Number of cells that the server's service is split into; 1 if not split.
@@ -217,6 +235,9 @@
   std::map<ServiceName, ReservedServers> reserved;
   ServerBackpressure backpressure;
   std::map<ServiceName, RankReserve> reserves;
+  std::map<ServiceName, Sharing> sharing;
+  /// The service whose use was reported last.
+  ServiceName lastReported;
   WorkTable work;
   CacheTracker caches;
   /// Tokens that fit into the cache of one server.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -338,6 +338,7 @@
   this->routed.clear();
   this->crashes.AddToDigest(digest);
   this->pool.Backpressure().AddToDigest(digest, Now());
+  this->pool.AddSharesToDigest(digest, Now());
   digest.list = this->directory->List(Now());
   this->usage.AddToDigest(digest);
   return digest;
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -92,6 +92,8 @@
       placement.priority,
       "timeliness",
       TimelinessName(placement.timeliness),
+      "over_share",
+      outcome.overShare,
       "expected_ms",
       WholeMillis(placement.firstToken),
       "first_ms",
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -63,6 +63,8 @@
   sample.tokens = outcome.events;
   sample.succeeded = outcome.complete;
   sample.attained = attained;
+  sample.overShare = outcome.overShare;
+  sample.refusedForShare = outcome.refusedForShare;
   this->customers.Record(admitted.customer, sample);
 }
 
@@ -94,6 +96,7 @@
   set("peers", static_cast<double>(aGauges.peers));
   set("digests_refused", static_cast<double>(aGauges.digestsRefused));
   set("reserved_servers", static_cast<double>(aGauges.reserved));
+  set("services_short", static_cast<double>(aGauges.servicesShort));
   set("servers_resting", static_cast<double>(aGauges.backingOff));
   set("servers_rate_limited", static_cast<double>(aGauges.rateLimited));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -17,6 +17,8 @@
   std::uint64_t digestsRefused = 0;
   /// Backend servers reserved for interactive requests, of all services.
   std::size_t reserved = 0;
+  /// Services that are short of capacity, see CapacityShortage.
+  std::size_t servicesShort = 0;
   /// Backend servers that this gateway sends nothing until their back-off ends.
   std::size_t backingOff = 0;
   /// Backend servers that limit the rate of requests.
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -59,6 +59,7 @@
   gauges.peers = this->pool.Work().PeerCount();
   gauges.digestsRefused = this->peers->DigestsRejected();
   gauges.reserved = this->pool.ReservedCount();
+  gauges.servicesShort = this->pool.ShortCount(Now());
   gauges.rateLimited = this->pool.Backpressure().Rates().LimitedCount();
   gauges.backingOff = this->pool.Backpressure().Backoffs().BackingOffCount(now);
   gauges.serversCrashed = this->crashes.ServersCrashed();
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -16,6 +16,9 @@
 /// server may be closing an older one, and a request lost that way can't be
 /// retried.
 constexpr Duration kMaxIdleForNonIdempotent = milliseconds(500);
+/// Memory held by a stream is counted at its events, at most this often, so
+/// that the use of long streams is known while they run.
+constexpr Duration kHeldMemoryPeriod = CustomerShares::kReportPeriod;
 
 } // namespace
 
@@ -97,19 +100,32 @@
   BackendPool& pool = this->host.Backends();
   const std::vector<DirectCandidate> candidates = pool.Candidates(
     *this->admitted.service, this->admitted.demand, this->excluded, now);
+  const std::optional<ShareStanding> standing = this->StandingWhileShort(now);
+  PlacementRequest wanted = this->MakePlacementRequest(now);
+  if (standing && standing->isOver) {
+    this->outcome.overShare = true;
+    wanted.priorities.inTime = wanted.priorities.late;
+  }
   const std::optional<Placement> placed = this->host.RequestPlacer().Place(
     candidates,
-    this->MakePlacementRequest(now),
+    wanted,
     pool.PrefillOf(this->admitted.service->name),
     this->host.Random());
   if (!placed) {
-    this->GiveUpUnplaced();
+    const CapacityFinding finding = FindCapacity(candidates, wanted, nullptr);
+    if (!this->IsRefusedForShare(finding, standing, now)) {
+      this->GiveUpUnplaced();
+    }
     return;
   }
   const DirectCandidate& server = candidates[placed->server];
   this->outcome.instance = server.name;
   this->outcome.cachedTokens = server.cachedTokens;
   this->outcome.placement = *placed;
+  if (this->IsRefusedForShare(
+        FindCapacity(candidates, wanted, &*placed), standing, now)) {
+    return;
+  }
   if (placed->timeliness == Timeliness::Hopeless) {
     this->GiveUp(ErrorCode::QueueFull, "all servers are behind", placed->wait);
     return;
@@ -122,6 +138,55 @@
   this->SendTo(server, *client);
 }
 
+std::optional<ShareStanding>
+GatewayRequest::StandingWhileShort(TimePoint aNow) const
+{
+  BackendPool::Sharing* sharing =
+    this->host.Backends().SharingOf(this->admitted.service->name);
+  if (sharing == nullptr || this->timesSent > 0 || this->mayHaveRun ||
+      this->streamStarted || !sharing->shortage.IsShort(aNow)) {
+    return std::nullopt;
+  }
+  return sharing->shares.StandingOf(this->admitted.customer, aNow);
+}
+
+bool
+GatewayRequest::IsRefusedForShare(const CapacityFinding& aFinding,
+                                  const std::optional<ShareStanding>& aStanding,
+                                  TimePoint aNow)
+{
+  BackendPool::Sharing* sharing =
+    this->host.Backends().SharingOf(this->admitted.service->name);
+  // A later attempt has lost time to a failed server, which is no shortage.
+  if (sharing != nullptr && this->outcome.attempts == 0) {
+    sharing->shortage.OnPlacement(aFinding.IsWithoutCapacity(), aNow);
+  }
+  if (!aStanding || !aStanding->isOver || !aFinding.IsRefusedWhenOver()) {
+    return false;
+  }
+  this->outcome.refusedForShare = true;
+  this->GiveUp(ErrorCode::QueueFull,
+               "the customer is over its share while capacity is short",
+               aStanding->drain);
+  return true;
+}
+
+void
+GatewayRequest::RecordHeldMemory(TimePoint aNow)
+{
+  BackendPool::Sharing* sharing =
+    this->host.Backends().SharingOf(this->admitted.service->name);
+  if (sharing == nullptr || !this->sent) {
+    return;
+  }
+  const Duration held = Between(this->sent->heldUntil, aNow);
+  this->sent->heldUntil = aNow;
+  sharing->shares.OnUse(this->admitted.customer,
+                        static_cast<double>(this->sent->work.memoryTokens) *
+                          std::chrono::duration<double>(held).count(),
+                        aNow);
+}
+
 DirectAttempt::Plan
 GatewayRequest::PlanFor(const InstanceName& aInstance, TimePoint aNow) const
 {
@@ -162,11 +227,16 @@
   const TimePoint now = Now();
   const Placement& placement = this->outcome.placement;
   BackendPool& pool = this->host.Backends();
-  this->sent =
-    Sent{ .instance = aCandidate.name,
-          .work = placement.work,
-          .at = now,
-          .hadFreeSlot = aCandidate.work.requests < aCandidate.slots };
+  this->sent = Sent{ .instance = aCandidate.name,
+                     .work = placement.work,
+                     .at = now,
+                     .hadFreeSlot = aCandidate.work.requests < aCandidate.slots,
+                     .heldUntil = now };
+  if (auto* sharing = pool.SharingOf(this->admitted.service->name)) {
+    sharing->shares.OnUse(this->admitted.customer,
+                          static_cast<double>(placement.work.Prefill()),
+                          now);
+  }
   pool.OnSent(aCandidate.name, placement.work, this->admitted.demand.steps);
   const std::uint32_t longTokens =
     this->admitted.demand.isLong
@@ -261,6 +331,9 @@
     this->outcome.status = this->attempt->Answer().status;
     this->exchange->StartStream(this->outcome.status, this->attempt->Headers());
   }
+  if (Between(this->sent->heldUntil, now) >= kHeldMemoryPeriod) {
+    this->RecordHeldMemory(now);
+  }
   ++this->outcome.events;
   this->lastDeliveredEvent = this->attempt->LastEvent();
   this->exchange->SendPart(aBytes);
@@ -496,6 +569,7 @@
 GatewayRequest::EndAttempt()
 {
   if (this->sent) {
+    this->RecordHeldMemory(Now());
     this->host.Backends().OnDone(this->sent->instance, this->sent->work);
     this->host.Crashes().OnDone(this->admitted.fingerprint);
     this->sent.reset();
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -29,6 +29,10 @@
   Placement placement;
   /// Prompt tokens expected in the cache of the server placed last.
   std::uint32_t cachedTokens = 0;
+  /// The customer was over its share of the service, which was short of
+  /// capacity, when the request was placed or refused.
+  bool overShare = false;
+  bool refusedForShare = false;
   /// From acceptance to the first part of an answer; 0 if none came.
   Duration firstResponse{ 0 };
   /// The longest time between two consecutive parts of a stream.
@@ -112,6 +116,8 @@
     /// The server had fewer known requests than slots when it was chosen.
     bool hadFreeSlot = false;
     bool hasResponded = false;
+    /// Up to when the memory that it takes counts as the customer's use.
+    TimePoint heldUntil{};
   };
 
   const HostRoute& GetRoute() const { return *this->admitted.route; }
@@ -124,6 +130,17 @@
   /// been given up.
   bool PassesCrashGuard(TimePoint aNow);
   PlacementRequest MakePlacementRequest(TimePoint aNow) const;
+  /// The customer's standing if the service is short of capacity and the
+  /// request may still be refused.
+  std::optional<ShareStanding> StandingWhileShort(TimePoint aNow) const;
+  /// Records whether there was capacity for the request, and refuses it if its
+  /// customer is over its share and there was not.
+  /// \return whether it was refused.
+  bool IsRefusedForShare(const CapacityFinding& aFinding,
+                         const std::optional<ShareStanding>& aStanding,
+                         TimePoint aNow);
+  /// Counts the memory held since the last call as the customer's use.
+  void RecordHeldMemory(TimePoint aNow);
   void SendTo(const DirectCandidate& aCandidate, BackendClient& aClient);
   BackendRequestMetadata MetadataFor(const InstanceName& aInstance,
                                      TimePoint aNow) const;
--- a/dogwoodvale/src/Metrics/CustomerSketch.cpp
+++ b/dogwoodvale/src/Metrics/CustomerSketch.cpp
@@ -46,6 +46,8 @@
   slot.failed += aSample.succeeded ? 0 : 1;
   slot.attained += aSample.attained ? 1 : 0;
   slot.tokens += aSample.tokens;
+  slot.overShare += aSample.overShare ? 1 : 0;
+  slot.refusedForShare += aSample.refusedForShare ? 1 : 0;
   slot.total.Record(aSample.total);
   if (aSample.firstToken) {
     slot.firstToken.Record(*aSample.firstToken);
@@ -78,7 +80,7 @@
     std::uint64_t CustomerMetrics::*member;
   };
   // Gauges, as a customer that leaves the sketch and returns starts anew.
-  static constexpr std::array<Counter, 5> kCounters = { {
+  static constexpr std::array<Counter, 7> kCounters = { {
     { "customer_requests",
       "Requests of the busiest customers, at most customer_error too many.",
       &CustomerMetrics::requests },
@@ -90,6 +92,13 @@
       "Requests that met their target.",
       &CustomerMetrics::attained },
     { "customer_tokens", "Tokens delivered.", &CustomerMetrics::tokens },
+    { "customer_over_share",
+      "Requests that came while the customer was over its share of a service "
+      "short of capacity.",
+      &CustomerMetrics::overShare },
+    { "customer_refused_for_share",
+      "Of these, requests that were refused for it.",
+      &CustomerMetrics::refusedForShare },
   } };
   const auto busiest = this->Busiest();
   const auto each = [&](auto aMember) {
--- a/dogwoodvale/src/Metrics/CustomerSketch.h
+++ b/dogwoodvale/src/Metrics/CustomerSketch.h
@@ -18,6 +18,10 @@
   std::uint64_t tokens = 0;
   bool succeeded = false;
   bool attained = false;
+  /// Its customer was over its share of a service short of capacity.
+  bool overShare = false;
+  /// It was refused for that.
+  bool refusedForShare = false;
 };
 
 /// What is known of one busy customer since it entered the sketch.
@@ -30,6 +34,8 @@
   std::uint64_t failed = 0;
   std::uint64_t attained = 0;
   std::uint64_t tokens = 0;
+  std::uint64_t overShare = 0;
+  std::uint64_t refusedForShare = 0;
   LatencyHistogram total;
   LatencyHistogram firstToken;
 };
--- a/test/CustomerShares.cpp
+++ b/test/CustomerShares.cpp
@@ -3,10 +3,13 @@
 
 #include <cmath>
 #include <limits>
+#include <set>
 
-#include "dogwoodvale/Gateway"
+#include "support/PlatformSite.h"
 
 using namespace dogwoodvale;
+using test::PlatformSite;
+using test::RawSocket;
 
 namespace {
 
@@ -388,6 +391,7 @@
 TEST_CASE("reports of more customers than agreed are cut")
 {
   std::vector<CustomerUse> many;
+  many.reserve(1000);
   for (int i = 0; i < 1000; ++i) {
     many.push_back({ Named("c" + std::to_string(i)), 5 });
   }
@@ -458,3 +462,206 @@
   REQUIRE_FALSE(shortage.IsShort(kStart + milliseconds(2100)));
   REQUIRE_FALSE(shortage.IsShort(kStart + seconds(3600)));
 }
+
+TEST_CASE("a placement shows whether the service lacks capacity")
+{
+  DirectDemand demand;
+  PlacementRequest request{ demand, {} };
+  request.target = milliseconds(400);
+  std::vector<DirectCandidate> candidates(2);
+  candidates[0].slots = 2;
+  candidates[1].slots = 2;
+  candidates[1].isReserved = true;
+  Placement placed;
+  const auto found = [&] { return FindCapacity(candidates, request, &placed); };
+  REQUIRE_FALSE(found().IsWithoutCapacity());
+  REQUIRE_FALSE(found().IsRefusedWhenOver());
+  // A reserved server is no room for other requests.
+  candidates[0].work.requests = 2;
+  REQUIRE(found().IsWithoutCapacity());
+  REQUIRE(found().IsRefusedWhenOver());
+  demand.isInteractive = true;
+  REQUIRE_FALSE(found().IsWithoutCapacity());
+  // Interactive requests are always placed in time; beyond the target shows a
+  // shortage, beyond twice the target is refused.
+  placed.wait = milliseconds(101);
+  placed.firstToken = milliseconds(401);
+  REQUIRE(found().IsWithoutCapacity());
+  REQUIRE_FALSE(found().IsRefusedWhenOver());
+  placed.wait = milliseconds(501);
+  placed.firstToken = milliseconds(801);
+  REQUIRE(found().IsRefusedWhenOver());
+  placed.firstToken = milliseconds(0);
+  placed.timeliness = Timeliness::Late;
+  REQUIRE(found().IsWithoutCapacity());
+  REQUIRE(found().IsRefusedWhenOver());
+  // Late only because it was held back before.
+  placed.wait = milliseconds(0);
+  REQUIRE_FALSE(found().IsWithoutCapacity());
+  // Its own prefill takes longer than the target: at a server without a queue
+  // it lacks no capacity, behind a wait of more than the target it does.
+  placed.firstToken = milliseconds(900);
+  REQUIRE_FALSE(found().IsWithoutCapacity());
+  REQUIRE_FALSE(found().IsRefusedWhenOver());
+  placed.firstToken = milliseconds(1301);
+  placed.wait = milliseconds(401);
+  REQUIRE(found().IsRefusedWhenOver());
+  REQUIRE(FindCapacity({}, request, nullptr).IsRefusedWhenOver());
+  // Unknown slots are never full.
+  placed = Placement();
+  candidates[1].slots = 0;
+  candidates[1].work.requests = 100;
+  REQUIRE_FALSE(found().IsWithoutCapacity());
+}
+
+namespace {
+
+DirectInstance
+Server(const std::string& aName, const std::string& aService)
+{
+  DirectInstance instance;
+  instance.name = InstanceName(aName);
+  instance.server = instance.name;
+  instance.service = ServiceName(aService);
+  instance.address = { "127.0.0.1", 9 };
+  return instance;
+}
+
+} // namespace
+
+TEST_CASE("a digest carries the use of four services at a time")
+{
+  const auto loop = *EventLoop::Create();
+  BackendPool pool(*loop, {});
+  for (int i = 0; i < 10; ++i) {
+    pool.SharingOf(ServiceName("s" + std::to_string(i)))
+      ->shares.OnUse(Named("a"), 10, kStart);
+  }
+  // All ten have their turn in three digests, none twice.
+  std::set<ServiceName> seen;
+  for (const std::size_t expected : { 4, 4, 2 }) {
+    PeerDigest digest;
+    pool.AddSharesToDigest(digest, kStart + milliseconds(10));
+    REQUIRE(digest.shares.size() == expected);
+    for (const ShareUpdate& update : digest.shares) {
+      REQUIRE(seen.insert(update.service).second);
+    }
+  }
+  REQUIRE(seen.size() == 10);
+}
+
+TEST_CASE("reports of unknown services and other cells are not taken")
+{
+  const auto loop = *EventLoop::Create();
+  BackendPool pool(*loop, {});
+  const std::vector<DirectInstance> servers{ Server("e1", "model") };
+  pool.SetInstances(servers);
+  PeerDigest digest;
+  digest.gateway = InstanceName("g1");
+  digest.shares = { Update({ { Named("a"), 10 } }) };
+  digest.shares.push_back(digest.shares.front());
+  digest.shares.back().service = ServiceName("unknown");
+  const std::size_t cell = CellOf(digest.gateway, 3);
+  pool.SetGateways(96, 32, 3, (cell + 1) % 3);
+  pool.ApplyDigest(digest, kStart);
+  REQUIRE(pool.SharingOf(kService)->shares.PeerCount(kStart) == 0);
+  pool.SetGateways(96, 32, 3, cell);
+  pool.ApplyDigest(digest, kStart);
+  REQUIRE(pool.SharingOf(kService)->shares.PeerCount(kStart) == 1);
+  REQUIRE(pool.SharingOf(ServiceName("unknown"))->shares.PeerCount(kStart) ==
+          0);
+  // A digest without use, as between two reports, removes nothing.
+  digest.shares.clear();
+  pool.ApplyDigest(digest, kStart + milliseconds(150));
+  REQUIRE(pool.SharingOf(kService)->shares.PeerCount(kStart) == 1);
+}
+
+TEST_CASE("without the switch there are no shares")
+{
+  const auto loop = *EventLoop::Create();
+  BackendPool::Options options;
+  options.decisions.customerShares = false;
+  BackendPool pool(*loop, options);
+  const std::vector<DirectInstance> servers{ Server("e1", "model") };
+  pool.SetInstances(servers);
+  PeerDigest digest;
+  digest.gateway = InstanceName("g1");
+  digest.shares = { Update({ { Named("a"), 10 } }) };
+  pool.ApplyDigest(digest, kStart);
+  REQUIRE(pool.SharingOf(kService) == nullptr);
+  REQUIRE(pool.ShortCount(kStart) == 0);
+  PeerDigest made;
+  pool.AddSharesToDigest(made, kStart);
+  REQUIRE(made.shares.empty());
+}
+
+// Guards against a hot customer that fills the queues of a service until the
+// requests of all others are refused.
+TEST_CASE("a gateway refuses the customer over its share, not the others")
+{
+  PlatformSite site(0);
+  const bool hasShares = GENERATE(true, false);
+  site.decisions.customerShares = hasShares;
+  standins::SealedEngineSettings settings;
+  settings.work = milliseconds(20);
+  site.AddEngine("e1", settings);
+  site.PutConfiguration(
+    2, 2000, 0, R"(,{"name":"t2","apiKeys":["key2"],"priority":1})");
+  Gateway& gateway = site.ReadyGateway();
+  const auto text = [](const char* aKey, const std::string& aId, int aTokens) {
+    std::string request =
+      PlatformSite::RequestText("/read/stream/x",
+                                aId,
+                                fmt::format("Dogwoodvale-Token-Count: {},10\r\n"
+                                            "Connection: close\r\n",
+                                            aTokens));
+    request.replace(request.find("key1"), 4, aKey);
+    return request;
+  };
+  const auto ask = [&](const char* aKey, const std::string& aId, int aTokens) {
+    RawSocket caller = RawSocket::Connect(gateway.CallerAddress());
+    caller.Send(text(aKey, aId, aTokens));
+    site.Until([&] {
+      caller.Read();
+      return caller.closed;
+    });
+    return caller.received;
+  };
+  for (int i = 0; i < 25; ++i) {
+    ask("key2", fmt::format("s-{}", i), 100);
+  }
+  for (int i = 0; i < 8; ++i) {
+    ask("key1", fmt::format("l-{}", i), 4000);
+  }
+  Json::Value fault(Json::objectValue);
+  fault["hang"] = true;
+  site.engines[0]->SetFault(fault);
+  std::vector<RawSocket> waiting;
+  for (int i = 0; i < 12; ++i) {
+    waiting.push_back(RawSocket::Connect(gateway.CallerAddress()));
+    waiting.back().Send(text("key1", fmt::format("w-{}", i), 1500));
+    site.Until([] { return false; }, milliseconds(5));
+  }
+  site.Until([] { return false; }, milliseconds(20));
+  const auto countRefused = [&](std::string_view aReason) {
+    return std::ranges::count_if(waiting, [&](RawSocket& aCaller) {
+      aCaller.Read();
+      return aCaller.received.find("503") != std::string::npos &&
+             aCaller.received.find(aReason) != std::string::npos &&
+             aCaller.received.find("not_run") != std::string::npos;
+    });
+  };
+  // Its long prompts are as many as before until the service is short.
+  REQUIRE((countRefused("over its share") > 0) == hasShares);
+  const std::size_t runs = site.engines[0]->Runs().size();
+  RawSocket other = RawSocket::Connect(gateway.CallerAddress());
+  other.Send(text("key2", "other", 1500));
+  site.Until(
+    [&] {
+      other.Read();
+      return other.closed || site.engines[0]->Runs().size() > runs;
+    },
+    milliseconds(300));
+  const bool isSent = site.engines[0]->Runs().size() > runs;
+  REQUIRE(isSent == hasShares);
+}
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -57,9 +57,11 @@
   /// (idempotent) and /read/stream/ (with prompt metadata).
   /// \param aMoreRoutes number of further routes /more-1/, /more-2/ ... that
   /// are like /again/.
+  /// \param aMoreTenants JSON of further tenants, each preceded by a comma.
   void PutConfiguration(int aVersion,
                         int aTimeoutMillis = 2000,
-                        int aMoreRoutes = 0) const
+                        int aMoreRoutes = 0,
+                        const std::string& aMoreTenants = "") const
   {
     const auto route = [&](const char* aPrefix,
                            const char* aKind,
@@ -90,14 +92,15 @@
         R"("healthPath":"/health","maxConnections":16}}],)"
         R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}},)"
-        R"("tenants":[{{"name":"t1","apiKeys":["key1"],"priority":1}}]}})",
+        R"("tenants":[{{"name":"t1","apiKeys":["key1"],"priority":1}}{}]}})",
         aVersion,
         route("/stream/", "streaming", 2, true),
         route("/note/stream/", "streaming", 1, false),
         route("/once/", "non_idempotent", 2, false),
         route("/again/", "idempotent", 2, false),
         route("/read/stream/", "streaming", 1, false, true),
-        more));
+        more,
+        aMoreTenants));
   }
 
   Gateway& AddGateway(const std::string& aName)
