--- a/dogwoodvale/src/Placement/CustomerShares.h
+++ b/dogwoodvale/src/Placement/CustomerShares.h
@@ -61,9 +61,9 @@
   /// Customers in a report; the others are reported as one sum.
   static constexpr std::size_t kReported = 32;
   /// Customers tracked by a gateway: any one with more than 1/256 of the
-  /// gateway's use is among them. One with less could only exceed its fair share
-  /// if more than 256 customers shared the service evenly, and then its excess
-  /// delays nobody.
+  /// gateway's use is among them. One with less could only exceed its fair
+  /// share if more than 256 customers shared the service evenly, and then its
+  /// excess delays nobody.
   static constexpr std::size_t kTracked = 256;
   /// Shortest time between two reports: a sixth of the time constant, in which
   /// use changes by at most that fraction of its steady value.
