Merge fair shares over gateways

Cause: in a shortage all customers paid alike for the rush of one. Change: a customer over its max-min share of the recent use takes the late priority and is refused first, while the service is short of capacity.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -340,6 +340,7 @@
   this->pool.Backpressure().AddToDigest(digest, Now());
   this->pool.AddDecodeUpdates(digest, Now());
   digest.loads = this->pool.Loads().TakeUpdates(Now());
+  this->pool.AddSharesToDigest(digest, Now());
   digest.list = this->directory->List(Now());
   this->usage.AddToDigest(digest);
   return digest;
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -63,6 +63,8 @@
   sample.tokens = outcome.events;
   sample.succeeded = outcome.complete;
   sample.attained = attained;
+  sample.overShare = outcome.overShare;
+  sample.refusedForShare = outcome.refusedForShare;
   this->customers.Record(admitted.customer, sample);
 }
 
@@ -98,6 +100,7 @@
     constexpr double kPercent = 100.0;
     set("pause_error_median_pct", *aGauges.pauseError * kPercent);
   }
+  set("services_short", static_cast<double>(aGauges.servicesShort));
   set("servers_resting", static_cast<double>(aGauges.backingOff));
   set("servers_rate_limited", static_cast<double>(aGauges.rateLimited));
   set("load_reports_recent", static_cast<double>(aGauges.loadReportsRecent));
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -19,6 +19,8 @@
   std::size_t reserved = 0;
   /// Median relative error of the predicted pauses, if any was predicted.
   std::optional<double> pauseError;
+  /// Services that are short of capacity, see CapacityShortage.
+  std::size_t servicesShort = 0;
   /// Backend servers that this gateway sends nothing until their back-off ends.
   std::size_t backingOff = 0;
   /// Backend servers that limit the rate of requests.
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -60,6 +60,7 @@
   gauges.digestsRefused = this->peers->DigestsRejected();
   gauges.reserved = this->pool.ReservedCount();
   gauges.pauseError = this->pool.PauseError();
+  gauges.servicesShort = this->pool.ShortCount(Now());
   gauges.rateLimited = this->pool.Backpressure().Rates().LimitedCount();
   gauges.backingOff = this->pool.Backpressure().Backoffs().BackingOffCount(now);
   gauges.loadReportsRecent = this->pool.Loads().RecentCount(now);
