Simulate engines of several speeds with slow periods

Cause: the load simulation has engines of one constant speed, so it cannot show what interactive streams get on servers that differ and share their machines. Slow periods draw from a generator of their own.

--- a/bench/EngineModel.h
+++ b/bench/EngineModel.h
@@ -117,6 +117,9 @@
                     static_cast<double>(length.count()) * this->slowdown));
   }
 
+  /// Requests that wait for a slot.
+  std::size_t Waiting() const { return this->waiting.size(); }
+
   /// What the last step worked on.
   std::span<Sequence> Batch() { return this->batch; }
 
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -41,6 +41,17 @@
   Duration callerTimeout = std::chrono::hours(1);
 };
 
+/// Periods in which other work on an engine's machine slows the engine down.
+struct SlowPeriods
+{
+  /// Share of the time that they take; 0 for none.
+  double share = 0;
+  /// How many times longer work takes in them.
+  double factor = 1;
+  /// Mean length; lengths are distributed exponentially.
+  Duration length = milliseconds(600);
+};
+
 /// The simulated engines and gateways.
 struct Fleet
 {
@@ -53,6 +64,12 @@
   std::uint64_t cacheTokens = 0;
   /// Period in which a gateway reports its work to the others.
   Duration digestPeriod = milliseconds(150);
+  /// How long work takes on an engine, 1 being the time in \c engine: engine i
+  /// has the factor i modulo their number. Empty if all are equally fast.
+  std::vector<double> timeFactors;
+  SlowPeriods slowPeriods;
+  /// Engines report their load and time factor with each first token.
+  bool reportsLoad = false;
 };
 
 /// Results of the requests of one kind.
@@ -65,7 +82,11 @@
   int begun = 0;
   /// Callers that disconnected before their answer had begun.
   int lost = 0;
+  /// Answers with a pause longer than maxPause.
+  int paused = 0;
 
+  /// Share of the answers that have begun.
+  double PausedShare() const { return static_cast<double>(paused) / begun; }
   double OnTimeShare() const { return static_cast<double>(onTime) / asked; }
 };
 
@@ -88,6 +109,7 @@
                .rankedReading = aDecisions.rankedReading })
     , kinds(std::move(aKinds))
     , random(aSeed)
+    , slowPeriodRandom(aSeed)
   {
     this->service.slots = this->fleet.engine.slots;
     this->service.cacheTokens = this->fleet.cacheTokens;
@@ -99,8 +121,13 @@
       instance.address = { "127.0.0.1", static_cast<std::uint16_t>(1000 + i) };
       instance.slots = this->fleet.engine.slots;
       instances.push_back(instance);
-      this->engines.push_back(
-        { instance.name, EngineModel(this->fleet.engine), {} });
+      Engine& engine = this->engines.emplace_back(
+        instance.name, EngineModel(this->fleet.engine));
+      if (!this->fleet.timeFactors.empty()) {
+        engine.timeFactor =
+          this->fleet.timeFactors[i % this->fleet.timeFactors.size()];
+      }
+      this->StartPeriod(engine, false);
     }
     for (std::uint32_t i = 0; i < this->fleet.gateways; ++i) {
       const BackendPool::Options options{ .decisions = aDecisions };
@@ -120,6 +147,20 @@
     this->kinds[aKind].perSecond = aPerSecond;
   }
 
+  /// Work on the engine takes \p aFactor times as long as on a usual one from
+  /// now on.
+  void SetTimeFactor(std::size_t aEngine, double aFactor)
+  {
+    this->engines[aEngine].timeFactor = aFactor;
+  }
+
+  /// The engine's requests, running and waiting.
+  std::size_t RequestsAt(std::size_t aEngine)
+  {
+    return this->engines[aEngine].model.Batch().size() +
+           this->engines[aEngine].model.Waiting();
+  }
+
   /// Runs for \p aLength.
   /// \return for each kind the results of the requests that arrived in it.
   std::vector<Tally> Run(Duration aLength)
@@ -178,15 +219,56 @@
     TimePoint lastEvent{};
     Duration longestPause{ 0 };
     bool isOnTime = false;
+    /// It has had a pause longer than maxPause.
+    bool isPaused = false;
   };
   struct Engine
   {
     InstanceName name;
     EngineModel model;
     /// End of its current step; nothing while it is idle.
-    std::optional<TimePoint> stepEnds;
+    std::optional<TimePoint> stepEnds = {};
+    double timeFactor = 1;
+    bool isSlow = false;
+    /// End of its current slow or usual period.
+    TimePoint periodEnds{};
   };
 
+  /// Starts a slow or usual period of the engine.
+  void StartPeriod(Engine& aEngine, bool aIsSlow)
+  {
+    const SlowPeriods& slow = this->fleet.slowPeriods;
+    aEngine.isSlow = aIsSlow;
+    if (slow.share <= 0) {
+      aEngine.periodEnds = TimePoint::max();
+      return;
+    }
+    const double mean = static_cast<double>(slow.length.count()) *
+                        (aIsSlow ? 1.0 : (1.0 - slow.share) / slow.share);
+    std::exponential_distribution<double> draw(1.0 / mean);
+    aEngine.periodEnds =
+      std::max(aEngine.periodEnds, this->now) +
+      Duration(static_cast<Duration::rep>(draw(this->slowPeriodRandom)));
+  }
+
+  /// How long work takes on the engine at this moment.
+  double TimeFactorOf(const Engine& aEngine) const
+  {
+    return aEngine.timeFactor *
+           (aEngine.isSlow ? this->fleet.slowPeriods.factor : 1.0);
+  }
+
+  /// Starts the engine's next step now, at its present speed.
+  /// \return when the step ends.
+  TimePoint Step(Engine& aEngine)
+  {
+    while (aEngine.periodEnds <= this->now) {
+      this->StartPeriod(aEngine, !aEngine.isSlow);
+    }
+    aEngine.model.SetSlowdown(this->TimeFactorOf(aEngine));
+    return aEngine.model.Step(this->now);
+  }
+
   Duration DrawInterarrivalTime(const RequestKind& aKind)
   {
     std::exponential_distribution<double> draw(aKind.perSecond / 1e6);
@@ -332,7 +414,7 @@
     this->requests[this->lastId] = running;
     this->sentByKind[aKind].push_back(this->lastId);
     if (!engine.stepEnds) {
-      engine.stepEnds = engine.model.Step(this->now);
+      engine.stepEnds = this->Step(engine);
     }
   }
 
@@ -361,7 +443,7 @@
         this->OnToken(aEngine, sequence);
       }
     }
-    const TimePoint next = aEngine.model.Step(this->now);
+    const TimePoint next = this->Step(aEngine);
     aEngine.stepEnds = aEngine.model.IsIdle() ? std::optional<TimePoint>()
                                               : std::optional<TimePoint>(next);
   }
@@ -438,6 +520,12 @@
     aRunning.longestPause =
       std::max(aRunning.longestPause, Between(aRunning.lastEvent, this->now));
     aRunning.lastEvent = this->now;
+    if (!aRunning.isPaused &&
+        aRunning.longestPause > this->kinds[aRunning.kind].maxPause) {
+      aRunning.isPaused = true;
+      this->tallies[aRunning.kind].paused +=
+        aRunning.arrived >= this->countingSince ? 1 : 0;
+    }
     if (aRunning.isOnTime &&
         aRunning.longestPause > this->kinds[aRunning.kind].maxPause) {
       aRunning.isOnTime = false;
@@ -465,6 +553,9 @@
   std::vector<RequestKind> kinds;
   std::vector<Tally> tallies;
   std::mt19937_64 random;
+  /// A generator of its own, so that fleets without slow periods draw the same
+  /// arrivals as with them.
+  std::mt19937_64 slowPeriodRandom;
   std::vector<Engine> engines;
   std::map<std::uint64_t, Running> requests;
   /// Requests sent of each kind, the oldest first.
