--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -45,6 +45,7 @@
   demand.isLong = aPool.Decisions().reservedServers && pauses.HasInteractive()
                     ? !demand.isInteractive
                     : prefill.IsLong(demand.promptTokens);
+  demand.bounds = { bound, aRequest.route->target };
   demand.tokensPerTarget = prefill.TokensIn(aRequest.route->target);
   demand.tokensPerQueuePosition =
     prefill.TokensPerQueuePosition(aRequest.service->slots)
--- a/dogwoodvale/src/Placement/DirectChoice.cpp
+++ b/dogwoodvale/src/Placement/DirectChoice.cpp
@@ -56,24 +56,6 @@
            : cost;
 }
 
-/// Slots that have to become free at the server before the request gets one.
-/// Waiting requests of later ranks are overtaken and do not count.
-std::uint32_t
-QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
-{
-  const BackendWork& work = aCandidate.work;
-  if (aCandidate.slots == 0 || work.requests < aCandidate.slots) {
-    return 0;
-  }
-  // Gateways of older versions do not report ranks: count these requests as
-  // ahead.
-  const std::uint32_t unranked =
-    work.requests -
-    std::min(work.requests, work.RequestsUpTo(BackendWork::kRanks - 1));
-  const std::uint32_t ahead = work.RequestsUpTo(aDemand.queueRank) + unranked;
-  return ahead - std::min(ahead, aCandidate.slots) + 1;
-}
-
 double
 ModelCost(const DirectCandidate& aCandidate,
           const DirectDemand& aDemand,
@@ -83,18 +65,23 @@
   const std::uint32_t prefill =
     aDemand.promptTokens -
     std::min(aDemand.promptTokens, aCandidate.cachedTokens);
-  double tokens = static_cast<double>(work.PrefillUpTo(aDemand.rank)) + prefill;
-  tokens += RepeatedPrefillCost(aCandidate, aDemand, aMostCached);
+  const double present =
+    aCandidate.predicted ? aCandidate.predicted->presentSlowness : 1.0;
+  const double mean =
+    aCandidate.predicted ? aCandidate.predicted->meanSlowness : 1.0;
+  double tokens =
+    present * (static_cast<double>(work.PrefillUpTo(aDemand.rank)) + prefill);
+  tokens += mean * RepeatedPrefillCost(aCandidate, aDemand, aMostCached);
   if (aDemand.isLong) {
     // Every answer that is generated there stalls while this prompt is
     // prefilled.
-    tokens += kDelayToOthersWeight * prefill * work.requests;
+    tokens += mean * kDelayToOthersWeight * prefill * work.requests;
   } else {
     // Recent prefill of long prompts predicts the prefill during this answer.
-    tokens += aCandidate.recentLongTokens;
-    tokens += kTokensPerRunningRequest * work.requests;
+    tokens += mean * aCandidate.recentLongTokens;
+    tokens += mean * kTokensPerRunningRequest * work.requests;
   }
-  tokens += kQueuePositionWeight * aDemand.tokensPerQueuePosition *
+  tokens += mean * kQueuePositionWeight * aDemand.tokensPerQueuePosition *
             QueuePositionOf(aCandidate, aDemand);
   const auto memory =
     static_cast<double>(work.memoryTokens + aDemand.promptTokens);
@@ -108,11 +95,44 @@
 
 } // namespace
 
+std::uint32_t
+QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+{
+  const BackendWork& work = aCandidate.work;
+  if (aCandidate.slots == 0 || work.requests < aCandidate.slots) {
+    return 0;
+  }
+  // Gateways of older versions do not report ranks: count these requests as
+  // ahead.
+  const std::uint32_t unranked =
+    work.requests -
+    std::min(work.requests, work.RequestsUpTo(BackendWork::kRanks - 1));
+  const std::uint32_t ahead = work.RequestsUpTo(aDemand.queueRank) + unranked;
+  return ahead - std::min(ahead, aCandidate.slots) + 1;
+}
+
+bool
+ExceedsPauseBound(const DirectCandidate& aCandidate,
+                  const DirectDemand& aDemand)
+{
+  return aDemand.isInteractive && aCandidate.predicted &&
+         aCandidate.predicted->longPause > aDemand.bounds.pause;
+}
+
 double
 DirectCost(const DirectCandidate& aCandidate,
            const DirectDemand& aDemand,
            std::uint32_t aMostCached)
 {
+  // Compared only among servers that exceed the bound. Pauses there are long
+  // for all streams, so the shortest is best.
+  if (ExceedsPauseBound(aCandidate, aDemand)) {
+    return static_cast<double>(aCandidate.predicted->longPause.count());
+  }
+  if (aDemand.isInteractive && aCandidate.predicted) {
+    return PredictedCost(
+      *aCandidate.predicted, aDemand.bounds, aCandidate.work.interactive);
+  }
   if (aDemand.promptTokens > 0) {
     return ModelCost(aCandidate, aDemand, aMostCached);
   }
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <vector>
 
+#include "PredictedTimes.h"
 #include "PromptStep.h"
 #include "WorkTable.h"
 
@@ -36,6 +37,8 @@
   /// Tokens that a server prefills within the route's latency target; 0 until
   /// measured.
   double tokensPerTarget = 0;
+  /// Of the route; both zero until known.
+  PauseBounds bounds;
 
   /// Used until the value is measured.
   static constexpr double kDefaultTokensPerQueuePosition = 2000.0;
@@ -68,17 +71,33 @@
   /// at this moment if a recent report states it.
   double timeFactor = 1.0;
   std::optional<double> presentTimeFactor;
+  /// Nothing where requests are not placed by predicted times.
+  std::optional<PredictedTimes> predicted;
 };
 
 /// Expected cost of sending the request to the server, lower is better: for a
 /// model the prefill tokens until its first token, weighted with the delay to
-/// other requests; for other services the requests per slot.
+/// other requests; for other services the requests per slot. Where times are
+/// predicted, tokens count by the time that they take at the server, and the
+/// cost of an interactive request is PredictedCost() or, where
+/// ExceedsPauseBound(), the long pause in microseconds.
 /// \param aMostCached the largest cachedTokens of any candidate.
 double
 DirectCost(const DirectCandidate& aCandidate,
            const DirectDemand& aDemand,
            std::uint32_t aMostCached);
 
+/// Whether the stream of an interactive request is expected to exceed its bound
+/// on pauses at the server; false where times are not predicted.
+bool
+ExceedsPauseBound(const DirectCandidate& aCandidate,
+                  const DirectDemand& aDemand);
+
+/// Slots that have to become free at the server before the request gets one.
+/// Waiting requests of later ranks are overtaken and do not count.
+std::uint32_t
+QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand);
+
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Placement/DirectChooser.cpp
+++ b/dogwoodvale/src/Placement/DirectChooser.cpp
@@ -19,6 +19,11 @@
   {
     return DirectCost(aCandidate, aDemand, aMostCached);
   }
+  bool ExceedsBound(const DirectCandidate& aCandidate,
+                    const DirectDemand& aDemand) const override
+  {
+    return ExceedsPauseBound(aCandidate, aDemand);
+  }
 };
 
 /// Compares servers by requests in flight per slot. A baseline for comparison.
@@ -83,6 +88,14 @@
           aCandidate.work.requests > 0);
 }
 
+/// Candidates of a better suitability are preferred at any cost.
+enum class Suitability : std::uint8_t
+{
+  Suitable,
+  ExceedsBound,
+  Unavailable,
+};
+
 } // namespace
 
 std::optional<std::size_t>
@@ -94,10 +107,12 @@
     this->ChooseAmong(aCandidates, aDemand, Group::Designated, aRandom);
   // Long prompts stay out of the reserved servers even if they have to wait:
   // there they would make more urgent answers late. Interactive requests that
-  // find the reserved servers full share the others, as they would if none were
-  // reserved.
+  // find the reserved servers full, or with pauses beyond their bound, share
+  // the others, as they would if none were reserved.
   const bool needsAll = !best || IsUnavailable(aCandidates[*best]) ||
-                        (aDemand.isInteractive && IsFull(aCandidates[*best]));
+                        (aDemand.isInteractive &&
+                         (IsFull(aCandidates[*best]) ||
+                          this->ExceedsBound(aCandidates[*best], aDemand)));
   if (needsAll) {
     best = this->ChooseAmong(aCandidates, aDemand, Group::All, aRandom);
   }
@@ -119,7 +134,7 @@
   };
   std::optional<std::size_t> best;
   double bestCost = 0;
-  bool bestIsUnavailable = false;
+  Suitability bestSuitability = Suitability::Unavailable;
   std::uint32_t ties = 0;
   std::uint32_t mostCached = 0;
   for (const DirectCandidate& candidate : aCandidates) {
@@ -131,17 +146,19 @@
     if (!isMember(aCandidates[i])) {
       continue;
     }
-    const bool isUnavailable = IsUnavailable(aCandidates[i]);
+    const Suitability suitability =
+      IsUnavailable(aCandidates[i])                 ? Suitability::Unavailable
+      : this->ExceedsBound(aCandidates[i], aDemand) ? Suitability::ExceedsBound
+                                                    : Suitability::Suitable;
     const double cost = this->CostOf(aCandidates[i], aDemand, mostCached);
-    const bool isBetter =
-      !best || (bestIsUnavailable && !isUnavailable) ||
-      (bestIsUnavailable == isUnavailable && cost < bestCost);
+    const bool isBetter = !best || suitability < bestSuitability ||
+                          (suitability == bestSuitability && cost < bestCost);
     if (isBetter) {
       best = i;
       bestCost = cost;
-      bestIsUnavailable = isUnavailable;
+      bestSuitability = suitability;
       ties = 1;
-    } else if (bestIsUnavailable == isUnavailable && cost == bestCost &&
+    } else if (suitability == bestSuitability && cost == bestCost &&
                std::uniform_int_distribution<std::uint32_t>(0, ties++)(
                  aRandom) == 0) {
       best = i;
--- a/dogwoodvale/src/Placement/DirectChooser.h
+++ b/dogwoodvale/src/Placement/DirectChooser.h
@@ -39,6 +39,14 @@
   virtual double CostOf(const DirectCandidate& aCandidate,
                         const DirectDemand& aDemand,
                         std::uint32_t aMostCached) const = 0;
+  /// Whether the candidate cannot give what the request needs. It is then
+  /// chosen only if no other can; costs are compared among those that can or
+  /// cannot.
+  virtual bool ExceedsBound(const DirectCandidate& /*aCandidate*/,
+                            const DirectDemand& /*aDemand*/) const
+  {
+    return false;
+  }
   /// Called with each candidate that Choose() returns.
   virtual void OnChosen(const DirectCandidate& /*aCandidate*/) {}
 
--- a/dogwoodvale/src/Placement/PauseProfile.h
+++ b/dogwoodvale/src/Placement/PauseProfile.h
@@ -28,12 +28,11 @@
   bool IsInteractive(Duration aBound) const;
   /// Whether requests of any bound are interactive.
   bool HasInteractive() const;
-
-private:
   /// The tightest bound, not counting those that hardly any request has; zero
   /// before the first request.
   Duration Tightest() const;
 
+private:
   /// Moving average of the share of requests with each bound; a service has as
   /// many bounds as kinds of routes.
   std::map<Duration, double> shares;
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -359,6 +359,7 @@
     demand.isLong = isReserving && pauses.HasInteractive()
                       ? !demand.isInteractive
                       : statistics.IsLong(demand.promptTokens);
+    demand.bounds = { aKind.maxPause, aKind.target };
     demand.tokensPerTarget = statistics.TokensIn(aKind.target);
     demand.tokensPerQueuePosition =
       statistics.TokensPerQueuePosition(this->service.slots)
