Place requests by predicted times where servers state a time factor

Cause: on servers of two speeds that share their machines, a fifth of the interactive streams have late pauses at the usual rate and half in a rush, while fast servers have none of them. Change: BackendPool reserves servers by InteractivePlan and gives candidates their predicted times, at a service most of whose servers state a time factor and whose decode model is learned (PredictionModeOf).

--- a/bench/EngineModel.h
+++ b/bench/EngineModel.h
@@ -117,6 +117,8 @@
                     static_cast<double>(length.count()) * this->slowdown));
   }
 
+  /// Requests that have a slot.
+  std::size_t Running() const { return this->batch.size(); }
   /// Requests that wait for a slot.
   std::size_t Waiting() const { return this->waiting.size(); }
 
--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -25,6 +25,10 @@
 /// rarely has less than two thirds of its even share.
 constexpr std::size_t kMinServersPerCell = 16;
 
+/// Share of a service's servers that must state a time factor for their speeds
+/// to be compared: with fewer, most would be taken for usual ones.
+constexpr double kMinStatingShare = 0.5;
+
 /// The longest prompt prefix that other requests may share with this one, if
 /// any: the last step belongs to the request alone.
 std::optional<PrefixHash>
@@ -92,6 +96,7 @@
   Member& member = this->members[aInstance.name];
   member.instance = aInstance;
   member.client = *std::move(made);
+  this->loads.Add(aInstance.name);
   this->health.try_emplace(aInstance.service, MakeHealthSettings())
     .first->second.Add(aInstance.name);
   Log(LogLevel::Info,
@@ -170,6 +175,9 @@
 void
 BackendPool::RunMaintenance(TimePoint aNow)
 {
+  for (auto& [service, model] : this->models) {
+    model.RunMaintenance(aNow);
+  }
   for (const InstanceName& gateway : this->work.Expire(aNow)) {
     Log(LogLevel::Warning, "gateway_silent", "gateway", gateway.Value());
   }
@@ -206,6 +214,8 @@
     }
     Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
     this->caches.Forget(it->first);
+    this->loads.Forget(it->first);
+    this->activity.Forget(it->first);
     this->backpressure.Forget(it->first);
     this->prefillByService[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
@@ -222,7 +232,7 @@
                      TimePoint aNow)
 {
   ReservedServers& servers = this->reserved[aService];
-  const std::size_t before = servers.Count();
+  const std::size_t before = this->ReservedCountOf(aService);
   const std::uint64_t slots =
     aOccupancy.slots / std::max(aOccupancy.servers, 1U);
   // Gateways without a recent digest are assumed to be as busy as the others:
@@ -234,20 +244,174 @@
                                     (this->work.PeerCount() + 1);
   servers.Update(
     interactive, static_cast<std::uint32_t>(slots), aOccupancy.servers, aNow);
-  if (servers.Count() != before) {
+  this->UpdatePrediction(aService, aOccupancy, aNow);
+  const std::size_t count = this->ReservedCountOf(aService);
+  if (count != before) {
     Log(LogLevel::Info,
         "reserved_servers",
         "service",
         aService.Value(),
         "count",
-        servers.Count(),
+        count,
         "before",
         before,
         "servers",
         aOccupancy.servers,
         "interactive",
-        interactive);
+        interactive,
+        "peak",
+        servers.Peak(),
+        "capacity",
+        this->predictions[aService].plan.Capacity());
+  }
+}
+
+std::vector<const BackendPool::Member*>
+BackendPool::ServersInUse(const ServiceName& aService) const
+{
+  std::vector<const Member*> found;
+  const auto listed = this->byService.find(aService);
+  if (listed == this->byService.end()) {
+    return found;
+  }
+  const ServiceServers& names = listed->second;
+  for (const InstanceName& name :
+       names.inCell.empty() ? names.all : names.inCell) {
+    const Member& member = this->members.at(name);
+    if (this->TakesWork(member)) {
+      found.push_back(&member);
+    }
+  }
+  return found;
+}
+
+BackendPool::PredictionMode
+BackendPool::PredictionModeOf(const ServiceName& aService,
+                              std::span<const Member* const> aServers,
+                              TimePoint aNow) const
+{
+  if (!this->options.decisions.predictedTimes) {
+    return PredictionMode::None;
+  }
+  const auto stating =
+    std::ranges::count_if(aServers, [&](const Member* aMember) {
+      return this->loads.MeanTimeFactor(aMember->instance.name, aNow)
+        .has_value();
+    });
+  if (stating == 0 ||
+      static_cast<double>(stating) <
+        kMinStatingShare * static_cast<double>(aServers.size())) {
+    return PredictionMode::None;
+  }
+  const auto model = this->models.find(aService);
+  return model != this->models.end() && model->second.IsLearned()
+           ? PredictionMode::Times
+           : PredictionMode::Speeds;
+}
+
+double
+BackendPool::MeanTimeFactorOf(const Member& aMember, TimePoint aNow) const
+{
+  const InstanceName& name = aMember.instance.name;
+  const std::optional<double> reported = this->loads.MeanTimeFactor(name, aNow);
+  const auto model = this->models.find(aMember.instance.service);
+  return model == this->models.end()
+           ? reported.value_or(1.0)
+           : model->second.TimeFactorOf(name, reported);
+}
+
+double
+BackendPool::PresentTimeFactorOf(const Member& aMember, TimePoint aNow) const
+{
+  const InstanceName& name = aMember.instance.name;
+  const std::optional<double> present =
+    this->loads.PresentTimeFactor(name, aNow);
+  const auto model = this->models.find(aMember.instance.service);
+  return present && model != this->models.end()
+           ? model->second.TimeFactorOf(name, present)
+           : present.value_or(this->MeanTimeFactorOf(aMember, aNow));
+}
+
+void
+BackendPool::UpdatePrediction(const ServiceName& aService,
+                              const Occupancy& aOccupancy,
+                              TimePoint aNow)
+{
+  const std::vector<const Member*> servers = this->ServersInUse(aService);
+  Prediction& prediction = this->predictions[aService];
+  prediction.mode = this->PredictionModeOf(aService, servers, aNow);
+  if (prediction.mode == PredictionMode::None) {
+    prediction.plan = {};
+    return;
+  }
+  const HealthTracker& tracker = this->health.at(aService);
+  const Duration bound = this->pauses[aService].Tightest();
+  double factorSum = 0;
+  std::vector<PlannedServer> planned;
+  for (const Member* member : servers) {
+    const InstanceName& name = member->instance.name;
+    PlannedServer server;
+    server.name = name;
+    server.timeFactor = this->MeanTimeFactorOf(*member, aNow);
+    factorSum += server.timeFactor;
+    // Requests beyond the slots would wait for their first token.
+    server.capacity = std::max<std::uint32_t>(member->instance.slots, 1);
+    if (prediction.mode == PredictionMode::Times) {
+      const std::optional<double> within =
+        this->models[aService].RequestsWithin(bound, server.timeFactor);
+      server.capacity =
+        std::min(server.capacity, within.value_or(server.capacity));
+    }
+    if (tracker.HealthStateOf(name) == HealthState::InService) {
+      planned.push_back(std::move(server));
+    }
+  }
+  prediction.meanTimeFactor = factorSum / static_cast<double>(servers.size());
+  const ReservedServers& reservation = this->reserved[aService];
+  const std::uint64_t interactive =
+    std::min(aOccupancy.interactive, aOccupancy.requests);
+  prediction.plan.Update(
+    planned,
+    { reservation.Peak(), aOccupancy.requests - interactive },
+    prediction.mode == PredictionMode::Times
+      ? std::nullopt
+      : std::optional(reservation.Count()),
+    aNow);
+}
+
+std::optional<PredictedTimes>
+BackendPool::PredictFor(const DirectCandidate& aCandidate,
+                        const DirectDemand& aDemand,
+                        const Member& aMember,
+                        TimePoint aNow) const
+{
+  const ServiceName& service = aMember.instance.service;
+  const auto found = this->predictions.find(service);
+  if (found == this->predictions.end() ||
+      found->second.mode != PredictionMode::Times) {
+    return std::nullopt;
   }
+  const ServerActivity::Rates rates =
+    this->activity.RatesOf(aCandidate.name, aNow);
+  PredictionInput input;
+  input.load.timeFactor = this->MeanTimeFactorOf(aMember, aNow);
+  input.load.requests =
+    this->loads.RequestsAt(aCandidate.name, aCandidate.work.requests, aNow);
+  input.load.tokensPerSecond = rates.tokensPerSecond;
+  input.load.promptsPerSecond = rates.promptsPerSecond;
+  input.serviceTimeFactor = found->second.meanTimeFactor;
+  input.presentTimeFactor = this->PresentTimeFactorOf(aMember, aNow);
+  input.prefillTokens = aDemand.promptTokens -
+                        std::min(aDemand.promptTokens, aCandidate.cachedTokens);
+  input.prefillAhead =
+    static_cast<double>(aCandidate.work.PrefillUpTo(aDemand.rank));
+  input.queueTokens =
+    aDemand.tokensPerQueuePosition * QueuePositionOf(aCandidate, aDemand);
+  const auto prefill = this->prefillByService.find(service);
+  if (prefill != this->prefillByService.end()) {
+    input.tokensPerMicro = prefill->second.TokensIn(Duration(1));
+  }
+  return PredictTimes(this->models.at(service), input);
 }
 
 void
@@ -369,6 +533,9 @@
   const auto reservation = this->reserved.find(aService.name);
   std::size_t reservedLeft =
     reservation == this->reserved.end() ? 0 : reservation->second.Count();
+  const auto prediction = this->predictions.find(aService.name);
+  const bool isPlanned = prediction != this->predictions.end() &&
+                         prediction->second.mode != PredictionMode::None;
   for (const InstanceName& name : aNames) {
     const Member& member = this->members.at(name);
     const std::uint32_t slots =
@@ -378,8 +545,10 @@
     }
     const HealthState healthState = tracker->second.HealthStateOf(name);
     const bool isReserved =
-      reservedLeft > 0 && healthState == HealthState::InService;
-    reservedLeft -= isReserved ? 1 : 0;
+      (isPlanned ? prediction->second.plan.IsReserved(name)
+                 : reservedLeft > 0) &&
+      healthState == HealthState::InService;
+    reservedLeft -= isReserved && !isPlanned ? 1 : 0;
     if (std::ranges::find(aExcluded, name) != aExcluded.end() ||
         !this->HasConnectionCapacity(
           member, aService, slots, aSharingGateways) ||
@@ -399,6 +568,7 @@
     if (prefill != this->prefillByService.end()) {
       candidate.recentLongTokens = prefill->second.RecentLongTokens(name, aNow);
     }
+    candidate.predicted = this->PredictFor(candidate, aDemand, member, aNow);
     found.push_back(std::move(candidate));
   }
   if (this->options.decisions.homeServers) {
@@ -485,11 +655,23 @@
 {
   std::size_t sum = 0;
   for (const auto& [service, servers] : this->reserved) {
-    sum += servers.Count();
+    sum += this->ReservedCountOf(service);
   }
   return sum;
 }
 
+std::size_t
+BackendPool::ReservedCountOf(const ServiceName& aService) const
+{
+  const auto prediction = this->predictions.find(aService);
+  if (prediction != this->predictions.end() &&
+      prediction->second.mode != PredictionMode::None) {
+    return prediction->second.plan.Count();
+  }
+  const auto servers = this->reserved.find(aService);
+  return servers == this->reserved.end() ? 0 : servers->second.Count();
+}
+
 bool
 BackendPool::IsListed(const InstanceName& aInstance) const
 {
@@ -640,6 +822,11 @@
 BackendPool::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->work.SetPeer(aDigest.gateway, aDigest.work, aNow);
+  this->loads.OnPeerReports(aDigest.loads, aNow);
+  for (const DecodeUpdate& update : aDigest.decode) {
+    this->models[update.service].OnPeerUpdate(
+      aDigest.gateway, aDigest.incarnation, aDigest.sequence, update, aNow);
+  }
   this->backpressure.ApplyDigest(
     aDigest,
     [this](const InstanceName& aName) { return this->MayUse(aName); },
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -144,6 +144,12 @@
   }
   WorkTable& Work() { return this->work; }
   const CacheTracker& Caches() const { return this->caches; }
+  ReportedLoads& Loads() { return this->loads; }
+  ServerActivity& Activity() { return this->activity; }
+  DecodeModel& DecodeOf(const ServiceName& aService)
+  {
+    return this->models[aService];
+  }
   bool HasAny() const { return !this->members.empty(); }
   std::size_t Count() const { return this->members.size(); }
   /// Servers reserved for interactive requests, of all services.
@@ -169,6 +175,25 @@
     std::size_t cells = 1;
   };
 
+  /// How far the requests of a service are placed by predicted times.
+  enum class PredictionMode : std::uint8_t
+  {
+    None,
+    /// The speeds of its servers are known, but its decode model is not
+    /// learned: they decide the order in which servers are reserved.
+    Speeds,
+    Times,
+  };
+
+  /// What the predictions for a service's servers need.
+  struct Prediction
+  {
+    PredictionMode mode = PredictionMode::None;
+    /// Mean of the servers' time factors.
+    double meanTimeFactor = 1.0;
+    InteractivePlan plan;
+  };
+
   void Add(const DirectInstance& aInstance);
   /// Rebuilds byService from the members and the cells.
   void ListServices();
@@ -178,6 +203,27 @@
   void Reserve(const ServiceName& aService,
                const Occupancy& aOccupancy,
                TimePoint aNow);
+  /// The servers of the service that gateways of this cell use and that accept
+  /// work.
+  std::vector<const Member*> ServersInUse(const ServiceName& aService) const;
+  /// Decides whether times are predicted for the service: its servers state
+  /// time factors and its decode model is learned.
+  PredictionMode PredictionModeOf(const ServiceName& aService,
+                                  std::span<const Member* const> aServers,
+                                  TimePoint aNow) const;
+  /// Updates the mode and the interactive plan of the service.
+  void UpdatePrediction(const ServiceName& aService,
+                        const Occupancy& aOccupancy,
+                        TimePoint aNow);
+  /// How long work takes at the server over some seconds, and at this moment.
+  double MeanTimeFactorOf(const Member& aMember, TimePoint aNow) const;
+  double PresentTimeFactorOf(const Member& aMember, TimePoint aNow) const;
+  std::optional<PredictedTimes> PredictFor(const DirectCandidate& aCandidate,
+                                           const DirectDemand& aDemand,
+                                           const Member& aMember,
+                                           TimePoint aNow) const;
+  /// Servers of the service that are reserved for interactive requests.
+  std::size_t ReservedCountOf(const ServiceName& aService) const;
   std::vector<DirectCandidate> CandidatesAmong(
     std::span<const InstanceName> aNames,
     const DirectService& aService,
@@ -215,9 +261,13 @@
   std::map<ServiceName, PrefillStatistics> prefillByService;
   std::map<ServiceName, PauseProfile> pauses;
   std::map<ServiceName, ReservedServers> reserved;
+  std::map<ServiceName, Prediction> predictions;
   ServerBackpressure backpressure;
   std::map<ServiceName, RankReserve> reserves;
   WorkTable work;
+  ReportedLoads loads;
+  ServerActivity activity;
+  std::map<ServiceName, DecodeModel> models;
   CacheTracker caches;
   /// Tokens that fit into the cache of one server.
   std::map<ServiceName, std::uint64_t> cacheTokens;
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -157,7 +157,7 @@
   /// The engine's requests, running and waiting.
   std::size_t RequestsAt(std::size_t aEngine)
   {
-    return this->engines[aEngine].model.Batch().size() +
+    return this->engines[aEngine].model.Running() +
            this->engines[aEngine].model.Waiting();
   }
 
@@ -204,6 +204,7 @@
     std::unique_ptr<BackendPool> pool;
     /// Requests not reported to the other gateways yet.
     std::vector<Sent> sent;
+    std::uint64_t digests = 0;
   };
   struct Running
   {
@@ -216,7 +217,11 @@
     std::uint64_t prefill = 0;
     bool hasFirstToken = false;
     std::uint32_t tokens = 0;
+    TimePoint firstEvent{};
     TimePoint lastEvent{};
+    std::uint64_t events = 0;
+    ServerActivity::Snapshot activity;
+    bool isInteractive = false;
     Duration longestPause{ 0 };
     bool isOnTime = false;
     /// It has had a pause longer than maxPause.
@@ -293,13 +298,38 @@
 
   void SendDigest(Gateway& aSender)
   {
-    const std::vector<WorkLine> lines = aSender.pool->Work().OwnLines();
+    PeerDigest digest;
+    digest.gateway = aSender.name;
+    digest.incarnation = 1;
+    digest.sequence = ++aSender.digests;
+    digest.work = aSender.pool->Work().OwnLines();
+    digest.loads = aSender.pool->Loads().TakeUpdates(this->now);
+    if (auto update =
+          aSender.pool->DecodeOf(this->service.name).TakeUpdate(this->now)) {
+      update->service = this->service.name;
+      digest.decode.push_back(*std::move(update));
+    }
     for (const Gateway& other : this->gateways) {
       if (&other == &aSender) {
         continue;
       }
-      other.pool->Work().SetPeer(aSender.name, lines, this->now);
+      other.pool->ApplyDigest(digest, this->now);
+      for (const Engine& engine : this->engines) {
+        other.pool->Activity().SetRequests(
+          engine.name,
+          other.pool->Work().Total(engine.name).requests,
+          this->now);
+      }
       for (const Sent& sent : aSender.sent) {
+        std::uint32_t all = 0;
+        for (const PromptStep& step : sent.steps) {
+          all += step.tokens;
+        }
+        other.pool->Activity().OnPrefill(
+          sent.engine,
+          all -
+            other.pool->Caches().CachedPrefixTokens(sent.engine, sent.steps),
+          this->now);
         other.pool->OnPrefill(sent.engine, sent.steps);
         other.pool->OnLongPrompt(sent.engine, sent.longTokens, this->now);
       }
@@ -398,12 +428,18 @@
     running.engine = engine.name;
     running.kind = aKind;
     running.arrived = this->now;
+    running.isInteractive = aDemand.isInteractive;
     running.ahead = aPlacement.prefillAhead;
     running.work = aPlacement.work;
     running.prefill = running.work.Prefill();
     const std::uint32_t longTokens =
       aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
+    aGateway.pool->Activity().OnPrefill(
+      aTo.name, static_cast<double>(running.prefill), this->now);
     aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps);
+    aGateway.pool->Loads().OnSent(aTo.name, this->now);
+    aGateway.pool->Activity().SetRequests(
+      aTo.name, aGateway.pool->Work().Total(aTo.name).requests, this->now);
     aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
     aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
     const RequestId id{ 0, ++this->lastId };
@@ -462,6 +498,9 @@
       this->tallies[running.kind].begun +=
         running.arrived >= this->countingSince ? 1 : 0;
       running.lastEvent = this->now;
+      this->ReportLoad(aEngine, *running.pool);
+      running.firstEvent = this->now;
+      running.activity = running.pool->Activity().Of(aEngine.name, this->now);
       statistics.OnFirstToken(
         aEngine.name, running.ahead + running.prefill, latency);
       BackendWork finishedPrefill;
@@ -521,6 +560,7 @@
     aRunning.longestPause =
       std::max(aRunning.longestPause, Between(aRunning.lastEvent, this->now));
     aRunning.lastEvent = this->now;
+    ++aRunning.events;
     if (!aRunning.isPaused &&
         aRunning.longestPause > this->kinds[aRunning.kind].maxPause) {
       aRunning.isPaused = true;
@@ -534,8 +574,39 @@
     }
   }
 
+  /// The engine states its load in the head of an answer.
+  void ReportLoad(const Engine& aEngine, BackendPool& aPool)
+  {
+    if (!this->fleet.reportsLoad) {
+      return;
+    }
+    ServerLoad load;
+    load.running = static_cast<std::uint32_t>(aEngine.model.Running());
+    load.waiting = static_cast<std::uint32_t>(aEngine.model.Waiting());
+    load.slots = this->fleet.engine.slots;
+    load.timeFactor = this->TimeFactorOf(aEngine);
+    aPool.Loads().OnReport(aEngine.name, load, this->now);
+  }
+
   void OnComplete(const Running& aRunning)
   {
+    const ServerActivity::Difference difference = ServerActivity::Subtract(
+      aRunning.activity,
+      aRunning.pool->Activity().Of(aRunning.engine, this->now));
+    StreamSample sample;
+    sample.intervals = aRunning.events;
+    sample.span = Between(aRunning.firstEvent, aRunning.lastEvent);
+    sample.longestPause = aRunning.longestPause;
+    sample.meanRequests = difference.meanRequests;
+    sample.prefilledTokens = difference.prefilledTokens;
+    sample.prompts = difference.prompts;
+    sample.reportedFactor = aRunning.pool->Loads()
+                              .MeanTimeFactor(aRunning.engine, this->now)
+                              .value_or(1.0);
+    sample.isInteractive = aRunning.isInteractive;
+    sample.ownPrefillTokens = static_cast<double>(aRunning.prefill);
+    aRunning.pool->DecodeOf(this->service.name)
+      .OnStream(aRunning.engine, sample, this->now);
     aRunning.pool->PrefillOf(this->service.name)
       .OnRequestTime(Between(aRunning.arrived, this->now));
     aRunning.pool->PausesOf(this->service.name)
