Give each simulated engine its own slow periods

Cause: all engines drew their slow periods from one generator, so the periods depended on the placement and runs with and without a decision differed by chance. Change: one generator for each engine. reserved_servers logs whole requests.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -1,6 +1,7 @@
 #include "BackendPool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace dogwoodvale {
@@ -260,9 +261,9 @@
         "interactive",
         interactive,
         "peak",
-        servers.Peak(),
+        std::llround(servers.Peak()),
         "capacity",
-        this->predictions[aService].plan.Capacity());
+        std::llround(this->predictions[aService].plan.Capacity()));
   }
 }
 
--- a/test/PlacementByPrediction.cpp
+++ b/test/PlacementByPrediction.cpp
@@ -103,6 +103,11 @@
                << with.usual[kLong].OnTimeShare() << ", in the rush "
                << without.rush[kLong].OnTimeShare() << " and "
                << with.rush[kLong].OnTimeShare());
+  INFO("late pauses of long prompts without and with: "
+       << without.usual[kLong].PausedShare() << " and "
+       << with.usual[kLong].PausedShare() << ", in the rush "
+       << without.rush[kLong].PausedShare() << " and "
+       << with.rush[kLong].PausedShare());
   CHECK(with.usual[kShort].PausedShare() < 0.05);
   CHECK(with.rush[kShort].PausedShare() < 0.20);
   CHECK(with.usual[kLong].OnTimeShare() >
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -109,7 +109,6 @@
                .rankedReading = aDecisions.rankedReading })
     , kinds(std::move(aKinds))
     , random(aSeed)
-    , slowPeriodRandom(aSeed)
   {
     this->service.slots = this->fleet.engine.slots;
     this->service.cacheTokens = this->fleet.cacheTokens;
@@ -127,6 +126,8 @@
         engine.timeFactor =
           this->fleet.timeFactors[i % this->fleet.timeFactors.size()];
       }
+      engine.slowPeriodRandom.seed(aSeed * this->fleet.engines + i);
+      engine.periodEnds = this->now;
       this->StartPeriod(engine, false);
     }
     for (std::uint32_t i = 0; i < this->fleet.gateways; ++i) {
@@ -237,6 +238,9 @@
     bool isSlow = false;
     /// End of its current slow or usual period.
     TimePoint periodEnds{};
+    /// Each engine has a generator of its own, so that its periods depend on
+    /// nothing else and fleets without slow periods draw what they always did.
+    std::mt19937_64 slowPeriodRandom;
   };
 
   /// Starts a slow or usual period of the engine.
@@ -251,9 +255,8 @@
     const double mean = static_cast<double>(slow.length.count()) *
                         (aIsSlow ? 1.0 : (1.0 - slow.share) / slow.share);
     std::exponential_distribution<double> draw(1.0 / mean);
-    aEngine.periodEnds =
-      std::max(aEngine.periodEnds, this->now) +
-      Duration(static_cast<Duration::rep>(draw(this->slowPeriodRandom)));
+    aEngine.periodEnds +=
+      Duration(static_cast<Duration::rep>(draw(aEngine.slowPeriodRandom)));
   }
 
   /// How long work takes on the engine at this moment.
@@ -625,9 +628,6 @@
   std::vector<RequestKind> kinds;
   std::vector<Tally> tallies;
   std::mt19937_64 random;
-  /// A generator of its own, so that fleets without slow periods draw the same
-  /// arrivals as with them.
-  std::mt19937_64 slowPeriodRandom;
   std::vector<Engine> engines;
   std::map<std::uint64_t, Running> requests;
   /// Requests sent of each kind, the oldest first.
