--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -97,9 +97,11 @@
   Member& member = this->members[aInstance.name];
   member.instance = aInstance;
   member.client = *std::move(made);
-  this->loads.Add(aInstance.name);
   this->health.try_emplace(aInstance.service, MakeHealthSettings())
     .first->second.Add(aInstance.name);
+  if (this->options.decisions.reportedLoad) {
+    this->loads.Add(aInstance.name);
+  }
   Log(LogLevel::Info,
       "instance_added",
       "instance",
@@ -569,6 +571,9 @@
     if (prefill != this->prefillByService.end()) {
       candidate.recentLongTokens = prefill->second.RecentLongTokens(name, aNow);
     }
+    candidate.reportedRequests = this->loads.ReportedRequests(name, aNow);
+    candidate.timeFactor = this->loads.MeanTimeFactor(name, aNow).value_or(1.0);
+    candidate.presentTimeFactor = this->loads.PresentTimeFactor(name, aNow);
     candidate.predicted = this->PredictFor(candidate, aDemand, member, aNow);
     found.push_back(std::move(candidate));
   }
@@ -609,6 +614,7 @@
     this->reserves[member.instance.service].OnSent(aDemand.rank);
   }
   this->backpressure.OnSent(aInstance, split, aNow);
+  this->loads.OnSent(aInstance, aNow);
   return member.client.get();
 }
 
@@ -819,11 +825,30 @@
   }
 }
 
+void
+BackendPool::OnStatedLoad(const InstanceName& aInstance,
+                          const BackendAnswer& aHead,
+                          TimePoint aNow)
+{
+  if (!this->options.decisions.reportedLoad) {
+    return;
+  }
+  if (aHead.isLoadMalformed) {
+    this->loads.OnMalformed();
+  } else if (aHead.load && aHead.wrongInstance) {
+    this->loads.OnWrongInstance();
+  } else if (aHead.load) {
+    this->loads.OnReport(aInstance, *aHead.load, aNow);
+  }
+}
+
 void
 BackendPool::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->work.SetPeer(aDigest.gateway, aDigest.work, aNow);
-  this->loads.OnPeerReports(aDigest.loads, aNow);
+  if (this->options.decisions.reportedLoad) {
+    this->loads.OnPeerReports(aDigest.loads, aNow);
+  }
   for (const DecodeUpdate& update : aDigest.decode) {
     this->models[update.service].OnPeerUpdate(
       aDigest.gateway, aDigest.incarnation, aDigest.sequence, update, aNow);
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -127,6 +127,11 @@
   void OnNotice(const InstanceName& aInstance,
                 const BackpressureNotice& aNotice,
                 TimePoint aNow);
+  /// The head of one of the instance's answers arrived; takes in the load that
+  /// it states.
+  void OnStatedLoad(const InstanceName& aInstance,
+                    const BackendAnswer& aHead,
+                    TimePoint aNow);
   /// Takes in what another gateway reports about the servers.
   void ApplyDigest(const PeerDigest& aDigest, TimePoint aNow);
   /// Another instance answers at the instance's address: no more work is sent
@@ -143,8 +148,9 @@
     return this->prefillByService[aService];
   }
   WorkTable& Work() { return this->work; }
-  const CacheTracker& Caches() const { return this->caches; }
+  /// Contains no reports while GatewayDecisions::reportedLoad is off.
   ReportedLoads& Loads() { return this->loads; }
+  const CacheTracker& Caches() const { return this->caches; }
   ServerActivity& Activity() { return this->activity; }
   DecodeModel& DecodeOf(const ServiceName& aService)
   {
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -440,7 +440,6 @@
     aGateway.pool->Activity().OnPrefill(
       aTo.name, static_cast<double>(running.prefill), this->now);
     aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps);
-    aGateway.pool->Loads().OnSent(aTo.name, this->now);
     aGateway.pool->Activity().SetRequests(
       aTo.name, aGateway.pool->Work().Total(aTo.name).requests, this->now);
     aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
