--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -178,9 +178,6 @@
 void
 BackendPool::RunMaintenance(TimePoint aNow)
 {
-  for (auto& [service, model] : this->models) {
-    model.RunMaintenance(aNow);
-  }
   for (const InstanceName& gateway : this->work.Expire(aNow)) {
     Log(LogLevel::Warning, "gateway_silent", "gateway", gateway.Value());
   }
@@ -212,6 +209,7 @@
     }
     if (member.isListed || member.client->OpenConnections() > 0 ||
         !this->work.Own(it->first).IsZero()) {
+      this->CountRequests(it->first, aNow);
       ++it;
       continue;
     }
@@ -219,6 +217,10 @@
     this->caches.Forget(it->first);
     this->loads.Forget(it->first);
     this->activity.Forget(it->first);
+    if (const auto model = this->decode.find(member.instance.service);
+        model != this->decode.end()) {
+      model->second.Forget(it->first);
+    }
     this->backpressure.Forget(it->first);
     this->prefillByService[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
@@ -227,6 +229,9 @@
     std::erase(listed.inCell, it->first);
     it = this->members.erase(it);
   }
+  for (auto& [service, model] : this->decode) {
+    model.RunMaintenance(aNow);
+  }
 }
 
 void
@@ -298,29 +303,26 @@
   }
   const auto stating =
     std::ranges::count_if(aServers, [&](const Member* aMember) {
-      return this->loads.MeanTimeFactor(aMember->instance.name, aNow)
-        .has_value();
+      return this->ReportedFactorOf(aMember->instance.name, aNow).has_value();
     });
   if (stating == 0 ||
       static_cast<double>(stating) <
         kMinStatingShare * static_cast<double>(aServers.size())) {
     return PredictionMode::None;
   }
-  const auto model = this->models.find(aService);
-  return model != this->models.end() && model->second.IsLearned()
-           ? PredictionMode::Times
-           : PredictionMode::Speeds;
+  const DecodeModel* model = this->DecodeOf(aService);
+  return model != nullptr && model->IsLearned() ? PredictionMode::Times
+                                                : PredictionMode::Speeds;
 }
 
 double
 BackendPool::MeanTimeFactorOf(const Member& aMember, TimePoint aNow) const
 {
   const InstanceName& name = aMember.instance.name;
-  const std::optional<double> reported = this->loads.MeanTimeFactor(name, aNow);
-  const auto model = this->models.find(aMember.instance.service);
-  return model == this->models.end()
-           ? reported.value_or(1.0)
-           : model->second.TimeFactorOf(name, reported);
+  const std::optional<double> reported = this->ReportedFactorOf(name, aNow);
+  const DecodeModel* model = this->DecodeOf(aMember.instance.service);
+  return model == nullptr ? reported.value_or(1.0)
+                          : model->TimeFactorOf(name, reported);
 }
 
 double
@@ -329,9 +331,9 @@
   const InstanceName& name = aMember.instance.name;
   const std::optional<double> present =
     this->loads.PresentTimeFactor(name, aNow);
-  const auto model = this->models.find(aMember.instance.service);
-  return present && model != this->models.end()
-           ? model->second.TimeFactorOf(name, present)
+  const DecodeModel* model = this->DecodeOf(aMember.instance.service);
+  return present && model != nullptr
+           ? model->TimeFactorOf(name, present)
            : present.value_or(this->MeanTimeFactorOf(aMember, aNow));
 }
 
@@ -361,7 +363,7 @@
     server.capacity = std::max<std::uint32_t>(member->instance.slots, 1);
     if (prediction.mode == PredictionMode::Times) {
       const std::optional<double> within =
-        this->models[aService].RequestsWithin(bound, server.timeFactor);
+        this->DecodeOf(aService)->RequestsWithin(bound, server.timeFactor);
       server.capacity =
         std::min(server.capacity, within.value_or(server.capacity));
     }
@@ -414,7 +416,7 @@
   if (prefill != this->prefillByService.end()) {
     input.tokensPerMicro = prefill->second.TokensIn(Duration(1));
   }
-  return PredictTimes(this->models.at(service), input);
+  return PredictTimes(*this->DecodeOf(service), input);
 }
 
 void
@@ -727,10 +729,11 @@
 void
 BackendPool::OnSent(const InstanceName& aInstance,
                     const BackendWork& aWork,
-                    std::span<const PromptStep> aSteps)
+                    std::span<const PromptStep> aSteps,
+                    TimePoint aNow)
 {
   this->work.AddOwn(aInstance, aWork);
-  this->OnPrefill(aInstance, aSteps);
+  this->OnPrefill(aInstance, aSteps, aNow);
 }
 
 void
@@ -744,7 +747,8 @@
 
 void
 BackendPool::OnPrefill(const InstanceName& aInstance,
-                       std::span<const PromptStep> aSteps)
+                       std::span<const PromptStep> aSteps,
+                       TimePoint aNow)
 {
   // Other gateways may report servers that this gateway doesn't have; their
   // entries would never be removed.
@@ -752,6 +756,15 @@
   if (member == this->members.end() || aSteps.empty()) {
     return;
   }
+  if (this->options.decisions.predictedTimes) {
+    double tokens = 0;
+    for (const PromptStep& step : aSteps) {
+      tokens += step.tokens;
+    }
+    tokens -= this->caches.CachedPrefixTokens(aInstance, aSteps);
+    this->activity.OnPrefill(aInstance, std::max(tokens, 0.0), aNow);
+    this->CountRequests(aInstance, aNow);
+  }
   this->caches.OnUsed(
     aInstance, aSteps, this->CacheCapacityOf(member->second.instance.service));
 }
@@ -763,15 +776,19 @@
 }
 
 std::vector<ServiceEstimates>
-BackendPool::Estimates() const
+BackendPool::Estimates(TimePoint aNow) const
 {
   std::vector<ServiceEstimates> estimates;
   for (const auto& [service, prefill] : this->prefillByService) {
-    ServiceEstimates one{ service, prefill.Estimates() };
+    ServiceEstimates one{ service, prefill.Estimates(), 0, {} };
     const auto servers = this->reserved.find(service);
     if (servers != this->reserved.end()) {
       one.interactivePeak = servers->second.Peak();
     }
+    if (const DecodeModel* model = this->DecodeOf(service)) {
+      one.decode = model->Sums(aNow);
+    }
+    one.decode.service = service;
     estimates.push_back(std::move(one));
   }
   return estimates;
@@ -783,6 +800,9 @@
   for (const ServiceEstimates& one : aEstimates) {
     this->prefillByService[one.service].Seed(one.reading);
     this->reserved[one.service].Seed(one.interactivePeak, aNow);
+    if (this->options.decisions.predictedTimes && one.decode.weight > 0) {
+      this->decode[one.service].Seed(one.decode, aNow);
+    }
   }
 }
 
@@ -806,6 +826,102 @@
   return room == this->cacheTokens.end() ? 0 : room->second;
 }
 
+void
+BackendPool::CountRequests(const InstanceName& aInstance, TimePoint aNow)
+{
+  if (this->options.decisions.predictedTimes) {
+    this->activity.SetRequests(
+      aInstance, this->work.Total(aInstance).requests, aNow);
+  }
+}
+
+ServerActivity::Snapshot
+BackendPool::ActivityOf(const InstanceName& aInstance, TimePoint aNow)
+{
+  if (this->members.contains(aInstance)) {
+    this->CountRequests(aInstance, aNow);
+  }
+  return this->activity.Of(aInstance, aNow);
+}
+
+std::optional<double>
+BackendPool::ReportedFactorOf(const InstanceName& aInstance,
+                              TimePoint aNow) const
+{
+  return this->loads.MeanTimeFactor(aInstance, aNow);
+}
+
+void
+BackendPool::OnStream(const InstanceName& aInstance,
+                      StreamSample aSample,
+                      TimePoint aNow)
+{
+  const auto found = this->members.find(aInstance);
+  if (!this->options.decisions.predictedTimes || found == this->members.end()) {
+    return;
+  }
+  aSample.reportedFactor = this->ReportedFactorOf(aInstance, aNow).value_or(1);
+  this->decode[found->second.instance.service].OnStream(
+    aInstance, aSample, aNow);
+}
+
+const DecodeModel*
+BackendPool::DecodeOf(const ServiceName& aService) const
+{
+  const auto found = this->decode.find(aService);
+  return found == this->decode.end() ? nullptr : &found->second;
+}
+
+std::optional<Duration>
+BackendPool::ExpectedPause(const InstanceName& aInstance, TimePoint aNow) const
+{
+  const auto found = this->members.find(aInstance);
+  const DecodeModel* model = found == this->members.end()
+                               ? nullptr
+                               : this->DecodeOf(found->second.instance.service);
+  if (model == nullptr || !model->IsLearned()) {
+    return std::nullopt;
+  }
+  const ServerActivity::Rates rates = this->activity.RatesOf(aInstance, aNow);
+  DecodeLoad load;
+  load.timeFactor =
+    model->TimeFactorOf(aInstance, this->ReportedFactorOf(aInstance, aNow));
+  load.requests = this->work.Total(aInstance).requests + 1.0;
+  load.tokensPerSecond = rates.tokensPerSecond;
+  load.promptsPerSecond = rates.promptsPerSecond;
+  return model->MeanPause(load);
+}
+
+void
+BackendPool::AddDecodeUpdates(PeerDigest& aDigest, TimePoint aNow)
+{
+  std::size_t residuals = 0;
+  for (auto& [service, model] : this->decode) {
+    // The models that are left out are still due for the next digest, so that
+    // one digest never carries the residuals of many services.
+    if (residuals >= DecodeModel::kMaxResidualsPerUpdate) {
+      return;
+    }
+    if (std::optional<DecodeUpdate> update = model.TakeUpdate(aNow)) {
+      update->service = service;
+      residuals += update->residuals.size();
+      aDigest.decode.push_back(*std::move(update));
+    }
+  }
+}
+
+std::optional<double>
+BackendPool::PauseError() const
+{
+  std::optional<double> worst;
+  for (const auto& [service, model] : this->decode) {
+    if (const std::optional<double> error = model.MedianError()) {
+      worst = std::max(worst.value_or(0), *error);
+    }
+  }
+  return worst;
+}
+
 HealthTracker*
 BackendPool::HealthOf(const InstanceName& aInstance)
 {
@@ -850,8 +966,12 @@
     this->loads.OnPeerReports(aDigest.loads, aNow);
   }
   for (const DecodeUpdate& update : aDigest.decode) {
-    this->models[update.service].OnPeerUpdate(
-      aDigest.gateway, aDigest.incarnation, aDigest.sequence, update, aNow);
+    // Models are kept only for services that this gateway has.
+    if (this->options.decisions.predictedTimes &&
+        this->byService.contains(update.service)) {
+      this->decode[update.service].OnPeerUpdate(
+        aDigest.gateway, aDigest.incarnation, aDigest.sequence, update, aNow);
+    }
   }
   this->backpressure.ApplyDigest(
     aDigest,
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -307,33 +307,14 @@
     digest.sequence = ++aSender.digests;
     digest.work = aSender.pool->Work().OwnLines();
     digest.loads = aSender.pool->Loads().TakeUpdates(this->now);
-    if (auto update =
-          aSender.pool->DecodeOf(this->service.name).TakeUpdate(this->now)) {
-      update->service = this->service.name;
-      digest.decode.push_back(*std::move(update));
-    }
+    aSender.pool->AddDecodeUpdates(digest, this->now);
     for (const Gateway& other : this->gateways) {
       if (&other == &aSender) {
         continue;
       }
       other.pool->ApplyDigest(digest, this->now);
-      for (const Engine& engine : this->engines) {
-        other.pool->Activity().SetRequests(
-          engine.name,
-          other.pool->Work().Total(engine.name).requests,
-          this->now);
-      }
       for (const Sent& sent : aSender.sent) {
-        std::uint32_t all = 0;
-        for (const PromptStep& step : sent.steps) {
-          all += step.tokens;
-        }
-        other.pool->Activity().OnPrefill(
-          sent.engine,
-          all -
-            other.pool->Caches().CachedPrefixTokens(sent.engine, sent.steps),
-          this->now);
-        other.pool->OnPrefill(sent.engine, sent.steps);
+        other.pool->OnPrefill(sent.engine, sent.steps, this->now);
         other.pool->OnLongPrompt(sent.engine, sent.longTokens, this->now);
       }
     }
@@ -437,11 +418,7 @@
     running.prefill = running.work.Prefill();
     const std::uint32_t longTokens =
       aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
-    aGateway.pool->Activity().OnPrefill(
-      aTo.name, static_cast<double>(running.prefill), this->now);
-    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps);
-    aGateway.pool->Activity().SetRequests(
-      aTo.name, aGateway.pool->Work().Total(aTo.name).requests, this->now);
+    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps, this->now);
     aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
     aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
     const RequestId id{ 0, ++this->lastId };
@@ -502,7 +479,7 @@
       running.lastEvent = this->now;
       this->ReportLoad(aEngine, *running.pool);
       running.firstEvent = this->now;
-      running.activity = running.pool->Activity().Of(aEngine.name, this->now);
+      running.activity = running.pool->ActivityOf(aEngine.name, this->now);
       statistics.OnFirstToken(
         aEngine.name, running.ahead + running.prefill, latency);
       BackendWork finishedPrefill;
@@ -593,8 +570,7 @@
   void OnComplete(const Running& aRunning)
   {
     const ServerActivity::Difference difference = ServerActivity::Subtract(
-      aRunning.activity,
-      aRunning.pool->Activity().Of(aRunning.engine, this->now));
+      aRunning.activity, aRunning.pool->ActivityOf(aRunning.engine, this->now));
     StreamSample sample;
     sample.intervals = aRunning.events;
     sample.span = Between(aRunning.firstEvent, aRunning.lastEvent);
@@ -602,13 +578,9 @@
     sample.meanRequests = difference.meanRequests;
     sample.prefilledTokens = difference.prefilledTokens;
     sample.prompts = difference.prompts;
-    sample.reportedFactor = aRunning.pool->Loads()
-                              .MeanTimeFactor(aRunning.engine, this->now)
-                              .value_or(1.0);
     sample.isInteractive = aRunning.isInteractive;
     sample.ownPrefillTokens = static_cast<double>(aRunning.prefill);
-    aRunning.pool->DecodeOf(this->service.name)
-      .OnStream(aRunning.engine, sample, this->now);
+    aRunning.pool->OnStream(aRunning.engine, sample, this->now);
     aRunning.pool->PrefillOf(this->service.name)
       .OnRequestTime(Between(aRunning.arrived, this->now));
     aRunning.pool->PausesOf(this->service.name)
