Keep the interactive plan stable; test placement by predicted times

Cause: a slow period of 600 ms could move a server to another class of speed and so in and out of the reserved set. Change: a server changes its class only after its mean time factor has been outside of it for 1 s, or at once if it is far outside.

--- a/dogwoodvale/src/Placement/InteractivePlan.cpp
+++ b/dogwoodvale/src/Placement/InteractivePlan.cpp
@@ -18,12 +18,17 @@
 /// worth a move; averages that gateways compute from nearly the same reports
 /// differ by less.
 constexpr double kClassStep = 1.5;
-/// A server changes its class when it is this far from the middle of the class,
-/// in steps. Half a step is the edge. A period of 600 ms in which the server is
-/// 2.5 times slower moves its mean over 3 s by 0.4 to 0.6 steps and must not
-/// change the class; a whole step would keep a server that has recovered out of
-/// the class of its equals.
+/// A server changes its class when it has been this far from the middle of the
+/// class, in steps, for this long. Half a step is the edge of the class; with a
+/// whole step, a server that has recovered would stay out of the class of its
+/// equals. A period of 600 ms in which the server is 2.5 times slower moves its
+/// mean over 3 s by 0.4 to 0.6 steps, which lasts some seconds but is beyond
+/// this distance for less than this time.
 constexpr double kClassHysteresis = 0.8;
+constexpr Duration kClassHold = seconds(1);
+/// From here it changes its class at once: slow periods don't move it so far,
+/// and a server that is several times slower must not keep its streams.
+constexpr double kFarFromClass = 1.5;
 /// A server is released after the plan has not needed it for this long, so that
 /// the caches built there are of use and gateways that differ for a moment
 /// still agree.
@@ -51,17 +56,27 @@
 } // namespace
 
 void
-InteractivePlan::UpdateStates(std::span<const PlannedServer> aServers)
+InteractivePlan::UpdateStates(std::span<const PlannedServer> aServers,
+                              TimePoint aNow)
 {
   absl::flat_hash_map<InstanceName, State> known;
   for (const PlannedServer& server : aServers) {
     const double steps = StepsOfFactor(server.timeFactor);
     const auto nearest = static_cast<int>(std::lround(steps));
     const auto found = this->states.find(server.name);
-    State state =
-      found == this->states.end() ? State{ nearest, {}, false } : found->second;
-    if (std::abs(steps - state.speedClass) > kClassHysteresis) {
+    State state = found == this->states.end() ? State{ .speedClass = nearest }
+                                              : found->second;
+    const double distance = std::abs(steps - state.speedClass);
+    if (distance <= kClassHysteresis) {
+      state.outsideSince.reset();
+    } else if (!state.outsideSince) {
+      state.outsideSince = aNow;
+    }
+    if (distance > kFarFromClass ||
+        (state.outsideSince &&
+         Between(*state.outsideSince, aNow) >= kClassHold)) {
       state.speedClass = nearest;
+      state.outsideSince.reset();
     }
     known.emplace(server.name, state);
   }
@@ -90,7 +105,7 @@
                         std::optional<std::size_t> aMaxServers,
                         TimePoint aNow)
 {
-  this->UpdateStates(aServers);
+  this->UpdateStates(aServers, aNow);
   if (aLoad.others > 0) {
     this->othersSeenAt = aNow;
   }
--- a/dogwoodvale/src/Placement/InteractivePlan.h
+++ b/dogwoodvale/src/Placement/InteractivePlan.h
@@ -64,14 +64,16 @@
   {
     /// Logarithm of the time factor in steps of a class, rounded.
     int speedClass = 0;
+    /// Since when its time factor has been outside of the class.
+    std::optional<TimePoint> outsideSince = {};
     /// When the plan last needed the server; nothing if it has not since it
     /// was last released.
-    std::optional<TimePoint> neededAt;
+    std::optional<TimePoint> neededAt = {};
     bool isReserved = false;
   };
 
   /// Drops servers that are not in service and updates the classes.
-  void UpdateStates(std::span<const PlannedServer> aServers);
+  void UpdateStates(std::span<const PlannedServer> aServers, TimePoint aNow);
   /// The servers in the order in which they are reserved.
   std::vector<const PlannedServer*> Sorted(
     std::span<const PlannedServer> aServers) const;
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -68,8 +68,10 @@
   /// has the factor i modulo their number. Empty if all are equally fast.
   std::vector<double> timeFactors;
   SlowPeriods slowPeriods;
-  /// Engines report their load and time factor with each first token.
+  /// Engines report their load with each first token, and with it their time
+  /// factor.
   bool reportsLoad = false;
+  bool reportsTimeFactor = true;
 };
 
 /// Results of the requests of one kind.
@@ -87,6 +89,7 @@
 
   /// Share of the answers that have begun.
   double PausedShare() const { return static_cast<double>(paused) / begun; }
+  bool operator==(const Tally&) const = default;
   double OnTimeShare() const { return static_cast<double>(onTime) / asked; }
 };
 
@@ -155,11 +158,10 @@
     this->engines[aEngine].timeFactor = aFactor;
   }
 
-  /// The engine's requests, running and waiting.
-  std::size_t RequestsAt(std::size_t aEngine)
+  /// Number of requests of a kind that were sent to the engine until now.
+  int SentTo(std::size_t aEngine, std::size_t aKind)
   {
-    return this->engines[aEngine].model.Running() +
-           this->engines[aEngine].model.Waiting();
+    return this->engines[aEngine].sent[aKind];
   }
 
   /// Runs for \p aLength.
@@ -238,6 +240,8 @@
     bool isSlow = false;
     /// End of its current slow or usual period.
     TimePoint periodEnds{};
+    /// Requests sent to it, by kind.
+    std::map<std::size_t, int> sent;
     /// Each engine has a generator of its own, so that its periods depend on
     /// nothing else and fleets without slow periods draw what they always did.
     std::mt19937_64 slowPeriodRandom;
@@ -420,6 +424,7 @@
       aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
     aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps, this->now);
     aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
+    ++engine.sent[aKind];
     aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
     const RequestId id{ 0, ++this->lastId };
     engine.model.Start(id,
@@ -563,7 +568,9 @@
     load.running = static_cast<std::uint32_t>(aEngine.model.Running());
     load.waiting = static_cast<std::uint32_t>(aEngine.model.Waiting());
     load.slots = this->fleet.engine.slots;
-    load.timeFactor = this->TimeFactorOf(aEngine);
+    if (this->fleet.reportsTimeFactor) {
+      load.timeFactor = this->TimeFactorOf(aEngine);
+    }
     aPool.Loads().OnReport(aEngine.name, load, this->now);
   }
 
