--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -123,8 +123,9 @@
       instance.address = { "127.0.0.1", static_cast<std::uint16_t>(1000 + i) };
       instance.slots = this->fleet.engine.slots;
       instances.push_back(instance);
-      Engine& engine = this->engines.emplace_back(
-        instance.name, EngineModel(this->fleet.engine));
+      this->engines.push_back(
+        { .name = instance.name, .model = EngineModel(this->fleet.engine) });
+      Engine& engine = this->engines.back();
       if (!this->fleet.timeFactors.empty()) {
         engine.timeFactor =
           this->fleet.timeFactors[i % this->fleet.timeFactors.size()];
@@ -241,10 +242,10 @@
     /// End of its current slow or usual period.
     TimePoint periodEnds{};
     /// Requests sent to it, by kind.
-    std::map<std::size_t, int> sent;
+    std::map<std::size_t, int> sent = {};
     /// Each engine has a generator of its own, so that its periods depend on
     /// nothing else and fleets without slow periods draw what they always did.
-    std::mt19937_64 slowPeriodRandom;
+    std::mt19937_64 slowPeriodRandom = {};
   };
 
   /// Starts a slow or usual period of the engine.
