--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -215,12 +215,12 @@
     }
     Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
     this->caches.Forget(it->first);
-    this->loads.Forget(it->first);
     this->activity.Forget(it->first);
     if (const auto model = this->decode.find(member.instance.service);
         model != this->decode.end()) {
       model->second.Forget(it->first);
     }
+    this->loads.Forget(it->first);
     this->backpressure.Forget(it->first);
     this->prefillByService[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
@@ -962,9 +962,6 @@
 BackendPool::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->work.SetPeer(aDigest.gateway, aDigest.work, aNow);
-  if (this->options.decisions.reportedLoad) {
-    this->loads.OnPeerReports(aDigest.loads, aNow);
-  }
   for (const DecodeUpdate& update : aDigest.decode) {
     // Models are kept only for services that this gateway has.
     if (this->options.decisions.predictedTimes &&
@@ -973,6 +970,9 @@
         aDigest.gateway, aDigest.incarnation, aDigest.sequence, update, aNow);
     }
   }
+  if (this->options.decisions.reportedLoad) {
+    this->loads.OnPeerReports(aDigest.loads, aNow);
+  }
   this->backpressure.ApplyDigest(
     aDigest,
     [this](const InstanceName& aName) { return this->MayUse(aName); },
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -295,9 +295,9 @@
   ServerBackpressure backpressure;
   std::map<ServiceName, RankReserve> reserves;
   WorkTable work;
-  ReportedLoads loads;
   ServerActivity activity;
   std::map<ServiceName, DecodeModel> decode;
+  ReportedLoads loads;
   CacheTracker caches;
   /// Tokens that fit into the cache of one server.
   std::map<ServiceName, std::uint64_t> cacheTokens;
--- a/test/PlacementByPrediction.cpp
+++ b/test/PlacementByPrediction.cpp
@@ -173,3 +173,34 @@
   CHECK(slowed[kShort].PausedShare() < 0.20);
   CHECK(recovering[kShort].PausedShare() < 0.20);
 }
+
+// The servers are updated and their reports cease. The residuals of the decode
+// model then tell the speeds, and 30 s later servers are reserved by name
+// again, as before the servers reported anything.
+TEST_CASE("interactive streams are served when reports cease", "[placement]")
+{
+  const std::uint64_t seed = GENERATE(1U, 2U, 3U);
+  const auto run = [&](bool aPredictedTimes, std::vector<Tally>& aLater) {
+    GatewayDecisions decisions;
+    decisions.predictedTimes = aPredictedTimes;
+    LoadSimulation simulation(
+      UnevenEngines(), decisions, LongAndShortPrompts(), seed);
+    simulation.Run(seconds(12));
+    simulation.StopReports();
+    const std::vector<Tally> soon = simulation.Run(seconds(28));
+    simulation.Run(seconds(8));
+    aLater = simulation.Run(seconds(10));
+    return soon;
+  };
+  std::vector<Tally> laterWithout;
+  std::vector<Tally> laterWith;
+  const std::vector<Tally> without = run(false, laterWithout);
+  const std::vector<Tally> with = run(true, laterWith);
+  INFO("seed " << seed << ", late pauses without and with in the first 28 s: "
+               << without[kShort].PausedShare() << " and "
+               << with[kShort].PausedShare() << ", 36 to 46 s later "
+               << laterWithout[kShort].PausedShare() << " and "
+               << laterWith[kShort].PausedShare());
+  CHECK(with[kShort].PausedShare() < 0.05);
+  CHECK(with[kLong].OnTimeShare() > without[kLong].OnTimeShare() - 0.03);
+}
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -159,6 +159,9 @@
     this->engines[aEngine].timeFactor = aFactor;
   }
 
+  /// Engines report no load from now on.
+  void StopReports() { this->fleet.reportsLoad = false; }
+
   /// Number of requests of a kind that were sent to the engine until now.
   int SentTo(std::size_t aEngine, std::size_t aKind)
   {
