--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -41,6 +41,17 @@
   Duration callerTimeout = std::chrono::hours(1);
 };
 
+/// Periods in which other work on an engine's machine slows the engine down.
+struct SlowPeriods
+{
+  /// Share of the time that they take; 0 for none.
+  double share = 0;
+  /// How many times longer work takes in them.
+  double factor = 1;
+  /// Mean length; lengths are distributed exponentially.
+  Duration length = milliseconds(600);
+};
+
 /// The simulated engines and gateways.
 struct Fleet
 {
@@ -53,6 +64,14 @@
   std::uint64_t cacheTokens = 0;
   /// Period in which a gateway reports its work to the others.
   Duration digestPeriod = milliseconds(150);
+  /// How long work takes on an engine, 1 being the time in \c engine: engine i
+  /// has the factor i modulo their number. Empty if all are equally fast.
+  std::vector<double> timeFactors;
+  SlowPeriods slowPeriods;
+  /// Engines report their load with each first token, and with it their time
+  /// factor.
+  bool reportsLoad = false;
+  bool reportsTimeFactor = true;
 };
 
 /// Results of the requests of one kind.
@@ -65,7 +84,12 @@
   int begun = 0;
   /// Callers that disconnected before their answer had begun.
   int lost = 0;
+  /// Answers with a pause longer than maxPause.
+  int paused = 0;
 
+  /// Share of the answers that have begun.
+  double PausedShare() const { return static_cast<double>(paused) / begun; }
+  bool operator==(const Tally&) const = default;
   double OnTimeShare() const { return static_cast<double>(onTime) / asked; }
 };
 
@@ -100,7 +124,15 @@
       instance.slots = this->fleet.engine.slots;
       instances.push_back(instance);
       this->engines.push_back(
-        { instance.name, EngineModel(this->fleet.engine), {} });
+        { .name = instance.name, .model = EngineModel(this->fleet.engine) });
+      Engine& engine = this->engines.back();
+      if (!this->fleet.timeFactors.empty()) {
+        engine.timeFactor =
+          this->fleet.timeFactors[i % this->fleet.timeFactors.size()];
+      }
+      engine.slowPeriodRandom.seed(aSeed * this->fleet.engines + i);
+      engine.periodEnds = this->now;
+      this->StartPeriod(engine, false);
     }
     for (std::uint32_t i = 0; i < this->fleet.gateways; ++i) {
       const BackendPool::Options options{ .decisions = aDecisions };
@@ -120,6 +152,22 @@
     this->kinds[aKind].perSecond = aPerSecond;
   }
 
+  /// Work on the engine takes \p aFactor times as long as on a usual one from
+  /// now on.
+  void SetTimeFactor(std::size_t aEngine, double aFactor)
+  {
+    this->engines[aEngine].timeFactor = aFactor;
+  }
+
+  /// Engines report no load from now on.
+  void StopReports() { this->fleet.reportsLoad = false; }
+
+  /// Number of requests of a kind that were sent to the engine until now.
+  int SentTo(std::size_t aEngine, std::size_t aKind)
+  {
+    return this->engines[aEngine].sent[aKind];
+  }
+
   /// Runs for \p aLength.
   /// \return for each kind the results of the requests that arrived in it.
   std::vector<Tally> Run(Duration aLength)
@@ -163,6 +211,7 @@
     std::unique_ptr<BackendPool> pool;
     /// Requests not reported to the other gateways yet.
     std::vector<Sent> sent;
+    std::uint64_t digests = 0;
   };
   struct Running
   {
@@ -175,18 +224,67 @@
     std::uint64_t prefill = 0;
     bool hasFirstToken = false;
     std::uint32_t tokens = 0;
+    TimePoint firstEvent{};
     TimePoint lastEvent{};
+    std::uint64_t events = 0;
+    ServerActivity::Snapshot activity;
+    bool isInteractive = false;
     Duration longestPause{ 0 };
     bool isOnTime = false;
+    /// It has had a pause longer than maxPause.
+    bool isPaused = false;
   };
   struct Engine
   {
     InstanceName name;
     EngineModel model;
     /// End of its current step; nothing while it is idle.
-    std::optional<TimePoint> stepEnds;
+    std::optional<TimePoint> stepEnds = {};
+    double timeFactor = 1;
+    bool isSlow = false;
+    /// End of its current slow or usual period.
+    TimePoint periodEnds{};
+    /// Requests sent to it, by kind.
+    std::map<std::size_t, int> sent = {};
+    /// Each engine has a generator of its own, so that its periods depend on
+    /// nothing else and fleets without slow periods draw what they always did.
+    std::mt19937_64 slowPeriodRandom = {};
   };
 
+  /// Starts a slow or usual period of the engine.
+  void StartPeriod(Engine& aEngine, bool aIsSlow)
+  {
+    const SlowPeriods& slow = this->fleet.slowPeriods;
+    aEngine.isSlow = aIsSlow;
+    if (slow.share <= 0) {
+      aEngine.periodEnds = TimePoint::max();
+      return;
+    }
+    const double mean = static_cast<double>(slow.length.count()) *
+                        (aIsSlow ? 1.0 : (1.0 - slow.share) / slow.share);
+    std::exponential_distribution<double> draw(1.0 / mean);
+    aEngine.periodEnds +=
+      Duration(static_cast<Duration::rep>(draw(aEngine.slowPeriodRandom)));
+  }
+
+  /// How long work takes on the engine at this moment.
+  double TimeFactorOf(const Engine& aEngine) const
+  {
+    return aEngine.timeFactor *
+           (aEngine.isSlow ? this->fleet.slowPeriods.factor : 1.0);
+  }
+
+  /// Starts the engine's next step now, at its present speed.
+  /// \return when the step ends.
+  TimePoint Step(Engine& aEngine)
+  {
+    while (aEngine.periodEnds <= this->now) {
+      this->StartPeriod(aEngine, !aEngine.isSlow);
+    }
+    aEngine.model.SetSlowdown(this->TimeFactorOf(aEngine));
+    return aEngine.model.Step(this->now);
+  }
+
   Duration DrawInterarrivalTime(const RequestKind& aKind)
   {
     std::exponential_distribution<double> draw(aKind.perSecond / 1e6);
@@ -211,12 +309,18 @@
 
   void SendDigest(Gateway& aSender)
   {
-    const std::vector<WorkLine> lines = aSender.pool->Work().OwnLines();
+    PeerDigest digest;
+    digest.gateway = aSender.name;
+    digest.incarnation = 1;
+    digest.sequence = ++aSender.digests;
+    digest.work = aSender.pool->Work().OwnLines();
+    digest.loads = aSender.pool->Loads().TakeUpdates(this->now);
+    aSender.pool->AddDecodeUpdates(digest, this->now);
     for (const Gateway& other : this->gateways) {
       if (&other == &aSender) {
         continue;
       }
-      other.pool->Work().SetPeer(aSender.name, lines, this->now);
+      other.pool->ApplyDigest(digest, this->now);
       for (const Sent& sent : aSender.sent) {
         other.pool->OnPrefill(sent.engine, sent.steps, this->now);
         other.pool->OnLongPrompt(sent.engine, sent.longTokens, this->now);
@@ -277,6 +381,7 @@
     demand.isLong = isReserving && pauses.HasInteractive()
                       ? !demand.isInteractive
                       : statistics.IsLong(demand.promptTokens);
+    demand.bounds = { aKind.maxPause, aKind.target };
     demand.tokensPerTarget = statistics.TokensIn(aKind.target);
     demand.tokensPerQueuePosition =
       statistics.TokensPerQueuePosition(this->service.slots)
@@ -315,6 +420,7 @@
     running.engine = engine.name;
     running.kind = aKind;
     running.arrived = this->now;
+    running.isInteractive = aDemand.isInteractive;
     running.ahead = aPlacement.prefillAhead;
     running.work = aPlacement.work;
     running.prefill = running.work.Prefill();
@@ -322,6 +428,7 @@
       aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
     aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps, this->now);
     aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
+    ++engine.sent[aKind];
     aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
     const RequestId id{ 0, ++this->lastId };
     engine.model.Start(id,
@@ -332,7 +439,7 @@
     this->requests[this->lastId] = running;
     this->sentByKind[aKind].push_back(this->lastId);
     if (!engine.stepEnds) {
-      engine.stepEnds = engine.model.Step(this->now);
+      engine.stepEnds = this->Step(engine);
     }
   }
 
@@ -361,7 +468,7 @@
         this->OnToken(aEngine, sequence);
       }
     }
-    const TimePoint next = aEngine.model.Step(this->now);
+    const TimePoint next = this->Step(aEngine);
     aEngine.stepEnds = aEngine.model.IsIdle() ? std::optional<TimePoint>()
                                               : std::optional<TimePoint>(next);
   }
@@ -379,6 +486,9 @@
       this->tallies[running.kind].begun +=
         running.arrived >= this->countingSince ? 1 : 0;
       running.lastEvent = this->now;
+      this->ReportLoad(aEngine, *running.pool);
+      running.firstEvent = this->now;
+      running.activity = running.pool->ActivityOf(aEngine.name, this->now);
       statistics.OnFirstToken(
         aEngine.name, running.ahead + running.prefill, latency);
       BackendWork finishedPrefill;
@@ -438,6 +548,13 @@
     aRunning.longestPause =
       std::max(aRunning.longestPause, Between(aRunning.lastEvent, this->now));
     aRunning.lastEvent = this->now;
+    ++aRunning.events;
+    if (!aRunning.isPaused &&
+        aRunning.longestPause > this->kinds[aRunning.kind].maxPause) {
+      aRunning.isPaused = true;
+      this->tallies[aRunning.kind].paused +=
+        aRunning.arrived >= this->countingSince ? 1 : 0;
+    }
     if (aRunning.isOnTime &&
         aRunning.longestPause > this->kinds[aRunning.kind].maxPause) {
       aRunning.isOnTime = false;
@@ -445,8 +562,36 @@
     }
   }
 
+  /// The engine states its load in the head of an answer.
+  void ReportLoad(const Engine& aEngine, BackendPool& aPool)
+  {
+    if (!this->fleet.reportsLoad) {
+      return;
+    }
+    ServerLoad load;
+    load.running = static_cast<std::uint32_t>(aEngine.model.Running());
+    load.waiting = static_cast<std::uint32_t>(aEngine.model.Waiting());
+    load.slots = this->fleet.engine.slots;
+    if (this->fleet.reportsTimeFactor) {
+      load.timeFactor = this->TimeFactorOf(aEngine);
+    }
+    aPool.Loads().OnReport(aEngine.name, load, this->now);
+  }
+
   void OnComplete(const Running& aRunning)
   {
+    const ServerActivity::Difference difference = ServerActivity::Subtract(
+      aRunning.activity, aRunning.pool->ActivityOf(aRunning.engine, this->now));
+    StreamSample sample;
+    sample.intervals = aRunning.events;
+    sample.span = Between(aRunning.firstEvent, aRunning.lastEvent);
+    sample.longestPause = aRunning.longestPause;
+    sample.meanRequests = difference.meanRequests;
+    sample.prefilledTokens = difference.prefilledTokens;
+    sample.prompts = difference.prompts;
+    sample.isInteractive = aRunning.isInteractive;
+    sample.ownPrefillTokens = static_cast<double>(aRunning.prefill);
+    aRunning.pool->OnStream(aRunning.engine, sample, this->now);
     aRunning.pool->PrefillOf(this->service.name)
       .OnRequestTime(Between(aRunning.arrived, this->now));
     aRunning.pool->PausesOf(this->service.name)
