Switch fair shares on by settings only; keep sums and reports apart

Sums of the decode model were added in the order of hash maps, so plays of the same load differed. Reports without a time factor were sent though no decision uses them.

--- a/dogwoodvale/src/Placement/DecodeModel.cpp
+++ b/dogwoodvale/src/Placement/DecodeModel.cpp
@@ -552,11 +552,11 @@
 void
 DecodeModel::RunMaintenance(TimePoint aNow)
 {
-  absl::erase_if(this->peers, [aNow](const auto& aItem) {
+  std::erase_if(this->peers, [aNow](const auto& aItem) {
     return Between(aItem.second.receivedAt, aNow) > kPeerTtl;
   });
   for (auto& [name, peer] : this->peers) {
-    absl::erase_if(peer.residuals, [aNow](const auto& aItem) {
+    std::erase_if(peer.residuals, [aNow](const auto& aItem) {
       const Residual& one = aItem.second;
       return one.weight * DecayBetween(one.at, aNow, kResidualTime) <
              kMinResidualWeight;
--- a/dogwoodvale/src/Placement/DecodeModel.h
+++ b/dogwoodvale/src/Placement/DecodeModel.h
@@ -3,10 +3,9 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 
-#include <absl/container/flat_hash_map.h>
-
 #include "DecodeUpdate.h"
 #include "MovingQuantile.h"
 
@@ -142,7 +141,9 @@
     bool isUnsent = false;
     TimePoint sentAt{};
   };
-  using Residuals = absl::flat_hash_map<InstanceName, Residual>;
+  /// Ordered, as all maps here: sums added in another order differ in their
+  /// last digits, and plays of the same load would differ.
+  using Residuals = std::map<InstanceName, Residual>;
 
   /// This gateway's streams at one server.
   struct OwnServer
@@ -192,13 +193,13 @@
   void SolveIfDue(TimePoint aNow);
   void Solve(TimePoint aNow);
 
-  absl::flat_hash_map<InstanceName, OwnServer> ownServers;
+  std::map<InstanceName, OwnServer> ownServers;
   /// Sums of this gateway that belong to no server in ownServers, decayed to
   /// the time ownAt.
   DecodeUpdate ownOther;
   TimePoint ownAt{};
   /// By name; the sums of Seed() are kept under the empty name.
-  absl::flat_hash_map<InstanceName, Peer> peers;
+  std::map<InstanceName, Peer> peers;
   MovingQuantile ratios{ 0.9, 256 };
   MovingQuantile errors{ 0.5, 256 };
   std::optional<TimePoint> sentAt;
@@ -210,7 +211,7 @@
   /// Means of interactive streams; 0 until one is known.
   double interactiveIntervals = 0;
   double interactiveTokens = 0;
-  absl::flat_hash_map<InstanceName, ServerFactor> factors;
+  std::map<InstanceName, ServerFactor> factors;
   /// Prediction for servers without an own residual.
   double meanFactor = 1.0;
 };
--- a/dogwoodvale/src/Placement/ReportedLoads.cpp
+++ b/dogwoodvale/src/Placement/ReportedLoads.cpp
@@ -195,8 +195,10 @@
 {
   std::vector<std::pair<TimePoint, InstanceName>> newest;
   for (const auto& [name, entry] : this->entries) {
-    // The receivers would ignore an older report.
-    if (entry.isUnsent && Between(entry.at, aNow) <= kMaxPeerAge) {
+    // The receivers would ignore an older report, and use one without a time
+    // factor for nothing.
+    if (entry.isUnsent && entry.load->timeFactor &&
+        Between(entry.at, aNow) <= kMaxPeerAge) {
       newest.emplace_back(entry.at, name);
     }
   }
--- a/dogwoodvale/src/Placement/ReportedLoads.h
+++ b/dogwoodvale/src/Placement/ReportedLoads.h
@@ -86,7 +86,8 @@
                            std::uint32_t aBelieved,
                            TimePoint aNow) const;
 
-  /// This gateway's own reports that were not returned before, for its digest:
+  /// This gateway's own reports with a time factor that were not returned
+  /// before, for its digest:
   /// at most the kMaxUpdates newest, newest first, one per instance.
   std::vector<LoadUpdate> TakeUpdates(TimePoint aNow);
 
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -120,13 +120,15 @@
   /// times, see DecodeModel.
   bool predictedTimes = true;
   /// Requests of later ranks wait while earlier ones go without an answer, see
-  /// RankGuard.
-  bool rankGuard = true;
+  /// RankGuard. Off unless a deployment asks for it.
+  bool rankGuard = false;
   /// Customers beyond their share of a service that is short of capacity are
-  /// served after the others, see CustomerShares.
-  bool customerShares = true;
-  /// A server gets no more requests than its memory holds.
-  bool memoryAdmission = true;
+  /// served after the others, see CustomerShares. Off unless a deployment asks
+  /// for it: the requests of its largest customers then pay for every shortage.
+  bool customerShares = false;
+  /// A server gets no more requests than its memory holds, see LacksMemory().
+  /// Off unless a deployment asks for it.
+  bool memoryAdmission = false;
 };
 
 /// What one process at a time does for all, see Duties.
