--- a/dogwoodvale/src/Placement/DirectChoice.cpp
+++ b/dogwoodvale/src/Placement/DirectChoice.cpp
@@ -56,24 +56,6 @@
            : cost;
 }
 
-/// Slots that have to become free at the server before the request gets one.
-/// Waiting requests of later ranks are overtaken and do not count.
-std::uint32_t
-QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
-{
-  const BackendWork& work = aCandidate.work;
-  if (aCandidate.slots == 0 || work.requests < aCandidate.slots) {
-    return 0;
-  }
-  // Gateways of older versions do not report ranks: count these requests as
-  // ahead.
-  const std::uint32_t unranked =
-    work.requests -
-    std::min(work.requests, work.RequestsUpTo(BackendWork::kRanks - 1));
-  const std::uint32_t ahead = work.RequestsUpTo(aDemand.queueRank) + unranked;
-  return ahead - std::min(ahead, aCandidate.slots) + 1;
-}
-
 double
 ModelCost(const DirectCandidate& aCandidate,
           const DirectDemand& aDemand,
@@ -108,6 +90,30 @@
 
 } // namespace
 
+bool
+IsUnavailable(const DirectCandidate& aCandidate)
+{
+  return aCandidate.healthState == HealthState::Ejected ||
+         (aCandidate.healthState == HealthState::Probing &&
+          aCandidate.work.requests > 0);
+}
+
+std::uint32_t
+QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+{
+  const BackendWork& work = aCandidate.work;
+  if (aCandidate.slots == 0 || work.requests < aCandidate.slots) {
+    return 0;
+  }
+  // Gateways of older versions do not report ranks: count these requests as
+  // ahead.
+  const std::uint32_t unranked =
+    work.requests -
+    std::min(work.requests, work.RequestsUpTo(BackendWork::kRanks - 1));
+  const std::uint32_t ahead = work.RequestsUpTo(aDemand.queueRank) + unranked;
+  return ahead - std::min(ahead, aCandidate.slots) + 1;
+}
+
 double
 DirectCost(const DirectCandidate& aCandidate,
            const DirectDemand& aDemand,
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -21,6 +21,8 @@
   std::uint32_t sharedTokens = 0;
   /// Scheduling priority, 0 first, see PriorityLevels::inTime.
   std::uint32_t rank = 0;
+  /// Rank among the requests of the service, 0 first, see RouteTable::RankOf().
+  std::uint32_t serviceRank = 0;
   /// Priority in the queue of a full server; the last one where these queues do
   /// not distinguish ranks.
   std::uint32_t queueRank = BackendWork::kRanks - 1;
@@ -70,6 +72,16 @@
   std::optional<double> presentTimeFactor;
 };
 
+/// Whether it should get no request: it is ejected, or probing with the one
+/// request in flight that this state allows.
+bool
+IsUnavailable(const DirectCandidate& aCandidate);
+
+/// Slots that have to become free at the server before the request gets one.
+/// Waiting requests of later ranks are overtaken and do not count.
+std::uint32_t
+QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand);
+
 /// Expected cost of sending the request to the server, lower is better: for a
 /// model the prefill tokens until its first token, weighted with the delay to
 /// other requests; for other services the requests per slot.
--- a/dogwoodvale/src/Placement/DirectChooser.cpp
+++ b/dogwoodvale/src/Placement/DirectChooser.cpp
@@ -73,16 +73,6 @@
          aCandidate.work.requests >= kFullFraction * aCandidate.slots;
 }
 
-/// Whether it should get no request: it is ejected, or probing with the one
-/// request in flight that this state allows.
-bool
-IsUnavailable(const DirectCandidate& aCandidate)
-{
-  return aCandidate.healthState == HealthState::Ejected ||
-         (aCandidate.healthState == HealthState::Probing &&
-          aCandidate.work.requests > 0);
-}
-
 } // namespace
 
 std::optional<std::size_t>
--- a/dogwoodvale/src/Placement/LoadShedding.h
+++ b/dogwoodvale/src/Placement/LoadShedding.h
@@ -23,6 +23,18 @@
 bool
 IsLateWaitTooLong(Duration aWait, Duration aTarget);
 
+/// Time after which a caller disconnects from a request whose answer has not
+/// begun: 2 s, or longer if the route's own bounds are long.
+/// \param aTarget for the time to the first token.
+/// \param aMaxPause the bound on the pause between two events.
+Duration
+CallerPatience(Duration aTarget, Duration aMaxPause);
+
+/// Time in which so many waiting requests begin.
+/// \param aPerSecond requests that begin per second; 0 if none has lately.
+Duration
+DrainTime(double aWaiting, double aPerSecond);
+
 /// Delay after which a refused request should be retried: the time until the
 /// work ahead of it takes only half a target more, at least 100 ms, with random
 /// jitter of up to as much again, so that requests refused together are not
