Guard earlier ranks in the gateway

Change: BackendPool owns a RankGuard per service, sends and takes RankUpdate in digests, and spreads short requests while their rank or an earlier one is overdue. GatewayRequest reports when a request waits beyond twice its target, begins or ends without an answer, and refuses (QueueFull, not run) on the first attempt only, so what has begun or may have run is never refused. Gauges ranks_overdue and requests_refused_for_ranks. With decisions.rank_guard off, and while no request waits beyond twice its target, placement is as before. PeerExchange::DigestPeriod is the period it had, as a function.

--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -37,6 +37,7 @@
   // tokens of all requests count as ahead of it.
   demand.rank = aPool.Decisions().rankedReading ? aRequest.priorities.inTime
                                                 : BackendWork::kRanks - 1;
+  demand.serviceRank = aRequest.rank;
   if (aPool.Decisions().rankedTurns) {
     demand.queueRank = aRequest.priorities.inTime;
   }
--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "PeerExchange.h"
+
 namespace dogwoodvale {
 
 namespace {
@@ -141,6 +143,11 @@
   this->gatewaysInCell = aInCell;
   this->cells = aCells;
   this->cell = aCell;
+  this->unreported.SetPeers(PeerExchange::DigestPeriod(aInCell - 1),
+                            aInCell - 1);
+  for (auto& [service, guard] : this->guards) {
+    guard.SetGateways(aCount);
+  }
   this->ListServices();
 }
 
@@ -207,6 +214,7 @@
     Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
     this->caches.Forget(it->first);
     this->backpressure.Forget(it->first);
+    this->unreported.Forget(it->first);
     this->prefillByService[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
     ServiceServers& listed = this->byService[member.instance.service];
@@ -404,6 +412,12 @@
   if (this->options.decisions.homeServers) {
     MarkHome(found, aDemand);
   }
+  if (this->options.decisions.rankGuard && !aDemand.isLong &&
+      this->GuardOf(aService.name).IsOverdue(aDemand.serviceRank, aNow)) {
+    for (DirectCandidate& candidate : found) {
+      this->unreported.AddTo(candidate, aNow);
+    }
+  }
   return found;
 }
 
@@ -471,6 +485,136 @@
   return shortest.value_or(Duration::zero());
 }
 
+RankGuard&
+BackendPool::GuardOf(const ServiceName& aService)
+{
+  const auto [found, isNew] = this->guards.try_emplace(aService);
+  if (isNew) {
+    found->second.SetGateways(this->gateways);
+  }
+  return found->second;
+}
+
+void
+BackendPool::Spread(const ServiceName& aService,
+                    const DirectDemand& aDemand,
+                    std::vector<DirectCandidate>& aCandidates,
+                    std::mt19937_64& aRandom,
+                    TimePoint aNow)
+{
+  // A gateway alone knows all that is sent.
+  if (this->options.decisions.rankGuard && this->gatewaysInCell > 1 &&
+      !aDemand.isLong &&
+      this->GuardOf(aService).IsOverdue(aDemand.serviceRank, aNow)) {
+    SpreadCandidates(aCandidates, aRandom);
+  }
+}
+
+std::vector<RankUpdate>
+BackendPool::RankUpdates(TimePoint aNow) const
+{
+  std::vector<RankUpdate> updates;
+  for (const auto& [service, guard] : this->guards) {
+    const std::vector<RankUpdate> own = guard.Updates(service, aNow);
+    updates.insert(updates.end(), own.begin(), own.end());
+  }
+  return updates;
+}
+
+void
+BackendPool::OnRankUpdates(const InstanceName& aGateway,
+                           std::span<const RankUpdate> aUpdates,
+                           TimePoint aNow)
+{
+  for (const auto& [service, listed] : this->byService) {
+    std::vector<RankUpdate> its;
+    for (const RankUpdate& update : aUpdates) {
+      if (update.service == service) {
+        its.push_back(update);
+      }
+    }
+    this->GuardOf(service).OnPeer(aGateway, its, aNow);
+  }
+}
+
+Duration
+BackendPool::DrainTimeOf(const ServiceName& aService, TimePoint aNow)
+{
+  double waiting = 0;
+  const auto listed = this->byService.find(aService);
+  if (listed != this->byService.end()) {
+    for (const InstanceName& name : listed->second.all) {
+      const std::uint32_t slots = this->members.at(name).instance.slots;
+      const std::uint32_t requests = this->work.Total(name).requests;
+      waiting += requests - std::min(requests, slots);
+    }
+  }
+  return DrainTime(waiting, this->GuardOf(aService).BegunPerSecond(aNow));
+}
+
+std::optional<Duration>
+BackendPool::GuardRefusal(const ServiceName& aService,
+                          const DirectDemand& aDemand,
+                          std::mt19937_64& aRandom,
+                          TimePoint aNow)
+{
+  if (!this->options.decisions.rankGuard ||
+      this->GuardOf(aService).Admits(
+        aDemand.serviceRank, aDemand.promptTokens, aRandom, aNow)) {
+    return std::nullopt;
+  }
+  return this->DrainTimeOf(aService, aNow);
+}
+
+std::optional<Duration>
+BackendPool::QueueRefusal(const DirectService& aService,
+                          const DirectDemand& aDemand,
+                          const InstanceName& aServer,
+                          Duration aPatience,
+                          TimePoint aNow)
+{
+  const auto listed = this->byService.find(aService.name);
+  if (!this->options.decisions.rankGuard || aDemand.isLong ||
+      listed == this->byService.end()) {
+    return std::nullopt;
+  }
+  RankGuard& guard = this->GuardOf(aService.name);
+  if (!guard.IsOverdue(aDemand.serviceRank, aNow)) {
+    return std::nullopt;
+  }
+  DirectCandidate server;
+  server.work = this->work.Total(aServer);
+  const std::uint32_t slots = this->members.at(aServer).instance.slots;
+  server.slots = slots > 0 ? slots : aService.slots;
+  const double perSecond =
+    guard.BegunPerSecond(aNow) / static_cast<double>(listed->second.all.size());
+  if (perSecond <= 0 ||
+      DrainTime(QueuePositionOf(server, aDemand), perSecond) <= aPatience) {
+    return std::nullopt;
+  }
+  return this->DrainTimeOf(aService.name, aNow);
+}
+
+std::size_t
+BackendPool::OverdueRanks(TimePoint aNow)
+{
+  std::size_t count = 0;
+  for (auto& [service, guard] : this->guards) {
+    count += guard.OverdueRanks(aNow);
+  }
+  return count;
+}
+
+std::uint64_t
+BackendPool::RefusedForRanks() const
+{
+  std::uint64_t count = 0;
+  for (const auto& [service, guard] : this->guards) {
+    count += guard.Refused();
+  }
+  return count;
+}
+
 std::optional<SocketAddress>
 BackendPool::AddressOf(const InstanceName& aInstance) const
 {
@@ -538,9 +682,11 @@
 void
 BackendPool::OnSent(const InstanceName& aInstance,
                     const BackendWork& aWork,
-                    std::span<const PromptStep> aSteps)
+                    std::span<const PromptStep> aSteps,
+                    TimePoint aNow)
 {
   this->work.AddOwn(aInstance, aWork);
+  this->unreported.OnSent(aInstance, aNow);
   this->OnPrefill(aInstance, aSteps);
 }
 
@@ -640,6 +786,7 @@
 BackendPool::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->work.SetPeer(aDigest.gateway, aDigest.work, aNow);
+  this->OnRankUpdates(aDigest.gateway, aDigest.ranks, aNow);
   this->backpressure.ApplyDigest(
     aDigest,
     [this](const InstanceName& aName) { return this->MayUse(aName); },
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -61,6 +61,14 @@
     const DirectDemand& aDemand,
     std::span<const InstanceName> aExcluded,
     TimePoint aNow);
+  /// Reduces the candidates for a request to a random few while requests of its
+  /// rank or an earlier one go without an answer, see SpreadCandidates().
+  /// Leaves those of a long prompt, which has to find its cached parts.
+  void Spread(const ServiceName& aService,
+              const DirectDemand& aDemand,
+              std::vector<DirectCandidate>& aCandidates,
+              std::mt19937_64& aRandom,
+              TimePoint aNow);
   /// Sets the cache size of one server of each service.
   void SetServices(std::span<const DirectService> aServices);
   /// The prompt, sent by this gateway or another, enters the cache of the
@@ -86,6 +94,34 @@
   /// according to the servers' back-pressure notices; 0 if one accepts it now
   /// or the service has no server that accepts work.
   Duration UntilFree(const ServiceName& aService, TimePoint aNow);
+  /// See RankGuard.
+  RankGuard& GuardOf(const ServiceName& aService);
+  /// What this gateway reports of the ranks of all services.
+  std::vector<RankUpdate> RankUpdates(TimePoint aNow) const;
+  /// Replaces what another gateway reported of the ranks.
+  void OnRankUpdates(const InstanceName& aGateway,
+                     std::span<const RankUpdate> aUpdates,
+                     TimePoint aNow);
+  /// Whether RankGuard refuses a request that no server has been sent yet.
+  /// \return if so, the expected time until the requests that wait have begun.
+  std::optional<Duration> GuardRefusal(const ServiceName& aService,
+                                       const DirectDemand& aDemand,
+                                       std::mt19937_64& aRandom,
+                                       TimePoint aNow);
+  /// Whether a request would not begin at the server before its caller
+  /// disconnects; only decided while requests of its rank or an earlier one go
+  /// without an answer. Placer decides on long prompts, see Timeliness.
+  /// \param aPatience time until the caller disconnects.
+  /// \return if so, the expected time until the requests that wait have begun.
+  std::optional<Duration> QueueRefusal(const DirectService& aService,
+                                       const DirectDemand& aDemand,
+                                       const InstanceName& aServer,
+                                       Duration aPatience,
+                                       TimePoint aNow);
+  /// Number of ranks of all services that go without an answer, and requests
+  /// refused for them.
+  std::size_t OverdueRanks(TimePoint aNow);
+  std::uint64_t RefusedForRanks() const;
   ServerBackpressure& Backpressure() { return this->backpressure; }
   /// The address of the instance; nothing if the pool does not have it.
   std::optional<SocketAddress> AddressOf(const InstanceName& aInstance) const;
@@ -117,7 +153,8 @@
 
   void OnSent(const InstanceName& aInstance,
               const BackendWork& aWork,
-              std::span<const PromptStep> aSteps);
+              std::span<const PromptStep> aSteps,
+              TimePoint aNow);
   /// A part of the work (the prefill) or all of it is done.
   void OnDone(const InstanceName& aInstance, const BackendWork& aWork);
   /// The health tracker of the instance's service; null if the pool does not
@@ -174,6 +211,9 @@
   void ListServices();
   /// Tokens that fit into the cache of one server; 0 while unknown.
   std::uint64_t CacheCapacityOf(const ServiceName& aService) const;
+  /// Expected time until the requests that wait at the service's servers have
+  /// begun.
+  Duration DrainTimeOf(const ServiceName& aService, TimePoint aNow);
   /// Updates the number of servers reserved for interactive requests.
   void Reserve(const ServiceName& aService,
                const Occupancy& aOccupancy,
@@ -217,6 +257,8 @@
   std::map<ServiceName, ReservedServers> reserved;
   ServerBackpressure backpressure;
   std::map<ServiceName, RankReserve> reserves;
+  std::map<ServiceName, RankGuard> guards;
+  UnreportedRequests unreported;
   WorkTable work;
   CacheTracker caches;
   /// Tokens that fit into the cache of one server.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -339,6 +339,7 @@
   this->crashes.AddToDigest(digest);
   this->pool.Backpressure().AddToDigest(digest, Now());
   digest.list = this->directory->List(Now());
+  digest.ranks = this->pool.RankUpdates(Now());
   this->usage.AddToDigest(digest);
   return digest;
 }
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -96,6 +96,9 @@
   set("reserved_servers", static_cast<double>(aGauges.reserved));
   set("servers_resting", static_cast<double>(aGauges.backingOff));
   set("servers_rate_limited", static_cast<double>(aGauges.rateLimited));
+  set("ranks_overdue", static_cast<double>(aGauges.ranksOverdue));
+  set("requests_refused_for_ranks",
+      static_cast<double>(aGauges.refusedForRanks));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
   set("servers_crashed", static_cast<double>(aGauges.serversCrashed));
   set("crash_suspects", static_cast<double>(aGauges.suspects));
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -21,6 +21,10 @@
   std::size_t backingOff = 0;
   /// Backend servers that limit the rate of requests.
   std::size_t rateLimited = 0;
+  /// Ranks of all services whose requests go without an answer, and requests of
+  /// later ranks refused for them since the start, see RankGuard.
+  std::size_t ranksOverdue = 0;
+  std::uint64_t refusedForRanks = 0;
   /// Store entries of backend servers that could not be parsed.
   std::size_t instancesRejected = 0;
   /// Backend servers that exited with requests in flight, since the start.
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -60,6 +60,8 @@
   gauges.digestsRefused = this->peers->DigestsRejected();
   gauges.reserved = this->pool.ReservedCount();
   gauges.rateLimited = this->pool.Backpressure().Rates().LimitedCount();
+  gauges.ranksOverdue = this->pool.OverdueRanks(Now());
+  gauges.refusedForRanks = this->pool.RefusedForRanks();
   gauges.backingOff = this->pool.Backpressure().Backoffs().BackingOffCount(now);
   gauges.serversCrashed = this->crashes.ServersCrashed();
   gauges.suspects = this->crashes.Ledger().SuspectCount();
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -16,6 +16,9 @@
 /// server may be closing an older one, and a request lost that way can't be
 /// retried.
 constexpr Duration kMaxIdleForNonIdempotent = milliseconds(500);
+/// Targets after which a request that waits for its first token is reported to
+/// RankGuard.
+constexpr int kOverdueTargets = 2;
 
 } // namespace
 
@@ -28,6 +31,7 @@
   , accepted(Now())
   , deadline(aHost.Loop(), [this] { this->OnDeadline(); })
   , suspectTimer(aHost.Loop(), [this] { this->TryNext(); })
+  , overdueTimer(aHost.Loop(), [this] { this->OnOverdue(); })
 {
   const Duration limit =
     std::min(this->admitted.callerMetadata.timeLimit.value_or(Duration::max()),
@@ -45,9 +49,47 @@
 {
   this->exchange->SetHandler(this);
   this->deadline.StartOnce(this->TimeLeft(this->accepted));
+  const DirectDemand& demand = this->admitted.demand;
+  BackendPool& pool = this->host.Backends();
+  if (pool.Decisions().rankGuard && demand.promptTokens > 0 &&
+      this->GetRoute().target > Duration::zero()) {
+    pool.GuardOf(this->admitted.service->name)
+      .OnRequest(demand.serviceRank, demand.promptTokens);
+    this->waitState = Wait::InTime;
+    this->overdueTimer.StartOnce(kOverdueTargets * this->GetRoute().target);
+  }
   this->TryNext();
 }
 
+void
+GatewayRequest::OnOverdue()
+{
+  if (this->waitState == Wait::InTime) {
+    this->waitState = Wait::Overdue;
+    this->host.Backends()
+      .GuardOf(this->admitted.service->name)
+      .OnOverdue(this->admitted.demand.serviceRank);
+  }
+}
+
+void
+GatewayRequest::EndWait(bool aHasAnswer)
+{
+  this->overdueTimer.Stop();
+  const Wait was = std::exchange(this->waitState, Wait::None);
+  if (was == Wait::None) {
+    return;
+  }
+  RankGuard& guard =
+    this->host.Backends().GuardOf(this->admitted.service->name);
+  const std::uint32_t rank = this->admitted.demand.serviceRank;
+  if (aHasAnswer) {
+    guard.OnBegun(rank, was == Wait::Overdue, Now());
+  } else if (was == Wait::Overdue) {
+    guard.OnLost(rank, true, Now());
+  }
+}
+
 Duration
 GatewayRequest::TimeLeft(TimePoint aNow) const
 {
@@ -87,21 +129,63 @@
   return !wait;
 }
 
+bool
+GatewayRequest::RefuseForRanks(TimePoint aNow)
+{
+  if (this->outcome.attempts > 0) {
+    return false;
+  }
+  const std::optional<Duration> wait =
+    this->host.Backends().GuardRefusal(this->admitted.service->name,
+                                       this->admitted.demand,
+                                       this->host.Random(),
+                                       aNow);
+  if (wait) {
+    this->GiveUp(ErrorCode::QueueFull, "earlier ranks go first", *wait);
+  }
+  return wait.has_value();
+}
+
+bool
+GatewayRequest::RefuseForQueue(const DirectCandidate& aServer, TimePoint aNow)
+{
+  if (this->outcome.attempts > 0) {
+    return false;
+  }
+  const HostRoute& route = this->GetRoute();
+  const Duration patience = CallerPatience(route.target, route.targetGap) -
+                            Between(this->accepted, aNow);
+  const std::optional<Duration> wait =
+    this->host.Backends().QueueRefusal(*this->admitted.service,
+                                       this->admitted.demand,
+                                       aServer.name,
+                                       patience,
+                                       aNow);
+  if (wait) {
+    this->OnOverdue();
+    this->GiveUp(ErrorCode::QueueFull, "the queues are too long", *wait);
+  }
+  return wait.has_value();
+}
+
 void
 GatewayRequest::TryNext()
 {
   const TimePoint now = Now();
-  if (!this->PassesCrashGuard(now)) {
+  if (!this->PassesCrashGuard(now) || this->RefuseForRanks(now)) {
     return;
   }
   BackendPool& pool = this->host.Backends();
-  const std::vector<DirectCandidate> candidates = pool.Candidates(
+  const ServiceName& service = this->admitted.service->name;
+  std::vector<DirectCandidate> candidates = pool.Candidates(
     *this->admitted.service, this->admitted.demand, this->excluded, now);
-  const std::optional<Placement> placed = this->host.RequestPlacer().Place(
-    candidates,
-    this->MakePlacementRequest(now),
-    pool.PrefillOf(this->admitted.service->name),
-    this->host.Random());
+  pool.Spread(
+    service, this->admitted.demand, candidates, this->host.Random(), now);
+  const std::optional<Placement> placed =
+    this->host.RequestPlacer().Place(candidates,
+                                     this->MakePlacementRequest(now),
+                                     pool.PrefillOf(service),
+                                     this->host.Random());
   if (!placed) {
     this->GiveUpUnplaced();
     return;
@@ -114,6 +198,9 @@
     this->GiveUp(ErrorCode::QueueFull, "all servers are behind", placed->wait);
     return;
   }
+  if (this->RefuseForQueue(server, now)) {
+    return;
+  }
   BackendClient* client = pool.Acquire(server.name, this->admitted.demand, now);
   if (client == nullptr) {
     this->GiveUpUnplaced();
@@ -167,7 +254,8 @@
           .work = placement.work,
           .at = now,
           .hadFreeSlot = aCandidate.work.requests < aCandidate.slots };
-  pool.OnSent(aCandidate.name, placement.work, this->admitted.demand.steps);
+  pool.OnSent(
+    aCandidate.name, placement.work, this->admitted.demand.steps, now);
   const std::uint32_t longTokens =
     this->admitted.demand.isLong
       ? static_cast<std::uint32_t>(placement.work.Prefill())
@@ -257,6 +345,7 @@
   this->RecordExecutionStart(now);
   this->RecordGap(now);
   if (!this->streamStarted) {
+    this->EndWait(true);
     this->streamStarted = true;
     this->outcome.status = this->attempt->Answer().status;
     this->exchange->StartStream(this->outcome.status, this->attempt->Headers());
@@ -339,6 +428,7 @@
 {
   this->outcome.status = this->attempt->Answer().status;
   this->outcome.complete = IsSuccess(this->outcome.status);
+  this->EndWait(this->outcome.complete);
   if (!this->outcome.complete) {
     this->outcome.error = RequestError{ ErrorCode::BackendFailed,
                                         Disposition::MayHaveRun,
@@ -512,6 +602,7 @@
   this->done = true;
   this->deadline.Stop();
   this->suspectTimer.Stop();
+  this->EndWait(false);
   this->outcome.total = Between(this->accepted, Now());
   if (this->outcome.complete && this->sent) {
     BackendPool& pool = this->host.Backends();
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -130,6 +130,15 @@
   DirectAttempt::Plan PlanFor(const InstanceName& aInstance,
                               TimePoint aNow) const;
   AttemptHealth HealthOf(const InstanceName& aInstance) const;
+  /// Refuses a request that no server has been sent yet, see RankGuard.
+  /// \return whether it was refused.
+  bool RefuseForRanks(TimePoint aNow);
+  /// The same for one that would not begin at the server before its caller
+  /// disconnects.
+  bool RefuseForQueue(const DirectCandidate& aServer, TimePoint aNow);
+  void OnOverdue();
+  /// Reports to RankGuard that the request waits no longer for its answer.
+  void EndWait(bool aHasAnswer);
   void RecordFirstResponse(TimePoint aNow);
   void RecordExecutionStart(TimePoint aStarted);
   void RecordGap(TimePoint aNow);
@@ -175,6 +184,17 @@
   TimePoint lastEventsAt{};
   SuspectWait suspectWait;
   Timer suspectTimer;
+  /// Ends when the request has waited for its first token for longer than twice
+  /// its target; not started for requests that RankGuard does not know.
+  Timer overdueTimer;
+  enum class Wait : std::uint8_t
+  {
+    /// It does not wait, or RankGuard does not know it.
+    None,
+    InTime,
+    Overdue,
+  };
+  Wait waitState = Wait::None;
   GatewayOutcome outcome;
   bool done = false;
 };
--- a/dogwoodvale/src/Gateway/PeerExchange.cpp
+++ b/dogwoodvale/src/Gateway/PeerExchange.cpp
@@ -158,13 +158,19 @@
   return targets;
 }
 
+Duration
+PeerExchange::DigestPeriod(std::size_t aTargets)
+{
+  const Duration fair =
+    Duration(seconds(aTargets)) / Duration::rep(kDigestsPerSecond);
+  return std::max(kMinDigestPeriod, fair);
+}
+
 void
 PeerExchange::Send()
 {
   const std::vector<SocketAddress> targets = this->DigestTargets();
-  const Duration fair =
-    Duration(seconds(targets.size())) / Duration::rep(kDigestsPerSecond);
-  this->sendTimer.StartOnce(std::max(kMinDigestPeriod, fair));
+  this->sendTimer.StartOnce(DigestPeriod(targets.size()));
   if (targets.empty()) {
     return;
   }
--- a/dogwoodvale/src/Gateway/PeerExchange.h
+++ b/dogwoodvale/src/Gateway/PeerExchange.h
@@ -84,6 +84,8 @@
   /// their number grows.
   static constexpr int kDigestsPerSecond = 200;
   static constexpr Duration kMinDigestPeriod = milliseconds(50);
+  /// Time between two digests of a gateway that sends to so many others.
+  static Duration DigestPeriod(std::size_t aTargets);
 
 private:
   struct PendingFetch
