Play the rank guard in LoadSimulation and test it

Change: LoadSimulation reports waits, refusals and rank updates as gateways do; refused callers return once after their Retry-After if the load asks for it.

--- a/dogwoodvale/src/Placement/RankGuard.h
+++ b/dogwoodvale/src/Placement/RankGuard.h
@@ -36,7 +36,8 @@
   /// So many overdue requests count as one that is lost. Callers wait for at
   /// least 2 s or four targets, so a request is overdue after half of that time
   /// or less and most still get an answer. If each counted in full, later ranks
-  /// would be refused in overloads in which no urgent request is lost.
+  /// would be refused in overloads in which no urgent request is lost, see
+  /// docs/design/shifted.md.
   static constexpr double kOverduePerLost = 3;
   /// Longer than the time between two digests (145 ms with 29 others), so that
   /// a rank does not change back and forth as digests arrive one by one.
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -39,6 +39,8 @@
   std::uint32_t rank = 0;
   /// A caller disconnects if no answer has begun within this time.
   Duration callerTimeout = std::chrono::hours(1);
+  /// Whether a refused caller returns once after its Retry-After.
+  bool returns = false;
 };
 
 /// The simulated engines and gateways.
@@ -63,8 +65,11 @@
   int onTime = 0;
   /// Answers of which the first token has come.
   int begun = 0;
-  /// Callers that disconnected before their answer had begun.
+  /// Callers that disconnected before their answer had begun, or were refused
+  /// and did not return.
   int lost = 0;
+  /// Refusals, also of callers that return.
+  int refused = 0;
 
   double OnTimeShare() const { return static_cast<double>(onTime) / asked; }
 };
@@ -142,7 +147,9 @@
         static_cast<std::size_t>(std::ranges::min_element(next) - next.begin());
       this->StepEnginesUntil(next[kind]);
       this->DisconnectUntil(next[kind]);
+      this->ReportOverdueUntil(next[kind]);
       this->UpdateGateways();
+      this->ReturnUntil(next[kind]);
       this->now = next[kind];
       this->Arrive(kind);
       next[kind] += this->DrawInterarrivalTime(this->kinds[kind]);
@@ -174,11 +181,21 @@
     std::uint64_t ahead = 0;
     std::uint64_t prefill = 0;
     bool hasFirstToken = false;
+    /// It has waited for its first token for longer than twice its target.
+    bool isOverdue = false;
     std::uint32_t tokens = 0;
     TimePoint lastEvent{};
     Duration longestPause{ 0 };
     bool isOnTime = false;
   };
+  /// A request of a caller, new or returning.
+  struct Call
+  {
+    std::size_t kind = 0;
+    std::vector<PromptPart> parts;
+    TimePoint asked{};
+    bool hasReturned = false;
+  };
   struct Engine
   {
     InstanceName name;
@@ -212,11 +229,13 @@
   void SendDigest(Gateway& aSender)
   {
     const std::vector<WorkLine> lines = aSender.pool->Work().OwnLines();
+    const std::vector<RankUpdate> ranks = aSender.pool->RankUpdates(this->now);
     for (const Gateway& other : this->gateways) {
       if (&other == &aSender) {
         continue;
       }
       other.pool->Work().SetPeer(aSender.name, lines, this->now);
+      other.pool->OnRankUpdates(aSender.name, ranks, this->now);
       for (const Sent& sent : aSender.sent) {
         other.pool->OnPrefill(sent.engine, sent.steps);
         other.pool->OnLongPrompt(sent.engine, sent.longTokens, this->now);
@@ -234,13 +253,32 @@
       { aKind * 100'000 + subject(this->random), kind.sharedTokens },
       { 1'000'000 + this->lastId, kind.ownTokens }
     };
+    ++this->tallies[aKind].asked;
+    this->Ask({ aKind, parts, this->now });
+  }
+
+  /// Sends the request to a gateway, which places or refuses it.
+  void Ask(const Call& aCall)
+  {
+    const RequestKind& kind = this->kinds[aCall.kind];
     std::uniform_int_distribution<std::size_t> draw(0,
                                                     this->gateways.size() - 1);
     Gateway& gateway = this->gateways[draw(this->random)];
-    const DirectDemand demand = this->DemandOf(*gateway.pool, kind, parts);
-    ++this->tallies[aKind].asked;
-    const auto candidates =
+    const DirectDemand demand =
+      this->DemandOf(*gateway.pool, kind, aCall.parts);
+    if (gateway.pool->Decisions().rankGuard) {
+      gateway.pool->GuardOf(this->service.name)
+        .OnRequest(kind.rank, demand.promptTokens);
+    }
+    if (const auto wait = gateway.pool->GuardRefusal(
+          this->service.name, demand, this->random, this->now)) {
+      this->Refuse(aCall, *wait);
+      return;
+    }
+    auto candidates =
       gateway.pool->Candidates(this->service, demand, {}, this->now);
+    gateway.pool->Spread(
+      this->service.name, demand, candidates, this->random, this->now);
     PlacementRequest request{ demand, PriorityLevelsOf(kind.rank, kRankCount) };
     request.target = kind.target;
     request.outputTokens = kind.answerTokens;
@@ -250,8 +288,48 @@
                          gateway.pool->PrefillOf(this->service.name),
                          this->random);
     REQUIRE(placed.has_value());
-    if (placed->timeliness != Timeliness::Hopeless) {
-      this->Send(aKind, gateway, demand, candidates[placed->server], *placed);
+    if (placed->timeliness == Timeliness::Hopeless) {
+      this->Refuse(aCall, placed->wait);
+      return;
+    }
+    const DirectCandidate& server = candidates[placed->server];
+    if (const auto wait =
+          gateway.pool->QueueRefusal(this->service,
+                                     demand,
+                                     server.name,
+                                     CallerPatience(kind.target, kind.maxPause),
+                                     this->now)) {
+      gateway.pool->GuardOf(this->service.name)
+        .OnLost(kind.rank, false, this->now);
+      this->Refuse(aCall, *wait);
+      return;
+    }
+    this->Send(aCall.kind, gateway, demand, server, *placed);
+  }
+
+  void Refuse(const Call& aCall, Duration aWait)
+  {
+    const RequestKind& kind = this->kinds[aCall.kind];
+    Tally& tally = this->tallies[aCall.kind];
+    ++tally.refused;
+    if (!kind.returns || aCall.hasReturned) {
+      tally.lost += aCall.asked >= this->countingSince ? 1 : 0;
+      return;
+    }
+    Call returning = aCall;
+    returning.hasReturned = true;
+    this->returns.emplace(
+      this->now + DrawRetryAfter(aWait, kind.target, this->random), returning);
+  }
+
+  /// Refused callers return whose Retry-After has passed by \p aTime.
+  void ReturnUntil(TimePoint aTime)
+  {
+    while (!this->returns.empty() && this->returns.begin()->first <= aTime) {
+      this->now = this->returns.begin()->first;
+      const Call call = this->returns.begin()->second;
+      this->returns.erase(this->returns.begin());
+      this->Ask(call);
     }
   }
 
@@ -268,6 +346,7 @@
     demand.steps = StepsOf(aParts);
     demand.sharedTokens = SharedTokens(demand.steps);
     demand.rank = PriorityLevelsOf(aKind.rank, kRankCount).inTime;
+    demand.serviceRank = aKind.rank;
     if (aPool.Decisions().rankedTurns) {
       demand.queueRank = demand.rank;
     }
@@ -320,7 +399,7 @@
     running.prefill = running.work.Prefill();
     const std::uint32_t longTokens =
       aDemand.isLong ? static_cast<std::uint32_t>(running.work.Prefill()) : 0;
-    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps);
+    aGateway.pool->OnSent(aTo.name, running.work, aDemand.steps, this->now);
     aGateway.pool->OnLongPrompt(aTo.name, longTokens, this->now);
     aGateway.sent.push_back({ aTo.name, aDemand.steps, longTokens });
     const RequestId id{ 0, ++this->lastId };
@@ -331,6 +410,7 @@
                        static_cast<int>(aPlacement.priority));
     this->requests[this->lastId] = running;
     this->sentByKind[aKind].push_back(this->lastId);
+    this->inTimeByKind[aKind].push_back(this->lastId);
     if (!engine.stepEnds) {
       engine.stepEnds = engine.model.Step(this->now);
     }
@@ -379,6 +459,11 @@
       this->tallies[running.kind].begun +=
         running.arrived >= this->countingSince ? 1 : 0;
       running.lastEvent = this->now;
+      if (running.pool->Decisions().rankGuard) {
+        running.pool->GuardOf(this->service.name)
+          .OnBegun(
+            this->kinds[running.kind].rank, running.isOverdue, this->now);
+      }
       statistics.OnFirstToken(
         aEngine.name, running.ahead + running.prefill, latency);
       BackendWork finishedPrefill;
@@ -415,12 +500,39 @@
     }
   }
 
+  /// Reports the requests that have waited for their first token for longer
+  /// than twice their target by \p aTime, as GatewayRequest does.
+  void ReportOverdueUntil(TimePoint aTime)
+  {
+    for (auto& [kind, ids] : this->inTimeByKind) {
+      while (!ids.empty()) {
+        const auto found = this->requests.find(ids.front());
+        if (found != this->requests.end() &&
+            Between(found->second.arrived, aTime) <
+              2 * this->kinds[kind].target) {
+          break;
+        }
+        if (found != this->requests.end() && !found->second.hasFirstToken &&
+            found->second.pool->Decisions().rankGuard) {
+          found->second.isOverdue = true;
+          found->second.pool->GuardOf(this->service.name)
+            .OnOverdue(this->kinds[kind].rank);
+        }
+        ids.pop_front();
+      }
+    }
+  }
+
   void Disconnect(std::uint64_t aId, const Running& aRunning)
   {
     Engine& engine =
       *std::ranges::find(this->engines, aRunning.engine, &Engine::name);
     engine.model.Cancel({ 0, aId });
     aRunning.pool->OnDone(aRunning.engine, aRunning.work);
+    if (aRunning.isOverdue) {
+      aRunning.pool->GuardOf(this->service.name)
+        .OnLost(this->kinds[aRunning.kind].rank, true, this->now);
+    }
     this->tallies[aRunning.kind].lost +=
       aRunning.arrived >= this->countingSince ? 1 : 0;
     this->requests.erase(aId);
@@ -469,6 +581,10 @@
   std::map<std::uint64_t, Running> requests;
   /// Requests sent of each kind, the oldest first.
   std::map<std::size_t, std::deque<std::uint64_t>> sentByKind;
+  /// Those of them that are not known to be overdue.
+  std::map<std::size_t, std::deque<std::uint64_t>> inTimeByKind;
+  /// Refused callers by the time of their return.
+  std::multimap<TimePoint, Call> returns;
   std::uint64_t lastId = 0;
   TimePoint countingSince{};
   TimePoint now = TimePoint() + std::chrono::hours(1);
