--- a/dogwoodvale/src/Placement/CandidateSpread.cpp
+++ b/dogwoodvale/src/Placement/CandidateSpread.cpp
@@ -20,7 +20,9 @@
                  std::mt19937_64& aRandom)
 {
   std::ranges::shuffle(aCandidates, aRandom);
-  std::ranges::stable_partition(aCandidates, std::not_fn(IsUnavailable));
+  // Not std::ranges, whose version clang-tidy 14 can't compile.
+  std::stable_partition(
+    aCandidates.begin(), aCandidates.end(), std::not_fn(IsUnavailable));
   if (aCandidates.size() > kFew) {
     aCandidates.resize(kFew);
   }
