--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -342,6 +342,7 @@
   digest.loads = this->pool.Loads().TakeUpdates(Now());
   this->pool.AddSharesToDigest(digest, Now());
   digest.list = this->directory->List(Now());
+  digest.ranks = this->pool.RankUpdates(Now());
   this->usage.AddToDigest(digest);
   return digest;
 }
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -107,6 +107,9 @@
   set("load_reports_malformed",
       static_cast<double>(aGauges.loadReportsMalformed));
   set("load_reports_ignored", static_cast<double>(aGauges.loadReportsIgnored));
+  set("ranks_overdue", static_cast<double>(aGauges.ranksOverdue));
+  set("requests_refused_for_ranks",
+      static_cast<double>(aGauges.refusedForRanks));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
   set("servers_crashed", static_cast<double>(aGauges.serversCrashed));
   set("crash_suspects", static_cast<double>(aGauges.suspects));
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -62,6 +62,8 @@
   gauges.pauseError = this->pool.PauseError();
   gauges.servicesShort = this->pool.ShortCount(Now());
   gauges.rateLimited = this->pool.Backpressure().Rates().LimitedCount();
+  gauges.ranksOverdue = this->pool.OverdueRanks(Now());
+  gauges.refusedForRanks = this->pool.RefusedForRanks();
   gauges.backingOff = this->pool.Backpressure().Backoffs().BackingOffCount(now);
   gauges.loadReportsRecent = this->pool.Loads().RecentCount(now);
   gauges.loadReportsMalformed = this->pool.Loads().MalformedCount();
--- a/dogwoodvale/src/Placement/DirectChoice.cpp
+++ b/dogwoodvale/src/Placement/DirectChoice.cpp
@@ -95,6 +95,14 @@
 
 } // namespace
 
+bool
+IsUnavailable(const DirectCandidate& aCandidate)
+{
+  return aCandidate.healthState == HealthState::Ejected ||
+         (aCandidate.healthState == HealthState::Probing &&
+          aCandidate.work.requests > 0);
+}
+
 std::uint32_t
 QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
 {
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -39,6 +39,8 @@
   std::uint32_t rank = 0;
   /// A caller disconnects if no answer has begun within this time.
   Duration callerTimeout = std::chrono::hours(1);
+  /// Whether a refused caller returns once after its Retry-After.
+  bool returns = false;
 };
 
 /// Periods in which other work on an engine's machine slows the engine down.
@@ -82,10 +84,13 @@
   int onTime = 0;
   /// Answers of which the first token has come.
   int begun = 0;
-  /// Callers that disconnected before their answer had begun.
+  /// Callers that disconnected before their answer had begun, or were refused
+  /// and did not return.
   int lost = 0;
   /// Answers with a pause longer than maxPause.
   int paused = 0;
+  /// Refusals, also of callers that return.
+  int refused = 0;
 
   /// Share of the answers that have begun.
   double PausedShare() const { return static_cast<double>(paused) / begun; }
@@ -190,7 +195,9 @@
         static_cast<std::size_t>(std::ranges::min_element(next) - next.begin());
       this->StepEnginesUntil(next[kind]);
       this->DisconnectUntil(next[kind]);
+      this->ReportOverdueUntil(next[kind]);
       this->UpdateGateways();
+      this->ReturnUntil(next[kind]);
       this->now = next[kind];
       this->Arrive(kind);
       next[kind] += this->DrawInterarrivalTime(this->kinds[kind]);
@@ -223,6 +230,8 @@
     std::uint64_t ahead = 0;
     std::uint64_t prefill = 0;
     bool hasFirstToken = false;
+    /// It has waited for its first token for longer than twice its target.
+    bool isOverdue = false;
     std::uint32_t tokens = 0;
     TimePoint firstEvent{};
     TimePoint lastEvent{};
@@ -234,6 +243,14 @@
     /// It has had a pause longer than maxPause.
     bool isPaused = false;
   };
+  /// A request of a caller, new or returning.
+  struct Call
+  {
+    std::size_t kind = 0;
+    std::vector<PromptPart> parts;
+    TimePoint asked{};
+    bool hasReturned = false;
+  };
   struct Engine
   {
     InstanceName name;
@@ -316,6 +333,7 @@
     digest.work = aSender.pool->Work().OwnLines();
     digest.loads = aSender.pool->Loads().TakeUpdates(this->now);
     aSender.pool->AddDecodeUpdates(digest, this->now);
+    digest.ranks = aSender.pool->RankUpdates(this->now);
     for (const Gateway& other : this->gateways) {
       if (&other == &aSender) {
         continue;
@@ -338,13 +356,32 @@
       { aKind * 100'000 + subject(this->random), kind.sharedTokens },
       { 1'000'000 + this->lastId, kind.ownTokens }
     };
+    ++this->tallies[aKind].asked;
+    this->Ask({ aKind, parts, this->now });
+  }
+
+  /// Sends the request to a gateway, which places or refuses it.
+  void Ask(const Call& aCall)
+  {
+    const RequestKind& kind = this->kinds[aCall.kind];
     std::uniform_int_distribution<std::size_t> draw(0,
                                                     this->gateways.size() - 1);
     Gateway& gateway = this->gateways[draw(this->random)];
-    const DirectDemand demand = this->DemandOf(*gateway.pool, kind, parts);
-    ++this->tallies[aKind].asked;
-    const auto candidates =
+    const DirectDemand demand =
+      this->DemandOf(*gateway.pool, kind, aCall.parts);
+    if (gateway.pool->Decisions().rankGuard) {
+      gateway.pool->GuardOf(this->service.name)
+        .OnRequest(kind.rank, demand.promptTokens);
+    }
+    if (const auto wait = gateway.pool->GuardRefusal(
+          this->service.name, demand, this->random, this->now)) {
+      this->Refuse(aCall, *wait);
+      return;
+    }
+    auto candidates =
       gateway.pool->Candidates(this->service, demand, {}, this->now);
+    gateway.pool->Spread(
+      this->service.name, demand, candidates, this->random, this->now);
     PlacementRequest request{ demand, PriorityLevelsOf(kind.rank, kRankCount) };
     request.target = kind.target;
     request.outputTokens = kind.answerTokens;
@@ -354,8 +391,48 @@
                          gateway.pool->PrefillOf(this->service.name),
                          this->random);
     REQUIRE(placed.has_value());
-    if (placed->timeliness != Timeliness::Hopeless) {
-      this->Send(aKind, gateway, demand, candidates[placed->server], *placed);
+    if (placed->timeliness == Timeliness::Hopeless) {
+      this->Refuse(aCall, placed->wait);
+      return;
+    }
+    const DirectCandidate& server = candidates[placed->server];
+    if (const auto wait =
+          gateway.pool->QueueRefusal(this->service,
+                                     demand,
+                                     server.name,
+                                     CallerPatience(kind.target, kind.maxPause),
+                                     this->now)) {
+      gateway.pool->GuardOf(this->service.name)
+        .OnLost(kind.rank, false, this->now);
+      this->Refuse(aCall, *wait);
+      return;
+    }
+    this->Send(aCall.kind, gateway, demand, server, *placed);
+  }
+
+  void Refuse(const Call& aCall, Duration aWait)
+  {
+    const RequestKind& kind = this->kinds[aCall.kind];
+    Tally& tally = this->tallies[aCall.kind];
+    ++tally.refused;
+    if (!kind.returns || aCall.hasReturned) {
+      tally.lost += aCall.asked >= this->countingSince ? 1 : 0;
+      return;
+    }
+    Call returning = aCall;
+    returning.hasReturned = true;
+    this->returns.emplace(
+      this->now + DrawRetryAfter(aWait, kind.target, this->random), returning);
+  }
+
+  /// Refused callers return whose Retry-After has passed by \p aTime.
+  void ReturnUntil(TimePoint aTime)
+  {
+    while (!this->returns.empty() && this->returns.begin()->first <= aTime) {
+      this->now = this->returns.begin()->first;
+      const Call call = this->returns.begin()->second;
+      this->returns.erase(this->returns.begin());
+      this->Ask(call);
     }
   }
 
@@ -372,6 +449,7 @@
     demand.steps = StepsOf(aParts);
     demand.sharedTokens = SharedTokens(demand.steps);
     demand.rank = PriorityLevelsOf(aKind.rank, kRankCount).inTime;
+    demand.serviceRank = aKind.rank;
     if (aPool.Decisions().rankedTurns) {
       demand.queueRank = demand.rank;
     }
@@ -438,6 +516,7 @@
                        static_cast<int>(aPlacement.priority));
     this->requests[this->lastId] = running;
     this->sentByKind[aKind].push_back(this->lastId);
+    this->inTimeByKind[aKind].push_back(this->lastId);
     if (!engine.stepEnds) {
       engine.stepEnds = this->Step(engine);
     }
@@ -489,6 +568,11 @@
       this->ReportLoad(aEngine, *running.pool);
       running.firstEvent = this->now;
       running.activity = running.pool->ActivityOf(aEngine.name, this->now);
+      if (running.pool->Decisions().rankGuard) {
+        running.pool->GuardOf(this->service.name)
+          .OnBegun(
+            this->kinds[running.kind].rank, running.isOverdue, this->now);
+      }
       statistics.OnFirstToken(
         aEngine.name, running.ahead + running.prefill, latency);
       BackendWork finishedPrefill;
@@ -525,12 +609,39 @@
     }
   }
 
+  /// Reports the requests that have waited for their first token for longer
+  /// than twice their target by \p aTime, as GatewayRequest does.
+  void ReportOverdueUntil(TimePoint aTime)
+  {
+    for (auto& [kind, ids] : this->inTimeByKind) {
+      while (!ids.empty()) {
+        const auto found = this->requests.find(ids.front());
+        if (found != this->requests.end() &&
+            Between(found->second.arrived, aTime) <
+              2 * this->kinds[kind].target) {
+          break;
+        }
+        if (found != this->requests.end() && !found->second.hasFirstToken &&
+            found->second.pool->Decisions().rankGuard) {
+          found->second.isOverdue = true;
+          found->second.pool->GuardOf(this->service.name)
+            .OnOverdue(this->kinds[kind].rank);
+        }
+        ids.pop_front();
+      }
+    }
+  }
+
   void Disconnect(std::uint64_t aId, const Running& aRunning)
   {
     Engine& engine =
       *std::ranges::find(this->engines, aRunning.engine, &Engine::name);
     engine.model.Cancel({ 0, aId });
     aRunning.pool->OnDone(aRunning.engine, aRunning.work);
+    if (aRunning.isOverdue) {
+      aRunning.pool->GuardOf(this->service.name)
+        .OnLost(this->kinds[aRunning.kind].rank, true, this->now);
+    }
     this->tallies[aRunning.kind].lost +=
       aRunning.arrived >= this->countingSince ? 1 : 0;
     this->requests.erase(aId);
@@ -614,6 +725,10 @@
   std::map<std::uint64_t, Running> requests;
   /// Requests sent of each kind, the oldest first.
   std::map<std::size_t, std::deque<std::uint64_t>> sentByKind;
+  /// Those of them that are not known to be overdue.
+  std::map<std::size_t, std::deque<std::uint64_t>> inTimeByKind;
+  /// Refused callers by the time of their return.
+  std::multimap<TimePoint, Call> returns;
   std::uint64_t lastId = 0;
   TimePoint countingSince{};
   TimePoint now = TimePoint() + std::chrono::hours(1);
