Report the memory of requests without cached parts

Requests with the same shared part hold it once in a server's cache, but BackendWork::memoryTokens counts it for each of them.

BackendWork::uncachedMemoryTokens counts a request without the part of its prompt that was cached when it was placed. It is appended to the work lines of digests. All memory counts for gateways of older versions, which do not send it. memoryTokens and the cost that uses it stay as they are.

--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -1,5 +1,7 @@
 #include "PeerDigest.h"
 
+#include <limits>
+
 #include <msgpack.hpp>
 
 #include <openssl/crypto.h>
@@ -11,7 +13,11 @@
 /// A digest that declares more items is rejected before memory is allocated.
 constexpr std::size_t kMaxItems = 65'536;
 
-/// Gateways of an older version send and read only the first four fields.
+/// Memory without cached parts of a gateway that does not report it.
+constexpr std::uint64_t kNotReported =
+  std::numeric_limits<std::uint64_t>::max();
+
+/// Gateways of an older version send and read only the leading fields.
 struct PackedWork
 {
   std::string instance;
@@ -22,6 +28,7 @@
   /// By rank, without trailing zeros; so is requestsByRank.
   std::vector<std::uint64_t> prefillByRank;
   std::vector<std::uint32_t> requestsByRank;
+  std::uint64_t uncachedMemory = kNotReported;
 
   MSGPACK_DEFINE_ARRAY(instance,
                        requests,
@@ -29,7 +36,8 @@
                        memory,
                        interactive,
                        prefillByRank,
-                       requestsByRank);
+                       requestsByRank,
+                       uncachedMemory);
 };
 
 template<class Number>
@@ -53,7 +61,8 @@
     work.memoryTokens,
     work.interactive,
     WithoutTrailingZeros(std::span<const std::uint64_t>(work.prefillTokens)),
-    WithoutTrailingZeros(std::span<const std::uint32_t>(work.requestsByRank))
+    WithoutTrailingZeros(std::span<const std::uint32_t>(work.requestsByRank)),
+    work.uncachedMemoryTokens
   };
 }
 
@@ -64,6 +73,9 @@
   line.instance = InstanceName(std::move(aPacked.instance));
   line.work.requests = aPacked.requests;
   line.work.memoryTokens = aPacked.memory;
+  line.work.uncachedMemoryTokens = aPacked.uncachedMemory == kNotReported
+                                     ? aPacked.memory
+                                     : aPacked.uncachedMemory;
   line.work.interactive = aPacked.interactive;
   if (aPacked.prefillByRank.empty()) {
     // Sent without ranks: the rank is unknown, so it counts as rank 0, which
--- a/dogwoodvale/src/Placement/WorkTable.cpp
+++ b/dogwoodvale/src/Placement/WorkTable.cpp
@@ -55,6 +55,7 @@
     this->requestsByRank[rank] += aOther.requestsByRank[rank];
   }
   this->memoryTokens += aOther.memoryTokens;
+  this->uncachedMemoryTokens += aOther.uncachedMemoryTokens;
   this->interactive += aOther.interactive;
   return *this;
 }
@@ -71,6 +72,8 @@
   }
   this->memoryTokens =
     SaturatingSubtract(this->memoryTokens, aOther.memoryTokens);
+  this->uncachedMemoryTokens =
+    SaturatingSubtract(this->uncachedMemoryTokens, aOther.uncachedMemoryTokens);
   this->interactive = SaturatingSubtract(this->interactive, aOther.interactive);
   return *this;
 }
--- a/dogwoodvale/src/Placement/WorkTable.h
+++ b/dogwoodvale/src/Placement/WorkTable.h
@@ -26,6 +26,9 @@
   /// Tokens that the requests take in its KV cache, for prompts and expected
   /// answers.
   std::uint64_t memoryTokens = 0;
+  /// The same without what the server had cached of their prompts when it was
+  /// chosen, as requests with the same shared part hold it once.
+  std::uint64_t uncachedMemoryTokens = 0;
   /// Number of the requests that are interactive, see PauseProfile.
   std::uint32_t interactive = 0;
   /// Number of the requests by rank; all zero in reports of gateways of older
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -411,6 +411,46 @@
   CHECK(read->crashes.IsEmpty());
 }
 
+// Guards a rolling upgrade: a gateway of an older version does not report
+// memory without cached parts. If that counted as 0, its requests would be
+// forgotten and servers would get more than their memory holds.
+TEST_CASE("all memory of a gateway of an older version counts", "[digest]")
+{
+  using OlderWork = std::tuple<std::string,
+                               std::uint32_t,
+                               std::uint64_t,
+                               std::uint64_t,
+                               std::uint32_t,
+                               std::vector<std::uint64_t>,
+                               std::vector<std::uint32_t>>;
+  using Older = std::tuple<std::string,
+                           std::uint64_t,
+                           std::uint64_t,
+                           std::uint64_t,
+                           std::int64_t,
+                           std::vector<OlderWork>,
+                           std::vector<int>>;
+  msgpack::sbuffer buffer;
+  msgpack::pack(
+    buffer,
+    Older("g1", 7, 8, 9, 1234, { OlderWork("e1", 3, 0, 9050, 0, {}, {}) }, {}));
+  const std::string packed(buffer.data(), buffer.size());
+  const auto older =
+    ReadDigest(KeyedDigest(packed, "secret") + packed, "secret");
+  REQUIRE(older.ok());
+  REQUIRE(older->work.size() == 1);
+  CHECK(older->work[0].work.uncachedMemoryTokens == 9050);
+  PeerDigest digest;
+  digest.gateway = InstanceName("g1");
+  digest.work.resize(1);
+  digest.work[0].instance = InstanceName("e1");
+  digest.work[0].work.memoryTokens = 9050;
+  digest.work[0].work.uncachedMemoryTokens = 0;
+  const auto read = ReadDigest(WriteDigest(digest, "secret"), "secret");
+  REQUIRE(read.ok());
+  CHECK(read->work[0].work == digest.work[0].work);
+}
+
 // Guards a rolling upgrade to the version that appends loads, decode sums,
 // ranks and shares: a digest that ends with the departures is still decoded,
 // and the leading fields of a new one can be read by the older version.
