Keep requests off servers that lack memory

Load: interactive streams with long answers share a service with long prompts. The reserved servers are planned by slots and hold more tokens than their cache before the slots are full, while other servers have room. An engine then preempts streams in the middle.

Requests that wait for a slot hold no memory. Where no candidate has room the choice is as before, and the order among those with room stays. Interactive requests leave the reserved servers if these lack memory and others do not; long prompts stay out of the reserved servers. Only services with a known cache size are affected. The switch is GatewayDecisions::memoryAdmission. `over_memory` in event=request shows requests that were placed without room.

LoadSimulation counts the steps in which an engine's running requests take more than its cache.

--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -46,6 +46,10 @@
                     ? !demand.isInteractive
                     : prefill.IsLong(demand.promptTokens);
   demand.bounds = { bound, aRequest.route->target };
+  if (aPool.Decisions().memoryAdmission && aRequest.service->cacheTokens > 0) {
+    demand.memoryTokens = std::uint64_t{ demand.promptTokens } +
+                          aRequest.callerMetadata.maxOutputTokens;
+  }
   demand.tokensPerTarget = prefill.TokensIn(aRequest.route->target);
   demand.tokensPerQueuePosition =
     prefill.TokensPerQueuePosition(aRequest.service->slots)
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -98,6 +98,8 @@
       outcome.reportedRequests ? std::int64_t{ *outcome.reportedRequests } : -1,
       "time_factor_pct",
       std::llround(outcome.timeFactor * kPercent),
+      "over_memory",
+      placement.exceedsMemory,
       "place",
       placement.priority,
       "timeliness",
--- a/dogwoodvale/src/Placement/DirectChoice.cpp
+++ b/dogwoodvale/src/Placement/DirectChoice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "MemoryAdmission.h"
+
 namespace dogwoodvale {
 
 namespace {
@@ -119,6 +121,22 @@
          aCandidate.predicted->longPause > aDemand.bounds.pause;
 }
 
+bool
+ExceedsMemory(const DirectCandidate& aCandidate, const DirectDemand& aDemand)
+{
+  if (aDemand.memoryTokens == 0) {
+    return false;
+  }
+  MemoryUse use;
+  use.heldTokens = aCandidate.work.uncachedMemoryTokens;
+  use.requests = aCandidate.work.requests;
+  use.slots = aCandidate.slots;
+  const std::uint64_t added =
+    aDemand.memoryTokens -
+    std::min<std::uint64_t>(aDemand.memoryTokens, aCandidate.cachedTokens);
+  return LacksMemory(aCandidate.cacheTokens, use, added);
+}
+
 double
 DirectCost(const DirectCandidate& aCandidate,
            const DirectDemand& aDemand,
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -39,6 +39,10 @@
   double tokensPerTarget = 0;
   /// Of the route; both zero until known.
   PauseBounds bounds;
+  /// Tokens that the prompt and the expected answer take in a server's KV
+  /// cache; 0 if servers are chosen regardless of their memory or its size is
+  /// not known.
+  std::uint64_t memoryTokens = 0;
 
   /// Used until the value is measured.
   static constexpr double kDefaultTokensPerQueuePosition = 2000.0;
@@ -93,6 +97,17 @@
 ExceedsPauseBound(const DirectCandidate& aCandidate,
                   const DirectDemand& aDemand);
 
+/// Whether the server's KV cache is expected to overflow if it gets the
+/// request, see LacksMemory(); false where DirectDemand::memoryTokens is 0.
+///
+/// A shared part counts for the request that brings it to the server. This is
+/// too little while later requests with the part outlast that one. Counting the
+/// part for each request is too much: in an overload of prompts with shared
+/// parts no server seems to have memory, requests leave those that have their
+/// part cached, and the prompts on time fall by up to a third.
+bool
+ExceedsMemory(const DirectCandidate& aCandidate, const DirectDemand& aDemand);
+
 /// Slots that have to become free at the server before the request gets one.
 /// Waiting requests of later ranks are overtaken and do not count.
 std::uint32_t
--- a/dogwoodvale/src/Placement/DirectChooser.cpp
+++ b/dogwoodvale/src/Placement/DirectChooser.cpp
@@ -24,6 +24,11 @@
   {
     return ExceedsPauseBound(aCandidate, aDemand);
   }
+  bool ExceedsMemory(const DirectCandidate& aCandidate,
+                     const DirectDemand& aDemand) const override
+  {
+    return dogwoodvale::ExceedsMemory(aCandidate, aDemand);
+  }
 };
 
 /// Compares servers by requests in flight per slot. A baseline for comparison.
@@ -88,14 +93,6 @@
           aCandidate.work.requests > 0);
 }
 
-/// Candidates of a better suitability are preferred at any cost.
-enum class Suitability : std::uint8_t
-{
-  Suitable,
-  ExceedsBound,
-  Unavailable,
-};
-
 } // namespace
 
 std::optional<std::size_t>
@@ -115,6 +112,15 @@
                           this->ExceedsBound(aCandidates[*best], aDemand)));
   if (needsAll) {
     best = this->ChooseAmong(aCandidates, aDemand, Group::All, aRandom);
+  } else if (aDemand.isInteractive &&
+             this->ExceedsMemory(aCandidates[*best], aDemand)) {
+    // Where the other servers have no memory either, the request stays on the
+    // reserved ones.
+    const std::optional<std::size_t> other =
+      this->ChooseAmong(aCandidates, aDemand, Group::All, aRandom);
+    const bool hasRoom = !IsUnavailable(aCandidates[*other]) &&
+                         !this->ExceedsMemory(aCandidates[*other], aDemand);
+    best = hasRoom ? other : best;
   }
   if (best) {
     this->OnChosen(aCandidates[*best]);
@@ -122,6 +128,21 @@
   return best;
 }
 
+DirectChooser::Suitability
+DirectChooser::SuitabilityOf(const DirectCandidate& aCandidate,
+                             const DirectDemand& aDemand) const
+{
+  if (IsUnavailable(aCandidate)) {
+    return Suitability::Unavailable;
+  }
+  const bool exceedsBound = this->ExceedsBound(aCandidate, aDemand);
+  if (this->ExceedsMemory(aCandidate, aDemand)) {
+    return exceedsBound ? Suitability::ExceedsMemoryAndBound
+                        : Suitability::ExceedsMemory;
+  }
+  return exceedsBound ? Suitability::ExceedsBound : Suitability::Suitable;
+}
+
 std::optional<std::size_t>
 DirectChooser::ChooseAmong(std::span<const DirectCandidate> aCandidates,
                            const DirectDemand& aDemand,
@@ -147,9 +168,7 @@
       continue;
     }
     const Suitability suitability =
-      IsUnavailable(aCandidates[i])                 ? Suitability::Unavailable
-      : this->ExceedsBound(aCandidates[i], aDemand) ? Suitability::ExceedsBound
-                                                    : Suitability::Suitable;
+      this->SuitabilityOf(aCandidates[i], aDemand);
     const double cost = this->CostOf(aCandidates[i], aDemand, mostCached);
     const bool isBetter = !best || suitability < bestSuitability ||
                           (suitability == bestSuitability && cost < bestCost);
--- a/dogwoodvale/src/Placement/DirectChooser.h
+++ b/dogwoodvale/src/Placement/DirectChooser.h
@@ -47,6 +47,13 @@
   {
     return false;
   }
+  /// Whether the candidate's memory is expected to overflow. It is then chosen
+  /// only if no other candidate has room.
+  virtual bool ExceedsMemory(const DirectCandidate& /*aCandidate*/,
+                             const DirectDemand& /*aDemand*/) const
+  {
+    return false;
+  }
   /// Called with each candidate that Choose() returns.
   virtual void OnChosen(const DirectCandidate& /*aCandidate*/) {}
 
@@ -59,6 +66,20 @@
     All,
   };
 
+  /// Candidates of a better suitability are preferred at any cost. A stream
+  /// that is preempted pauses for longer than one on a slow server, so lack of
+  /// memory is worse than a pause beyond the bound.
+  enum class Suitability : std::uint8_t
+  {
+    Suitable,
+    ExceedsBound,
+    ExceedsMemory,
+    ExceedsMemoryAndBound,
+    Unavailable,
+  };
+
+  Suitability SuitabilityOf(const DirectCandidate& aCandidate,
+                            const DirectDemand& aDemand) const;
   std::optional<std::size_t> ChooseAmong(
     std::span<const DirectCandidate> aCandidates,
     const DirectDemand& aDemand,
--- a/dogwoodvale/src/Placement/Placer.cpp
+++ b/dogwoodvale/src/Placement/Placer.cpp
@@ -35,7 +35,8 @@
 }
 
 BackendWork
-WorkOf(const PlacementRequest& aRequest,
+WorkOf(const DirectCandidate& aServer,
+       const PlacementRequest& aRequest,
        std::uint32_t aPrefillTokens,
        std::uint32_t aPriority)
 {
@@ -44,6 +45,9 @@
   work.PrefillAt(aPriority) = aPrefillTokens;
   work.RequestsAt(aPriority) = 1;
   work.memoryTokens = aRequest.demand.promptTokens + aRequest.outputTokens;
+  work.uncachedMemoryTokens =
+    work.memoryTokens -
+    std::min<std::uint64_t>(work.memoryTokens, aServer.cachedTokens);
   work.interactive = aRequest.demand.isInteractive ? 1 : 0;
   return work;
 }
@@ -99,6 +103,7 @@
     placement.mostCachedTokens =
       std::max(placement.mostCachedTokens, candidate.cachedTokens);
   }
+  placement.exceedsMemory = ExceedsMemory(server, aRequest.demand);
   if (!aRequest.mayHaveBeenPrefilled) {
     placement.fetch = this->fetches->SourceFor(aCandidates, *chosen, aRandom);
   }
@@ -106,7 +111,7 @@
     PrefillTokensOf(aRequest.demand, server, placement.fetch);
   this->SetExpectations(
     server, aRequest, prefillTokens, aStatistics, placement);
-  placement.work = WorkOf(aRequest, prefillTokens, placement.priority);
+  placement.work = WorkOf(server, aRequest, prefillTokens, placement.priority);
   return placement;
 }
 
--- a/dogwoodvale/src/Placement/Placer.h
+++ b/dogwoodvale/src/Placement/Placer.h
@@ -73,6 +73,8 @@
   Duration wait{ 0 };
   /// Expected time until its first token; zero likewise.
   Duration firstToken{ 0 };
+  /// See ExceedsMemory().
+  bool exceedsMemory = false;
   /// The largest number of the prompt's tokens that any candidate has cached.
   std::uint32_t mostCachedTokens = 0;
 };
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -6,6 +6,8 @@
 #include <deque>
 #include <map>
 
+#include <absl/container/flat_hash_set.h>
+
 #include "bench/EngineModel.h"
 #include "dogwoodvale/Gateway"
 
@@ -162,12 +164,24 @@
            this->engines[aEngine].model.Waiting();
   }
 
+  /// Share of the engines' steps since the last Run() began in which the
+  /// running requests took more tokens than the cache holds; 0 if it is
+  /// unlimited.
+  double OverfullShare() const
+  {
+    return this->steps == 0 ? 0
+                            : static_cast<double>(this->overfullSteps) /
+                                static_cast<double>(this->steps);
+  }
+
   /// Runs for \p aLength.
   /// \return for each kind the results of the requests that arrived in it.
   std::vector<Tally> Run(Duration aLength)
   {
     this->tallies.assign(this->kinds.size(), Tally{});
     this->countingSince = this->now;
+    this->steps = 0;
+    this->overfullSteps = 0;
     return this->Continue(aLength);
   }
 
@@ -218,6 +232,7 @@
     std::uint64_t prefill = 0;
     bool hasFirstToken = false;
     std::uint32_t tokens = 0;
+    PrefixHash sharedPart{};
     TimePoint firstEvent{};
     TimePoint lastEvent{};
     std::uint64_t events = 0;
@@ -393,6 +408,10 @@
                       ? !demand.isInteractive
                       : statistics.IsLong(demand.promptTokens);
     demand.bounds = { aKind.maxPause, aKind.target };
+    if (aPool.Decisions().memoryAdmission && this->service.cacheTokens > 0) {
+      demand.memoryTokens =
+        std::uint64_t{ demand.promptTokens } + aKind.answerTokens;
+    }
     demand.tokensPerTarget = statistics.TokensIn(aKind.target);
     demand.tokensPerQueuePosition =
       statistics.TokensPerQueuePosition(this->service.slots)
@@ -432,6 +451,7 @@
     running.kind = aKind;
     running.arrived = this->now;
     running.isInteractive = aDemand.isInteractive;
+    running.sharedPart = aDemand.steps.front().hash;
     running.ahead = aPlacement.prefillAhead;
     running.work = aPlacement.work;
     running.prefill = running.work.Prefill();
@@ -482,11 +502,37 @@
         this->OnToken(aEngine, sequence);
       }
     }
+    ++this->steps;
+    if (this->fleet.cacheTokens > 0 &&
+        this->MemoryTokensOf(aEngine) > this->fleet.cacheTokens) {
+      ++this->overfullSteps;
+    }
     const TimePoint next = this->Step(aEngine);
     aEngine.stepEnds = aEngine.model.IsIdle() ? std::optional<TimePoint>()
                                               : std::optional<TimePoint>(next);
   }
 
+  /// Tokens that the engine's running requests take in its cache. Requests with
+  /// the same shared part share its tokens.
+  std::uint64_t MemoryTokensOf(Engine& aEngine)
+  {
+    std::uint64_t tokens = 0;
+    absl::flat_hash_set<PrefixHash> sharedParts;
+    for (const EngineModel::Sequence& sequence : aEngine.model.Batch()) {
+      if (sequence.tokensLeft == 0) {
+        continue;
+      }
+      const Running& running = this->requests.at(sequence.id.sequence);
+      const RequestKind& kind = this->kinds[running.kind];
+      tokens += kind.ownTokens - std::min(kind.ownTokens, sequence.prefillLeft);
+      tokens += running.tokens;
+      if (sharedParts.insert(running.sharedPart).second) {
+        tokens += kind.sharedTokens;
+      }
+    }
+    return tokens;
+  }
+
   void OnToken(const Engine& aEngine, const EngineModel::Sequence& aSequence)
   {
     const std::uint64_t id = aSequence.id.sequence;
@@ -632,6 +678,8 @@
   /// Requests sent of each kind, the oldest first.
   std::map<std::size_t, std::deque<std::uint64_t>> sentByKind;
   std::uint64_t lastId = 0;
+  std::uint64_t steps = 0;
+  std::uint64_t overfullSteps = 0;
   TimePoint countingSince{};
   TimePoint now = TimePoint() + std::chrono::hours(1);
   TimePoint nextUpdate{};
