--- a/test/CustomerShares.cpp
+++ b/test/CustomerShares.cpp
@@ -636,16 +636,13 @@
   standins::SealedEngineSettings settings;
   settings.work = milliseconds(20);
   site.AddEngine("e1", settings);
-  site.PutConfiguration(
-    2, 2000, 0, R"(,{"name":"t2","apiKeys":["key2"],"priority":1})");
+  site.PutConfiguration(2, 2000, 0, PlatformSite::SecondCustomer());
   Gateway& gateway = site.ReadyGateway();
   const auto text = [](const char* aKey, const std::string& aId, int aTokens) {
-    std::string request =
-      PlatformSite::RequestText("/read/stream/x",
-                                aId,
-                                fmt::format("Dogwoodvale-Token-Count: {},10\r\n"
-                                            "Connection: close\r\n",
-                                            aTokens));
+    std::string request = PlatformSite::RequestText(
+      "/read/stream/x",
+      aId,
+      PlatformSite::TokenHeader(aTokens) + "Connection: close\r\n");
     request.replace(request.find("key1"), 4, aKey);
     return request;
   };
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -143,6 +143,18 @@
     return this->loop->RunUntil(aDone, aLimit);
   }
 
+  /// States the tokens of a request's prompt, and 10 tokens of the answer.
+  static std::string TokenHeader(int aPromptTokens)
+  {
+    return fmt::format("Dogwoodvale-Token-Count: {},10\r\n", aPromptTokens);
+  }
+
+  /// A customer with the key "key2", for PutConfiguration().
+  static std::string SecondCustomer()
+  {
+    return R"(,{"name":"t2","apiKeys":["key2"],"priority":1})";
+  }
+
   static std::string RequestText(const std::string& aPath,
                                  const std::string& aId,
                                  const std::string& aMore = "",
