--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -37,6 +37,7 @@
   // tokens of all requests count as ahead of it.
   demand.rank = aPool.Decisions().rankedReading ? aRequest.priorities.inTime
                                                 : BackendWork::kRanks - 1;
+  demand.serviceRank = aRequest.rank;
   if (aPool.Decisions().rankedTurns) {
     demand.queueRank = aRequest.priorities.inTime;
   }
@@ -45,6 +46,11 @@
   demand.isLong = aPool.Decisions().reservedServers && pauses.HasInteractive()
                     ? !demand.isInteractive
                     : prefill.IsLong(demand.promptTokens);
+  demand.bounds = { bound, aRequest.route->target };
+  if (aPool.Decisions().memoryAdmission && aRequest.service->cacheTokens > 0) {
+    demand.memoryTokens = std::uint64_t{ demand.promptTokens } +
+                          aRequest.callerMetadata.maxOutputTokens;
+  }
   demand.tokensPerTarget = prefill.TokensIn(aRequest.route->target);
   demand.tokensPerQueuePosition =
     prefill.TokensPerQueuePosition(aRequest.service->slots)
--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -1,8 +1,11 @@
 #include "BackendPool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include "PeerExchange.h"
+
 namespace dogwoodvale {
 
 namespace {
@@ -25,6 +28,13 @@
 /// rarely has less than two thirds of its even share.
 constexpr std::size_t kMinServersPerCell = 16;
 
+/// Services whose use one digest carries. With 32 customers each they take 6 kB
+/// of the 60 kB of a digest; the others follow in the next ones.
+constexpr std::size_t kSharesPerDigest = 4;
+/// Share of a service's servers that must state a time factor for their speeds
+/// to be compared: with fewer, most would be taken for usual ones.
+constexpr double kMinStatingShare = 0.5;
+
 /// The longest prompt prefix that other requests may share with this one, if
 /// any: the last step belongs to the request alone.
 std::optional<PrefixHash>
@@ -144,6 +154,14 @@
   this->gatewaysInCell = aInCell;
   this->cells = aCells;
   this->cell = aCell;
+  for (auto& [service, shared] : this->sharing) {
+    shared.shares.SetGateways(aInCell);
+  }
+  this->unreported.SetPeers(PeerExchange::DigestPeriod(aInCell - 1),
+                            aInCell - 1);
+  for (auto& [service, guard] : this->guards) {
+    guard.SetGateways(aCount);
+  }
   this->ListServices();
 }
 
@@ -176,6 +194,7 @@
   for (const InstanceName& gateway : this->work.Expire(aNow)) {
     Log(LogLevel::Warning, "gateway_silent", "gateway", gateway.Value());
   }
+  this->LogShortages(aNow);
   for (auto& [service, tracker] : this->health) {
     const Occupancy now = this->OccupancyOf(service);
     this->Reserve(service, now, aNow);
@@ -204,13 +223,20 @@
     }
     if (member.isListed || member.client->OpenConnections() > 0 ||
         !this->work.Own(it->first).IsZero()) {
+      this->CountRequests(it->first, aNow);
       ++it;
       continue;
     }
     Log(LogLevel::Info, "instance_removed", "instance", it->first.Value());
     this->caches.Forget(it->first);
+    this->activity.Forget(it->first);
+    if (const auto model = this->decode.find(member.instance.service);
+        model != this->decode.end()) {
+      model->second.Forget(it->first);
+    }
     this->loads.Forget(it->first);
     this->backpressure.Forget(it->first);
+    this->unreported.Forget(it->first);
     this->prefillByService[member.instance.service].Forget(it->first);
     this->health[member.instance.service].Remove(it->first);
     ServiceServers& listed = this->byService[member.instance.service];
@@ -218,6 +244,9 @@
     std::erase(listed.inCell, it->first);
     it = this->members.erase(it);
   }
+  for (auto& [service, model] : this->decode) {
+    model.RunMaintenance(aNow);
+  }
 }
 
 void
@@ -226,7 +255,7 @@
                      TimePoint aNow)
 {
   ReservedServers& servers = this->reserved[aService];
-  const std::size_t before = servers.Count();
+  const std::size_t before = this->ReservedCountOf(aService);
   const std::uint64_t slots =
     aOccupancy.slots / std::max(aOccupancy.servers, 1U);
   // Gateways without a recent digest are assumed to be as busy as the others:
@@ -238,20 +267,171 @@
                                     (this->work.PeerCount() + 1);
   servers.Update(
     interactive, static_cast<std::uint32_t>(slots), aOccupancy.servers, aNow);
-  if (servers.Count() != before) {
+  this->UpdatePrediction(aService, aOccupancy, aNow);
+  const std::size_t count = this->ReservedCountOf(aService);
+  if (count != before) {
     Log(LogLevel::Info,
         "reserved_servers",
         "service",
         aService.Value(),
         "count",
-        servers.Count(),
+        count,
         "before",
         before,
         "servers",
         aOccupancy.servers,
         "interactive",
-        interactive);
+        interactive,
+        "peak",
+        std::llround(servers.Peak()),
+        "capacity",
+        std::llround(this->predictions[aService].plan.Capacity()));
+  }
+}
+
+std::vector<const BackendPool::Member*>
+BackendPool::ServersInUse(const ServiceName& aService) const
+{
+  std::vector<const Member*> found;
+  const auto listed = this->byService.find(aService);
+  if (listed == this->byService.end()) {
+    return found;
+  }
+  const ServiceServers& names = listed->second;
+  for (const InstanceName& name :
+       names.inCell.empty() ? names.all : names.inCell) {
+    const Member& member = this->members.at(name);
+    if (this->TakesWork(member)) {
+      found.push_back(&member);
+    }
+  }
+  return found;
+}
+
+BackendPool::PredictionMode
+BackendPool::PredictionModeOf(const ServiceName& aService,
+                              std::span<const Member* const> aServers,
+                              TimePoint aNow) const
+{
+  if (!this->options.decisions.predictedTimes) {
+    return PredictionMode::None;
+  }
+  const auto stating =
+    std::ranges::count_if(aServers, [&](const Member* aMember) {
+      return this->ReportedFactorOf(aMember->instance.name, aNow).has_value();
+    });
+  if (stating == 0 ||
+      static_cast<double>(stating) <
+        kMinStatingShare * static_cast<double>(aServers.size())) {
+    return PredictionMode::None;
+  }
+  const DecodeModel* model = this->DecodeOf(aService);
+  return model != nullptr && model->IsLearned() ? PredictionMode::Times
+                                                : PredictionMode::Speeds;
+}
+
+double
+BackendPool::MeanTimeFactorOf(const Member& aMember, TimePoint aNow) const
+{
+  const InstanceName& name = aMember.instance.name;
+  const std::optional<double> reported = this->ReportedFactorOf(name, aNow);
+  const DecodeModel* model = this->DecodeOf(aMember.instance.service);
+  return model == nullptr ? reported.value_or(1.0)
+                          : model->TimeFactorOf(name, reported);
+}
+
+double
+BackendPool::PresentTimeFactorOf(const Member& aMember, TimePoint aNow) const
+{
+  const InstanceName& name = aMember.instance.name;
+  const std::optional<double> present =
+    this->loads.PresentTimeFactor(name, aNow);
+  const DecodeModel* model = this->DecodeOf(aMember.instance.service);
+  return present && model != nullptr
+           ? model->TimeFactorOf(name, present)
+           : present.value_or(this->MeanTimeFactorOf(aMember, aNow));
+}
+
+void
+BackendPool::UpdatePrediction(const ServiceName& aService,
+                              const Occupancy& aOccupancy,
+                              TimePoint aNow)
+{
+  const std::vector<const Member*> servers = this->ServersInUse(aService);
+  Prediction& prediction = this->predictions[aService];
+  prediction.mode = this->PredictionModeOf(aService, servers, aNow);
+  if (prediction.mode == PredictionMode::None) {
+    prediction.plan = {};
+    return;
+  }
+  const HealthTracker& tracker = this->health.at(aService);
+  const Duration bound = this->pauses[aService].Tightest();
+  double factorSum = 0;
+  std::vector<PlannedServer> planned;
+  for (const Member* member : servers) {
+    const InstanceName& name = member->instance.name;
+    PlannedServer server;
+    server.name = name;
+    server.timeFactor = this->MeanTimeFactorOf(*member, aNow);
+    factorSum += server.timeFactor;
+    // Requests beyond the slots would wait for their first token.
+    server.capacity = std::max<std::uint32_t>(member->instance.slots, 1);
+    if (prediction.mode == PredictionMode::Times) {
+      const std::optional<double> within =
+        this->DecodeOf(aService)->RequestsWithin(bound, server.timeFactor);
+      server.capacity =
+        std::min(server.capacity, within.value_or(server.capacity));
+    }
+    if (tracker.HealthStateOf(name) == HealthState::InService) {
+      planned.push_back(std::move(server));
+    }
+  }
+  prediction.meanTimeFactor = factorSum / static_cast<double>(servers.size());
+  const ReservedServers& reservation = this->reserved[aService];
+  const std::uint64_t interactive =
+    std::min(aOccupancy.interactive, aOccupancy.requests);
+  prediction.plan.Update(
+    planned,
+    { reservation.Peak(), aOccupancy.requests - interactive },
+    prediction.mode == PredictionMode::Times
+      ? std::nullopt
+      : std::optional(reservation.Count()),
+    aNow);
+}
+
+std::optional<PredictedTimes>
+BackendPool::PredictFor(const DirectCandidate& aCandidate,
+                        const DirectDemand& aDemand,
+                        const Member& aMember,
+                        TimePoint aNow) const
+{
+  const ServiceName& service = aMember.instance.service;
+  const auto found = this->predictions.find(service);
+  if (found == this->predictions.end() ||
+      found->second.mode != PredictionMode::Times) {
+    return std::nullopt;
+  }
+  const ServerActivity::Rates rates =
+    this->activity.RatesOf(aCandidate.name, aNow);
+  PredictionInput input;
+  input.load.timeFactor = this->MeanTimeFactorOf(aMember, aNow);
+  input.load.requests =
+    this->loads.RequestsAt(aCandidate.name, aCandidate.work.requests, aNow);
+  input.load.tokensPerSecond = rates.tokensPerSecond;
+  input.load.promptsPerSecond = rates.promptsPerSecond;
+  input.serviceTimeFactor = found->second.meanTimeFactor;
+  input.presentTimeFactor = this->PresentTimeFactorOf(aMember, aNow);
+  input.prefillTokens = aDemand.promptTokens -
+                        std::min(aDemand.promptTokens, aCandidate.cachedTokens);
+  input.prefillAhead =
+    static_cast<double>(aCandidate.work.PrefillUpTo(aDemand.rank));
+  input.queueTokens =
+    aDemand.tokensPerQueuePosition * QueuePositionOf(aCandidate, aDemand);
+  const auto prefill = this->prefillByService.find(service);
+  if (prefill != this->prefillByService.end()) {
+    input.tokensPerMicro = prefill->second.TokensIn(Duration(1));
   }
+  return PredictTimes(*this->DecodeOf(service), input);
 }
 
 void
@@ -373,6 +553,9 @@
   const auto reservation = this->reserved.find(aService.name);
   std::size_t reservedLeft =
     reservation == this->reserved.end() ? 0 : reservation->second.Count();
+  const auto prediction = this->predictions.find(aService.name);
+  const bool isPlanned = prediction != this->predictions.end() &&
+                         prediction->second.mode != PredictionMode::None;
   for (const InstanceName& name : aNames) {
     const Member& member = this->members.at(name);
     const std::uint32_t slots =
@@ -382,8 +565,10 @@
     }
     const HealthState healthState = tracker->second.HealthStateOf(name);
     const bool isReserved =
-      reservedLeft > 0 && healthState == HealthState::InService;
-    reservedLeft -= isReserved ? 1 : 0;
+      (isPlanned ? prediction->second.plan.IsReserved(name)
+                 : reservedLeft > 0) &&
+      healthState == HealthState::InService;
+    reservedLeft -= isReserved && !isPlanned ? 1 : 0;
     if (std::ranges::find(aExcluded, name) != aExcluded.end() ||
         !this->HasConnectionCapacity(
           member, aService, slots, aSharingGateways) ||
@@ -406,11 +591,18 @@
     candidate.reportedRequests = this->loads.ReportedRequests(name, aNow);
     candidate.timeFactor = this->loads.MeanTimeFactor(name, aNow).value_or(1.0);
     candidate.presentTimeFactor = this->loads.PresentTimeFactor(name, aNow);
+    candidate.predicted = this->PredictFor(candidate, aDemand, member, aNow);
     found.push_back(std::move(candidate));
   }
   if (this->options.decisions.homeServers) {
     MarkHome(found, aDemand);
   }
+  if (this->options.decisions.rankGuard && !aDemand.isLong &&
+      this->GuardOf(aService.name).IsOverdue(aDemand.serviceRank, aNow)) {
+    for (DirectCandidate& candidate : found) {
+      this->unreported.AddTo(candidate, aNow);
+    }
+  }
   return found;
 }
 
@@ -479,6 +671,136 @@
   return shortest.value_or(Duration::zero());
 }
 
+RankGuard&
+BackendPool::GuardOf(const ServiceName& aService)
+{
+  const auto [found, isNew] = this->guards.try_emplace(aService);
+  if (isNew) {
+    found->second.SetGateways(this->gateways);
+  }
+  return found->second;
+}
+
+void
+BackendPool::Spread(const ServiceName& aService,
+                    const DirectDemand& aDemand,
+                    std::vector<DirectCandidate>& aCandidates,
+                    std::mt19937_64& aRandom,
+                    TimePoint aNow)
+{
+  // A gateway alone knows all that is sent.
+  if (this->options.decisions.rankGuard && this->gatewaysInCell > 1 &&
+      !aDemand.isLong &&
+      this->GuardOf(aService).IsOverdue(aDemand.serviceRank, aNow)) {
+    SpreadCandidates(aCandidates, aRandom);
+  }
+}
+
+std::vector<RankUpdate>
+BackendPool::RankUpdates(TimePoint aNow) const
+{
+  std::vector<RankUpdate> updates;
+  for (const auto& [service, guard] : this->guards) {
+    const std::vector<RankUpdate> own = guard.Updates(service, aNow);
+    updates.insert(updates.end(), own.begin(), own.end());
+  }
+  return updates;
+}
+
+void
+BackendPool::OnRankUpdates(const InstanceName& aGateway,
+                           std::span<const RankUpdate> aUpdates,
+                           TimePoint aNow)
+{
+  for (const auto& [service, listed] : this->byService) {
+    std::vector<RankUpdate> its;
+    for (const RankUpdate& update : aUpdates) {
+      if (update.service == service) {
+        its.push_back(update);
+      }
+    }
+    this->GuardOf(service).OnPeer(aGateway, its, aNow);
+  }
+}
+
+Duration
+BackendPool::DrainTimeOf(const ServiceName& aService, TimePoint aNow)
+{
+  double waiting = 0;
+  const auto listed = this->byService.find(aService);
+  if (listed != this->byService.end()) {
+    for (const InstanceName& name : listed->second.all) {
+      const std::uint32_t slots = this->members.at(name).instance.slots;
+      const std::uint32_t requests = this->work.Total(name).requests;
+      waiting += requests - std::min(requests, slots);
+    }
+  }
+  return DrainTime(waiting, this->GuardOf(aService).BegunPerSecond(aNow));
+}
+
+std::optional<Duration>
+BackendPool::GuardRefusal(const ServiceName& aService,
+                          const DirectDemand& aDemand,
+                          std::mt19937_64& aRandom,
+                          TimePoint aNow)
+{
+  if (!this->options.decisions.rankGuard ||
+      this->GuardOf(aService).Admits(
+        aDemand.serviceRank, aDemand.promptTokens, aRandom, aNow)) {
+    return std::nullopt;
+  }
+  return this->DrainTimeOf(aService, aNow);
+}
+
+std::optional<Duration>
+BackendPool::QueueRefusal(const DirectService& aService,
+                          const DirectDemand& aDemand,
+                          const InstanceName& aServer,
+                          Duration aPatience,
+                          TimePoint aNow)
+{
+  const auto listed = this->byService.find(aService.name);
+  if (!this->options.decisions.rankGuard || aDemand.isLong ||
+      listed == this->byService.end()) {
+    return std::nullopt;
+  }
+  RankGuard& guard = this->GuardOf(aService.name);
+  if (!guard.IsOverdue(aDemand.serviceRank, aNow)) {
+    return std::nullopt;
+  }
+  DirectCandidate server;
+  server.work = this->work.Total(aServer);
+  const std::uint32_t slots = this->members.at(aServer).instance.slots;
+  server.slots = slots > 0 ? slots : aService.slots;
+  const double perSecond =
+    guard.BegunPerSecond(aNow) / static_cast<double>(listed->second.all.size());
+  if (perSecond <= 0 ||
+      DrainTime(QueuePositionOf(server, aDemand), perSecond) <= aPatience) {
+    return std::nullopt;
+  }
+  return this->DrainTimeOf(aService.name, aNow);
+}
+
+std::size_t
+BackendPool::OverdueRanks(TimePoint aNow)
+{
+  std::size_t count = 0;
+  for (auto& [service, guard] : this->guards) {
+    count += guard.OverdueRanks(aNow);
+  }
+  return count;
+}
+
+std::uint64_t
+BackendPool::RefusedForRanks() const
+{
+  std::uint64_t count = 0;
+  for (const auto& [service, guard] : this->guards) {
+    count += guard.Refused();
+  }
+  return count;
+}
+
 std::optional<SocketAddress>
 BackendPool::AddressOf(const InstanceName& aInstance) const
 {
@@ -493,11 +815,23 @@
 {
   std::size_t sum = 0;
   for (const auto& [service, servers] : this->reserved) {
-    sum += servers.Count();
+    sum += this->ReservedCountOf(service);
   }
   return sum;
 }
 
+std::size_t
+BackendPool::ReservedCountOf(const ServiceName& aService) const
+{
+  const auto prediction = this->predictions.find(aService);
+  if (prediction != this->predictions.end() &&
+      prediction->second.mode != PredictionMode::None) {
+    return prediction->second.plan.Count();
+  }
+  const auto servers = this->reserved.find(aService);
+  return servers == this->reserved.end() ? 0 : servers->second.Count();
+}
+
 bool
 BackendPool::IsListed(const InstanceName& aInstance) const
 {
@@ -546,10 +880,12 @@
 void
 BackendPool::OnSent(const InstanceName& aInstance,
                     const BackendWork& aWork,
-                    std::span<const PromptStep> aSteps)
+                    std::span<const PromptStep> aSteps,
+                    TimePoint aNow)
 {
   this->work.AddOwn(aInstance, aWork);
-  this->OnPrefill(aInstance, aSteps);
+  this->unreported.OnSent(aInstance, aNow);
+  this->OnPrefill(aInstance, aSteps, aNow);
 }
 
 void
@@ -563,7 +899,8 @@
 
 void
 BackendPool::OnPrefill(const InstanceName& aInstance,
-                       std::span<const PromptStep> aSteps)
+                       std::span<const PromptStep> aSteps,
+                       TimePoint aNow)
 {
   // Other gateways may report servers that this gateway doesn't have; their
   // entries would never be removed.
@@ -571,6 +908,15 @@
   if (member == this->members.end() || aSteps.empty()) {
     return;
   }
+  if (this->options.decisions.predictedTimes) {
+    double tokens = 0;
+    for (const PromptStep& step : aSteps) {
+      tokens += step.tokens;
+    }
+    tokens -= this->caches.CachedPrefixTokens(aInstance, aSteps);
+    this->activity.OnPrefill(aInstance, std::max(tokens, 0.0), aNow);
+    this->CountRequests(aInstance, aNow);
+  }
   this->caches.OnUsed(
     aInstance, aSteps, this->CacheCapacityOf(member->second.instance.service));
 }
@@ -582,15 +928,19 @@
 }
 
 std::vector<ServiceEstimates>
-BackendPool::Estimates() const
+BackendPool::Estimates(TimePoint aNow) const
 {
   std::vector<ServiceEstimates> estimates;
   for (const auto& [service, prefill] : this->prefillByService) {
-    ServiceEstimates one{ service, prefill.Estimates() };
+    ServiceEstimates one{ service, prefill.Estimates(), 0, {} };
     const auto servers = this->reserved.find(service);
     if (servers != this->reserved.end()) {
       one.interactivePeak = servers->second.Peak();
     }
+    if (const DecodeModel* model = this->DecodeOf(service)) {
+      one.decode = model->Sums(aNow);
+    }
+    one.decode.service = service;
     estimates.push_back(std::move(one));
   }
   return estimates;
@@ -602,6 +952,9 @@
   for (const ServiceEstimates& one : aEstimates) {
     this->prefillByService[one.service].Seed(one.reading);
     this->reserved[one.service].Seed(one.interactivePeak, aNow);
+    if (this->options.decisions.predictedTimes && one.decode.weight > 0) {
+      this->decode[one.service].Seed(one.decode, aNow);
+    }
   }
 }
 
@@ -625,6 +978,102 @@
   return room == this->cacheTokens.end() ? 0 : room->second;
 }
 
+void
+BackendPool::CountRequests(const InstanceName& aInstance, TimePoint aNow)
+{
+  if (this->options.decisions.predictedTimes) {
+    this->activity.SetRequests(
+      aInstance, this->work.Total(aInstance).requests, aNow);
+  }
+}
+
+ServerActivity::Snapshot
+BackendPool::ActivityOf(const InstanceName& aInstance, TimePoint aNow)
+{
+  if (this->members.contains(aInstance)) {
+    this->CountRequests(aInstance, aNow);
+  }
+  return this->activity.Of(aInstance, aNow);
+}
+
+std::optional<double>
+BackendPool::ReportedFactorOf(const InstanceName& aInstance,
+                              TimePoint aNow) const
+{
+  return this->loads.MeanTimeFactor(aInstance, aNow);
+}
+
+void
+BackendPool::OnStream(const InstanceName& aInstance,
+                      StreamSample aSample,
+                      TimePoint aNow)
+{
+  const auto found = this->members.find(aInstance);
+  if (!this->options.decisions.predictedTimes || found == this->members.end()) {
+    return;
+  }
+  aSample.reportedFactor = this->ReportedFactorOf(aInstance, aNow).value_or(1);
+  this->decode[found->second.instance.service].OnStream(
+    aInstance, aSample, aNow);
+}
+
+const DecodeModel*
+BackendPool::DecodeOf(const ServiceName& aService) const
+{
+  const auto found = this->decode.find(aService);
+  return found == this->decode.end() ? nullptr : &found->second;
+}
+
+std::optional<Duration>
+BackendPool::ExpectedPause(const InstanceName& aInstance, TimePoint aNow) const
+{
+  const auto found = this->members.find(aInstance);
+  const DecodeModel* model = found == this->members.end()
+                               ? nullptr
+                               : this->DecodeOf(found->second.instance.service);
+  if (model == nullptr || !model->IsLearned()) {
+    return std::nullopt;
+  }
+  const ServerActivity::Rates rates = this->activity.RatesOf(aInstance, aNow);
+  DecodeLoad load;
+  load.timeFactor =
+    model->TimeFactorOf(aInstance, this->ReportedFactorOf(aInstance, aNow));
+  load.requests = this->work.Total(aInstance).requests + 1.0;
+  load.tokensPerSecond = rates.tokensPerSecond;
+  load.promptsPerSecond = rates.promptsPerSecond;
+  return model->MeanPause(load);
+}
+
+void
+BackendPool::AddDecodeUpdates(PeerDigest& aDigest, TimePoint aNow)
+{
+  std::size_t residuals = 0;
+  for (auto& [service, model] : this->decode) {
+    // The models that are left out are still due for the next digest, so that
+    // one digest never carries the residuals of many services.
+    if (residuals >= DecodeModel::kMaxResidualsPerUpdate) {
+      return;
+    }
+    if (std::optional<DecodeUpdate> update = model.TakeUpdate(aNow)) {
+      update->service = service;
+      residuals += update->residuals.size();
+      aDigest.decode.push_back(*std::move(update));
+    }
+  }
+}
+
+std::optional<double>
+BackendPool::PauseError() const
+{
+  std::optional<double> worst;
+  for (const auto& [service, model] : this->decode) {
+    if (const std::optional<double> error = model.MedianError()) {
+      worst = std::max(worst.value_or(0), *error);
+    }
+  }
+  return worst;
+}
+
 HealthTracker*
 BackendPool::HealthOf(const InstanceName& aInstance)
 {
@@ -665,13 +1114,100 @@
 BackendPool::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->work.SetPeer(aDigest.gateway, aDigest.work, aNow);
+  for (const DecodeUpdate& update : aDigest.decode) {
+    // Models are kept only for services that this gateway has.
+    if (this->options.decisions.predictedTimes &&
+        this->byService.contains(update.service)) {
+      this->decode[update.service].OnPeerUpdate(
+        aDigest.gateway, aDigest.incarnation, aDigest.sequence, update, aNow);
+    }
+  }
   if (this->options.decisions.reportedLoad) {
     this->loads.OnPeerReports(aDigest.loads, aNow);
   }
+  if (this->options.decisions.rankGuard) {
+    this->OnRankUpdates(aDigest.gateway, aDigest.ranks, aNow);
+  }
   this->backpressure.ApplyDigest(
     aDigest,
     [this](const InstanceName& aName) { return this->MayUse(aName); },
     aNow);
+  this->ApplyShares(aDigest, aNow);
+}
+
+BackendPool::Sharing*
+BackendPool::SharingOf(const ServiceName& aService)
+{
+  if (!this->options.decisions.customerShares) {
+    return nullptr;
+  }
+  const auto [found, isNew] = this->sharing.try_emplace(aService);
+  if (isNew) {
+    found->second.shares.SetGateways(this->gatewaysInCell);
+  }
+  return &found->second;
+}
+
+void
+BackendPool::ApplyShares(const PeerDigest& aDigest, TimePoint aNow)
+{
+  // Digests of other cells come too rarely, and their callers use other servers
+  // unless the service is not split.
+  if (CellOf(aDigest.gateway, this->cells) != this->cell) {
+    return;
+  }
+  for (const ShareUpdate& update : aDigest.shares) {
+    // Services that this gateway does not have would never be removed.
+    Sharing* shared = this->byService.contains(update.service)
+                        ? this->SharingOf(update.service)
+                        : nullptr;
+    if (shared != nullptr) {
+      shared->shares.OnPeerUpdate(aDigest.gateway, update, aNow);
+    }
+  }
+}
+
+void
+BackendPool::AddSharesToDigest(PeerDigest& aDigest, TimePoint aNow)
+{
+  // Begins after the last service reported, so that each gets its turn.
+  auto next = this->sharing.upper_bound(this->lastReported);
+  for (std::size_t i = 0;
+       i < this->sharing.size() && aDigest.shares.size() < kSharesPerDigest;
+       ++i, ++next) {
+    if (next == this->sharing.end()) {
+      next = this->sharing.begin();
+    }
+    if (auto update = next->second.shares.TakeUpdate(next->first, aNow)) {
+      this->lastReported = next->first;
+      aDigest.shares.push_back(*std::move(update));
+    }
+  }
+}
+
+std::size_t
+BackendPool::ShortCount(TimePoint aNow)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->sharing, [aNow](auto& aItem) {
+      return aItem.second.shortage.IsShort(aNow);
+    }));
+}
+
+void
+BackendPool::LogShortages(TimePoint aNow)
+{
+  for (auto& [service, shared] : this->sharing) {
+    const bool isShort = shared.shortage.IsShort(aNow);
+    if (std::exchange(shared.wasShort, isShort) != isShort) {
+      Log(LogLevel::Info,
+          "capacity_shortage",
+          "service",
+          service.Value(),
+          "short",
+          isShort);
+    }
+  }
 }
 
 void
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -98,10 +98,14 @@
       outcome.reportedRequests ? std::int64_t{ *outcome.reportedRequests } : -1,
       "time_factor_pct",
       std::llround(outcome.timeFactor * kPercent),
+      "over_memory",
+      placement.exceedsMemory,
       "place",
       placement.priority,
       "timeliness",
       TimelinessName(placement.timeliness),
+      "over_share",
+      outcome.overShare,
       "expected_ms",
       WholeMillis(placement.firstToken),
       "first_ms",
@@ -111,7 +115,11 @@
       "total_ms",
       WholeMillis(outcome.total),
       "list_age_ms",
-      WholeMillis(aListAge));
+      WholeMillis(aListAge),
+      "expected_pause_us",
+      outcome.expectedPause.count(),
+      "mean_pause_us",
+      outcome.meanPause.count());
 }
 
 void
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -63,6 +63,8 @@
   sample.tokens = outcome.events;
   sample.succeeded = outcome.complete;
   sample.attained = attained;
+  sample.overShare = outcome.overShare;
+  sample.refusedForShare = outcome.refusedForShare;
   this->customers.Record(admitted.customer, sample);
 }
 
@@ -94,12 +96,20 @@
   set("peers", static_cast<double>(aGauges.peers));
   set("digests_refused", static_cast<double>(aGauges.digestsRefused));
   set("reserved_servers", static_cast<double>(aGauges.reserved));
+  if (aGauges.pauseError) {
+    constexpr double kPercent = 100.0;
+    set("pause_error_median_pct", *aGauges.pauseError * kPercent);
+  }
+  set("services_short", static_cast<double>(aGauges.servicesShort));
   set("servers_resting", static_cast<double>(aGauges.backingOff));
   set("servers_rate_limited", static_cast<double>(aGauges.rateLimited));
   set("load_reports_recent", static_cast<double>(aGauges.loadReportsRecent));
   set("load_reports_malformed",
       static_cast<double>(aGauges.loadReportsMalformed));
   set("load_reports_ignored", static_cast<double>(aGauges.loadReportsIgnored));
+  set("ranks_overdue", static_cast<double>(aGauges.ranksOverdue));
+  set("requests_refused_for_ranks",
+      static_cast<double>(aGauges.refusedForRanks));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
   set("servers_crashed", static_cast<double>(aGauges.serversCrashed));
   set("crash_suspects", static_cast<double>(aGauges.suspects));
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -17,6 +17,10 @@
   std::uint64_t digestsRefused = 0;
   /// Backend servers reserved for interactive requests, of all services.
   std::size_t reserved = 0;
+  /// Median relative error of the predicted pauses, if any was predicted.
+  std::optional<double> pauseError;
+  /// Services that are short of capacity, see CapacityShortage.
+  std::size_t servicesShort = 0;
   /// Backend servers that this gateway sends nothing until their back-off ends.
   std::size_t backingOff = 0;
   /// Backend servers that limit the rate of requests.
@@ -26,6 +30,10 @@
   std::size_t loadReportsRecent = 0;
   std::uint64_t loadReportsMalformed = 0;
   std::uint64_t loadReportsIgnored = 0;
+  /// Ranks of all services whose requests go without an answer, and requests of
+  /// later ranks refused for them since the start, see RankGuard.
+  std::size_t ranksOverdue = 0;
+  std::uint64_t refusedForRanks = 0;
   /// Store entries of backend servers that could not be parsed.
   std::size_t instancesRejected = 0;
   /// Backend servers that exited with requests in flight, since the start.
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -16,6 +16,12 @@
 /// server may be closing an older one, and a request lost that way can't be
 /// retried.
 constexpr Duration kMaxIdleForNonIdempotent = milliseconds(500);
+/// Memory held by a stream is counted at its events, at most this often, so
+/// that the use of long streams is known while they run.
+constexpr Duration kHeldMemoryPeriod = CustomerShares::kReportPeriod;
+/// Targets after which a request that waits for its first token is reported to
+/// RankGuard.
+constexpr int kOverdueTargets = 2;
 
 } // namespace
 
@@ -28,6 +34,7 @@
   , accepted(Now())
   , deadline(aHost.Loop(), [this] { this->OnDeadline(); })
   , suspectTimer(aHost.Loop(), [this] { this->TryNext(); })
+  , overdueTimer(aHost.Loop(), [this] { this->OnOverdue(); })
 {
   const Duration limit =
     std::min(this->admitted.callerMetadata.timeLimit.value_or(Duration::max()),
@@ -45,9 +52,47 @@
 {
   this->exchange->SetHandler(this);
   this->deadline.StartOnce(this->TimeLeft(this->accepted));
+  const DirectDemand& demand = this->admitted.demand;
+  BackendPool& pool = this->host.Backends();
+  if (pool.Decisions().rankGuard && demand.promptTokens > 0 &&
+      this->GetRoute().target > Duration::zero()) {
+    pool.GuardOf(this->admitted.service->name)
+      .OnRequest(demand.serviceRank, demand.promptTokens);
+    this->waitState = Wait::InTime;
+    this->overdueTimer.StartOnce(kOverdueTargets * this->GetRoute().target);
+  }
   this->TryNext();
 }
 
+void
+GatewayRequest::OnOverdue()
+{
+  if (this->waitState == Wait::InTime) {
+    this->waitState = Wait::Overdue;
+    this->host.Backends()
+      .GuardOf(this->admitted.service->name)
+      .OnOverdue(this->admitted.demand.serviceRank);
+  }
+}
+
+void
+GatewayRequest::EndWait(bool aHasAnswer)
+{
+  this->overdueTimer.Stop();
+  const Wait was = std::exchange(this->waitState, Wait::None);
+  if (was == Wait::None) {
+    return;
+  }
+  RankGuard& guard =
+    this->host.Backends().GuardOf(this->admitted.service->name);
+  const std::uint32_t rank = this->admitted.demand.serviceRank;
+  if (aHasAnswer) {
+    guard.OnBegun(rank, was == Wait::Overdue, Now());
+  } else if (was == Wait::Overdue) {
+    guard.OnLost(rank, true, Now());
+  }
+}
+
 Duration
 GatewayRequest::TimeLeft(TimePoint aNow) const
 {
@@ -87,23 +132,71 @@
   return !wait;
 }
 
+bool
+GatewayRequest::RefuseForRanks(TimePoint aNow)
+{
+  if (this->outcome.attempts > 0) {
+    return false;
+  }
+  const std::optional<Duration> wait =
+    this->host.Backends().GuardRefusal(this->admitted.service->name,
+                                       this->admitted.demand,
+                                       this->host.Random(),
+                                       aNow);
+  if (wait) {
+    this->GiveUp(ErrorCode::QueueFull, "earlier ranks go first", *wait);
+  }
+  return wait.has_value();
+}
+
+bool
+GatewayRequest::RefuseForQueue(const DirectCandidate& aServer, TimePoint aNow)
+{
+  if (this->outcome.attempts > 0) {
+    return false;
+  }
+  const HostRoute& route = this->GetRoute();
+  const Duration patience = CallerPatience(route.target, route.targetGap) -
+                            Between(this->accepted, aNow);
+  const std::optional<Duration> wait =
+    this->host.Backends().QueueRefusal(*this->admitted.service,
+                                       this->admitted.demand,
+                                       aServer.name,
+                                       patience,
+                                       aNow);
+  if (wait) {
+    this->OnOverdue();
+    this->GiveUp(ErrorCode::QueueFull, "the queues are too long", *wait);
+  }
+  return wait.has_value();
+}
+
 void
 GatewayRequest::TryNext()
 {
   const TimePoint now = Now();
-  if (!this->PassesCrashGuard(now)) {
+  if (!this->PassesCrashGuard(now) || this->RefuseForRanks(now)) {
     return;
   }
   BackendPool& pool = this->host.Backends();
-  const std::vector<DirectCandidate> candidates = pool.Candidates(
+  const ServiceName& service = this->admitted.service->name;
+  std::vector<DirectCandidate> candidates = pool.Candidates(
     *this->admitted.service, this->admitted.demand, this->excluded, now);
+  const std::optional<ShareStanding> standing = this->StandingWhileShort(now);
+  PlacementRequest wanted = this->MakePlacementRequest(now);
+  if (standing && standing->isOver) {
+    this->outcome.overShare = true;
+    wanted.priorities.inTime = wanted.priorities.late;
+  }
+  pool.Spread(
+    service, this->admitted.demand, candidates, this->host.Random(), now);
   const std::optional<Placement> placed = this->host.RequestPlacer().Place(
-    candidates,
-    this->MakePlacementRequest(now),
-    pool.PrefillOf(this->admitted.service->name),
-    this->host.Random());
+    candidates, wanted, pool.PrefillOf(service), this->host.Random());
   if (!placed) {
-    this->GiveUpUnplaced();
+    const CapacityFinding finding = FindCapacity(candidates, wanted, nullptr);
+    if (!this->IsRefusedForShare(finding, standing, now)) {
+      this->GiveUpUnplaced();
+    }
     return;
   }
   const DirectCandidate& server = candidates[placed->server];
@@ -113,10 +206,17 @@
   this->outcome.reportedRequests = server.reportedRequests;
   this->outcome.timeFactor = server.timeFactor;
   this->outcome.placement = *placed;
+  if (this->IsRefusedForShare(
+        FindCapacity(candidates, wanted, &*placed), standing, now)) {
+    return;
+  }
   if (placed->timeliness == Timeliness::Hopeless) {
     this->GiveUp(ErrorCode::QueueFull, "all servers are behind", placed->wait);
     return;
   }
+  if (this->RefuseForQueue(server, now)) {
+    return;
+  }
   BackendClient* client = pool.Acquire(server.name, this->admitted.demand, now);
   if (client == nullptr) {
     this->GiveUpUnplaced();
@@ -125,6 +225,55 @@
   this->SendTo(server, *client);
 }
 
+std::optional<ShareStanding>
+GatewayRequest::StandingWhileShort(TimePoint aNow) const
+{
+  BackendPool::Sharing* sharing =
+    this->host.Backends().SharingOf(this->admitted.service->name);
+  if (sharing == nullptr || this->timesSent > 0 || this->mayHaveRun ||
+      this->streamStarted || !sharing->shortage.IsShort(aNow)) {
+    return std::nullopt;
+  }
+  return sharing->shares.StandingOf(this->admitted.customer, aNow);
+}
+
+bool
+GatewayRequest::IsRefusedForShare(const CapacityFinding& aFinding,
+                                  const std::optional<ShareStanding>& aStanding,
+                                  TimePoint aNow)
+{
+  BackendPool::Sharing* sharing =
+    this->host.Backends().SharingOf(this->admitted.service->name);
+  // A later attempt has lost time to a failed server, which is no shortage.
+  if (sharing != nullptr && this->outcome.attempts == 0) {
+    sharing->shortage.OnPlacement(aFinding.IsWithoutCapacity(), aNow);
+  }
+  if (!aStanding || !aStanding->isOver || !aFinding.IsRefusedWhenOver()) {
+    return false;
+  }
+  this->outcome.refusedForShare = true;
+  this->GiveUp(ErrorCode::QueueFull,
+               "the customer is over its share while capacity is short",
+               aStanding->drain);
+  return true;
+}
+
+void
+GatewayRequest::RecordHeldMemory(TimePoint aNow)
+{
+  BackendPool::Sharing* sharing =
+    this->host.Backends().SharingOf(this->admitted.service->name);
+  if (sharing == nullptr || !this->sent) {
+    return;
+  }
+  const Duration held = Between(this->sent->heldUntil, aNow);
+  this->sent->heldUntil = aNow;
+  sharing->shares.OnUse(this->admitted.customer,
+                        static_cast<double>(this->sent->work.memoryTokens) *
+                          std::chrono::duration<double>(held).count(),
+                        aNow);
+}
+
 DirectAttempt::Plan
 GatewayRequest::PlanFor(const InstanceName& aInstance, TimePoint aNow) const
 {
@@ -165,12 +314,20 @@
   const TimePoint now = Now();
   const Placement& placement = this->outcome.placement;
   BackendPool& pool = this->host.Backends();
-  this->sent =
-    Sent{ .instance = aCandidate.name,
-          .work = placement.work,
-          .at = now,
-          .hadFreeSlot = aCandidate.work.requests < aCandidate.slots };
-  pool.OnSent(aCandidate.name, placement.work, this->admitted.demand.steps);
+  this->sent = Sent{ .instance = aCandidate.name,
+                     .work = placement.work,
+                     .at = now,
+                     .hadFreeSlot = aCandidate.work.requests < aCandidate.slots,
+                     .heldUntil = now };
+  if (auto* sharing = pool.SharingOf(this->admitted.service->name)) {
+    sharing->shares.OnUse(this->admitted.customer,
+                          static_cast<double>(placement.work.Prefill()),
+                          now);
+  }
+  this->outcome.expectedPause =
+    pool.ExpectedPause(aCandidate.name, now).value_or(Duration::zero());
+  pool.OnSent(
+    aCandidate.name, placement.work, this->admitted.demand.steps, now);
   const std::uint32_t longTokens =
     this->admitted.demand.isLong
       ? static_cast<std::uint32_t>(placement.work.Prefill())
@@ -242,6 +399,37 @@
   this->lastEventsAt = aNow;
 }
 
+std::uint64_t
+GatewayRequest::EventsOfAttempt() const
+{
+  return std::max(this->attempt->EventCount(), this->outcome.events);
+}
+
+void
+GatewayRequest::RecordStream(TimePoint aNow)
+{
+  // A resumed stream has been at two servers.
+  if (this->outcome.resumes > 0) {
+    return;
+  }
+  BackendPool& pool = this->host.Backends();
+  const InstanceName& instance = this->sent->instance;
+  const std::uint64_t events = this->EventsOfAttempt();
+  this->outcome.meanPause =
+    this->observer.MeanPause(events, this->lastEventsAt);
+  std::optional<StreamSample> sample =
+    this->observer.Sample(events,
+                          this->lastEventsAt,
+                          this->outcome.longestGap,
+                          pool.ActivityOf(instance, aNow));
+  if (sample) {
+    sample->isInteractive = this->admitted.demand.isInteractive;
+    sample->ownPrefillTokens =
+      static_cast<double>(this->outcome.placement.work.Prefill());
+    pool.OnStream(instance, *sample, aNow);
+  }
+}
+
 void
 GatewayRequest::OnAttemptHead(const BackendAnswer& aHead)
 {
@@ -263,16 +451,25 @@
   this->RecordExecutionStart(now);
   this->RecordGap(now);
   if (!this->streamStarted) {
+    this->EndWait(true);
     this->streamStarted = true;
     this->outcome.status = this->attempt->Answer().status;
     this->exchange->StartStream(this->outcome.status, this->attempt->Headers());
   }
-  ++this->outcome.events;
+  if (Between(this->sent->heldUntil, now) >= kHeldMemoryPeriod) {
+    this->RecordHeldMemory(now);
+  }
+  if (++this->outcome.events == 1) {
+    this->observer.OnFirstEvents(
+      this->EventsOfAttempt(),
+      this->host.Backends().ActivityOf(this->sent->instance, now));
+  }
   this->lastDeliveredEvent = this->attempt->LastEvent();
   this->exchange->SendPart(aBytes);
   if (this->exchange != nullptr && this->attempt != nullptr &&
       this->exchange->PendingBytes() > kCallerBufferBytes) {
     this->attempt->SetReadingPaused(true);
+    this->observer.OnReadingPaused();
   }
 }
 
@@ -345,6 +542,7 @@
 {
   this->outcome.status = this->attempt->Answer().status;
   this->outcome.complete = IsSuccess(this->outcome.status);
+  this->EndWait(this->outcome.complete);
   if (!this->outcome.complete) {
     this->outcome.error = RequestError{ ErrorCode::BackendFailed,
                                         Disposition::MayHaveRun,
@@ -502,6 +700,7 @@
 GatewayRequest::EndAttempt()
 {
   if (this->sent) {
+    this->RecordHeldMemory(Now());
     this->host.Backends().OnDone(this->sent->instance, this->sent->work);
     this->host.Crashes().OnDone(this->admitted.fingerprint);
     this->sent.reset();
@@ -518,7 +717,9 @@
   this->done = true;
   this->deadline.Stop();
   this->suspectTimer.Stop();
-  this->outcome.total = Between(this->accepted, Now());
+  this->EndWait(false);
+  const TimePoint now = Now();
+  this->outcome.total = Between(this->accepted, now);
   if (this->outcome.complete && this->sent) {
     BackendPool& pool = this->host.Backends();
     const ServiceName& service = this->admitted.service->name;
@@ -526,6 +727,7 @@
     if (this->streamStarted) {
       pool.PausesOf(service).OnStream(this->GetRoute().targetGap,
                                       this->outcome.longestGap);
+      this->RecordStream(now);
     }
     this->HealthOf(this->sent->instance).OnAnswered();
   }
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -9,6 +9,7 @@
 #include "AttemptHealth.h"
 #include "BackendPool.h"
 #include "DirectAttempt.h"
+#include "StreamObserver.h"
 #include "SuspectWait.h"
 
 namespace dogwoodvale {
@@ -35,10 +36,18 @@
   std::optional<std::uint32_t> reportedRequests;
   /// See DirectCandidate::timeFactor.
   double timeFactor = 1.0;
+  /// The customer was over its share of the service, which was short of
+  /// capacity, when the request was placed or refused.
+  bool overShare = false;
+  bool refusedForShare = false;
   /// From acceptance to the first part of an answer; 0 if none came.
   Duration firstResponse{ 0 };
   /// The longest time between two consecutive parts of a stream.
   Duration longestGap{ 0 };
+  /// Mean time between two events of a stream; 0 if it has no two.
+  Duration meanPause{ 0 };
+  /// As predicted when the request was sent; 0 if it was not.
+  Duration expectedPause{ 0 };
   /// From acceptance to the end.
   Duration total{ 0 };
   std::uint32_t attempts = 0;
@@ -118,6 +127,8 @@
     /// The server had fewer known requests than slots when it was chosen.
     bool hadFreeSlot = false;
     bool hasResponded = false;
+    /// Up to when the memory that it takes counts as the customer's use.
+    TimePoint heldUntil{};
   };
 
   const HostRoute& GetRoute() const { return *this->admitted.route; }
@@ -130,15 +141,40 @@
   /// been given up.
   bool PassesCrashGuard(TimePoint aNow);
   PlacementRequest MakePlacementRequest(TimePoint aNow) const;
+  /// The customer's standing if the service is short of capacity and the
+  /// request may still be refused.
+  std::optional<ShareStanding> StandingWhileShort(TimePoint aNow) const;
+  /// Records whether there was capacity for the request, and refuses it if its
+  /// customer is over its share and there was not.
+  /// \return whether it was refused.
+  bool IsRefusedForShare(const CapacityFinding& aFinding,
+                         const std::optional<ShareStanding>& aStanding,
+                         TimePoint aNow);
+  /// Counts the memory held since the last call as the customer's use.
+  void RecordHeldMemory(TimePoint aNow);
   void SendTo(const DirectCandidate& aCandidate, BackendClient& aClient);
   BackendRequestMetadata MetadataFor(const InstanceName& aInstance,
                                      TimePoint aNow) const;
   DirectAttempt::Plan PlanFor(const InstanceName& aInstance,
                               TimePoint aNow) const;
   AttemptHealth HealthOf(const InstanceName& aInstance) const;
+  /// Refuses a request that no server has been sent yet, see RankGuard.
+  /// \return whether it was refused.
+  bool RefuseForRanks(TimePoint aNow);
+  /// The same for one that would not begin at the server before its caller
+  /// disconnects.
+  bool RefuseForQueue(const DirectCandidate& aServer, TimePoint aNow);
+  void OnOverdue();
+  /// Reports to RankGuard that the request waits no longer for its answer.
+  void EndWait(bool aHasAnswer);
   void RecordFirstResponse(TimePoint aNow);
   void RecordExecutionStart(TimePoint aStarted);
   void RecordGap(TimePoint aNow);
+  /// Events that have arrived in this attempt; those without an id count as one
+  /// for each part of the answer.
+  std::uint64_t EventsOfAttempt() const;
+  /// Passes the measurements of the complete stream to the decode model.
+  void RecordStream(TimePoint aNow);
   void EndAttempt();
   /// Retries, resumes or gives up after a failed attempt or an answer that must
   /// not be forwarded.
@@ -179,8 +215,20 @@
   /// Id of the last event passed on to the caller.
   std::optional<std::uint64_t> lastDeliveredEvent;
   TimePoint lastEventsAt{};
+  StreamObserver observer;
   SuspectWait suspectWait;
   Timer suspectTimer;
+  /// Ends when the request has waited for its first token for longer than twice
+  /// its target; not started for requests that RankGuard does not know.
+  Timer overdueTimer;
+  enum class Wait : std::uint8_t
+  {
+    /// It does not wait, or RankGuard does not know it.
+    None,
+    InTime,
+    Overdue,
+  };
+  Wait waitState = Wait::None;
   GatewayOutcome outcome;
   bool done = false;
 };
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -1,9 +1,13 @@
 #include "PeerDigest.h"
 
+#include <limits>
+
 #include <msgpack.hpp>
 
 #include <openssl/crypto.h>
 
+#include "PackedDecode.h"
+
 namespace dogwoodvale {
 
 namespace {
@@ -11,7 +15,11 @@
 /// A digest that declares more items is rejected before memory is allocated.
 constexpr std::size_t kMaxItems = 65'536;
 
-/// Gateways of an older version send and read only the first four fields.
+/// Memory without cached parts of a gateway that does not report it.
+constexpr std::uint64_t kNotReported =
+  std::numeric_limits<std::uint64_t>::max();
+
+/// Gateways of an older version send and read only the leading fields.
 struct PackedWork
 {
   std::string instance;
@@ -22,6 +30,7 @@
   /// By rank, without trailing zeros; so is requestsByRank.
   std::vector<std::uint64_t> prefillByRank;
   std::vector<std::uint32_t> requestsByRank;
+  std::uint64_t uncachedMemory = kNotReported;
 
   MSGPACK_DEFINE_ARRAY(instance,
                        requests,
@@ -29,7 +38,8 @@
                        memory,
                        interactive,
                        prefillByRank,
-                       requestsByRank);
+                       requestsByRank,
+                       uncachedMemory);
 };
 
 template<class Number>
@@ -53,7 +63,8 @@
     work.memoryTokens,
     work.interactive,
     WithoutTrailingZeros(std::span<const std::uint64_t>(work.prefillTokens)),
-    WithoutTrailingZeros(std::span<const std::uint32_t>(work.requestsByRank))
+    WithoutTrailingZeros(std::span<const std::uint32_t>(work.requestsByRank)),
+    work.uncachedMemoryTokens
   };
 }
 
@@ -64,6 +75,9 @@
   line.instance = InstanceName(std::move(aPacked.instance));
   line.work.requests = aPacked.requests;
   line.work.memoryTokens = aPacked.memory;
+  line.work.uncachedMemoryTokens = aPacked.uncachedMemory == kNotReported
+                                     ? aPacked.memory
+                                     : aPacked.uncachedMemory;
   line.work.interactive = aPacked.interactive;
   if (aPacked.prefillByRank.empty()) {
     // Sent without ranks: the rank is unknown, so it counts as rank 0, which
@@ -184,38 +198,6 @@
                        ageMillis);
 };
 
-struct PackedResidual
-{
-  std::string instance;
-  double logRatioSum = 0;
-  double weight = 0;
-
-  MSGPACK_DEFINE_ARRAY(instance, logRatioSum, weight);
-};
-
-struct PackedDecode
-{
-  std::string service;
-  std::array<double, DecodeUpdate::kMatrixEntries> matrix{};
-  std::array<double, DecodeUpdate::kTerms> vector{};
-  double weight = 0;
-  double interactiveStreams = 0;
-  double interactiveTokens = 0;
-  double interactiveIntervals = 0;
-  double longestToMean = 0;
-  std::vector<PackedResidual> residuals;
-
-  MSGPACK_DEFINE_ARRAY(service,
-                       matrix,
-                       vector,
-                       weight,
-                       interactiveStreams,
-                       interactiveTokens,
-                       interactiveIntervals,
-                       longestToMean,
-                       residuals);
-};
-
 struct PackedRank
 {
   std::string service;
@@ -413,51 +395,6 @@
   return loads;
 }
 
-void
-PackDecode(std::span<const DecodeUpdate> aUpdates, PackedDigest& aPacked)
-{
-  for (const DecodeUpdate& update : aUpdates) {
-    PackedDecode packed{ update.service.Value(),
-                         update.matrix,
-                         update.vector,
-                         update.weight,
-                         update.interactiveStreams,
-                         update.interactiveTokens,
-                         update.interactiveIntervals,
-                         update.longestToMean,
-                         {} };
-    for (const ServerResidual& residual : update.residuals) {
-      packed.residuals.push_back(
-        { residual.instance.Value(), residual.logRatioSum, residual.weight });
-    }
-    aPacked.decode.push_back(std::move(packed));
-  }
-}
-
-std::vector<DecodeUpdate>
-UnpackDecode(std::vector<PackedDecode>&& aPacked)
-{
-  std::vector<DecodeUpdate> updates;
-  for (PackedDecode& packed : aPacked) {
-    DecodeUpdate update{ ServiceName(std::move(packed.service)),
-                         packed.matrix,
-                         packed.vector,
-                         packed.weight,
-                         packed.interactiveStreams,
-                         packed.interactiveTokens,
-                         packed.interactiveIntervals,
-                         packed.longestToMean,
-                         {} };
-    for (PackedResidual& residual : packed.residuals) {
-      update.residuals.push_back({ InstanceName(std::move(residual.instance)),
-                                   residual.logRatioSum,
-                                   residual.weight });
-    }
-    updates.push_back(std::move(update));
-  }
-  return updates;
-}
-
 void
 PackRanks(std::span<const RankUpdate> aRanks, PackedDigest& aPacked)
 {
@@ -474,6 +411,7 @@
 UnpackRanks(std::vector<PackedRank>&& aPacked)
 {
   std::vector<RankUpdate> ranks;
+  ranks.reserve(aPacked.size());
   for (PackedRank& packed : aPacked) {
     ranks.push_back({ ServiceName(std::move(packed.service)),
                       packed.rank,
@@ -549,7 +487,10 @@
     toPack.leaving.push_back({ update.server.Value(), update.age.count() });
   }
   PackLoads(aDigest.loads, toPack);
-  PackDecode(aDigest.decode, toPack);
+  toPack.decode.reserve(aDigest.decode.size());
+  for (const DecodeUpdate& update : aDigest.decode) {
+    toPack.decode.push_back(Pack(update));
+  }
   PackRanks(aDigest.ranks, toPack);
   PackShares(aDigest.shares, toPack);
   toPack.listSum = aDigest.list.checksum;
@@ -606,7 +547,10 @@
       { InstanceName(std::move(line.server)), milliseconds(line.ageMillis) });
   }
   digest.loads = UnpackLoads(std::move(read.loads));
-  digest.decode = UnpackDecode(std::move(read.decode));
+  digest.decode.reserve(read.decode.size());
+  for (PackedDecode& update : read.decode) {
+    digest.decode.push_back(Unpack(std::move(update)));
+  }
   digest.ranks = UnpackRanks(std::move(read.ranks));
   digest.shares = UnpackShares(std::move(read.shares));
   UnpackCrashes(std::move(read), digest);
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <vector>
 
+#include "PredictedTimes.h"
 #include "PromptStep.h"
 #include "WorkTable.h"
 
@@ -21,6 +22,8 @@
   std::uint32_t sharedTokens = 0;
   /// Scheduling priority, 0 first, see PriorityLevels::inTime.
   std::uint32_t rank = 0;
+  /// Rank among the requests of the service, 0 first, see RouteTable::RankOf().
+  std::uint32_t serviceRank = 0;
   /// Priority in the queue of a full server; the last one where these queues do
   /// not distinguish ranks.
   std::uint32_t queueRank = BackendWork::kRanks - 1;
@@ -36,6 +39,12 @@
   /// Tokens that a server prefills within the route's latency target; 0 until
   /// measured.
   double tokensPerTarget = 0;
+  /// Of the route; both zero until known.
+  PauseBounds bounds;
+  /// Tokens that the prompt and the expected answer take in a server's KV
+  /// cache; 0 if servers are chosen regardless of their memory or its size is
+  /// not known.
+  std::uint64_t memoryTokens = 0;
 
   /// Used until the value is measured.
   static constexpr double kDefaultTokensPerQueuePosition = 2000.0;
@@ -68,17 +77,54 @@
   /// at this moment if a recent report states it.
   double timeFactor = 1.0;
   std::optional<double> presentTimeFactor;
+  /// Nothing where requests are not placed by predicted times.
+  std::optional<PredictedTimes> predicted;
 };
 
+/// Whether it should get no request: it is ejected, or probing with the one
+/// request in flight that this state allows.
+bool
+IsUnavailable(const DirectCandidate& aCandidate);
+
+/// Slots that have to become free at the server before the request gets one.
+/// Waiting requests of later ranks are overtaken and do not count.
+std::uint32_t
+QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand);
+
 /// Expected cost of sending the request to the server, lower is better: for a
 /// model the prefill tokens until its first token, weighted with the delay to
-/// other requests; for other services the requests per slot.
+/// other requests; for other services the requests per slot. Where times are
+/// predicted, tokens count by the time that they take at the server, and the
+/// cost of an interactive request is PredictedCost() or, where
+/// ExceedsPauseBound(), the long pause in microseconds.
 /// \param aMostCached the largest cachedTokens of any candidate.
 double
 DirectCost(const DirectCandidate& aCandidate,
            const DirectDemand& aDemand,
            std::uint32_t aMostCached);
 
+/// Whether the stream of an interactive request is expected to exceed its bound
+/// on pauses at the server; false where times are not predicted.
+bool
+ExceedsPauseBound(const DirectCandidate& aCandidate,
+                  const DirectDemand& aDemand);
+
+/// Whether the server's KV cache is expected to overflow if it gets the
+/// request, see LacksMemory(); false where DirectDemand::memoryTokens is 0.
+///
+/// A shared part counts for the request that brings it to the server. This is
+/// too little while later requests with the part outlast that one. Counting the
+/// part for each request is too much: in an overload of prompts with shared
+/// parts no server seems to have memory, requests leave those that have their
+/// part cached, and the prompts on time fall by up to a third.
+bool
+ExceedsMemory(const DirectCandidate& aCandidate, const DirectDemand& aDemand);
+
+/// Slots that have to become free at the server before the request gets one.
+/// Waiting requests of later ranks are overtaken and do not count.
+std::uint32_t
+QueuePositionOf(const DirectCandidate& aCandidate, const DirectDemand& aDemand);
+
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Placement/DirectChooser.cpp
+++ b/dogwoodvale/src/Placement/DirectChooser.cpp
@@ -19,6 +19,16 @@
   {
     return DirectCost(aCandidate, aDemand, aMostCached);
   }
+  bool ExceedsBound(const DirectCandidate& aCandidate,
+                    const DirectDemand& aDemand) const override
+  {
+    return ExceedsPauseBound(aCandidate, aDemand);
+  }
+  bool ExceedsMemory(const DirectCandidate& aCandidate,
+                     const DirectDemand& aDemand) const override
+  {
+    return dogwoodvale::ExceedsMemory(aCandidate, aDemand);
+  }
 };
 
 /// Compares servers by requests in flight per slot. A baseline for comparison.
@@ -73,16 +83,6 @@
          aCandidate.work.requests >= kFullFraction * aCandidate.slots;
 }
 
-/// Whether it should get no request: it is ejected, or probing with the one
-/// request in flight that this state allows.
-bool
-IsUnavailable(const DirectCandidate& aCandidate)
-{
-  return aCandidate.healthState == HealthState::Ejected ||
-         (aCandidate.healthState == HealthState::Probing &&
-          aCandidate.work.requests > 0);
-}
-
 } // namespace
 
 std::optional<std::size_t>
@@ -94,12 +94,23 @@
     this->ChooseAmong(aCandidates, aDemand, Group::Designated, aRandom);
   // Long prompts stay out of the reserved servers even if they have to wait:
   // there they would make more urgent answers late. Interactive requests that
-  // find the reserved servers full share the others, as they would if none were
-  // reserved.
+  // find the reserved servers full, or with pauses beyond their bound, share
+  // the others, as they would if none were reserved.
   const bool needsAll = !best || IsUnavailable(aCandidates[*best]) ||
-                        (aDemand.isInteractive && IsFull(aCandidates[*best]));
+                        (aDemand.isInteractive &&
+                         (IsFull(aCandidates[*best]) ||
+                          this->ExceedsBound(aCandidates[*best], aDemand)));
   if (needsAll) {
     best = this->ChooseAmong(aCandidates, aDemand, Group::All, aRandom);
+  } else if (aDemand.isInteractive &&
+             this->ExceedsMemory(aCandidates[*best], aDemand)) {
+    // Where the other servers have no memory either, the request stays on the
+    // reserved ones.
+    const std::optional<std::size_t> other =
+      this->ChooseAmong(aCandidates, aDemand, Group::All, aRandom);
+    const bool hasRoom = !IsUnavailable(aCandidates[*other]) &&
+                         !this->ExceedsMemory(aCandidates[*other], aDemand);
+    best = hasRoom ? other : best;
   }
   if (best) {
     this->OnChosen(aCandidates[*best]);
@@ -107,6 +118,21 @@
   return best;
 }
 
+DirectChooser::Suitability
+DirectChooser::SuitabilityOf(const DirectCandidate& aCandidate,
+                             const DirectDemand& aDemand) const
+{
+  if (IsUnavailable(aCandidate)) {
+    return Suitability::Unavailable;
+  }
+  const bool exceedsBound = this->ExceedsBound(aCandidate, aDemand);
+  if (this->ExceedsMemory(aCandidate, aDemand)) {
+    return exceedsBound ? Suitability::ExceedsMemoryAndBound
+                        : Suitability::ExceedsMemory;
+  }
+  return exceedsBound ? Suitability::ExceedsBound : Suitability::Suitable;
+}
+
 std::optional<std::size_t>
 DirectChooser::ChooseAmong(std::span<const DirectCandidate> aCandidates,
                            const DirectDemand& aDemand,
@@ -119,7 +145,7 @@
   };
   std::optional<std::size_t> best;
   double bestCost = 0;
-  bool bestIsUnavailable = false;
+  Suitability bestSuitability = Suitability::Unavailable;
   std::uint32_t ties = 0;
   std::uint32_t mostCached = 0;
   for (const DirectCandidate& candidate : aCandidates) {
@@ -131,17 +157,17 @@
     if (!isMember(aCandidates[i])) {
       continue;
     }
-    const bool isUnavailable = IsUnavailable(aCandidates[i]);
+    const Suitability suitability =
+      this->SuitabilityOf(aCandidates[i], aDemand);
     const double cost = this->CostOf(aCandidates[i], aDemand, mostCached);
-    const bool isBetter =
-      !best || (bestIsUnavailable && !isUnavailable) ||
-      (bestIsUnavailable == isUnavailable && cost < bestCost);
+    const bool isBetter = !best || suitability < bestSuitability ||
+                          (suitability == bestSuitability && cost < bestCost);
     if (isBetter) {
       best = i;
       bestCost = cost;
-      bestIsUnavailable = isUnavailable;
+      bestSuitability = suitability;
       ties = 1;
-    } else if (bestIsUnavailable == isUnavailable && cost == bestCost &&
+    } else if (suitability == bestSuitability && cost == bestCost &&
                std::uniform_int_distribution<std::uint32_t>(0, ties++)(
                  aRandom) == 0) {
       best = i;
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -57,9 +57,11 @@
   /// (idempotent) and /read/stream/ (with prompt metadata).
   /// \param aMoreRoutes number of further routes /more-1/, /more-2/ ... that
   /// are like /again/.
+  /// \param aMoreTenants JSON of further tenants, each preceded by a comma.
   void PutConfiguration(int aVersion,
                         int aTimeoutMillis = 2000,
-                        int aMoreRoutes = 0) const
+                        int aMoreRoutes = 0,
+                        const std::string& aMoreTenants = "") const
   {
     const auto route = [&](const char* aPrefix,
                            const char* aKind,
@@ -90,14 +92,15 @@
         R"("healthPath":"/health","maxConnections":16}}],)"
         R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}},)"
-        R"("tenants":[{{"name":"t1","apiKeys":["key1"],"priority":1}}]}})",
+        R"("tenants":[{{"name":"t1","apiKeys":["key1"],"priority":1}}{}]}})",
         aVersion,
         route("/stream/", "streaming", 2, true),
         route("/note/stream/", "streaming", 1, false),
         route("/once/", "non_idempotent", 2, false),
         route("/again/", "idempotent", 2, false),
         route("/read/stream/", "streaming", 1, false, true),
-        more));
+        more,
+        aMoreTenants));
   }
 
   Gateway& AddGateway(const std::string& aName)
@@ -140,6 +143,18 @@
     return this->loop->RunUntil(aDone, aLimit);
   }
 
+  /// States the tokens of a request's prompt, and 10 tokens of the answer.
+  static std::string TokenHeader(int aPromptTokens)
+  {
+    return fmt::format("Dogwoodvale-Token-Count: {},10\r\n", aPromptTokens);
+  }
+
+  /// A customer with the key "key2", for PutConfiguration().
+  static std::string SecondCustomer()
+  {
+    return R"(,{"name":"t2","apiKeys":["key2"],"priority":1})";
+  }
+
   static std::string RequestText(const std::string& aPath,
                                  const std::string& aId,
                                  const std::string& aMore = "",
