--- a/dogwoodvale/src/Placement/MemoryAdmission.h
+++ b/dogwoodvale/src/Placement/MemoryAdmission.h
@@ -21,10 +21,11 @@
 /// and later computes what it has dropped again.
 ///
 /// Requests that wait for a slot hold no memory yet: of more requests than
-/// slots the mean of as many as there are slots counts. \param aCacheTokens
-/// capacity of the server's KV cache; 0 while unknown: the answer is then
-/// false. \param aAddedTokens tokens that the request takes in addition, of the
-/// part of its prompt that is not cached there and of its answer.
+/// slots the mean of as many as there are slots counts.
+/// \param aCacheTokens capacity of the server's KV cache; 0 while unknown: the
+/// answer is then false.
+/// \param aAddedTokens tokens that the request takes in addition, of the part
+/// of its prompt that is not cached there and of its answer.
 bool
 LacksMemory(std::uint64_t aCacheTokens,
             const MemoryUse& aUse,
--- a/dogwoodvale/src/Placement/ServerActivity.h
+++ b/dogwoodvale/src/Placement/ServerActivity.h
@@ -43,8 +43,8 @@
     double promptsPerSecond = 0;
   };
 
-  /// A prompt was sent to the server. \param aTokens tokens of it that are not
-  /// expected in the server's cache.
+  /// A prompt was sent to the server.
+  /// \param aTokens tokens of it that are not expected in the server's cache.
   void OnPrefill(const InstanceName& aInstance, double aTokens, TimePoint aNow);
   /// The server has this many requests from now on. The more often it is
   /// called, the more exact the integral is.
