Log the software version of servers and what a caller resumes

The version is read from the list of servers, passed on between gateways and kept in the warm state; nothing decides by it yet.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -114,7 +114,9 @@
       "service",
       aInstance.service.Value(),
       "address",
-      aInstance.address.ToString());
+      aInstance.address.ToString(),
+      "software",
+      aInstance.softwareVersion);
 }
 
 void
@@ -138,8 +140,13 @@
       Log(
         LogLevel::Info, "instance_leaving", "instance", instance.name.Value());
     }
+    // A gateway of an older version sends lists without software versions.
+    std::string software = member.instance.softwareVersion.empty()
+                             ? instance.softwareVersion
+                             : member.instance.softwareVersion;
     member.instance = instance;
     member.instance.leaving = leaving;
+    member.instance.softwareVersion = std::move(software);
   }
   this->ListServices();
 }
@@ -578,6 +585,7 @@
     DirectCandidate candidate;
     candidate.name = name;
     candidate.dataCentre = member.instance.dataCentre;
+    candidate.softwareVersion = member.instance.softwareVersion;
     candidate.work = this->work.Total(name);
     candidate.slots = slots;
     candidate.cacheTokens = aService.cacheTokens;
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -7,6 +7,14 @@
 namespace {
 
 constexpr double kPercent = 100.0;
+/// Callers choose these ids, so they are cut to a bounded length.
+constexpr std::size_t kMaxLoggedId = 64;
+
+std::string_view
+BoundedId(std::string_view aId)
+{
+  return aId.substr(0, kMaxLoggedId);
+}
 
 std::string_view
 EndName(const GatewayOutcome& aOutcome)
@@ -68,6 +76,12 @@
       admitted.routes->Version(),
       "instance",
       outcome.instance.Value(),
+      "software",
+      outcome.softwareVersion,
+      "resumes",
+      BoundedId(admitted.callerMetadata.resumes),
+      "last_event",
+      BoundedId(admitted.callerMetadata.lastEventId),
       "status",
       outcome.status,
       "end",
@@ -136,6 +150,8 @@
       FingerprintText(aRequest.Admitted().fingerprint),
       "instance",
       outcome.instance.Value(),
+      "software",
+      outcome.softwareVersion,
       "result",
       aFailed.result,
       "reason",
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -201,6 +201,7 @@
   }
   const DirectCandidate& server = candidates[placed->server];
   this->outcome.instance = server.name;
+  this->outcome.softwareVersion = server.softwareVersion;
   this->outcome.cachedTokens = server.cachedTokens;
   this->outcome.believedRequests = server.work.requests;
   this->outcome.reportedRequests = server.reportedRequests;
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -24,8 +24,9 @@
   bool complete = false;
   bool abandoned = false;
   std::optional<RequestError> error;
-  /// The server of the last attempt.
+  /// The server of the last attempt, and the version of its software.
   InstanceName instance;
+  std::string softwareVersion;
   /// The last placement decision, with the estimates behind it.
   Placement placement;
   /// Prompt tokens expected in the cache of the server placed last.
--- a/dogwoodvale/src/Gateway/PeerDocuments.cpp
+++ b/dogwoodvale/src/Gateway/PeerDocuments.cpp
@@ -17,6 +17,7 @@
   value["data_centre"] = aInstance.dataCentre.Value();
   value["slots"] = aInstance.slots;
   value["leaving"] = aInstance.leaving;
+  value["software_version"] = aInstance.softwareVersion;
   return value;
 }
 
@@ -36,6 +37,8 @@
   if (!fields.Status().ok()) {
     return fields.Status();
   }
+  const Json::Value& software = aValue["software_version"];
+  instance.softwareVersion = software.isString() ? software.asString() : "";
   auto parsed = SocketAddress::Parse(address);
   if (!parsed.ok()) {
     return parsed.status();
--- a/dogwoodvale/src/Gateway/Ports.h
+++ b/dogwoodvale/src/Gateway/Ports.h
@@ -40,6 +40,8 @@
   ServiceName service;
   SocketAddress address;
   DataCentreName dataCentre;
+  /// Version of the server's software; empty if it states none.
+  std::string softwareVersion;
   /// Number of requests that it processes at once; 0 while unknown.
   std::uint32_t slots = 0;
   /// It accepts no new work.
@@ -83,6 +85,12 @@
   /// The requested model; empty if none is named.
   std::string model;
   std::vector<PromptPart> prompt;
+  /// Id of the last event that the caller has, if the request resumes a stream;
+  /// else empty.
+  std::string lastEventId;
+  /// The attempt that brought the caller the first event of that stream; empty
+  /// if the caller does not name it.
+  std::string resumes;
 };
 
 /// Reads callers' requests and writes the headers of errors for them.
--- a/dogwoodvale/src/Gateway/WarmState.cpp
+++ b/dogwoodvale/src/Gateway/WarmState.cpp
@@ -29,6 +29,8 @@
   std::string dataCentre;
   std::uint32_t slots = 0;
   bool leaving = false;
+  /// Appended, see PackedState.
+  std::string softwareVersion;
 
   MSGPACK_DEFINE_ARRAY(server,
                        started,
@@ -36,7 +38,8 @@
                        address,
                        dataCentre,
                        slots,
-                       leaving);
+                       leaving,
+                       softwareVersion);
 };
 
 struct PackedGateway
@@ -98,7 +101,8 @@
                                  one.address.ToString(),
                                  one.dataCentre.Value(),
                                  one.slots,
-                                 one.leaving });
+                                 one.leaving,
+                                 one.softwareVersion });
   }
   for (const GatewayMember& one : aState.gateways) {
     packed.gateways.push_back({ one.name.Value(), one.peers.ToString() });
@@ -142,6 +146,7 @@
     instance.dataCentre = DataCentreName(one.dataCentre);
     instance.slots = one.slots;
     instance.leaving = one.leaving;
+    instance.softwareVersion = one.softwareVersion;
     aState.instances.push_back(std::move(instance));
   }
   return absl::OkStatus();
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "PredictedTimes.h"
@@ -55,6 +56,8 @@
 {
   InstanceName name;
   DataCentreName dataCentre;
+  /// Empty if the server states none.
+  std::string softwareVersion;
   BackendWork work;
   /// Requests that it processes concurrently; 0 while unknown.
   std::uint32_t slots = 0;
