--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -251,8 +251,12 @@
     return true;
   }
   aWork.next += this->faults.skip && made == 2 ? 1 : 0;
-  const bool goesOn = aExchange.SendChunk(
-    fmt::format("id: {}\ndata: piece {}\n\n", aWork.next, aWork.next));
+  const std::string& version = this->settings.softwareVersion;
+  const bool goesOn =
+    aExchange.SendChunk(fmt::format("id: {0}\ndata: piece {0}{1}{2}\n\n",
+                                    aWork.next,
+                                    version.empty() ? "" : " ",
+                                    version));
   ++aWork.next;
   aWork.due = aNow + this->settings.gap;
   return !goesOn;
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -15,6 +15,8 @@
 {
   /// Its id; a request that expects another gets 421.
   std::string instance = "e1";
+  /// Appended to the text of each event; empty for none.
+  std::string softwareVersion;
   /// Events of each stream, and the pause between them.
   std::uint64_t events = 5;
   Duration gap = milliseconds(2);
--- a/test/support/FleetSite.h
+++ b/test/support/FleetSite.h
@@ -68,15 +68,16 @@
 
   Try& Send(std::size_t aGateway,
             const std::string& aPath,
-            const std::string& aBody)
+            const std::string& aBody,
+            const std::string& aMoreHeaders = "")
   {
     Try made;
     made.id = fmt::format("try-{}", ++this->tries);
     made.gateway = aGateway;
     made.socket =
       RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
-    made.socket.Send(
-      RequestText(aPath, made.id, "Connection: close\r\n", aBody));
+    made.socket.Send(RequestText(
+      aPath, made.id, "Connection: close\r\n" + aMoreHeaders, aBody));
     this->sent.push_back(std::move(made));
     return this->sent.back();
   }
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -19,6 +19,9 @@
 class PlatformSite
 {
 public:
+  static constexpr std::uint64_t kBorn = 1'790'000'000'000;
+  static constexpr const char* kSoftwareVersion = "v1";
+
   explicit PlatformSite(int aEngines = 2)
   {
     for (int i = 1; i <= aEngines; ++i) {
@@ -34,22 +37,30 @@
     aSettings.instance = aName;
     this->engines.push_back(*standins::SealedEngine::Create(
       *this->loop, { "127.0.0.1", 0 }, aSettings));
-    this->Register(aName, *this->engines.back(), "ready");
+    this->Register(aName,
+                   *this->engines.back(),
+                   "ready",
+                   kBorn,
+                   aSettings.softwareVersion.empty()
+                     ? kSoftwareVersion
+                     : aSettings.softwareVersion);
     return *this->engines.back();
   }
 
   void Register(const std::string& aName,
                 const standins::SealedEngine& aEngine,
                 const std::string& aState,
-                std::uint64_t aBorn = 1'790'000'000'000) const
+                std::uint64_t aBorn = kBorn,
+                const std::string& aSoftwareVersion = kSoftwareVersion) const
   {
     this->store->Put(
       "servers/" + aName,
       fmt::format(R"({{"service":"s","address":"{}","zone":"z","slots":4,)"
-                  R"("state":"{}","sequence":1,"born":{}}})",
+                  R"("state":"{}","sequence":1,"born":{},"version":"{}"}})",
                   aEngine.Address().ToString(),
                   aState,
-                  aBorn));
+                  aBorn,
+                  aSoftwareVersion));
   }
 
   /// Stores a configuration with the routes /stream/ (resumable),
