--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -90,29 +90,41 @@
   if (admitted.route == nullptr) {
     return Refusal(ErrorCode::UnknownRoute, "no such route");
   }
-  const KeyedCustomer* customer = nullptr;
   if (admitted.routes->NeedsKeys() && !admitted.route->isPublic) {
-    customer = admitted.routes->FindCustomer(admitted.callerMetadata.key);
-    if (customer == nullptr) {
+    admitted.keyedCustomer =
+      admitted.routes->FindCustomer(admitted.callerMetadata.key);
+    if (admitted.keyedCustomer == nullptr) {
       return Refusal(ErrorCode::Unauthorized, "no such API key");
     }
-    admitted.customer = customer->name;
+    admitted.customer = admitted.keyedCustomer->name;
   }
   std::uniform_real_distribution<double> draw(0.0, 1.0);
   const ServiceName& service = PickService(*admitted.route, draw(aRandom));
-  admitted.service = admitted.routes->FindService(service);
-  if (admitted.service == nullptr) {
+  if (!AssignService(admitted, service, aPool)) {
     return Refusal(ErrorCode::NoBackendServer,
                    "the route's service is unknown",
                    kConfigurationRetryAfter);
   }
-  admitted.rank = admitted.routes->RankOf(*admitted.route, customer, service);
-  admitted.priorities =
-    PriorityLevelsOf(admitted.rank, admitted.routes->RankCount(service));
-  if (admitted.route->hasPrompts) {
-    admitted.demand = DemandOf(admitted, aPool);
-  }
   return admitted;
 }
 
+bool
+AssignService(AdmittedRequest& aRequest,
+              const ServiceName& aService,
+              BackendPool& aPool)
+{
+  aRequest.service = aRequest.routes->FindService(aService);
+  if (aRequest.service == nullptr) {
+    return false;
+  }
+  aRequest.rank =
+    aRequest.routes->RankOf(*aRequest.route, aRequest.keyedCustomer, aService);
+  aRequest.priorities =
+    PriorityLevelsOf(aRequest.rank, aRequest.routes->RankCount(aService));
+  if (aRequest.route->hasPrompts) {
+    aRequest.demand = DemandOf(aRequest, aPool);
+  }
+  return true;
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/Admission.h
+++ b/dogwoodvale/src/Gateway/Admission.h
@@ -8,6 +8,7 @@
 #include "Ports.h"
 #include "dogwoodvale/Quarantine"
 #include "dogwoodvale/Requests"
+#include "dogwoodvale/Resumption"
 
 namespace dogwoodvale {
 
@@ -19,6 +20,8 @@
   const HostRoute* route = nullptr;
   const DirectService* service = nullptr;
   CustomerName customer;
+  /// Owned by \p routes; null for a request that needs no key.
+  const KeyedCustomer* keyedCustomer = nullptr;
   /// Priority rank, see RouteTable::RankOf().
   std::uint32_t rank = 0;
   /// The priorities at a backend server that follow from the rank.
@@ -27,8 +30,28 @@
   /// The same for every retry of the caller, at any gateway.
   RequestFingerprint fingerprint = 0;
   DirectDemand demand;
+  /// This attempt of the caller, and the one whose stream it resumes; 0 if the
+  /// caller does not name it.
+  StreamKey stream = 0;
+  StreamKey resumedStream = 0;
+
+  /// Whether the caller has events of the answer already.
+  bool IsResumption() const
+  {
+    return this->route->isResumable &&
+           (!this->callerMetadata.lastEventId.empty() ||
+            !this->callerMetadata.resumes.empty());
+  }
 };
 
+/// Sets the service that serves the request, one of its route's, and what
+/// follows from it.
+/// \return false if the configuration does not have the service.
+bool
+AssignService(AdmittedRequest& aRequest,
+              const ServiceName& aService,
+              BackendPool& aPool);
+
 /// Finds the route, the customer and the service of a request.
 /// \param aRoutes the configuration in force; null while none is known. Every
 /// request is then refused as retryable, since it may well be allowed.
--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -576,7 +576,8 @@
                  : reservedLeft > 0) &&
       healthState == HealthState::InService;
     reservedLeft -= isReserved && !isPlanned ? 1 : 0;
-    if (std::ranges::find(aExcluded, name) != aExcluded.end() ||
+    if (!aDemand.AllowsSoftware(member.instance.softwareVersion) ||
+        std::ranges::find(aExcluded, name) != aExcluded.end() ||
         !this->HasConnectionCapacity(
           member, aService, slots, aSharingGateways) ||
         !this->backpressure.MaySend(name, this->CellsOf(member), aNow)) {
@@ -638,6 +639,7 @@
   const Member& member = found->second;
   const std::size_t split = this->CellsOf(member);
   if (!this->TakesWork(member) ||
+      !aDemand.AllowsSoftware(member.instance.softwareVersion) ||
       !this->backpressure.MaySend(aInstance, split, aNow)) {
     return nullptr;
   }
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -59,6 +59,10 @@
       this->pool,
       *this->ports.store,
       { aSettings.gateway.decisions.quarantine, aSettings.gateway.quarantine })
+  , origins(aLoop,
+            [this](const SocketAddress& aFrom, const std::string& aPath) {
+              return this->peers->Fetch(aFrom, aPath);
+            })
   , usage(aLoop,
           *this->ports.store,
           this->ports.usage.get(),
@@ -206,6 +210,15 @@
   admitted.fingerprint =
     FingerprintOf({ admitted.customer, http.method, http.path, http.body },
                   this->settings.peerSecret);
+  if (admitted.route->isResumable) {
+    const auto keyOf = [&](const std::string& aAttemptId) {
+      return StreamKeyOf(
+        admitted.customer, aAttemptId, this->settings.peerSecret);
+    };
+    admitted.stream = keyOf(admitted.callerMetadata.attemptId);
+    admitted.resumedStream = keyOf(admitted.callerMetadata.resumes);
+    this->origins.SetListFresh(this->IsListFresh(Now()), Now());
+  }
   this->RetriesOf(admitted.service->name).OnRequest(Now());
   auto request = std::make_unique<GatewayRequest>(
     *this, std::move(aExchange), std::move(admitted));
@@ -293,6 +306,7 @@
 Gateway::OnInstances(std::span<const DirectInstance> aInstances)
 {
   this->pool.SetInstances(aInstances);
+  this->origins.OnInstances(aInstances, Now());
   this->warmStart->OnInstances();
   this->crashes.OnInstances();
 }
@@ -309,6 +323,11 @@
   this->directory->SetSharing(this->settings.gateway.decisions.sharedReads &&
                               view.cells == 1);
   this->peers->SetPeers(view.members, aGateways, this->settings.instance);
+  std::vector<GatewayMember> others(aGateways.begin(), aGateways.end());
+  std::erase_if(others, [this](const GatewayMember& aOne) {
+    return aOne.name == this->settings.instance;
+  });
+  this->origins.SetGateways(others, view.cells, view.own);
   this->pool.SetGateways(this->listedGateways,
                          std::max<std::size_t>(view.members.size(), 1),
                          view.cells,
@@ -344,6 +363,7 @@
   digest.list = this->directory->List(Now());
   digest.ranks = this->pool.RankUpdates(Now());
   this->usage.AddToDigest(digest);
+  this->origins.AddToDigest(digest, Now());
   return digest;
 }
 
@@ -360,6 +380,7 @@
   this->directory->OnPeerStoreContact(aDigest.storeContact, now);
   this->pool.ApplyDigest(aDigest, now);
   this->crashes.ApplyDigest(aDigest);
+  this->origins.ApplyDigest(aDigest, now);
   this->directory->OnPeerList(aDigest.list, now);
   // Gateways of other cells send a digest only occasionally; usage reporting
   // and the warm start work within a cell.
@@ -392,6 +413,8 @@
     this->warmStart->Apply(aDocument, aFrom.ToString());
   } else if (aPath.starts_with(UsageAccounting::kPath)) {
     this->usage.ApplyDocument(aPath, aDocument, aFrom);
+  } else if (aPath.starts_with(OriginFinder::kPath)) {
+    this->origins.OnDocument(aPath, aDocument, Now());
   }
 }
 
@@ -400,6 +423,8 @@
 {
   if (aPath == PeerExchange::kRoutesPath) {
     this->catchUp.OnAnswer(aFrom, false, Now());
+  } else if (aPath.starts_with(OriginFinder::kPath)) {
+    this->origins.OnFetchFailed(aPath);
   }
 }
 
@@ -415,15 +440,21 @@
   }
 }
 
+bool
+Gateway::IsListFresh(TimePoint aNow) const
+{
+  const Duration maxAge =
+    kMissedReads * this->settings.gateway.instanceDrain / kReadsPerDrain;
+  return this->directory->HasInstances() && !this->directory->IsBehind(aNow) &&
+         this->directory->InstancesAge(aNow) <= maxAge;
+}
+
 void
 Gateway::FetchOutdatedFromPeers(TimePoint aNow)
 {
   // The store may reject this machine, or be unreachable from it, while it
   // serves the others.
-  const Duration maxAge =
-    kMissedReads * this->settings.gateway.instanceDrain / kReadsPerDrain;
-  if (!this->directory->HasInstances() || this->directory->IsBehind(aNow) ||
-      this->directory->InstancesAge(aNow) > maxAge) {
+  if (!this->IsListFresh(aNow)) {
     this->peers->FetchFromAny(std::string(PeerExchange::kInstancesPath),
                               this->random);
   }
@@ -446,6 +477,8 @@
   const TimePoint now = Now();
   this->pool.RunMaintenance(now);
   this->crashes.RunMaintenance();
+  this->origins.SetListFresh(this->IsListFresh(now), now);
+  this->origins.RunMaintenance(now);
   this->FetchOutdatedFromPeers(now);
   if (!this->stopping) {
     this->usage.RunMaintenance(*this->peers, this->random);
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include "DirectoryCache.h"
 #include "GatewayMetrics.h"
 #include "GatewayRequest.h"
+#include "OriginFinder.h"
 #include "PeerExchange.h"
 #include "RoutesCatchUp.h"
 #include "StopSchedule.h"
@@ -55,6 +56,7 @@
   RetryWindow& RetriesOf(const ServiceName& aService) override;
   Placer& RequestPlacer() override { return this->placer; }
   CrashGuard& Crashes() override { return this->crashes; }
+  OriginFinder& Origins() override { return this->origins; }
   std::mt19937_64& Random() override { return this->random; }
   Duration ListAge() const override;
   void OnSent(const InstanceName& aInstance,
@@ -89,6 +91,9 @@
   /// Draws the interval between two reads of the list of backend servers.
   Duration InstanceReadPeriod();
   void RunMaintenance();
+  /// Whether the list of backend servers has been read recently, and no other
+  /// gateway is known to have a newer one.
+  bool IsListFresh(TimePoint aNow) const;
   /// Fetches from other gateways what this one lacks or has only outdated.
   void FetchOutdatedFromPeers(TimePoint aNow);
   void FetchRoutesFromPeer(TimePoint aNow);
@@ -113,6 +118,7 @@
   Placer placer;
   BackendPool pool;
   CrashGuard crashes;
+  OriginFinder origins;
   UsageAccounting usage;
   GatewayMetrics metrics;
   std::unique_ptr<DirectoryCache> directory;
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -28,6 +28,17 @@
   return aOutcome.error ? CodeName(aOutcome.error->code) : "unknown";
 }
 
+/// Empty for a request that resumes no stream.
+std::string_view
+OriginSourceText(const GatewayRequest& aRequest)
+{
+  if (!aRequest.Admitted().IsResumption()) {
+    return "";
+  }
+  const std::optional<FoundOrigin>& origin = aRequest.Outcome().origin;
+  return origin ? OriginSourceName(origin->source) : "unknown";
+}
+
 } // namespace
 
 void
@@ -82,6 +93,10 @@
       BoundedId(admitted.callerMetadata.resumes),
       "last_event",
       BoundedId(admitted.callerMetadata.lastEventId),
+      "origin",
+      outcome.origin ? outcome.origin->origin.softwareVersion : "",
+      "origin_from",
+      OriginSourceText(aRequest),
       "status",
       outcome.status,
       "end",
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -10,6 +10,10 @@
       "gateway_prompts_total",
       "Prompts by what was decided of them; \"fetch\": parts were to be "
       "copied from another server's cache."))
+  , resumptions(this->registry.AddCounter<ReasonLabels>(
+      "gateway_resumptions_total",
+      "Streams that callers resume, by how what began them was found, and "
+      "those refused, by why."))
   , gauges(this->registry.AddGauge<ReasonLabels>("gateway_state",
                                                  "The gateway's state now."))
   , droppedLines(
@@ -47,6 +51,14 @@
   if (admitted.demand.promptTokens > 0) {
     this->CountPrompt(outcome.placement);
   }
+  if (outcome.origin) {
+    ++this->resumptions.At(
+      { std::string(OriginSourceName(outcome.origin->source)) });
+  }
+  if (outcome.refusedResumption != ResumptionRefusal::None) {
+    ++this->resumptions.At(
+      { std::string(ResumptionRefusalName(outcome.refusedResumption)) });
+  }
   metrics.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
   metrics.resumes += outcome.resumes;
   metrics.cancels += outcome.abandoned ? 1 : 0;
@@ -110,6 +122,7 @@
   set("ranks_overdue", static_cast<double>(aGauges.ranksOverdue));
   set("requests_refused_for_ranks",
       static_cast<double>(aGauges.refusedForRanks));
+  set("stream_origins", static_cast<double>(aGauges.streamOrigins));
   set("instances_rejected", static_cast<double>(aGauges.instancesRejected));
   set("servers_crashed", static_cast<double>(aGauges.serversCrashed));
   set("crash_suspects", static_cast<double>(aGauges.suspects));
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -34,6 +34,8 @@
   /// later ranks refused for them since the start, see RankGuard.
   std::size_t ranksOverdue = 0;
   std::uint64_t refusedForRanks = 0;
+  /// Streams whose origin is on record, see OriginFinder.
+  std::size_t streamOrigins = 0;
   /// Store entries of backend servers that could not be parsed.
   std::size_t instancesRejected = 0;
   /// Backend servers that exited with requests in flight, since the start.
@@ -82,6 +84,9 @@
   /// Prompts by Timeliness, and those with a prefix to be copied from another
   /// server's cache.
   CounterFamily<ReasonLabels>& prompts;
+  /// Streams that callers resume, by how their origin was found or why they
+  /// were refused.
+  CounterFamily<ReasonLabels>& resumptions;
   GaugeFamily<ReasonLabels>& gauges;
   CounterFamily<NoLabels>& droppedLines;
 };
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -71,6 +71,7 @@
   gauges.serversCrashed = this->crashes.ServersCrashed();
   gauges.suspects = this->crashes.Ledger().SuspectCount();
   gauges.quarantined = this->crashes.Ledger().QuarantinedCount(now);
+  gauges.streamOrigins = this->origins.RecordCount();
   gauges.instancesRejected = this->directory->RejectedCount();
   gauges.version = this->directory->Routes().Version();
   gauges.newestVersion = this->catchUp.Newest(now);
@@ -129,6 +130,9 @@
   if (aPath.starts_with(UsageAccounting::kPath)) {
     return this->usage.Document();
   }
+  if (aPath.starts_with(OriginFinder::kPath)) {
+    return this->origins.DocumentAt(aPath, Now());
+  }
   return std::nullopt;
 }
 
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -25,6 +25,22 @@
 
 } // namespace
 
+std::string_view
+ResumptionRefusalName(ResumptionRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case ResumptionRefusal::None:
+      return "";
+    case ResumptionRefusal::OriginUnknown:
+      return "what began the stream is not known";
+    case ResumptionRefusal::ServiceGone:
+      return "the route no longer leads to what began the stream";
+    case ResumptionRefusal::NoServer:
+      return "no server of the stream's software version takes it";
+  }
+  return "";
+}
+
 GatewayRequest::GatewayRequest(GatewayRequestHost& aHost,
                                std::unique_ptr<CallerExchange> aExchange,
                                AdmittedRequest aAdmitted)
@@ -61,9 +77,90 @@
     this->waitState = Wait::InTime;
     this->overdueTimer.StartOnce(kOverdueTargets * this->GetRoute().target);
   }
+  if (this->admitted.IsResumption()) {
+    this->StartResumption();
+  } else {
+    this->TryNext();
+  }
+}
+
+// Streams that the caller resumes.
+
+void
+GatewayRequest::StartResumption()
+{
+  OriginFinder& origins = this->host.Origins();
+  const StreamKey stream = this->admitted.resumedStream;
+  const auto found = origins.Find(stream, this->GetRoute(), this->accepted);
+  if (found) {
+    this->OnOrigin(found);
+    return;
+  }
+  this->originQuery =
+    origins.Ask(stream,
+                this->GetRoute(),
+                this->host.Random(),
+                [this](const std::optional<FoundOrigin>& aFound) {
+                  this->OnOrigin(aFound);
+                });
+}
+
+void
+GatewayRequest::OnOrigin(const std::optional<FoundOrigin>& aFound)
+{
+  this->outcome.origin = aFound;
+  if (this->done) {
+    return;
+  }
+  if (!aFound) {
+    this->RefuseResumption(ResumptionRefusal::OriginUnknown);
+    return;
+  }
+  const ServiceName& service = aFound->origin.service;
+  const bool isRouted = std::ranges::any_of(
+    this->GetRoute().services, [&service](const WeightedService& aOne) {
+      return aOne.service == service;
+    });
+  if (!isRouted ||
+      (this->admitted.service->name != service &&
+       !AssignService(this->admitted, service, this->host.Backends()))) {
+    this->RefuseResumption(ResumptionRefusal::ServiceGone);
+    return;
+  }
+  this->admitted.demand.requiredSoftware = aFound->origin.softwareVersion;
   this->TryNext();
 }
 
+void
+GatewayRequest::RefuseResumption(ResumptionRefusal aWhy)
+{
+  this->outcome.refusedResumption = aWhy;
+  this->GiveUp(ErrorCode::NoBackendServer,
+               ResumptionRefusalName(aWhy),
+               OriginFinder::kAskTimeout);
+}
+
+void
+GatewayRequest::RecordOrigin(TimePoint aNow)
+{
+  const HostRoute& route = this->GetRoute();
+  if (!route.isResumable) {
+    return;
+  }
+  const Duration untilCallerLeaves = Between(
+    aNow,
+    this->accepted + this->admitted.callerMetadata.timeLimit.value_or(
+                       OriginFinder::kLifetimeInTimeouts * route.timeout));
+  // A stream that has begun keeps its origin, whatever server continues it.
+  const StreamOrigin origin{ this->admitted.service->name,
+                             this->admitted.demand.requiredSoftware.value_or(
+                               this->sent->softwareVersion) };
+  for (const StreamKey key :
+       { this->admitted.stream, this->admitted.resumedStream }) {
+    this->host.Origins().OnSent(key, origin, route, untilCallerLeaves, aNow);
+  }
+}
+
 void
 GatewayRequest::OnOverdue()
 {
@@ -316,6 +413,7 @@
   const Placement& placement = this->outcome.placement;
   BackendPool& pool = this->host.Backends();
   this->sent = Sent{ .instance = aCandidate.name,
+                     .softwareVersion = aCandidate.softwareVersion,
                      .work = placement.work,
                      .at = now,
                      .hadFreeSlot = aCandidate.work.requests < aCandidate.slots,
@@ -335,6 +433,7 @@
       : 0;
   pool.OnLongPrompt(aCandidate.name, longTokens, now);
   this->host.OnSent(aCandidate.name, this->admitted.demand.steps, longTokens);
+  this->RecordOrigin(now);
   this->attempt =
     std::make_unique<DirectAttempt>(this->host.Loop(),
                                     *this->host.Ports().backends,
@@ -454,6 +553,9 @@
   if (!this->streamStarted) {
     this->EndWait(true);
     this->streamStarted = true;
+    if (!this->admitted.demand.requiredSoftware) {
+      this->admitted.demand.requiredSoftware = this->sent->softwareVersion;
+    }
     this->outcome.status = this->attempt->Answer().status;
     this->exchange->StartStream(this->outcome.status, this->attempt->Headers());
   }
@@ -629,6 +731,10 @@
 void
 GatewayRequest::GiveUpUnplaced()
 {
+  if (this->admitted.IsResumption()) {
+    this->RefuseResumption(ResumptionRefusal::NoServer);
+    return;
+  }
   const Duration wait =
     this->host.Backends().UntilFree(this->admitted.service->name, Now());
   this->GiveUp(ErrorCode::NoBackendServer,
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -9,6 +9,7 @@
 #include "AttemptHealth.h"
 #include "BackendPool.h"
 #include "DirectAttempt.h"
+#include "OriginFinder.h"
 #include "StreamObserver.h"
 #include "SuspectWait.h"
 
@@ -16,6 +17,21 @@
 
 class GatewayRequest;
 
+/// Why a stream that a caller resumes was not continued.
+enum class ResumptionRefusal : std::uint8_t
+{
+  None,
+  /// No gateway that answered knows what began it.
+  OriginUnknown,
+  /// Its route no longer leads to the service that began it.
+  ServiceGone,
+  /// No server of its software version takes it.
+  NoServer,
+};
+
+std::string_view
+ResumptionRefusalName(ResumptionRefusal aRefusal);
+
 /// How a request ended, for logs and metrics.
 struct GatewayOutcome
 {
@@ -54,6 +70,10 @@
   std::uint32_t attempts = 0;
   /// How often the stream was resumed on another server.
   std::uint32_t resumes = 0;
+  /// What began the stream that the caller resumes, if that is known.
+  std::optional<FoundOrigin> origin;
+  /// Why the stream that the caller resumes was refused.
+  ResumptionRefusal refusedResumption = ResumptionRefusal::None;
   /// Chunks of one or more whole events passed on to the caller.
   std::uint64_t events = 0;
 };
@@ -69,6 +89,7 @@
   virtual RetryWindow& RetriesOf(const ServiceName& aService) = 0;
   virtual Placer& RequestPlacer() = 0;
   virtual CrashGuard& Crashes() = 0;
+  virtual OriginFinder& Origins() = 0;
   virtual std::mt19937_64& Random() = 0;
   /// Age of the list of backend servers, for logs.
   virtual Duration ListAge() const = 0;
@@ -123,6 +144,7 @@
   struct Sent
   {
     InstanceName instance;
+    std::string softwareVersion;
     BackendWork work;
     TimePoint at{};
     /// The server had fewer known requests than slots when it was chosen.
@@ -135,6 +157,14 @@
   const HostRoute& GetRoute() const { return *this->admitted.route; }
   Duration TimeLeft(TimePoint aNow) const;
   bool MayRepeat() const { return this->GetRoute().MayRepeat(); }
+  /// Finds what began the stream that the caller resumes, then sends the
+  /// request to a server that may continue it.
+  void StartResumption();
+  void OnOrigin(const std::optional<FoundOrigin>& aFound);
+  /// Records what may be about to begin the stream, in case the caller has to
+  /// resume it.
+  void RecordOrigin(TimePoint aNow);
+  void RefuseResumption(ResumptionRefusal aWhy);
   /// Places the request and sends it, unless it has to wait or is refused.
   void TryNext();
   /// Checks the request against those suspected of crashing servers.
@@ -217,6 +247,7 @@
   std::optional<std::uint64_t> lastDeliveredEvent;
   TimePoint lastEventsAt{};
   StreamObserver observer;
+  std::unique_ptr<OriginFinder::Query> originQuery;
   SuspectWait suspectWait;
   Timer suspectTimer;
   /// Ends when the request has waited for its first token for longer than twice
--- /dev/null
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -0,0 +1,356 @@
+#include "OriginFinder.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <absl/strings/escaping.h>
+
+namespace dogwoodvale {
+
+namespace {
+
+constexpr int kHex = 16;
+
+/// The service is empty if the answer may only come from a record.
+std::string
+PathOf(StreamKey aKey, const ServiceName& aService, std::size_t aTarget)
+{
+  return fmt::format("{}{:016x}/{}/{}",
+                     OriginFinder::kPath,
+                     aKey,
+                     absl::BytesToHexString(aService.Value()),
+                     aTarget);
+}
+
+struct Question
+{
+  StreamKey key = 0;
+  ServiceName service;
+};
+
+std::optional<Question>
+ParsePath(std::string_view aPath)
+{
+  if (!aPath.starts_with(OriginFinder::kPath)) {
+    return std::nullopt;
+  }
+  aPath.remove_prefix(OriginFinder::kPath.size());
+  const std::size_t slash = aPath.find('/');
+  const std::size_t second = aPath.find('/', slash + 1);
+  if (slash == std::string_view::npos || second == std::string_view::npos) {
+    return std::nullopt;
+  }
+  Question question;
+  const std::string_view key = aPath.substr(0, slash);
+  if (std::from_chars(key.data(), key.data() + key.size(), question.key, kHex)
+        .ec != std::errc()) {
+    return std::nullopt;
+  }
+  const std::string_view service = aPath.substr(slash + 1, second - slash - 1);
+  const bool isHex = service.size() % 2 == 0 &&
+                     std::ranges::all_of(service, [](unsigned char aChar) {
+                       return std::isxdigit(aChar) != 0;
+                     });
+  if (!isHex) {
+    return std::nullopt;
+  }
+  question.service = ServiceName(absl::HexStringToBytes(ToAbsl(service)));
+  return question;
+}
+
+bool
+IsSplit(const HostRoute& aRoute)
+{
+  return aRoute.services.size() != 1;
+}
+
+Duration
+LifetimeOf(const HostRoute& aRoute)
+{
+  return OriginFinder::kLifetimeInTimeouts * aRoute.timeout;
+}
+
+} // namespace
+
+std::string_view
+OriginSourceName(OriginSource aSource)
+{
+  switch (aSource) {
+    case OriginSource::Own:
+      return "own";
+    case OriginSource::Reported:
+      return "reported";
+    case OriginSource::Uniform:
+      return "uniform";
+    case OriginSource::Asked:
+      return "asked";
+  }
+  return "unknown";
+}
+
+// Queries.
+
+OriginFinder::Query::Query(OriginFinder& aFinder,
+                           StreamKey aKey,
+                           Handler aHandler)
+  : finder(aFinder)
+  , key(aKey)
+  , handler(std::move(aHandler))
+  , timeout(aFinder.loop, [this] { this->End(std::nullopt); })
+{
+  this->finder.queries.push_back(this);
+}
+
+OriginFinder::Query::~Query()
+{
+  std::erase(this->finder.queries, this);
+}
+
+void
+OriginFinder::Query::End(const std::optional<FoundOrigin>& aFound)
+{
+  this->timeout.Stop();
+  std::erase(this->finder.queries, this);
+  const Handler ended = std::exchange(this->handler, nullptr);
+  if (ended) {
+    ended(aFound);
+  }
+}
+
+std::vector<OriginFinder::Query*>
+OriginFinder::QueriesOf(StreamKey aKey) const
+{
+  std::vector<Query*> found;
+  std::ranges::copy_if(
+    this->queries, std::back_inserter(found), [aKey](const Query* aQuery) {
+      return aQuery->key == aKey;
+    });
+  return found;
+}
+
+// The finder.
+
+OriginFinder::OriginFinder(EventLoop& aLoop, Fetcher aFetcher)
+  : loop(aLoop)
+  , fetcher(std::move(aFetcher))
+{
+}
+
+void
+OriginFinder::OnInstances(std::span<const DirectInstance> aInstances,
+                          TimePoint aNow)
+{
+  std::vector<StreamOrigin> servers;
+  servers.reserve(aInstances.size());
+  for (const DirectInstance& instance : aInstances) {
+    servers.push_back({ instance.service, instance.softwareVersion });
+  }
+  this->history.OnList(servers, aNow);
+}
+
+void
+OriginFinder::SetListFresh(bool aIsFresh, TimePoint aNow)
+{
+  if (!aIsFresh) {
+    this->history.OnGap(aNow);
+  }
+  this->isListFresh = aIsFresh;
+}
+
+void
+OriginFinder::SetGateways(std::span<const GatewayMember> aOthers,
+                          std::size_t aCells,
+                          std::size_t aOwnCell)
+{
+  this->gatewaysByCell.assign(std::max<std::size_t>(aCells, 1), {});
+  for (const GatewayMember& gateway : aOthers) {
+    const std::size_t cell = CellOf(gateway.name, aCells);
+    this->gatewaysByCell[cell].push_back(gateway.peers);
+  }
+  std::swap(this->gatewaysByCell.front(), this->gatewaysByCell[aOwnCell]);
+}
+
+std::optional<StreamOrigin>
+OriginFinder::UniformOriginOf(const HostRoute& aRoute, TimePoint aNow) const
+{
+  if (!this->isListFresh || IsSplit(aRoute)) {
+    return std::nullopt;
+  }
+  const ServiceName& service = aRoute.services.front().service;
+  const auto uniform = this->history.UniformOf(service, aNow);
+  if (!uniform || uniform->length < LifetimeOf(aRoute)) {
+    return std::nullopt;
+  }
+  return StreamOrigin{ service, uniform->version };
+}
+
+void
+OriginFinder::OnSent(StreamKey aKey,
+                     const StreamOrigin& aOrigin,
+                     const HostRoute& aRoute,
+                     Duration aLifetime,
+                     TimePoint aNow)
+{
+  Duration& lifetime = this->lifetimes[aOrigin.service];
+  lifetime = std::max(lifetime, LifetimeOf(aRoute));
+  const auto uniform = this->UniformOriginOf(aRoute, aNow);
+  const bool isImplied = uniform && *uniform == aOrigin;
+  this->origins.OnSent(aKey, aOrigin, aLifetime, !isImplied, aNow);
+}
+
+std::optional<FoundOrigin>
+OriginFinder::Find(StreamKey aKey,
+                   const HostRoute& aRoute,
+                   TimePoint aNow) const
+{
+  if (const auto found = this->origins.Find(aKey, aNow)) {
+    return FoundOrigin{ found->origin,
+                        found->isOwn ? OriginSource::Own
+                                     : OriginSource::Reported };
+  }
+  if (auto uniform = this->UniformOriginOf(aRoute, aNow)) {
+    return FoundOrigin{ *std::move(uniform), OriginSource::Uniform };
+  }
+  return std::nullopt;
+}
+
+std::vector<SocketAddress>
+OriginFinder::Targets(std::mt19937_64& aRandom) const
+{
+  std::vector<SocketAddress> targets;
+  std::size_t wanted = kAskedInOwnCell;
+  for (const std::vector<SocketAddress>& cell : this->gatewaysByCell) {
+    std::ranges::sample(cell,
+                        std::back_inserter(targets),
+                        static_cast<std::ptrdiff_t>(wanted),
+                        aRandom);
+    wanted = kAskedInOtherCell;
+  }
+  return targets;
+}
+
+std::unique_ptr<OriginFinder::Query>
+OriginFinder::Ask(StreamKey aKey,
+                  const HostRoute& aRoute,
+                  std::mt19937_64& aRandom,
+                  Handler aHandler)
+{
+  auto query = std::make_unique<Query>(*this, aKey, std::move(aHandler));
+  query->route = aRoute;
+  const ServiceName service =
+    IsSplit(aRoute) ? ServiceName() : aRoute.services.front().service;
+  std::size_t target = 0;
+  for (const SocketAddress& gateway : this->Targets(aRandom)) {
+    query->unanswered +=
+      this->fetcher(gateway, PathOf(aKey, service, target++)) ? 1 : 0;
+  }
+  // Also ends a query that no gateway was sent, e.g. as another one with the
+  // same key is in flight: its answers count for both.
+  query->timeout.StartOnce(kAskTimeout);
+  return query;
+}
+
+void
+OriginFinder::AddToDigest(PeerDigest& aDigest, TimePoint aNow)
+{
+  aDigest.origins = this->origins.TakeUpdates(aNow);
+}
+
+void
+OriginFinder::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
+{
+  this->origins.Apply(aDigest.origins, aNow);
+}
+
+std::optional<std::string>
+OriginFinder::DocumentAt(std::string_view aPath, TimePoint aNow) const
+{
+  const auto question = ParsePath(aPath);
+  if (!question) {
+    return std::nullopt;
+  }
+  Json::Value document;
+  if (const auto found = this->origins.Find(question->key, aNow)) {
+    document["service"] = found->origin.service.Value();
+    document["software_version"] = found->origin.softwareVersion;
+    return WriteJson(document);
+  }
+  const auto uniform = this->history.UniformOf(question->service, aNow);
+  if (!this->isListFresh || !uniform) {
+    return std::nullopt;
+  }
+  document["service"] = question->service.Value();
+  document["software_version"] = uniform->version;
+  document["uniform_ms"] = Json::Int64(WholeMillis(uniform->length));
+  return WriteJson(document);
+}
+
+void
+OriginFinder::OnDocument(std::string_view aPath,
+                         std::string_view aDocument,
+                         TimePoint aNow)
+{
+  const auto question = ParsePath(aPath);
+  const auto document = ParseJson(aDocument);
+  if (!question || !document.ok()) {
+    this->OnFetchFailed(aPath);
+    return;
+  }
+  JsonFields fields(*document);
+  FoundOrigin found;
+  found.source = OriginSource::Asked;
+  found.origin.service = ServiceName(fields.Text("service"));
+  found.origin.softwareVersion = fields.Text("software_version");
+  const bool isRecord =
+    document->isObject() && !document->isMember("uniform_ms");
+  const Duration uniformFor =
+    isRecord ? Duration(0) : milliseconds(fields.Whole("uniform_ms"));
+  if (!fields.Status().ok()) {
+    this->OnFetchFailed(aPath);
+    return;
+  }
+  if (!isRecord) {
+    this->history.Adopt(
+      found.origin.service, { found.origin.softwareVersion, uniformFor }, aNow);
+  }
+  for (Query* query : this->QueriesOf(question->key)) {
+    const bool isImplied =
+      !IsSplit(query->route) &&
+      query->route.services.front().service == found.origin.service &&
+      uniformFor >= LifetimeOf(query->route);
+    if (isRecord || isImplied) {
+      query->End(found);
+    }
+  }
+  this->OnFetchFailed(aPath);
+}
+
+void
+OriginFinder::OnFetchFailed(std::string_view aPath)
+{
+  const auto question = ParsePath(aPath);
+  if (!question) {
+    return;
+  }
+  for (Query* query : this->QueriesOf(question->key)) {
+    if (query->unanswered > 0 && --query->unanswered == 0) {
+      query->End(std::nullopt);
+    }
+  }
+}
+
+void
+OriginFinder::RunMaintenance(TimePoint aNow)
+{
+  this->origins.Expire(aNow);
+  // Streams that began while the service was uniform were not reported.
+  for (const auto& [service, lifetime] : this->lifetimes) {
+    const auto uniform = this->history.UniformOf(service, aNow);
+    if (!this->isListFresh || !uniform || uniform->length < lifetime) {
+      this->origins.ReportAll(service);
+    }
+  }
+}
+
+} // namespace dogwoodvale
--- /dev/null
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -0,0 +1,152 @@
+#ifndef DOGWOODVALE_GATEWAY_ORIGINFINDER_H
+#define DOGWOODVALE_GATEWAY_ORIGINFINDER_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "PeerDigest.h"
+#include "Ports.h"
+#include "WarmState.h"
+#include "dogwoodvale/Resumption"
+
+namespace dogwoodvale {
+
+/// How a gateway knows the origin of a stream.
+enum class OriginSource : std::uint8_t
+{
+  /// It sent the request itself.
+  Own,
+  /// Another gateway has reported it.
+  Reported,
+  /// The service has had one software version for longer than the stream.
+  Uniform,
+  /// Another gateway has answered a question.
+  Asked,
+};
+
+std::string_view
+OriginSourceName(OriginSource aSource);
+
+struct FoundOrigin
+{
+  StreamOrigin origin;
+  OriginSource source = OriginSource::Own;
+};
+
+/// Finds what began a stream that a caller resumes, mostly at another gateway
+/// than before.
+///
+/// While a service has one software version, gateways tell each other nothing.
+/// Else each reports the origin of a stream when it sends the request, before
+/// the first event can arrive. A gateway that has no report asks others.
+class OriginFinder
+{
+public:
+  /// Called once; nothing if no gateway knows the origin.
+  using Handler = std::function<void(const std::optional<FoundOrigin>&)>;
+  /// Requests a document from another gateway, see PeerExchange::Fetch().
+  using Fetcher =
+    std::function<bool(const SocketAddress& aFrom, const std::string& aPath)>;
+
+  /// A question to other gateways; destroying it cancels it.
+  class Query
+  {
+  public:
+    Query(OriginFinder& aFinder, StreamKey aKey, Handler aHandler);
+    ~Query();
+    Query(const Query&) = delete;
+    Query& operator=(const Query&) = delete;
+
+  private:
+    friend class OriginFinder;
+    /// Ends the query; the handler may destroy it.
+    void End(const std::optional<FoundOrigin>& aFound);
+
+    OriginFinder& finder;
+    StreamKey key;
+    Handler handler;
+    HostRoute route;
+    /// Gateways that have not answered.
+    std::size_t unanswered = 0;
+    Timer timeout;
+  };
+
+  OriginFinder(EventLoop& aLoop, Fetcher aFetcher);
+
+  /// The list of backend servers in force.
+  void OnInstances(std::span<const DirectInstance> aInstances, TimePoint aNow);
+  /// Sets whether the list is up to date. Call before decisions that depend on
+  /// it and a few times a second.
+  void SetListFresh(bool aIsFresh, TimePoint aNow);
+  /// Sets the other gateways that may be asked.
+  /// \param aCells number of cells of the site, of which \p aOwnCell is this
+  /// gateway's.
+  void SetGateways(std::span<const GatewayMember> aOthers,
+                   std::size_t aCells,
+                   std::size_t aOwnCell);
+
+  /// A request whose answer may be resumed is sent to a server.
+  /// \param aLifetime how long its caller may resume it.
+  void OnSent(StreamKey aKey,
+              const StreamOrigin& aOrigin,
+              const HostRoute& aRoute,
+              Duration aLifetime,
+              TimePoint aNow);
+  /// The origin of a stream of the route, as far as this gateway knows it.
+  std::optional<FoundOrigin> Find(StreamKey aKey,
+                                  const HostRoute& aRoute,
+                                  TimePoint aNow) const;
+  /// Asks other gateways. The handler is not called before this returns.
+  std::unique_ptr<Query> Ask(StreamKey aKey,
+                             const HostRoute& aRoute,
+                             std::mt19937_64& aRandom,
+                             Handler aHandler);
+
+  void AddToDigest(PeerDigest& aDigest, TimePoint aNow);
+  void ApplyDigest(const PeerDigest& aDigest, TimePoint aNow);
+  /// The answer to another gateway's question; nothing if it is not known here.
+  std::optional<std::string> DocumentAt(std::string_view aPath,
+                                        TimePoint aNow) const;
+  void OnDocument(std::string_view aPath,
+                  std::string_view aDocument,
+                  TimePoint aNow);
+  void OnFetchFailed(std::string_view aPath);
+  void RunMaintenance(TimePoint aNow);
+  std::size_t RecordCount() const { return this->origins.Count(); }
+
+  static constexpr std::string_view kPath = "/peer/origin/";
+  /// How long other gateways have to answer.
+  static constexpr Duration kAskTimeout = milliseconds(300);
+  /// Gateways asked in the own cell, and in each other one.
+  static constexpr std::size_t kAskedInOwnCell = 3;
+  static constexpr std::size_t kAskedInOtherCell = 1;
+  /// Streams of a route last for at most its timeout; a caller may resume one
+  /// at the very end, and that attempt lasts as long again.
+  static constexpr int kLifetimeInTimeouts = 2;
+
+private:
+  /// \return nothing if the service of the route may have had servers of
+  /// several versions while a stream lasts.
+  std::optional<StreamOrigin> UniformOriginOf(const HostRoute& aRoute,
+                                              TimePoint aNow) const;
+  std::vector<SocketAddress> Targets(std::mt19937_64& aRandom) const;
+  std::vector<Query*> QueriesOf(StreamKey aKey) const;
+
+  EventLoop& loop;
+  Fetcher fetcher;
+  StreamOrigins origins;
+  SoftwareHistory history;
+  bool isListFresh = false;
+  /// How long streams of each service last at most.
+  std::map<ServiceName, Duration> lifetimes;
+  /// Addresses of the other gateways by cell, the own one first.
+  std::vector<std::vector<SocketAddress>> gatewaysByCell;
+  std::vector<Query*> queries;
+};
+
+} // namespace dogwoodvale
+
+#endif
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -1,5 +1,7 @@
 #include "PeerDigest.h"
 
+#include <algorithm>
+#include <iterator>
 #include <limits>
 
 #include <msgpack.hpp>
@@ -219,6 +221,17 @@
   MSGPACK_DEFINE_ARRAY(service, busiest, otherUse, otherCustomers);
 };
 
+/// The streams that one software version of a service began.
+struct PackedOrigins
+{
+  std::string service;
+  std::string softwareVersion;
+  /// Keys and how long each may be resumed, in milliseconds.
+  std::vector<std::pair<StreamKey, std::int64_t>> streams;
+
+  MSGPACK_DEFINE_ARRAY(service, softwareVersion, streams);
+};
+
 /// A gateway of an older version sends and reads only the leading fields that
 /// it knows.
 struct PackedDigest
@@ -245,6 +258,7 @@
   std::vector<PackedDecode> decode;
   std::vector<PackedRank> ranks;
   std::vector<PackedShare> shares;
+  std::vector<PackedOrigins> origins;
 
   MSGPACK_DEFINE_ARRAY(gateway,
                        incarnation,
@@ -267,9 +281,43 @@
                        loads,
                        decode,
                        ranks,
-                       shares);
+                       shares,
+                       origins);
 };
 
+std::vector<PackedOrigins>
+Pack(std::span<const OriginUpdate> aUpdates)
+{
+  std::vector<PackedOrigins> packed;
+  for (const OriginUpdate& update : aUpdates) {
+    const StreamOrigin& origin = update.origin;
+    auto found =
+      std::ranges::find_if(packed, [&origin](const PackedOrigins& aOne) {
+        return aOne.service == origin.service.Value() &&
+               aOne.softwareVersion == origin.softwareVersion;
+      });
+    if (found == packed.end()) {
+      packed.push_back({ origin.service.Value(), origin.softwareVersion, {} });
+      found = std::prev(packed.end());
+    }
+    found->streams.emplace_back(update.key, update.left.count());
+  }
+  return packed;
+}
+
+std::vector<OriginUpdate>
+Unpack(std::span<const PackedOrigins> aPacked)
+{
+  std::vector<OriginUpdate> updates;
+  for (const PackedOrigins& one : aPacked) {
+    const StreamOrigin origin{ ServiceName(one.service), one.softwareVersion };
+    for (const auto& [key, leftMillis] : one.streams) {
+      updates.push_back({ key, origin, milliseconds(leftMillis) });
+    }
+  }
+  return updates;
+}
+
 void
 PackCrashes(const PeerDigest& aDigest, PackedDigest& aPacked)
 {
@@ -493,6 +541,7 @@
   }
   PackRanks(aDigest.ranks, toPack);
   PackShares(aDigest.shares, toPack);
+  toPack.origins = Pack(aDigest.origins);
   toPack.listSum = aDigest.list.checksum;
   toPack.listAgeMillis = aDigest.list.age.count();
   msgpack::sbuffer buffer;
@@ -553,6 +602,7 @@
   }
   digest.ranks = UnpackRanks(std::move(read.ranks));
   digest.shares = UnpackShares(std::move(read.shares));
+  digest.origins = Unpack(read.origins);
   UnpackCrashes(std::move(read), digest);
   return digest;
 }
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -9,6 +9,7 @@
 #include "dogwoodvale/Duties"
 #include "dogwoodvale/Placement"
 #include "dogwoodvale/Quarantine"
+#include "dogwoodvale/Resumption"
 
 namespace dogwoodvale {
 
@@ -81,6 +82,8 @@
   std::vector<RankUpdate> ranks;
   /// Use of the services by customer.
   std::vector<ShareUpdate> shares;
+  /// What began the streams that callers may resume.
+  std::vector<OriginUpdate> origins;
 };
 
 /// Serialises and authenticates a digest.
--- a/dogwoodvale/src/Placement/CacheFetch.cpp
+++ b/dogwoodvale/src/Placement/CacheFetch.cpp
@@ -57,11 +57,14 @@
 
 private:
   /// A server that is ejected or probing may not answer, and the server that
-  /// fetches from it would wait for it.
+  /// fetches from it would wait for it. Cached parts fit only servers of the
+  /// same software version.
   static bool IsSource(const DirectCandidate& aCandidate,
                        const DirectCandidate& aChosen)
   {
     return aCandidate.healthState == HealthState::InService &&
+           IsSameSoftware(aCandidate.softwareVersion,
+                          aChosen.softwareVersion) &&
            aCandidate.cachedTokens >= aChosen.cachedTokens + kMinFetchedTokens;
   }
 
--- a/dogwoodvale/src/Placement/DirectChoice.h
+++ b/dogwoodvale/src/Placement/DirectChoice.h
@@ -10,6 +10,7 @@
 #include "PredictedTimes.h"
 #include "PromptStep.h"
 #include "WorkTable.h"
+#include "dogwoodvale/Resumption"
 
 namespace dogwoodvale {
 
@@ -46,6 +47,16 @@
   /// cache; 0 if servers are chosen regardless of their memory or its size is
   /// not known.
   std::uint64_t memoryTokens = 0;
+  /// For a stream that has begun, the version of the software that began it:
+  /// only servers of that version may continue it.
+  std::optional<std::string> requiredSoftware;
+
+  /// Whether a server of this software version may get the request.
+  bool AllowsSoftware(std::string_view aVersion) const
+  {
+    return !this->requiredSoftware ||
+           IsSameSoftware(*this->requiredSoftware, aVersion);
+  }
 
   /// Used until the value is measured.
   static constexpr double kDefaultTokensPerQueuePosition = 2000.0;
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -359,6 +359,11 @@
                       34.5,
                       35 },
                     { ServiceName("s2"), {}, 0, 0 } };
+  digest.origins = {
+    { 36, { ServiceName("s1"), "v1" }, milliseconds(37) },
+    { 38, { ServiceName("s1"), "v1" }, milliseconds(39) },
+    { 40, { ServiceName("s1"), "v2" }, milliseconds(41) },
+  };
   const std::string bytes = WriteDigest(digest, "secret");
   const auto read = ReadDigest(bytes, "secret");
   REQUIRE(read.ok());
@@ -381,6 +386,7 @@
   CHECK(read->decode == digest.decode);
   CHECK(read->ranks == digest.ranks);
   CHECK(read->shares == digest.shares);
+  CHECK(read->origins == digest.origins);
   CHECK_FALSE(ReadDigest(bytes, "another").ok());
   CHECK(rc::check([&bytes] {
     std::string changed = bytes;
@@ -452,8 +458,9 @@
 }
 
 // Guards a rolling upgrade to the version that appends loads, decode sums,
-// ranks and shares: a digest that ends with the departures is still decoded,
-// and the leading fields of a new one can be read by the older version.
+// ranks, shares and origins: a digest that ends with the departures is still
+// decoded, and the leading fields of a new one can be read by the older
+// version.
 TEST_CASE("a digest without the appended fields is decoded", "[digest]")
 {
   PeerDigest digest;
@@ -466,12 +473,13 @@
   digest.decode.resize(1);
   digest.ranks = { { ServiceName("s"), 1, 2, 3, 4 } };
   digest.shares = { { ServiceName("s"), {}, 1.5, 2 } };
+  digest.origins = { { 5, { ServiceName("s"), "v1" }, milliseconds(6) } };
   const std::string bytes =
     WriteDigest(digest, "secret").substr(kKeyedDigestBytes);
   const auto whole = msgpack::unpack(bytes.data(), bytes.size());
   std::vector<msgpack::object> fields;
   whole.get().convert(fields);
-  constexpr std::size_t kAppended = 4;
+  constexpr std::size_t kAppended = 5;
   constexpr std::size_t kOlderFields = 18;
   REQUIRE(fields.size() == kOlderFields + kAppended);
   // From no appended field to all but one.
@@ -491,7 +499,8 @@
     CHECK(read->loads.empty() == (count == kOlderFields));
     CHECK(read->decode.size() == (count > kOlderFields + 1 ? 1 : 0));
     CHECK(read->ranks.size() == (count > kOlderFields + 2 ? 1 : 0));
-    CHECK(read->shares.empty());
+    CHECK(read->shares.size() == (count > kOlderFields + 3 ? 1 : 0));
+    CHECK(read->origins.empty());
   }
 }
 
--- a/test/Placer.cpp
+++ b/test/Placer.cpp
@@ -16,6 +16,7 @@
   DirectCandidate candidate;
   candidate.name = InstanceName(aName);
   candidate.dataCentre = DataCentreName("a");
+  candidate.softwareVersion = "v1";
   candidate.slots = 10;
   candidate.cachedTokens = aCached;
   return candidate;
@@ -94,6 +95,19 @@
   CHECK(SourceOf(servers).empty());
 }
 
+// Guards against parts that another software version has written.
+TEST_CASE("parts are not copied between software versions", "[fetch]")
+{
+  std::vector<DirectCandidate> servers{ Server("chosen", 500),
+                                        Server("some", 2500),
+                                        Server("most", 6300) };
+  servers[2].softwareVersion = "v2";
+  CHECK(SourceOf(servers) == "some");
+  servers[0].softwareVersion.clear();
+  servers[1].softwareVersion.clear();
+  CHECK(SourceOf(servers).empty());
+}
+
 // If all copies of a popular part came from one server, they would queue on its
 // link, and each prompt would wait for the copies before it.
 TEST_CASE("copies come from several holders in the same data centre", "[fetch]")
--- /dev/null
+++ b/test/StreamOrigins.cpp
@@ -0,0 +1,208 @@
+#include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include <rapidcheck/catch.h>
+
+#include "dogwoodvale/Resumption"
+
+using namespace dogwoodvale;
+
+namespace {
+
+const ServiceName kService("s");
+constexpr Duration kLifetime = seconds(10);
+const TimePoint kStart = TimePoint() + seconds(100);
+
+StreamOrigin
+At(const std::string& aVersion)
+{
+  return { kService, aVersion };
+}
+
+std::vector<StreamOrigin>
+ServersOf(const std::vector<std::string>& aVersions)
+{
+  std::vector<StreamOrigin> servers;
+  for (const std::string& version : aVersions) {
+    servers.push_back(At(version));
+  }
+  return servers;
+}
+
+} // namespace
+
+TEST_CASE("an unknown software version equals none", "[versions]")
+{
+  CHECK(IsSameSoftware("v1", "v1"));
+  CHECK_FALSE(IsSameSoftware("v1", "v1.1"));
+  CHECK_FALSE(IsSameSoftware("", ""));
+  CHECK_FALSE(IsSameSoftware("", "v1"));
+}
+
+TEST_CASE("the key of a stream depends on customer and attempt", "[versions]")
+{
+  const StreamKey key = StreamKeyOf(CustomerName("a"), "id", "secret");
+  CHECK(key != 0);
+  CHECK(key == StreamKeyOf(CustomerName("a"), "id", "secret"));
+  CHECK(key != StreamKeyOf(CustomerName("b"), "id", "secret"));
+  CHECK(key != StreamKeyOf(CustomerName("a"), "id2", "secret"));
+  CHECK(key != StreamKeyOf(CustomerName("a"), "id", "another"));
+  CHECK(StreamKeyOf(CustomerName("a"), "", "secret") == 0);
+}
+
+// Guards against taking a service for uniform that had another version lately.
+TEST_CASE("a service is uniform since its last other version", "[versions]")
+{
+  SoftwareHistory history;
+  CHECK_FALSE(history.UniformOf(kService, kStart));
+  history.OnList(ServersOf({ "v1", "v1" }), kStart);
+  const TimePoint later = kStart + seconds(20);
+  REQUIRE(history.UniformOf(kService, later));
+  CHECK(history.UniformOf(kService, later)->length == seconds(20));
+  SECTION("a second version")
+  {
+    history.OnList(ServersOf({ "v1", "v2" }), later);
+    CHECK_FALSE(history.UniformOf(kService, later));
+    history.OnList(ServersOf({ "v2" }), later + seconds(3));
+    CHECK(history.UniformOf(kService, later + seconds(5))->length ==
+          seconds(2));
+    CHECK(history.UniformOf(kService, later + seconds(5))->version == "v2");
+  }
+  SECTION("no server for a while")
+  {
+    history.OnList({}, later);
+    CHECK_FALSE(history.UniformOf(kService, later));
+    history.OnList(ServersOf({ "v1" }), later + seconds(1));
+    CHECK(history.UniformOf(kService, later + seconds(1))->length ==
+          seconds(0));
+  }
+  SECTION("a server of unknown version")
+  {
+    history.OnList(ServersOf({ "v1", "" }), later);
+    CHECK_FALSE(history.UniformOf(kService, later));
+    history.OnList(ServersOf({ "" }), later);
+    CHECK_FALSE(history.UniformOf(kService, later));
+  }
+  SECTION("an outdated list")
+  {
+    history.OnGap(later);
+    CHECK(history.UniformOf(kService, later)->length == seconds(0));
+  }
+  SECTION("what another gateway has seen")
+  {
+    history.OnGap(later);
+    history.Adopt(kService, { "v2", seconds(30) }, later);
+    CHECK(history.UniformOf(kService, later)->length == seconds(0));
+    history.Adopt(kService, { "v1", seconds(30) }, later);
+    CHECK(history.UniformOf(kService, later)->length == seconds(30));
+  }
+}
+
+TEST_CASE("records of streams expire and are bounded", "[versions]")
+{
+  StreamOrigins origins;
+  origins.OnSent(1, At("v1"), kLifetime, true, kStart);
+  CHECK(origins.Find(1, kStart)->origin == At("v1"));
+  CHECK(origins.Find(1, kStart)->isOwn);
+  CHECK_FALSE(origins.Find(1, kStart + kLifetime));
+  origins.Expire(kStart + kLifetime);
+  CHECK(origins.Count() == 0);
+  origins.OnSent(0, At("v1"), kLifetime, true, kStart);
+  CHECK(origins.Count() == 0);
+  for (StreamKey key = 1; key <= StreamOrigins::kMaxRecords + 10; ++key) {
+    origins.OnSent(key, At("v1"), kLifetime + milliseconds(key), false, kStart);
+  }
+  CHECK(origins.Count() == StreamOrigins::kMaxRecords);
+  CHECK_FALSE(origins.Find(1, kStart));
+  CHECK(origins.Find(StreamOrigins::kMaxRecords + 10, kStart));
+}
+
+TEST_CASE("a record is reported three times, in bounded reports", "[versions]")
+{
+  StreamOrigins origins;
+  constexpr StreamKey kCount = StreamOrigins::kMaxUpdates + 5;
+  for (StreamKey key = 1; key <= kCount; ++key) {
+    origins.OnSent(key, At("v1"), kLifetime, true, kStart);
+  }
+  std::map<StreamKey, int> reports;
+  for (int i = 0; i < 10; ++i) {
+    const auto updates = origins.TakeUpdates(kStart);
+    CHECK(updates.size() <= StreamOrigins::kMaxUpdates);
+    for (const OriginUpdate& update : updates) {
+      ++reports[update.key];
+    }
+  }
+  CHECK(reports.size() == kCount);
+  for (const auto& [key, count] : reports) {
+    CHECK(count == StreamOrigins::kReports);
+  }
+}
+
+TEST_CASE("streams that were not reported are reported on demand", "[versions]")
+{
+  StreamOrigins origins;
+  origins.OnSent(1, At("v1"), kLifetime, false, kStart);
+  CHECK(origins.TakeUpdates(kStart).empty());
+  origins.ReportAll(ServiceName("other"));
+  CHECK(origins.TakeUpdates(kStart).empty());
+  origins.ReportAll(kService);
+  CHECK(origins.TakeUpdates(kStart).size() == 1);
+  origins.ReportAll(kService);
+  CHECK(origins.TakeUpdates(kStart).size() == 1);
+  CHECK(origins.TakeUpdates(kStart).size() == 1);
+  CHECK(origins.TakeUpdates(kStart).empty());
+}
+
+// Guards against a former server of an attempt that stays on record elsewhere.
+TEST_CASE("a retry at another version replaces the reported record",
+          "[versions]")
+{
+  StreamOrigins sender;
+  StreamOrigins receiver;
+  sender.OnSent(1, At("v1"), kLifetime, true, kStart);
+  receiver.Apply(sender.TakeUpdates(kStart), kStart);
+  CHECK(receiver.Find(1, kStart)->origin == At("v1"));
+  sender.OnSent(1, At("v2"), kLifetime, false, kStart);
+  receiver.Apply(sender.TakeUpdates(kStart), kStart);
+  CHECK(receiver.Find(1, kStart)->origin == At("v2"));
+  CHECK_FALSE(receiver.Find(1, kStart)->isOwn);
+}
+
+// Guards against a wrong version after lost reports: one of the three that
+// follow a change is enough.
+TEST_CASE("a record is right once one report has arrived", "[versions]")
+{
+  rc::prop("lost reports", [] {
+    StreamOrigins sender;
+    StreamOrigins receiver;
+    std::map<StreamKey, StreamOrigin> last;
+    std::set<StreamKey> arrived;
+    TimePoint now = kStart;
+    const auto steps = *rc::gen::inRange(1, 40);
+    for (int step = 0; step < steps; ++step) {
+      now += milliseconds(*rc::gen::inRange(1, 100));
+      if (*rc::gen::inRange(0, 3) > 0) {
+        const auto key = static_cast<StreamKey>(*rc::gen::inRange(1, 6));
+        const StreamOrigin origin =
+          At(*rc::gen::element<std::string>("v1", "v2", "v3"));
+        sender.OnSent(key, origin, kLifetime, true, now);
+        last[key] = origin;
+        arrived.erase(key);
+      }
+      const auto updates = sender.TakeUpdates(now);
+      if (*rc::gen::inRange(0, 3) > 0) {
+        receiver.Apply(updates, now);
+        for (const OriginUpdate& update : updates) {
+          arrived.insert(update.key);
+        }
+      }
+      for (const StreamKey key : arrived) {
+        const auto found = receiver.Find(key, now);
+        RC_ASSERT(found.has_value());
+        RC_ASSERT(found->origin == last[key]);
+      }
+    }
+  });
+}
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -63,3 +63,142 @@
   CHECK(verdict.mixed == 0);
   CHECK(verdict.whole == kStreams);
 }
+
+// Guards against streams whose origin is lost with the gateway that sent them.
+TEST_CASE("a stream of a killed gateway resumes at its version", "[versions]")
+{
+  VersionedSite site(kTwoVersions, 4);
+  std::vector<VersionedSite::Stream> streams;
+  constexpr std::size_t kOfOneGateway = 12;
+  for (std::size_t gateway = 0; gateway < 3; ++gateway) {
+    std::vector<VersionedSite::Stream> own;
+    for (std::size_t i = 0; i < kOfOneGateway; ++i) {
+      own.push_back(site.Begin(gateway));
+    }
+    for (const VersionedSite::Stream& stream : own) {
+      REQUIRE(site.HasBegun(stream));
+    }
+    // A digest goes out every 50 ms.
+    site.Run(milliseconds(50));
+    site.KillGateway(gateway);
+    for (VersionedSite::Stream& stream : own) {
+      site.Resume(stream, 3);
+      streams.push_back(stream);
+    }
+    site.Settle();
+  }
+  const Verdict verdict = Judge(streams);
+  CHECK(verdict.mixed == 0);
+  CHECK(verdict.whole == streams.size());
+}
+
+// Guards against streams that continue at another version for want of a server.
+TEST_CASE("a stream is refused when no server of its version is left",
+          "[versions]")
+{
+  VersionedSite site({ "v1", "v2", "v2" }, 2);
+  std::vector<VersionedSite::Stream> streams;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    streams.push_back(site.Begin(i % 2));
+    REQUIRE(site.HasBegun(streams.back()));
+    site.Run(milliseconds(20));
+  }
+  site.RemoveEngines("v1");
+  // The list is read every 100 ms.
+  site.Run(milliseconds(300));
+  std::size_t refused = 0;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    site.Resume(streams[i], (i + 1) % 2);
+  }
+  site.Settle();
+  for (const VersionedSite::Stream& stream : streams) {
+    const bool beganAtV1 = stream.Versions().contains("v1");
+    refused += stream.last->IsRefused() ? 1 : 0;
+    CHECK(stream.last->IsRefused() == beganAtV1);
+    CHECK(stream.last->IsRefused() == (stream.last->RetryAfter() > 0));
+  }
+  CHECK(Judge(streams).mixed == 0);
+  CHECK(refused > 0);
+  CHECK(refused < kStreams);
+}
+
+// Guards against guessing the version of a stream that no gateway knows, and
+// against finding the stream of another customer.
+TEST_CASE("a stream of unknown origin is refused as not run", "[versions]")
+{
+  VersionedSite site(kTwoVersions, 2);
+  const std::string header = GENERATE(
+    as<std::string>(), "", "Resumes: unheard-of\r\n", "Resumes: try-of-t2\r\n");
+  site.PutConfiguration(2, 2000, 0, VersionedSite::SecondCustomer());
+  test::RawSocket other =
+    test::RawSocket::Connect(site.gateways[0]->CallerAddress());
+  std::string text = VersionedSite::RequestText("/stream/x", "try-of-t2");
+  text.replace(text.find("key1"), 4, "key2");
+  other.Send(text);
+  site.Run(milliseconds(100));
+  VersionedSite::Stream stream = site.Begin(0);
+  REQUIRE(site.HasBegun(stream));
+  std::size_t runs = 0;
+  for (const auto& engine : site.engines) {
+    runs += engine->Runs().size();
+  }
+  const TimePoint asked = Now();
+  site.Resume(stream, 1, header);
+  site.Settle();
+  CHECK(stream.last->IsRefused());
+  CHECK(stream.last->RetryAfter() > 0);
+  CHECK(Between(asked, Now()) < milliseconds(500));
+  for (const auto& engine : site.engines) {
+    runs -= engine->Runs().size();
+  }
+  CHECK(runs == 0);
+}
+
+// Guards against refusals, and against reports, where there is one version
+// only.
+TEST_CASE(
+  "a stream resumes without a report where all servers are of one version",
+  "[versions]")
+{
+  VersionedSite site({ "v1", "v1", "v1" }, 3);
+  // Longer than a stream of the route may last.
+  site.Run(seconds(4) + milliseconds(300));
+  VersionedSite::Stream stream = site.Begin(0);
+  REQUIRE(site.HasBegun(stream));
+  site.Run(milliseconds(100));
+  site.KillGateway(0);
+  const std::size_t other = GENERATE(1, 2);
+  SECTION("at a gateway that has seen it")
+  {
+    CHECK(site.gateways[other]->Metrics().find(
+            "{reason=\"stream_origins\"} 0\n") != std::string::npos);
+    site.Resume(stream, other);
+  }
+  SECTION("at a gateway that has just started, which asks another one")
+  {
+    site.AddGateway("late");
+    site.Until([&] { return site.gateways.back()->Ready().ok(); });
+    site.Run(milliseconds(300));
+    site.Resume(stream, site.gateways.size() - 1);
+  }
+  site.Settle();
+  CHECK(stream.IsWhole());
+}
+
+// Guards against a retry that brings another version after the first event.
+TEST_CASE("a stream begins at the server that brings its first event",
+          "[versions]")
+{
+  VersionedSite site({ "v1", "v2" }, 2);
+  // Every stream fails once before its first event, or after it.
+  site.engines[0]->SetFault(VersionedSite::Fault("no_proof"));
+  std::vector<VersionedSite::Stream> streams;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    streams.push_back(site.Begin(0));
+    site.HasBegun(streams.back());
+    site.Run(milliseconds(20));
+    site.Resume(streams.back(), 1);
+  }
+  site.Settle();
+  CHECK(Judge(streams).mixed == 0);
+}
--- a/test/support/LoadSimulation.h
+++ b/test/support/LoadSimulation.h
@@ -128,6 +128,7 @@
       instance.name = InstanceName(fmt::format("e{:02}", i));
       instance.service = this->service.name;
       instance.address = { "127.0.0.1", static_cast<std::uint16_t>(1000 + i) };
+      instance.softwareVersion = "v1";
       instance.slots = this->fleet.engine.slots;
       instances.push_back(instance);
       this->engines.push_back(
--- a/test/support/VersionedSite.h
+++ b/test/support/VersionedSite.h
@@ -110,22 +110,31 @@
 
   /// Disconnects the caller of a stream and lets it resume at a gateway.
   void Resume(Stream& aStream, std::size_t aGateway)
+  {
+    this->Resume(
+      aStream, aGateway, fmt::format("Resumes: {}\r\n", aStream.first->id));
+  }
+
+  /// \param aHeader the header that names the attempt of the first event.
+  void Resume(Stream& aStream, std::size_t aGateway, const std::string& aHeader)
   {
     aStream.last->socket.Read();
     const std::string received = aStream.Received();
     const std::uint64_t event = aStream.LastEvent();
     aStream.last->socket.Close();
     aStream.last->socket.closed = true;
-    Try& again = this->Send(aGateway,
-                            "/stream/x",
-                            "note",
-                            fmt::format("Last-Event-Id: {}\r\nResumes: {}\r\n",
-                                        event,
-                                        aStream.first->id));
+    Try& again =
+      this->Send(aGateway,
+                 "/stream/x",
+                 "note",
+                 fmt::format("Last-Event-Id: {}\r\n{}", event, aHeader));
     aStream.earlier = received;
     aStream.last = &again;
   }
 
+  /// Ends a gateway at once, as a crash would.
+  void KillGateway(std::size_t aGateway) { this->gateways[aGateway].reset(); }
+
   /// Waits until the caller has an event of the stream.
   bool HasBegun(const Stream& aStream) const
   {
