Let a service stay uniform over an outage of the store

The store's list does not change while it is down, so a list stays current while most gateways are heard and none reports an answer of the store; a shorter gap than the time that takes to be known hides no version. Test: red before (the stream was refused), green now.

--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -223,6 +223,7 @@
     return this->prefillByService[aService];
   }
   WorkTable& Work() { return this->work; }
+  const WorkTable& Work() const { return this->work; }
   /// Contains no reports while GatewayDecisions::reportedLoad is off.
   ReportedLoads& Loads() { return this->loads; }
   const CacheTracker& Caches() const { return this->caches; }
--- a/dogwoodvale/src/Gateway/DirectoryCache.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryCache.cpp
@@ -196,6 +196,13 @@
            : Duration::zero();
 }
 
+bool
+DirectoryCache::IsStoreSilent(TimePoint aNow) const
+{
+  return !this->storeAnswers &&
+         Between(this->peerContactHeardAt, aNow) > kPeerContactTtl;
+}
+
 bool
 DirectoryCache::WasDownForPeers(TimePoint aNow) const
 {
--- a/dogwoodvale/src/Gateway/DirectoryCache.h
+++ b/dogwoodvale/src/Gateway/DirectoryCache.h
@@ -93,6 +93,9 @@
   /// For how long the store has answered this gateway without a failure; zero
   /// while it does not answer.
   Duration StoreContact(TimePoint aNow) const;
+  /// Whether the store answers neither this gateway nor one of which it has
+  /// heard lately.
+  bool IsStoreSilent(TimePoint aNow) const;
   /// The list in force and its age, as ApplyInstances() reads it.
   std::string InstancesDocument(TimePoint aNow) const;
   /// Time since the store was last known to have the list that is here.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -59,10 +59,12 @@
       this->pool,
       *this->ports.store,
       { aSettings.gateway.decisions.quarantine, aSettings.gateway.quarantine })
-  , origins(aLoop,
-            [this](const SocketAddress& aFrom, const std::string& aPath) {
-              return this->peers->Fetch(aFrom, aPath);
-            })
+  , origins(
+      aLoop,
+      [this](const SocketAddress& aFrom, const std::string& aPath) {
+        return this->peers->Fetch(aFrom, aPath);
+      },
+      aSettings.gateway.instanceDrain + DirectoryCache::kPeerContactTtl)
   , usage(aLoop,
           *this->ports.store,
           this->ports.usage.get(),
@@ -217,7 +219,7 @@
     };
     admitted.stream = keyOf(admitted.callerMetadata.attemptId);
     admitted.resumedStream = keyOf(admitted.callerMetadata.resumes);
-    this->origins.SetListFresh(this->IsListFresh(Now()), Now());
+    this->origins.SetListCurrent(this->IsListCurrent(Now()), Now());
   }
   this->RetriesOf(admitted.service->name).OnRequest(Now());
   auto request = std::make_unique<GatewayRequest>(
@@ -449,6 +451,17 @@
          this->directory->InstancesAge(aNow) <= maxAge;
 }
 
+bool
+Gateway::IsListCurrent(TimePoint aNow) const
+{
+  // A few gateways may be cut off from the store together.
+  const bool hearsMost =
+    2 * (this->pool.Work().PeerCount() + 1) > this->GatewayCount();
+  return this->IsListFresh(aNow) ||
+         (this->directory->HasInstances() && !this->directory->IsBehind(aNow) &&
+          this->directory->IsStoreSilent(aNow) && hearsMost);
+}
+
 void
 Gateway::FetchOutdatedFromPeers(TimePoint aNow)
 {
@@ -477,7 +490,7 @@
   const TimePoint now = Now();
   this->pool.RunMaintenance(now);
   this->crashes.RunMaintenance();
-  this->origins.SetListFresh(this->IsListFresh(now), now);
+  this->origins.SetListCurrent(this->IsListCurrent(now), now);
   this->origins.RunMaintenance(now);
   this->FetchOutdatedFromPeers(now);
   if (!this->stopping) {
@@ -493,6 +506,7 @@
   Log(LogLevel::Warning, "suspended", "for_ms", WholeMillis(aLost));
   this->pool.CloseIdleConnections();
   this->pool.Backpressure().OnSuspended(Now());
+  this->origins.OnSuspended(aLost, Now());
   this->directory->Refresh();
 }
 
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -94,6 +94,8 @@
   /// Whether the list of backend servers has been read recently, and no other
   /// gateway is known to have a newer one.
   bool IsListFresh(TimePoint aNow) const;
+  /// The same, or the store has not been able to change its list since.
+  bool IsListCurrent(TimePoint aNow) const;
   /// Fetches from other gateways what this one lacks or has only outdated.
   void FetchOutdatedFromPeers(TimePoint aNow);
   void FetchRoutesFromPeer(TimePoint aNow);
--- a/dogwoodvale/src/Gateway/OriginFinder.cpp
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -131,9 +131,12 @@
 
 // The finder.
 
-OriginFinder::OriginFinder(EventLoop& aLoop, Fetcher aFetcher)
+OriginFinder::OriginFinder(EventLoop& aLoop,
+                           Fetcher aFetcher,
+                           Duration aMaxOutdated)
   : loop(aLoop)
   , fetcher(std::move(aFetcher))
+  , maxOutdated(aMaxOutdated)
 {
 }
 
@@ -150,12 +153,25 @@
 }
 
 void
-OriginFinder::SetListFresh(bool aIsFresh, TimePoint aNow)
+OriginFinder::SetListCurrent(bool aIsCurrent, TimePoint aNow)
 {
-  if (!aIsFresh) {
+  if (aIsCurrent == this->isListCurrent) {
+    return;
+  }
+  this->isListCurrent = aIsCurrent;
+  if (!aIsCurrent) {
+    this->outdatedSince = aNow;
+  } else if (Between(this->outdatedSince, aNow) > this->maxOutdated) {
+    this->history.OnGap(aNow);
+  }
+}
+
+void
+OriginFinder::OnSuspended(Duration aLost, TimePoint aNow)
+{
+  if (aLost > this->maxOutdated) {
     this->history.OnGap(aNow);
   }
-  this->isListFresh = aIsFresh;
 }
 
 void
@@ -174,7 +190,7 @@
 std::optional<StreamOrigin>
 OriginFinder::UniformOriginOf(const HostRoute& aRoute, TimePoint aNow) const
 {
-  if (!this->isListFresh || IsSplit(aRoute)) {
+  if (!this->isListCurrent || IsSplit(aRoute)) {
     return std::nullopt;
   }
   const ServiceName& service = aRoute.services.front().service;
@@ -277,7 +293,7 @@
     return WriteJson(document);
   }
   const auto uniform = this->history.UniformOf(question->service, aNow);
-  if (!this->isListFresh || !uniform) {
+  if (!this->isListCurrent || !uniform) {
     return std::nullopt;
   }
   document["service"] = question->service.Value();
@@ -347,7 +363,7 @@
   // Streams that began while the service was uniform were not reported.
   for (const auto& [service, lifetime] : this->lifetimes) {
     const auto uniform = this->history.UniformOf(service, aNow);
-    if (!this->isListFresh || !uniform || uniform->length < lifetime) {
+    if (!this->isListCurrent || !uniform || uniform->length < lifetime) {
       this->origins.ReportAll(service);
     }
   }
--- a/dogwoodvale/src/Gateway/OriginFinder.h
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -74,13 +74,18 @@
     Timer timeout;
   };
 
-  OriginFinder(EventLoop& aLoop, Fetcher aFetcher);
+  /// \param aMaxOutdated a list that was out of date for longer may have missed
+  /// servers that came and left. Longer than an outage of the store takes to be
+  /// told from a lost path to it.
+  OriginFinder(EventLoop& aLoop, Fetcher aFetcher, Duration aMaxOutdated);
 
   /// The list of backend servers in force.
   void OnInstances(std::span<const DirectInstance> aInstances, TimePoint aNow);
   /// Sets whether the list is up to date. Call before decisions that depend on
   /// it and a few times a second.
-  void SetListFresh(bool aIsFresh, TimePoint aNow);
+  void SetListCurrent(bool aIsCurrent, TimePoint aNow);
+  /// The process stood still, so that it read no list.
+  void OnSuspended(Duration aLost, TimePoint aNow);
   /// Sets the other gateways that may be asked.
   /// \param aCells number of cells of the site, of which \p aOwnCell is this
   /// gateway's.
@@ -139,7 +144,10 @@
   Fetcher fetcher;
   StreamOrigins origins;
   SoftwareHistory history;
-  bool isListFresh = false;
+  Duration maxOutdated;
+  bool isListCurrent = false;
+  /// Since when it is not.
+  TimePoint outdatedSince{};
   /// How long streams of each service last at most.
   std::map<ServiceName, Duration> lifetimes;
   /// Addresses of the other gateways by cell, the own one first.
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -202,3 +202,22 @@
   site.Settle();
   CHECK(Judge(streams).mixed == 0);
 }
+
+// Guards against refusals after an outage of the store, which changes no list.
+TEST_CASE("a stream of a uniform service resumes after an outage of the store",
+          "[versions]")
+{
+  VersionedSite site({ "v1", "v1" }, 3);
+  site.Run(seconds(4) + milliseconds(300));
+  site.store->SetFault(VersionedSite::Fault("silent"));
+  VersionedSite::Stream during = site.Begin(0);
+  site.Run(seconds(2));
+  site.store->SetFault(VersionedSite::Fault("clear"));
+  site.Run(milliseconds(500));
+  VersionedSite::Stream after = site.Begin(0);
+  REQUIRE(site.HasBegun(after));
+  site.Resume(after, 1, "");
+  site.Settle();
+  CHECK(during.IsWhole());
+  CHECK(after.IsWhole());
+}
