Play servers of two software versions in the soak

Engines of the soak have two versions and mark each event with theirs; callers whose stream breaks, a fifth of them by themselves, resume it at another gateway. A stream with events of two versions is a finding.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Requesters that keep connections open until their gateway is gone."""
 
 import asyncio
+import random
 import re
 import time
 import uuid
@@ -10,24 +11,44 @@
 ROUTES = ["/stream/", "/note/stream/", "/once/", "/again/"]
 CONNECTIONS = 12
 PATIENCE_S = 4
+# Share of streams whose connection breaks midway at the caller, and when.
+LEAVING_SHARE = 0.2
+LEAVING_S = 0.1
 
 
 class Answer:
     """What a caller saw of one request."""
 
-    def __init__(self, ident, route, gateway):
+    def __init__(self, ident, route, gateway, earlier=None):
         self.id, self.route, self.gateway = ident, route, gateway
+        # The attempt whose stream it resumes.
+        self.earlier = earlier
         self.sent = time.monotonic()
         self.status, self.headers, self.body = 0, {}, b""
         # Whole by HTTP's own rules.
         self.whole = False
         self.ended = self.sent
 
+    def events(self):
+        """Ids and software versions of the events, those of earlier attempts first."""
+        own = re.findall(rb"id: (\d+)\ndata: piece \d+ (\S+)\n\n", self.body)
+        before = self.earlier.events() if self.earlier else []
+        return before + [(int(i), version.decode()) for i, version in own]
+
+    def first(self):
+        """The attempt that brought the first event."""
+        return self.earlier.first() if self.earlier and self.earlier.events() else self
+
+    def can_resume(self):
+        return self.route == "/stream/" and not self.whole and bool(self.events())
+
 
 class Callers:
     def __init__(self, site, rng, own_bodies=False):
         self.site, self.rng, self.own_bodies = site, rng, own_bodies
         self.answers, self.stopping, self.healed_at = [], False, None
+        # Of its own, so that a seed draws the same requests as without breaks.
+        self.breaks = random.Random(0)
 
     def stop(self):
         self.stopping = True
@@ -37,7 +58,10 @@
 
     def summary(self):
         served = sum(1 for a in self.answers if a.status == 200 and a.whole)
-        return f"{len(self.answers)} requests, {served} served"
+        resumed = [a for a in self.answers if a.earlier]
+        went_on = sum(1 for a in resumed if a.status == 200)
+        return (f"{len(self.answers)} requests, {served} served, "
+                f"{went_on} of {len(resumed)} resumed streams went on")
 
     async def run_until_served(self):
         for _ in range(100):
@@ -84,6 +108,20 @@
             writer.transport.abort()
             number += self.rng.random() < 0.5
 
+    async def _resume(self, answer):
+        """Takes up a stream that broke off, at another gateway if there is one."""
+        others = [n for n in sorted(self.site.gateways) if n != answer.gateway]
+        again = Answer(uuid.uuid4().hex[:16], answer.route,
+                       self.rng.choice(others or [answer.gateway]), answer)
+        self.answers.append(again)
+        try:
+            reader, writer = await self._connect(again.gateway)
+            await asyncio.wait_for(self._ask(reader, writer, again, b"body"), PATIENCE_S)
+            writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+            pass
+        again.ended = time.monotonic()
+
     async def _use(self, name, reader, writer):
         """Requests on one connection, until it closes."""
         while not self.stopping:
@@ -96,16 +134,24 @@
                 return
             finally:
                 answer.ended = time.monotonic()
+                if answer.can_resume():
+                    await self._resume(answer)
             if answer.headers.get("connection") == "close":
                 return
             await asyncio.sleep(self.rng.uniform(0, 0.05))
 
     async def _ask(self, reader, writer, answer, body):
+        resumes = ""
+        if answer.earlier:
+            resumes = (f"Last-Event-Id: {answer.events()[-1][0]}\r\n"
+                       f"Resumes: {answer.first().id}\r\n")
+        elif answer.route == "/stream/" and self.breaks.random() < LEAVING_SHARE:
+            asyncio.get_running_loop().call_later(LEAVING_S, writer.transport.abort)
         writer.write(
             f"POST {answer.route}x HTTP/1.1\r\nHost: soak.example\r\n"
             f"Dogwoodvale-Attempt-Id: {answer.id}\r\n"
             f"Dogwoodvale-Credential: {self.rng.choice(KEYS)}\r\n"
-            f"Dogwoodvale-Deadline-Ms: {PATIENCE_S * 1000}\r\n"
+            f"Dogwoodvale-Deadline-Ms: {PATIENCE_S * 1000}\r\n{resumes}"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         lines = head.split("\r\n")
--- a/soak/check.py
+++ b/soak/check.py
@@ -21,7 +21,10 @@
 
 
 def check_stream(answer):
-    ids = [int(i) for i in re.findall(rb"id: (\d+)\n", answer.body)]
+    versions = {version for _, version in answer.events()}
+    if len(versions) > 1:
+        return f"holds events of the software versions {sorted(versions)}"
+    ids = [i for i, _ in answer.events()]
     if ids != list(range(1, len(ids) + 1)):
         return f"pieces out of order: {ids}"
     if answer.whole and len(ids) != EVENTS:
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -12,6 +12,7 @@
 from proxy import Proxy
 
 SECRET = "a secret of the soak's own"
+SOFTWARE = ["v1", "v2"]
 KEYS = ["key-one", "key-two"]
 DRAIN_MS = 1000
 GRACE_S = 4
@@ -110,6 +111,8 @@
         self.engines, self.gateways, self.proxies = {}, {}, {}
         self.settings, self.version, self.log = {}, 0, []
         self.engine_count = 0
+        # Software version of each engine, retired ones too.
+        self.software = {}
         self.findings = []
         self.events = []
 
@@ -159,10 +162,12 @@
     async def add_engine(self):
         self.engine_count += 1
         name = f"e{self.engine_count}"
+        self.software[name] = SOFTWARE[self.engine_count % len(SOFTWARE)]
         port = free_port()
         command = [
             f"{self.build}/standin_sealed_engine", "--listen", f"127.0.0.1:{port}",
-            "--instance", name, "--events", "12", "--gap-ms", "15", "--work-ms", "10"]
+            "--instance", name, "--events", "12", "--gap-ms", "15", "--work-ms", "10",
+            "--software", self.software[name]]
         if self.crash_body:
             command += ["--crash-body", self.crash_body]
         process = Process(self, name, command)
@@ -179,7 +184,8 @@
         port = proxy.port if proxy else self.engines[name][1]
         await self.put(f"servers/{name}", {
             "service": "s", "address": f"127.0.0.1:{port}", "zone": "z",
-            "slots": 8, "state": state, "sequence": 1})
+            "slots": 8, "state": state, "sequence": 1,
+            "version": self.software[name]})
 
     async def retire(self, name):
         """An engine says that it leaves, serves on for a while and ends."""
--- a/standins/programs/standin_sealed_engine.cpp
+++ b/standins/programs/standin_sealed_engine.cpp
@@ -19,6 +19,7 @@
 Options:
   --listen IP:PORT  Where to listen; port 0 takes a free one [default: 127.0.0.1:0].
   --instance ID     Its id [default: e1].
+  --software TEXT   Version of its software, appended to each event [default: ].
   --events N        Events of each stream [default: 20].
   --gap-ms N        Pause between events [default: 10].
   --work-ms N       Time to an answer or a first event [default: 10].
@@ -35,6 +36,7 @@
   const Options options(kUsage, aCount, aWords);
   SealedEngineSettings settings;
   settings.instance = options.Text("--instance");
+  settings.softwareVersion = options.Text("--software");
   settings.events = static_cast<std::uint64_t>(options.Number("--events"));
   settings.gap = options.Milliseconds("--gap-ms");
   settings.crashBody = options.Text("--crash-body");
