--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -27,6 +27,22 @@
 
 std::string_view
 ResumptionRefusalName(ResumptionRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case ResumptionRefusal::None:
+      return "none";
+    case ResumptionRefusal::OriginUnknown:
+      return "origin_unknown";
+    case ResumptionRefusal::ServiceGone:
+      return "service_gone";
+    case ResumptionRefusal::NoServer:
+      return "no_server";
+  }
+  return "none";
+}
+
+std::string_view
+ResumptionRefusalText(ResumptionRefusal aRefusal)
 {
   switch (aRefusal) {
     case ResumptionRefusal::None:
@@ -136,7 +152,7 @@
 {
   this->outcome.refusedResumption = aWhy;
   this->GiveUp(ErrorCode::NoBackendServer,
-               ResumptionRefusalName(aWhy),
+               ResumptionRefusalText(aWhy),
                OriginFinder::kAskTimeout);
 }
 
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -29,9 +29,14 @@
   NoServer,
 };
 
+/// For metrics.
 std::string_view
 ResumptionRefusalName(ResumptionRefusal aRefusal);
 
+/// For callers and logs.
+std::string_view
+ResumptionRefusalText(ResumptionRefusal aRefusal);
+
 /// How a request ended, for logs and metrics.
 struct GatewayOutcome
 {
