Send a stream that its caller resumes as one that has begun

A long prompt that would wait for over three targets is refused so that its caller comes back later. A stream that a gateway resumes is exempt, as its answer has begun; one that the caller resumed at another gateway was refused like a new request, though its caller holds a part of it and only servers of one version may continue it. Test in Gateway: red before (not run within 5 s), green now. The setup of the queue is shared with the test of the refusal, whose checks are unchanged. The fixture has a resumable route with prompts.

--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -222,7 +222,7 @@
   request.spent = Between(this->accepted, aNow);
   request.outputTokens = this->admitted.callerMetadata.maxOutputTokens;
   request.isFirst = this->outcome.attempts == 0;
-  request.hasBegun = this->streamStarted;
+  request.hasBegun = this->streamStarted || this->admitted.IsResumption();
   request.mayHaveBeenPrefilled = this->timesSent > 0;
   return request;
 }
@@ -747,7 +747,7 @@
 void
 GatewayRequest::GiveUpUnplaced()
 {
-  if (this->admitted.IsResumption()) {
+  if (this->admitted.demand.requiredSoftware) {
     this->RefuseResumption(ResumptionRefusal::NoServer);
     return;
   }
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -17,7 +17,8 @@
 
 class GatewayRequest;
 
-/// Why a stream that a caller resumes was not continued.
+/// Why a stream that has begun was not continued, at its caller's request or
+/// after a server broke off.
 enum class ResumptionRefusal : std::uint8_t
 {
   None,
@@ -77,7 +78,7 @@
   std::uint32_t resumes = 0;
   /// What began the stream that the caller resumes, if that is known.
   std::optional<FoundOrigin> origin;
-  /// Why the stream that the caller resumes was refused.
+  /// None unless a stream that has begun could not be continued.
   ResumptionRefusal refusedResumption = ResumptionRefusal::None;
   /// Chunks of one or more whole events passed on to the caller.
   std::uint64_t events = 0;
--- a/test/Gateway.cpp
+++ b/test/Gateway.cpp
@@ -460,48 +460,88 @@
   CHECK(RunCount(site) <= 20 + 2 + 1);
 }
 
+namespace {
+
+/// A site whose one server has a queue of long prompts that it will not run.
+class LongQueueSite : public PlatformSite
+{
+public:
+  LongQueueSite()
+    : PlatformSite(0)
+  {
+    standins::SealedEngineSettings engine;
+    engine.work = milliseconds(20);
+    this->AddEngine("e1", engine);
+    this->gateway = &this->ReadyGateway();
+    for (int i = 0; i < 12; ++i) {
+      this->Ask(*this->gateway,
+                "/read/stream/x",
+                fmt::format("s-{}", i),
+                TokenHeader(100) + kCloses);
+    }
+    for (int i = 0; i < 3; ++i) {
+      const std::string answer = this->Ask(*this->gateway,
+                                           "/scan/stream/x",
+                                           fmt::format("l-{}", i),
+                                           TokenHeader(9000) + kCloses);
+      REQUIRE(Has(answer, "HTTP/1.1 200"));
+    }
+    this->engines[0]->SetFault(Fault("hang"));
+    for (int i = 0; i < 12; ++i) {
+      this->waiting.push_back(
+        RawSocket::Connect(this->gateway->CallerAddress()));
+      this->waiting.back().Send(RequestText(
+        "/read/stream/x", fmt::format("w-{}", i), TokenHeader(9000)));
+      this->Until([] { return false; }, milliseconds(5));
+    }
+  }
+
+  static constexpr const char* kCloses = "Connection: close\r\n";
+  Gateway* gateway = nullptr;
+
+private:
+  std::vector<RawSocket> waiting;
+};
+
+} // namespace
+
 // Guards against every long prompt missing its target in an overload because
 // each joins a queue that is already too long. Further ones are refused at once
 // with a Retry-After; short prompts, which are prefilled between the long ones,
 // are still accepted.
 TEST_CASE("a long prompt is refused behind a long queue", "[gateway]")
 {
-  PlatformSite site(0);
-  standins::SealedEngineSettings engine;
-  engine.work = milliseconds(20);
-  site.AddEngine("e1", engine);
-  Gateway& gateway = site.ReadyGateway();
-  const auto tokens = [](int aCount) {
-    return fmt::format("Dogwoodvale-Token-Count: {},10\r\n", aCount);
-  };
-  const std::string closes = "Connection: close\r\n";
-  for (int i = 0; i < 12; ++i) {
-    site.Ask(
-      gateway, "/read/stream/x", fmt::format("s-{}", i), tokens(100) + closes);
-  }
-  for (int i = 0; i < 3; ++i) {
-    const std::string answer = site.Ask(
-      gateway, "/read/stream/x", fmt::format("l-{}", i), tokens(9000) + closes);
-    REQUIRE(Has(answer, "HTTP/1.1 200"));
-  }
-  site.engines[0]->SetFault(Fault("hang"));
-  std::vector<RawSocket> waiting;
-  for (int i = 0; i < 12; ++i) {
-    waiting.push_back(RawSocket::Connect(gateway.CallerAddress()));
-    waiting.back().Send(PlatformSite::RequestText(
-      "/read/stream/x", fmt::format("w-{}", i), tokens(9000)));
-    site.Until([] { return false; }, milliseconds(5));
-  }
+  LongQueueSite site;
+  Gateway& gateway = *site.gateway;
   const TimePoint start = Now();
   const std::string refused =
-    site.Ask(gateway, "/read/stream/x", "late", tokens(9000) + closes);
+    site.Ask(gateway,
+             "/read/stream/x",
+             "late",
+             PlatformSite::TokenHeader(9000) + LongQueueSite::kCloses);
   CHECK(Has(refused, "HTTP/1.1 503"));
   CHECK(Has(refused, "Retry-After: "));
   CHECK(Has(refused, "not_run"));
   CHECK(Between(start, Now()) < milliseconds(500));
   const std::size_t before = RunCount(site);
   RawSocket small = RawSocket::Connect(gateway.CallerAddress());
-  small.Send(PlatformSite::RequestText("/read/stream/x", "small", tokens(100)));
+  small.Send(PlatformSite::RequestText(
+    "/read/stream/x", "small", PlatformSite::TokenHeader(100)));
+  CHECK(site.Until([&] { return RunCount(site) == before + 1; }));
+}
+
+// Guards against streams that new requests overtake when their callers resume
+// them.
+TEST_CASE("a stream that its caller resumes is sent behind a long queue",
+          "[gateway]")
+{
+  LongQueueSite site;
+  const std::size_t before = RunCount(site);
+  RawSocket resumed = RawSocket::Connect(site.gateway->CallerAddress());
+  resumed.Send(PlatformSite::RequestText(
+    "/scan/stream/x",
+    "again",
+    PlatformSite::TokenHeader(9000) + "Last-Event-Id: 2\r\nResumes: l-0\r\n"));
   CHECK(site.Until([&] { return RunCount(site) == before + 1; }));
 }
 
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -190,7 +190,7 @@
           "[versions]")
 {
   VersionedSite site({ "v1", "v2" }, 2);
-  // Every stream fails once before its first event, or after it.
+  // Answers of one server fail before their first event.
   site.engines[0]->SetFault(VersionedSite::Fault("no_proof"));
   std::vector<VersionedSite::Stream> streams;
   for (std::size_t i = 0; i < kStreams; ++i) {
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -65,7 +65,8 @@
 
   /// Stores a configuration with the routes /stream/ (resumable),
   /// /note/stream/ (not resumable), /once/ (non-idempotent), /again/
-  /// (idempotent) and /read/stream/ (with prompt metadata).
+  /// (idempotent), /read/stream/ (with prompt metadata) and /scan/stream/ (the
+  /// same, resumable).
   /// \param aMoreRoutes number of further routes /more-1/, /more-2/ ... that
   /// are like /again/.
   /// \param aMoreTenants JSON of further tenants, each preceded by a comma.
@@ -99,7 +100,7 @@
     this->store->Put(
       "op/config",
       fmt::format(
-        R"({{"version":{},"routes":[{},{},{},{},{}{}],"services":[{{"name":"s",)"
+        R"({{"version":{},"routes":[{},{},{},{},{},{}{}],"services":[{{"name":"s",)"
         R"("healthPath":"/health","maxConnections":16}}],)"
         R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
         R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}},)"
@@ -110,6 +111,7 @@
         route("/once/", "non_idempotent", 2, false),
         route("/again/", "idempotent", 2, false),
         route("/read/stream/", "streaming", 1, false, true),
+        route("/scan/stream/", "streaming", 2, true, true),
         more,
         aMoreTenants));
   }
