--- a/soak/callers.py
+++ b/soak/callers.py
@@ -44,9 +44,10 @@
 
 
 class Callers:
-    def __init__(self, site, rng, own_bodies=False):
+    def __init__(self, site, rng, own_bodies=False, breaks_streams=False):
         self.site, self.rng, self.own_bodies = site, rng, own_bodies
         self.answers, self.stopping, self.healed_at = [], False, None
+        self.breaks_streams = breaks_streams
         # Of its own, so that a seed draws the same requests as without breaks.
         self.breaks = random.Random(0)
 
@@ -145,7 +146,8 @@
         if answer.earlier:
             resumes = (f"Last-Event-Id: {answer.events()[-1][0]}\r\n"
                        f"Resumes: {answer.first().id}\r\n")
-        elif answer.route == "/stream/" and self.breaks.random() < LEAVING_SHARE:
+        elif (self.breaks_streams and answer.route == "/stream/"
+              and self.breaks.random() < LEAVING_SHARE):
             asyncio.get_running_loop().call_later(LEAVING_S, writer.transport.abort)
         writer.write(
             f"POST {answer.route}x HTTP/1.1\r\nHost: soak.example\r\n"
