Do not take a claim of one version against the own list

A gateway that asked others where a stream began accepted the first answer that the service has had one version for long, even when its own, newer list showed a second one: the stream could then go on at another version than the one that began it. The claim now counts only if the own list shows that version alone. Test in StreamOrigins: red before (the claim was taken), green now.

--- a/dogwoodvale/src/Gateway/OriginFinder.cpp
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -330,9 +330,13 @@
     this->history.Adopt(
       found.origin.service, { found.origin.softwareVersion, uniformFor }, aNow);
   }
+  // The other gateway's list may be older than the one here.
+  const auto own = this->history.UniformOf(found.origin.service, aNow);
+  const bool isConfirmed =
+    own && IsSameSoftware(own->version, found.origin.softwareVersion);
   for (Query* query : this->QueriesOf(question->key)) {
     const bool isImplied =
-      !IsSplit(query->route) &&
+      isConfirmed && !IsSplit(query->route) &&
       query->route.services.front().service == found.origin.service &&
       uniformFor >= LifetimeOf(query->route);
     if (isRecord || isImplied) {
--- a/test/StreamOrigins.cpp
+++ b/test/StreamOrigins.cpp
@@ -5,6 +5,7 @@
 
 #include <rapidcheck/catch.h>
 
+#include "dogwoodvale/Gateway"
 #include "dogwoodvale/Resumption"
 
 using namespace dogwoodvale;
@@ -206,3 +207,42 @@
     }
   });
 }
+
+// Guards against the word of a gateway whose list is older than the own one.
+TEST_CASE("a claim of one version does not count against the own list",
+          "[versions]")
+{
+  const auto loop = *EventLoop::Create();
+  std::string path;
+  const auto fetch = [&path](const SocketAddress& /*aFrom*/,
+                             const std::string& aPath) {
+    path = aPath;
+    return true;
+  };
+  OriginFinder finder(*loop, fetch, seconds(1));
+  const std::vector<GatewayMember> others{ { InstanceName("g2"), {} } };
+  finder.SetGateways(others, 1, 0);
+  const bool isMixed = GENERATE(false, true);
+  std::vector<DirectInstance> servers(2);
+  servers[0].service = servers[1].service = kService;
+  servers[0].softwareVersion = "v1";
+  servers[1].softwareVersion = isMixed ? "v2" : "v1";
+  finder.OnInstances(servers, kStart);
+  HostRoute route;
+  route.services = { { kService, 1 } };
+  route.timeout = seconds(5);
+  std::mt19937_64 random(1);
+  std::optional<FoundOrigin> found;
+  bool isEnded = false;
+  const auto query =
+    finder.Ask(1, route, random, [&](const std::optional<FoundOrigin>& aFound) {
+      found = aFound;
+      isEnded = true;
+    });
+  finder.OnDocument(
+    path,
+    R"({"service":"s","software_version":"v1","uniform_ms":60000})",
+    kStart);
+  CHECK(isEnded);
+  CHECK(found.has_value() == !isMixed);
+}
