--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -15,6 +15,15 @@
 };
 constexpr Duration kTick = milliseconds(1);
 
+/// Whether a list of parts, "ID:TOKENS,ID:TOKENS", has the id before its last
+/// entry.
+bool
+HasSharedPart(const std::string& aPrompt, const std::string& aId)
+{
+  const std::string before = "," + aPrompt.substr(0, aPrompt.rfind(',') + 1);
+  return before.find("," + aId + ":") != std::string::npos;
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<SealedEngine>>
@@ -146,6 +155,15 @@
   }
 }
 
+bool
+SealedEngine::IsCrashing(const SealedRun& aRun) const
+{
+  const std::string& body = this->settings.crashBody;
+  const std::string& part = this->settings.crashPart;
+  return (!body.empty() && aRun.body.find(body) != std::string::npos) ||
+         (!part.empty() && HasSharedPart(aRun.prompt, part));
+}
+
 void
 SealedEngine::Begin(Exchange& aExchange)
 {
@@ -157,6 +175,7 @@
   run.customer = aExchange.Header("Dogwoodvale-Tenant");
   run.priority = aExchange.Header("Dogwoodvale-Request-Priority");
   run.fetchFrom = aExchange.Header("Kv-Fetch");
+  run.prompt = aExchange.Header("Dogwoodvale-Prompt-Prefix");
   run.deadlineMillis = std::strtoll(
     aExchange.Header("Dogwoodvale-Deadline-Ms").c_str(), nullptr, 10);
   run.resumedAfter =
@@ -168,8 +187,7 @@
   work.run = this->runs.size();
   work.streams = run.path.find("/stream/") != std::string::npos;
   work.next = run.resumedAfter + 1;
-  work.crashes = !this->settings.crashBody.empty() &&
-                 run.body.find(this->settings.crashBody) != std::string::npos;
+  work.crashes = this->IsCrashing(run);
   work.due = run.at + (work.crashes && !work.streams ? this->settings.crashDelay
                                                      : this->settings.work);
   // For checkers: the record goes with the process, its output stays.
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -24,6 +24,9 @@
   Duration work = milliseconds(2);
   /// A request whose body contains this crashes the engine; empty for none.
   std::string crashBody;
+  /// Id of a part of a prompt; a request with it before its last part crashes
+  /// the engine. Empty for none.
+  std::string crashPart;
   /// From the begin of such a run, which has its head and no event, to the
   /// crash.
   Duration crashDelay = milliseconds(50);
@@ -45,6 +48,8 @@
   std::uint64_t resumedAfter = 0;
   /// Address of the engine from which it was to copy cached parts.
   std::string fetchFrom;
+  /// The parts of its prompt, as stated.
+  std::string prompt;
   /// Headers that no caller may set, as the engine got them.
   std::string forbidden;
   /// "running", "complete", "cancelled", "crashed".
@@ -118,6 +123,8 @@
 
   SealedEngine(EventLoop& aLoop, const SealedEngineSettings& aSettings);
   void Control(Exchange& aExchange);
+  /// Whether the run ends the engine.
+  bool IsCrashing(const SealedRun& aRun) const;
   void Begin(Exchange& aExchange);
   void AddLoad(Exchange& aExchange) const;
   void AddNeeds(Exchange& aExchange) const;
--- a/test/support/CrashSite.h
+++ b/test/support/CrashSite.h
@@ -7,13 +7,15 @@
 
 namespace dogwoodvale::test {
 
-/// A site whose engines crash when they run a request with one certain body. A
-/// crashed engine's connections break at once, its entry expires after
-/// kEntryLapses, and it restarts as another incarnation after kComesBack.
+/// A site whose engines crash when they run a request with one certain body, or
+/// one whose prompt has a certain part that other requests share. A crashed
+/// engine's connections break at once, its entry expires after kEntryLapses,
+/// and it restarts as another incarnation after kComesBack.
 class CrashSite : public FleetSite
 {
 public:
   static constexpr const char* kCrashBody = "crashes whoever runs it";
+  static constexpr const char* kCrashPart = "bad0";
   static constexpr Duration kEntryLapses = milliseconds(250);
   static constexpr Duration kComesBack = milliseconds(400);
 
@@ -102,6 +104,7 @@
     standins::SealedEngineSettings settings = this->engineSettings;
     settings.instance = made.name;
     settings.crashBody = this->isFixed ? "" : kCrashBody;
+    settings.crashPart = this->isFixed ? "" : kCrashPart;
     made.engine = *standins::SealedEngine::Create(
       *this->loop, { "127.0.0.1", 0 }, settings);
     this->Register(made.name, *made.engine, "ready");
