Name the shared parts of a prompt in the line of a failed attempt

A line named the length of a prompt, not its parts, so that logs could not tell whether a series of crashes had a part, a customer or a route in common. attempt_failed now lists the fingerprints of the parts that other requests may share. What identifies a request or a part is called a fingerprint, as both will be subjects of a quarantine.

--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -1,5 +1,6 @@
 #include "Admission.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dogwoodvale {
@@ -108,6 +109,25 @@
   return admitted;
 }
 
+CrashSubjects
+SubjectsOf(const AdmittedRequest& aAdmitted,
+           const HttpRequest& aRequest,
+           std::string_view aSecret)
+{
+  CrashSubjects subjects;
+  subjects.request = FingerprintOf(
+    { aAdmitted.customer, aRequest.method, aRequest.path, aRequest.body },
+    aSecret);
+  const std::vector<PromptPart>& prompt = aAdmitted.callerMetadata.prompt;
+  // The last part is the request's own, so the request stands for it.
+  const std::size_t shared = prompt.empty() ? 0 : prompt.size() - 1;
+  for (std::size_t i = 0; i < std::min(shared, CrashSubjects::kMaxParts); ++i) {
+    subjects.parts.push_back(
+      FingerprintOfPart(aAdmitted.customer, prompt[i].id, aSecret));
+  }
+  return subjects;
+}
+
 bool
 AssignService(AdmittedRequest& aRequest,
               const ServiceName& aService,
--- a/dogwoodvale/src/Gateway/Admission.h
+++ b/dogwoodvale/src/Gateway/Admission.h
@@ -27,8 +27,7 @@
   /// The priorities at a backend server that follow from the rank.
   PriorityLevels priorities;
   CallerRequestMetadata callerMetadata;
-  /// The same for every retry of the caller, at any gateway.
-  RequestFingerprint fingerprint = 0;
+  CrashSubjects subjects;
   DirectDemand demand;
   /// This attempt of the caller, and the one whose stream it resumes; 0 if the
   /// caller does not name it.
@@ -44,6 +43,13 @@
   }
 };
 
+/// What of the request may crash a server.
+/// \param aSecret shared by all gateways.
+CrashSubjects
+SubjectsOf(const AdmittedRequest& aAdmitted,
+           const HttpRequest& aRequest,
+           std::string_view aSecret);
+
 /// Sets the service that serves the request, one of its route's, and what
 /// follows from it.
 /// \return false if the configuration does not have the service.
--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -31,26 +31,26 @@
 // Requests.
 
 bool
-CrashGuard::IsQuarantined(RequestFingerprint aRequest) const
+CrashGuard::IsQuarantined(Fingerprint aRequest) const
 {
   return this->options.isOn &&
          this->ledger.StatusOf(aRequest, Now()) == CrashStatus::Quarantined;
 }
 
 bool
-CrashGuard::IsSuspect(RequestFingerprint aRequest) const
+CrashGuard::IsSuspect(Fingerprint aRequest) const
 {
   return this->ledger.StatusOf(aRequest, Now()) == CrashStatus::Suspect;
 }
 
 Duration
-CrashGuard::QuarantineLeft(RequestFingerprint aRequest) const
+CrashGuard::QuarantineLeft(Fingerprint aRequest) const
 {
   return this->ledger.QuarantineLeft(aRequest, Now());
 }
 
 bool
-CrashGuard::HasToWait(RequestFingerprint aRequest, bool aIsNew) const
+CrashGuard::HasToWait(Fingerprint aRequest, bool aIsNew) const
 {
   const TimePoint now = Now();
   if (!this->options.isOn) {
@@ -65,19 +65,19 @@
 }
 
 void
-CrashGuard::OnSent(RequestFingerprint aRequest)
+CrashGuard::OnSent(Fingerprint aRequest)
 {
   this->copies.OnSent(aRequest);
 }
 
 void
-CrashGuard::OnDone(RequestFingerprint aRequest)
+CrashGuard::OnDone(Fingerprint aRequest)
 {
   this->copies.OnDone(aRequest);
 }
 
 void
-CrashGuard::OnAnswered(RequestFingerprint aRequest)
+CrashGuard::OnAnswered(Fingerprint aRequest)
 {
   const TimePoint now = Now();
   if (this->ledger.OnAnswered(aRequest, now)) {
@@ -87,7 +87,7 @@
 
 void
 CrashGuard::OnBroken(const InstanceName& aInstance,
-                     RequestFingerprint aRequest,
+                     Fingerprint aRequest,
                      const BrokenAttempt& aBroken)
 {
   // A server that announced its departure has left: this is no crash.
@@ -164,7 +164,7 @@
 }
 
 QuarantineVerdict
-CrashGuard::LogVerdict(RequestFingerprint aRequest,
+CrashGuard::LogVerdict(Fingerprint aRequest,
                        std::string_view aFrom,
                        TimePoint aNow) const
 {
@@ -187,7 +187,7 @@
 void
 CrashGuard::EvaluateEvidence(TimePoint aNow)
 {
-  for (const RequestFingerprint request : this->ledger.Evaluate(aNow)) {
+  for (const Fingerprint request : this->ledger.Evaluate(aNow)) {
     this->keeper.Persist(this->LogVerdict(request, "evidence", aNow));
   }
 }
@@ -202,7 +202,7 @@
   }
   const TimePoint now = Now();
   aDigest.crashes = this->ledger.OutgoingUpdate(now);
-  for (const RequestFingerprint request : this->ledger.Suspects()) {
+  for (const Fingerprint request : this->ledger.Suspects()) {
     // A request that has just been aborted counts as in flight until the
     // verdict on its server can be sent: meanwhile other gateways would send
     // their duplicates.
--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -38,25 +38,25 @@
   /// Reads the quarantines that are stored.
   void Start();
 
-  bool IsQuarantined(RequestFingerprint aRequest) const;
-  bool IsSuspect(RequestFingerprint aRequest) const;
+  bool IsQuarantined(Fingerprint aRequest) const;
+  bool IsSuspect(Fingerprint aRequest) const;
   /// Time until the quarantine ends.
-  Duration QuarantineLeft(RequestFingerprint aRequest) const;
+  Duration QuarantineLeft(Fingerprint aRequest) const;
   /// Whether a suspect request has to wait: a duplicate of it is in flight,
   /// here or at a gateway that reported so, or evidence against it is still
   /// being collected.
   /// \param aIsNew it has not been sent yet. A retry goes to the next server
   /// without waiting for the verdict on the last one.
-  bool HasToWait(RequestFingerprint aRequest, bool aIsNew) const;
+  bool HasToWait(Fingerprint aRequest, bool aIsNew) const;
 
-  void OnSent(RequestFingerprint aRequest);
-  void OnDone(RequestFingerprint aRequest);
+  void OnSent(Fingerprint aRequest);
+  void OnDone(Fingerprint aRequest);
   /// A server has completed the request.
-  void OnAnswered(RequestFingerprint aRequest);
+  void OnAnswered(Fingerprint aRequest);
   /// The connection broke before the answer was complete. The server is probed
   /// after kProbeDelay, to see whether it crashed.
   void OnBroken(const InstanceName& aInstance,
-                RequestFingerprint aRequest,
+                Fingerprint aRequest,
                 const BrokenAttempt& aBroken);
   /// Another incarnation has taken over the server's address.
   void OnReplaced(const InstanceName& aInstance);
@@ -88,7 +88,7 @@
   /// Logs and stores the verdicts that follow from the evidence.
   void EvaluateEvidence(TimePoint aNow);
   /// Logs the request's newest verdict after a change. \return the verdict.
-  QuarantineVerdict LogVerdict(RequestFingerprint aRequest,
+  QuarantineVerdict LogVerdict(Fingerprint aRequest,
                                std::string_view aFrom,
                                TimePoint aNow) const;
 
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -209,9 +209,7 @@
   }
   auto& admitted = std::get<AdmittedRequest>(result);
   const HttpRequest& http = aExchange->Request();
-  admitted.fingerprint =
-    FingerprintOf({ admitted.customer, http.method, http.path, http.body },
-                  this->settings.peerSecret);
+  admitted.subjects = SubjectsOf(admitted, http, this->settings.peerSecret);
   if (admitted.route->isResumable) {
     const auto keyOf = [&](const std::string& aAttemptId) {
       return StreamKeyOf(
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -1,6 +1,8 @@
 #include "GatewayLog.h"
 
+#include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace dogwoodvale {
 
@@ -28,6 +30,20 @@
   return aOutcome.error ? CodeName(aOutcome.error->code) : "unknown";
 }
 
+/// The parts of the prompt that other requests may share, the first ones.
+std::string
+PartsText(const CrashSubjects& aSubjects)
+{
+  constexpr std::size_t kMaxLoggedParts = 8;
+  std::string text;
+  for (const Fingerprint part :
+       std::span(aSubjects.parts)
+         .first(std::min(aSubjects.parts.size(), kMaxLoggedParts))) {
+    text += (text.empty() ? "" : ",") + FingerprintText(part);
+  }
+  return text;
+}
+
 /// Empty for a request that resumes no stream.
 std::string_view
 OriginSourceText(const GatewayRequest& aRequest)
@@ -76,7 +92,7 @@
       "id",
       admitted.callerMetadata.attemptId,
       "fingerprint",
-      FingerprintText(admitted.fingerprint),
+      FingerprintText(admitted.subjects.request),
       "route",
       admitted.route->name,
       "customer",
@@ -162,7 +178,9 @@
       "id",
       aRequest.Admitted().callerMetadata.attemptId,
       "fingerprint",
-      FingerprintText(aRequest.Admitted().fingerprint),
+      FingerprintText(aRequest.Admitted().subjects.request),
+      "parts",
+      PartsText(aRequest.Admitted().subjects),
       "instance",
       outcome.instance.Value(),
       "software",
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -231,7 +231,7 @@
 GatewayRequest::PassesCrashGuard(TimePoint aNow)
 {
   CrashGuard& guard = this->host.Crashes();
-  const RequestFingerprint request = this->admitted.fingerprint;
+  const Fingerprint request = this->admitted.subjects.request;
   if (guard.IsQuarantined(request)) {
     this->GiveUp(ErrorCode::Quarantined,
                  "it crashes the backend servers that run it");
@@ -455,7 +455,7 @@
                                     *this->host.Ports().backends,
                                     this->PlanFor(aCandidate.name, now),
                                     *this);
-  this->host.Crashes().OnSent(this->admitted.fingerprint);
+  this->host.Crashes().OnSent(this->admitted.subjects.request);
   const BackendRequestMetadata metadata =
     this->MetadataFor(aCandidate.name, now);
   ++this->outcome.attempts;
@@ -604,7 +604,7 @@
 GatewayRequest::OnAttemptStreamEnd()
 {
   this->outcome.complete = true;
-  this->host.Crashes().OnAnswered(this->admitted.fingerprint);
+  this->host.Crashes().OnAnswered(this->admitted.subjects.request);
   this->exchange->EndStream();
   this->Finish();
 }
@@ -624,7 +624,7 @@
   // Only a success shows that the request ran without crashing the server; an
   // error may have been returned before it ran.
   if (IsSuccess(answer.status)) {
-    this->host.Crashes().OnAnswered(this->admitted.fingerprint);
+    this->host.Crashes().OnAnswered(this->admitted.subjects.request);
   }
   // The caller already has the head of a stream, so a whole answer can't be
   // forwarded.
@@ -694,7 +694,7 @@
   }
   if (const auto broken = this->attempt->ConnectionBreak(now)) {
     this->host.Crashes().OnBroken(
-      instance, this->admitted.fingerprint, *broken);
+      instance, this->admitted.subjects.request, *broken);
   }
   this->mayHaveRun = this->mayHaveRun || !IsNotRun(aFailure);
   this->timesSent += aFailure == AttemptFailure::NotSent ? 0 : 1;
@@ -778,8 +778,8 @@
   if (!this->mayHaveRun) {
     error.retryAfter =
       aCode == ErrorCode::Quarantined
-        ? std::chrono::ceil<milliseconds>(
-            this->host.Crashes().QuarantineLeft(this->admitted.fingerprint))
+        ? std::chrono::ceil<milliseconds>(this->host.Crashes().QuarantineLeft(
+            this->admitted.subjects.request))
         : DrawRetryAfter(aWait, this->GetRoute().target, this->host.Random());
   }
   this->outcome.error = error;
@@ -825,7 +825,7 @@
   if (this->sent) {
     this->RecordHeldMemory(Now());
     this->host.Backends().OnDone(this->sent->instance, this->sent->work);
-    this->host.Crashes().OnDone(this->admitted.fingerprint);
+    this->host.Crashes().OnDone(this->admitted.subjects.request);
     this->sent.reset();
   }
   this->attempt.reset();
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -138,7 +138,7 @@
 
 struct PackedEvidence
 {
-  RequestFingerprint request = 0;
+  Fingerprint request = 0;
   ServerKey server = 0;
   std::uint8_t weight = 0;
 
@@ -147,7 +147,7 @@
 
 struct PackedVerdict
 {
-  RequestFingerprint request = 0;
+  Fingerprint request = 0;
   std::uint32_t round = 0;
   bool isLifted = false;
   std::int64_t leftMillis = 0;
@@ -245,7 +245,7 @@
   std::vector<PackedPrompt> routed;
   std::vector<PackedEvidence> evidence;
   std::vector<PackedVerdict> verdicts;
-  std::vector<RequestFingerprint> suspectsInFlight;
+  std::vector<Fingerprint> suspectsInFlight;
   std::uint64_t listSum = 0;
   std::int64_t listAgeMillis = 0;
   std::int64_t timeOfDayMillis = 0;
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -65,7 +65,7 @@
   std::vector<RoutedPrompt> routed;
   CrashUpdate crashes;
   /// Suspect requests that the sender has in flight.
-  std::vector<RequestFingerprint> suspectsInFlight;
+  std::vector<Fingerprint> suspectsInFlight;
   /// The list of backend servers that the sender has read from the store.
   ListStamp list;
   /// Empty if no usage is reported.
--- a/dogwoodvale/src/Gateway/QuarantineStore.h
+++ b/dogwoodvale/src/Gateway/QuarantineStore.h
@@ -55,14 +55,14 @@
   std::unique_ptr<StoreCall> readCall;
   std::unique_ptr<StoreCall> writeCall;
   /// Verdicts that are not written yet.
-  std::map<RequestFingerprint, QuarantineVerdict> pending;
+  std::map<Fingerprint, QuarantineVerdict> pending;
   struct Stored
   {
     QuarantineVerdict verdict;
     TimePoint until{};
   };
   /// Verdicts that this gateway has written and whose lease still runs.
-  std::map<RequestFingerprint, Stored> stored;
+  std::map<Fingerprint, Stored> stored;
   StoreEra era = 0;
   Timer readTimer;
   Timer writeTimer;
--- a/dogwoodvale/src/Gateway/SuspectWait.cpp
+++ b/dogwoodvale/src/Gateway/SuspectWait.cpp
@@ -6,7 +6,7 @@
 
 std::optional<Duration>
 SuspectWait::Next(const CrashGuard& aGuard,
-                  RequestFingerprint aRequest,
+                  Fingerprint aRequest,
                   bool aIsNew,
                   TimePoint aNow,
                   std::mt19937_64& aRandom)
--- a/dogwoodvale/src/Gateway/SuspectWait.h
+++ b/dogwoodvale/src/Gateway/SuspectWait.h
@@ -21,7 +21,7 @@
   /// \param aIsNew see CrashGuard::HasToWait().
   /// \return time until the next call; nothing if the request may be sent.
   std::optional<Duration> Next(const CrashGuard& aGuard,
-                               RequestFingerprint aRequest,
+                               Fingerprint aRequest,
                                bool aIsNew,
                                TimePoint aNow,
                                std::mt19937_64& aRandom);
--- a/dogwoodvale/src/Quarantine/CrashEvidence.h
+++ b/dogwoodvale/src/Quarantine/CrashEvidence.h
@@ -3,7 +3,7 @@
 
 #include <optional>
 
-#include "RequestFingerprint.h"
+#include "Fingerprint.h"
 
 namespace dogwoodvale {
 
@@ -28,7 +28,7 @@
 /// One request was in flight at one server when that server exited.
 struct CrashEvidence
 {
-  RequestFingerprint request = 0;
+  Fingerprint request = 0;
   ServerKey server = 0;
   CrashWeight weight = CrashWeight::None;
 
--- a/dogwoodvale/src/Quarantine/CrashLedger.cpp
+++ b/dogwoodvale/src/Quarantine/CrashLedger.cpp
@@ -78,7 +78,7 @@
 }
 
 CrashLedger::Suspect&
-CrashLedger::SuspectOf(RequestFingerprint aRequest, TimePoint aNow)
+CrashLedger::SuspectOf(Fingerprint aRequest, TimePoint aNow)
 {
   if (!this->suspects.contains(aRequest) &&
       this->suspects.size() >= kMaxSuspects) {
@@ -100,22 +100,21 @@
 }
 
 bool
-CrashLedger::HasUnliftedVerdict(RequestFingerprint aRequest) const
+CrashLedger::HasUnliftedVerdict(Fingerprint aRequest) const
 {
   const auto found = this->verdicts.find(aRequest);
   return found != this->verdicts.end() && !found->second.isLifted;
 }
 
 bool
-CrashLedger::IsAttributedToOther(ServerKey aServer,
-                                 RequestFingerprint aRequest) const
+CrashLedger::IsAttributedToOther(ServerKey aServer, Fingerprint aRequest) const
 {
   const auto found = this->attributedTo.find(aServer);
   return found != this->attributedTo.end() && found->second != aRequest;
 }
 
 bool
-CrashLedger::LeadsAtAnyExit(RequestFingerprint aRequest,
+CrashLedger::LeadsAtAnyExit(Fingerprint aRequest,
                             std::span<const ServerExit> aExits) const
 {
   const std::uint32_t score = Sum(aExits);
@@ -135,7 +134,7 @@
 }
 
 bool
-CrashLedger::ShouldQuarantine(RequestFingerprint aRequest,
+CrashLedger::ShouldQuarantine(Fingerprint aRequest,
                               const Suspect& aSuspect,
                               TimePoint aNow) const
 {
@@ -159,10 +158,10 @@
          (score >= kQuarantineScore && this->LeadsAtAnyExit(aRequest, settled));
 }
 
-std::vector<RequestFingerprint>
+std::vector<Fingerprint>
 CrashLedger::Evaluate(TimePoint aNow)
 {
-  std::vector<RequestFingerprint> quarantined;
+  std::vector<Fingerprint> quarantined;
   for (const auto& [request, suspect] : this->suspects) {
     const bool isCandidate = Sum(suspect.exits) >= kQuarantineScore ||
                              this->verdicts.contains(request);
@@ -170,14 +169,14 @@
       quarantined.push_back(request);
     }
   }
-  for (const RequestFingerprint request : quarantined) {
+  for (const Fingerprint request : quarantined) {
     this->Quarantine(request, aNow);
   }
   return quarantined;
 }
 
 void
-CrashLedger::Quarantine(RequestFingerprint aRequest, TimePoint aNow)
+CrashLedger::Quarantine(Fingerprint aRequest, TimePoint aNow)
 {
   const auto before = this->verdicts.find(aRequest);
   const std::uint32_t round =
@@ -187,7 +186,7 @@
 }
 
 void
-CrashLedger::SetVerdict(RequestFingerprint aRequest, const Verdict& aVerdict)
+CrashLedger::SetVerdict(Fingerprint aRequest, const Verdict& aVerdict)
 {
   if (!this->verdicts.contains(aRequest) &&
       this->verdicts.size() >= kMaxVerdicts) {
@@ -202,7 +201,7 @@
 }
 
 void
-CrashLedger::AttributeExits(RequestFingerprint aRequest)
+CrashLedger::AttributeExits(Fingerprint aRequest)
 {
   const auto culprit = this->suspects.find(aRequest);
   if (culprit == this->suspects.end()) {
@@ -224,7 +223,7 @@
 }
 
 void
-CrashLedger::DropAttributions(RequestFingerprint aRequest)
+CrashLedger::DropAttributions(Fingerprint aRequest)
 {
   absl::erase_if(this->attributedTo, [aRequest](const auto& aItem) {
     return aItem.second == aRequest;
@@ -232,7 +231,7 @@
 }
 
 void
-CrashLedger::ClearExits(RequestFingerprint aRequest, TimePoint aNow)
+CrashLedger::ClearExits(Fingerprint aRequest, TimePoint aNow)
 {
   const auto found = this->suspects.find(aRequest);
   if (found == this->suspects.end()) {
@@ -284,7 +283,7 @@
 }
 
 bool
-CrashLedger::OnAnswered(RequestFingerprint aRequest, TimePoint aNow)
+CrashLedger::OnAnswered(Fingerprint aRequest, TimePoint aNow)
 {
   this->ClearExits(aRequest, aNow);
   const auto verdict = this->verdicts.find(aRequest);
@@ -299,7 +298,7 @@
 }
 
 Duration
-CrashLedger::QuarantineLeft(RequestFingerprint aRequest, TimePoint aNow) const
+CrashLedger::QuarantineLeft(Fingerprint aRequest, TimePoint aNow) const
 {
   const auto found = this->verdicts.find(aRequest);
   if (found == this->verdicts.end() || found->second.isLifted) {
@@ -309,7 +308,7 @@
 }
 
 CrashStatus
-CrashLedger::StatusOf(RequestFingerprint aRequest, TimePoint aNow) const
+CrashLedger::StatusOf(Fingerprint aRequest, TimePoint aNow) const
 {
   if (this->QuarantineLeft(aRequest, aNow) > Duration::zero()) {
     return CrashStatus::Quarantined;
@@ -320,7 +319,7 @@
 }
 
 bool
-CrashLedger::IsUndecided(RequestFingerprint aRequest, TimePoint aNow) const
+CrashLedger::IsUndecided(Fingerprint aRequest, TimePoint aNow) const
 {
   const auto found = this->suspects.find(aRequest);
   if (found == this->suspects.end()) {
@@ -337,14 +336,14 @@
 }
 
 std::uint32_t
-CrashLedger::ScoreOf(RequestFingerprint aRequest) const
+CrashLedger::ScoreOf(Fingerprint aRequest) const
 {
   const auto found = this->suspects.find(aRequest);
   return found == this->suspects.end() ? 0 : Sum(found->second.exits);
 }
 
 std::optional<QuarantineVerdict>
-CrashLedger::VerdictOf(RequestFingerprint aRequest, TimePoint aNow) const
+CrashLedger::VerdictOf(Fingerprint aRequest, TimePoint aNow) const
 {
   const auto found = this->verdicts.find(aRequest);
   if (found == this->verdicts.end()) {
@@ -397,10 +396,10 @@
   return update;
 }
 
-std::vector<RequestFingerprint>
+std::vector<Fingerprint>
 CrashLedger::Suspects() const
 {
-  std::vector<RequestFingerprint> requests;
+  std::vector<Fingerprint> requests;
   for (const auto& [request, suspect] : this->suspects) {
     if (Sum(suspect.exits) > 0) {
       requests.push_back(request);
--- a/dogwoodvale/src/Quarantine/CrashLedger.h
+++ b/dogwoodvale/src/Quarantine/CrashLedger.h
@@ -25,7 +25,7 @@
 /// Quarantines a request or lifts its quarantine, at all gateways.
 struct QuarantineVerdict
 {
-  RequestFingerprint request = 0;
+  Fingerprint request = 0;
   /// Number of quarantines of this request so far; the higher round overrides.
   std::uint32_t round = 0;
   /// The quarantine of this round is lifted: a server has answered the request.
@@ -80,27 +80,27 @@
   /// Evaluates the evidence received at least kSettleTime ago; called every
   /// kEvaluationPeriod.
   /// \return requests that this call quarantines.
-  std::vector<RequestFingerprint> Evaluate(TimePoint aNow);
+  std::vector<Fingerprint> Evaluate(TimePoint aNow);
   /// Applies another gateway's verdict.
   /// \return whether it overrides the one known here.
   bool Take(const QuarantineVerdict& aVerdict, TimePoint aNow);
   /// A server has answered the request.
   /// \return whether this lifts its quarantine.
-  bool OnAnswered(RequestFingerprint aRequest, TimePoint aNow);
+  bool OnAnswered(Fingerprint aRequest, TimePoint aNow);
 
-  CrashStatus StatusOf(RequestFingerprint aRequest, TimePoint aNow) const;
+  CrashStatus StatusOf(Fingerprint aRequest, TimePoint aNow) const;
   /// Remaining time of its quarantine; zero if it is not quarantined.
-  Duration QuarantineLeft(RequestFingerprint aRequest, TimePoint aNow) const;
+  Duration QuarantineLeft(Fingerprint aRequest, TimePoint aNow) const;
   /// Whether more evidence may still arrive from other gateways, or the
   /// evidence would suffice for a quarantine but has not been evaluated yet. A
   /// request that crashes servers would crash another one each time it is sent
   /// in this state.
-  bool IsUndecided(RequestFingerprint aRequest, TimePoint aNow) const;
+  bool IsUndecided(Fingerprint aRequest, TimePoint aNow) const;
   /// Sum of the CrashWeight values of the evidence against it.
-  std::uint32_t ScoreOf(RequestFingerprint aRequest) const;
+  std::uint32_t ScoreOf(Fingerprint aRequest) const;
   /// Its current verdict, for storage that outlives this process; nothing if
   /// there is none.
-  std::optional<QuarantineVerdict> VerdictOf(RequestFingerprint aRequest,
+  std::optional<QuarantineVerdict> VerdictOf(Fingerprint aRequest,
                                              TimePoint aNow) const;
 
   /// Update for the other gateways. Active quarantines are always included,
@@ -110,7 +110,7 @@
   /// and every gateway nearby has received their evidence first-hand.
   CrashUpdate OutgoingUpdate(TimePoint aNow) const;
   /// Requests with a score above 0.
-  std::vector<RequestFingerprint> Suspects() const;
+  std::vector<Fingerprint> Suspects() const;
   /// Drops evidence and verdicts older than kRetention.
   void Expire(TimePoint aNow);
 
@@ -170,37 +170,36 @@
     TimePoint receivedAt{};
   };
 
-  Suspect& SuspectOf(RequestFingerprint aRequest, TimePoint aNow);
+  Suspect& SuspectOf(Fingerprint aRequest, TimePoint aNow);
   /// Evicts the suspect with the lowest score, of these the oldest.
   void EvictWeakest();
   /// Whether the server's exit is attributed to another request.
-  bool IsAttributedToOther(ServerKey aServer,
-                           RequestFingerprint aRequest) const;
+  bool IsAttributedToOther(ServerKey aServer, Fingerprint aRequest) const;
   /// Whether it has a verdict that is not lifted; the quarantine itself may
   /// have expired.
-  bool HasUnliftedVerdict(RequestFingerprint aRequest) const;
-  bool ShouldQuarantine(RequestFingerprint aRequest,
+  bool HasUnliftedVerdict(Fingerprint aRequest) const;
+  bool ShouldQuarantine(Fingerprint aRequest,
                         const Suspect& aSuspect,
                         TimePoint aNow) const;
   /// Whether there is an exit in \p aExits at which no other request in flight
   /// has as high a score.
-  bool LeadsAtAnyExit(RequestFingerprint aRequest,
+  bool LeadsAtAnyExit(Fingerprint aRequest,
                       std::span<const ServerExit> aExits) const;
-  void Quarantine(RequestFingerprint aRequest, TimePoint aNow);
-  void SetVerdict(RequestFingerprint aRequest, const Verdict& aVerdict);
+  void Quarantine(Fingerprint aRequest, TimePoint aNow);
+  void SetVerdict(Fingerprint aRequest, const Verdict& aVerdict);
   /// Attributes the exits of the request to it; evidence against others at
   /// these exits loses its weight.
-  void AttributeExits(RequestFingerprint aRequest);
-  void DropAttributions(RequestFingerprint aRequest);
+  void AttributeExits(Fingerprint aRequest);
+  void DropAttributions(Fingerprint aRequest);
   /// Takes the weight from all evidence against the request.
-  void ClearExits(RequestFingerprint aRequest, TimePoint aNow);
+  void ClearExits(Fingerprint aRequest, TimePoint aNow);
 
   /// Length of a quarantine.
   Duration quarantine;
-  absl::flat_hash_map<RequestFingerprint, Suspect> suspects;
-  absl::flat_hash_map<RequestFingerprint, Verdict> verdicts;
+  absl::flat_hash_map<Fingerprint, Suspect> suspects;
+  absl::flat_hash_map<Fingerprint, Verdict> verdicts;
   /// The request that each exit is attributed to.
-  absl::flat_hash_map<ServerKey, RequestFingerprint> attributedTo;
+  absl::flat_hash_map<ServerKey, Fingerprint> attributedTo;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Quarantine/RequestFingerprint.cpp
+++ b/dogwoodvale/src/Quarantine/Fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "RequestFingerprint.h"
+#include "Fingerprint.h"
 
 #include <cstring>
 
@@ -6,7 +6,20 @@
 
 namespace dogwoodvale {
 
-RequestFingerprint
+namespace {
+
+Fingerprint
+KeyedFingerprint(std::string_view aText, std::string_view aSecret)
+{
+  const std::string digest = KeyedDigest(aText, aSecret);
+  Fingerprint fingerprint = 0;
+  std::memcpy(&fingerprint, digest.data(), sizeof(fingerprint));
+  return fingerprint;
+}
+
+} // namespace
+
+Fingerprint
 FingerprintOf(const RequestContent& aContent, std::string_view aSecret)
 {
   // The body may be megabytes: it is hashed by the fast unkeyed function, and
@@ -19,14 +32,20 @@
                                        aContent.path,
                                        body.high64,
                                        body.low64);
-  const std::string digest = KeyedDigest(text, aSecret);
-  RequestFingerprint fingerprint = 0;
-  std::memcpy(&fingerprint, digest.data(), sizeof(fingerprint));
-  return fingerprint;
+  return KeyedFingerprint(text, aSecret);
+}
+
+Fingerprint
+FingerprintOfPart(const CustomerName& aCustomer,
+                  std::uint64_t aId,
+                  std::string_view aSecret)
+{
+  return KeyedFingerprint(
+    fmt::format("part\n{}\n{:016x}", aCustomer.Value(), aId), aSecret);
 }
 
 std::string
-FingerprintText(RequestFingerprint aFingerprint)
+FingerprintText(Fingerprint aFingerprint)
 {
   return fmt::format("{:016x}", aFingerprint);
 }
--- a/dogwoodvale/src/Quarantine/InFlightDuplicates.cpp
+++ b/dogwoodvale/src/Quarantine/InFlightDuplicates.cpp
@@ -5,13 +5,13 @@
 namespace dogwoodvale {
 
 void
-InFlightDuplicates::OnSent(RequestFingerprint aRequest)
+InFlightDuplicates::OnSent(Fingerprint aRequest)
 {
   ++this->own[aRequest];
 }
 
 void
-InFlightDuplicates::OnDone(RequestFingerprint aRequest)
+InFlightDuplicates::OnDone(Fingerprint aRequest)
 {
   const auto found = this->own.find(aRequest);
   if (found != this->own.end() && --found->second == 0) {
@@ -20,10 +20,9 @@
 }
 
 void
-InFlightDuplicates::SetPeerDuplicates(
-  const InstanceName& aGateway,
-  std::span<const RequestFingerprint> aRequests,
-  TimePoint aNow)
+InFlightDuplicates::SetPeerDuplicates(const InstanceName& aGateway,
+                                      std::span<const Fingerprint> aRequests,
+                                      TimePoint aNow)
 {
   if (aRequests.empty()) {
     this->peerReports.erase(aGateway);
@@ -34,7 +33,7 @@
 }
 
 bool
-InFlightDuplicates::HasAny(RequestFingerprint aRequest, TimePoint aNow) const
+InFlightDuplicates::HasAny(Fingerprint aRequest, TimePoint aNow) const
 {
   return this->HasOwn(aRequest) ||
          std::ranges::any_of(this->peerReports, [&](const auto& aItem) {
--- a/dogwoodvale/src/Quarantine/InFlightDuplicates.h
+++ b/dogwoodvale/src/Quarantine/InFlightDuplicates.h
@@ -7,7 +7,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include "RequestFingerprint.h"
+#include "Fingerprint.h"
 
 namespace dogwoodvale {
 
@@ -17,19 +17,19 @@
 class InFlightDuplicates
 {
 public:
-  void OnSent(RequestFingerprint aRequest);
-  void OnDone(RequestFingerprint aRequest);
+  void OnSent(Fingerprint aRequest);
+  void OnDone(Fingerprint aRequest);
   /// Replaces what \p aGateway reported before.
   void SetPeerDuplicates(const InstanceName& aGateway,
-                         std::span<const RequestFingerprint> aRequests,
+                         std::span<const Fingerprint> aRequests,
                          TimePoint aNow);
 
-  bool HasOwn(RequestFingerprint aRequest) const
+  bool HasOwn(Fingerprint aRequest) const
   {
     return this->own.contains(aRequest);
   }
   /// Whether this or another gateway has it in flight.
-  bool HasAny(RequestFingerprint aRequest, TimePoint aNow) const;
+  bool HasAny(Fingerprint aRequest, TimePoint aNow) const;
   /// Drops gateways whose last report is older than kReportTtl.
   void Expire(TimePoint aNow);
 
@@ -39,11 +39,11 @@
 private:
   struct PeerReport
   {
-    std::vector<RequestFingerprint> requests;
+    std::vector<Fingerprint> requests;
     TimePoint receivedAt{};
   };
 
-  absl::flat_hash_map<RequestFingerprint, std::uint32_t> own;
+  absl::flat_hash_map<Fingerprint, std::uint32_t> own;
   std::map<InstanceName, PeerReport> peerReports;
 };
 
--- a/dogwoodvale/src/Quarantine/UnresolvedAttempts.cpp
+++ b/dogwoodvale/src/Quarantine/UnresolvedAttempts.cpp
@@ -6,7 +6,7 @@
 
 bool
 UnresolvedAttempts::Add(const InstanceName& aInstance,
-                        RequestFingerprint aRequest,
+                        Fingerprint aRequest,
                         CrashWeight aWeight,
                         TimePoint aNow)
 {
@@ -38,8 +38,7 @@
 }
 
 bool
-UnresolvedAttempts::HasRecentBreak(RequestFingerprint aRequest,
-                                   TimePoint aNow) const
+UnresolvedAttempts::HasRecentBreak(Fingerprint aRequest, TimePoint aNow) const
 {
   return std::ranges::any_of(this->servers, [&](const auto& aItem) {
     const ServerAttempts& server = aItem.second;
--- a/dogwoodvale/src/Quarantine/UnresolvedAttempts.h
+++ b/dogwoodvale/src/Quarantine/UnresolvedAttempts.h
@@ -18,7 +18,7 @@
   /// Adds an attempt whose connection broke.
   /// \return whether it is the first unresolved one of its server.
   bool Add(const InstanceName& aInstance,
-           RequestFingerprint aRequest,
+           Fingerprint aRequest,
            CrashWeight aWeight,
            TimePoint aNow);
   /// The server has exited: removes its attempts.
@@ -29,7 +29,7 @@
   /// Whether an attempt of the request is at a server whose first unresolved
   /// break was less than kProbeWait ago, so that the result of the probe of
   /// this server may still come.
-  bool HasRecentBreak(RequestFingerprint aRequest, TimePoint aNow) const;
+  bool HasRecentBreak(Fingerprint aRequest, TimePoint aNow) const;
   /// Servers with unresolved attempts.
   std::vector<InstanceName> UnresolvedServers() const;
   /// Discards the attempts of servers that are unresolved after
--- a/test/CrashLedger.cpp
+++ b/test/CrashLedger.cpp
@@ -9,19 +9,19 @@
 namespace {
 
 constexpr Duration kQuarantine = seconds(600);
-constexpr RequestFingerprint kCrashing = 1;
-constexpr RequestFingerprint kOther = 2;
+constexpr Fingerprint kCrashing = 1;
+constexpr Fingerprint kOther = 2;
 
 const TimePoint kStart = TimePoint{} + seconds(1000);
 
 CrashEvidence
-Early(RequestFingerprint aRequest, ServerKey aServer)
+Early(Fingerprint aRequest, ServerKey aServer)
 {
   return { aRequest, aServer, CrashWeight::Early };
 }
 
 CrashEvidence
-Late(RequestFingerprint aRequest, ServerKey aServer)
+Late(Fingerprint aRequest, ServerKey aServer)
 {
   return { aRequest, aServer, CrashWeight::Late };
 }
@@ -30,10 +30,10 @@
 void
 ExitServers(CrashLedger& aLedger,
             ServerKey aCount,
-            std::initializer_list<RequestFingerprint> aRequests)
+            std::initializer_list<Fingerprint> aRequests)
 {
   for (ServerKey server = 1; server <= aCount; ++server) {
-    for (const RequestFingerprint request : aRequests) {
+    for (const Fingerprint request : aRequests) {
       aLedger.Take(Early(request, server), Source::Own, kStart);
     }
   }
@@ -41,7 +41,7 @@
 
 /// \return requests quarantined once the evidence received until \p aSince has
 /// settled.
-std::vector<RequestFingerprint>
+std::vector<Fingerprint>
 EvaluateLater(CrashLedger& aLedger, TimePoint aSince = kStart)
 {
   return aLedger.Evaluate(aSince + CrashLedger::kSettleTime);
@@ -49,7 +49,7 @@
 
 bool
 IsQuarantined(const CrashLedger& aLedger,
-              RequestFingerprint aRequest,
+              Fingerprint aRequest,
               TimePoint aNow = kStart)
 {
   return aLedger.StatusOf(aRequest, aNow) == CrashStatus::Quarantined;
@@ -226,7 +226,7 @@
 {
   CrashLedger ledger(kQuarantine);
   ExitServers(ledger, 2, { kCrashing });
-  for (RequestFingerprint request = 100; request < 10'100; ++request) {
+  for (Fingerprint request = 100; request < 10'100; ++request) {
     ledger.Take(Early(request, 50), Source::Own, kStart + milliseconds(1));
   }
   CHECK(ledger.SuspectCount() == CrashLedger::kMaxSuspects);
--- a/test/CrashModel.cpp
+++ b/test/CrashModel.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Duration kStep = milliseconds(10);
-constexpr RequestFingerprint kCrashing = 1;
+constexpr Fingerprint kCrashing = 1;
 const TimePoint kStart = TimePoint{} + seconds(1000);
 
 struct ModelOptions
@@ -102,7 +102,7 @@
   };
   struct Attempt
   {
-    RequestFingerprint request = 0;
+    Fingerprint request = 0;
     std::size_t gateway = 0;
     TimePoint since{};
     int repeats = 0;
@@ -130,7 +130,7 @@
     return std::uniform_real_distribution<double>(0, 1)(this->random) < aShare;
   }
 
-  void Send(RequestFingerprint aRequest, int aRepeats)
+  void Send(Fingerprint aRequest, int aRepeats)
   {
     const std::size_t gateway = this->Draw(this->gateways.size());
     Server& server = this->servers[this->Draw(this->servers.size())];
@@ -272,8 +272,7 @@
     }
     bool allKnow = true;
     for (Gateway& gateway : this->gateways) {
-      for (const RequestFingerprint request :
-           gateway.ledger.Evaluate(this->now)) {
+      for (const Fingerprint request : gateway.ledger.Evaluate(this->now)) {
         this->result.othersQuarantined += request == kCrashing ? 0 : 1;
       }
       allKnow = allKnow && gateway.ledger.StatusOf(kCrashing, this->now) ==
@@ -293,7 +292,7 @@
   std::deque<Exited> exited;
   TimePoint now = kStart;
   ServerKey lastServer = 0;
-  RequestFingerprint lastOther = kCrashing;
+  Fingerprint lastOther = kCrashing;
   std::optional<TimePoint> thirdExit;
   ModelResult result;
 };
--- a/test/Quarantine.cpp
+++ b/test/Quarantine.cpp
@@ -19,7 +19,7 @@
 TEST_CASE("a request's fingerprint depends on its content and the secret",
           "[quarantine]")
 {
-  const RequestFingerprint known = FingerprintOf(Content(), kSecret);
+  const Fingerprint known = FingerprintOf(Content(), kSecret);
   CHECK(FingerprintOf(Content(), kSecret) == known);
   CHECK(FingerprintOf(Content(), "another secret") != known);
   RequestContent other = Content();
@@ -41,3 +41,14 @@
   }
   CHECK(FingerprintOf(other, kSecret) != known);
 }
+
+TEST_CASE("a part's fingerprint depends on customer, id and secret only",
+          "[quarantine]")
+{
+  const CustomerName customer("c1");
+  const Fingerprint known = FingerprintOfPart(customer, 7, kSecret);
+  CHECK(FingerprintOfPart(customer, 7, kSecret) == known);
+  CHECK(FingerprintOfPart(CustomerName("c2"), 7, kSecret) != known);
+  CHECK(FingerprintOfPart(customer, 8, kSecret) != known);
+  CHECK(FingerprintOfPart(customer, 7, "another secret") != known);
+}
