--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -30,72 +30,122 @@
 
 // Requests.
 
-bool
-CrashGuard::IsQuarantined(Fingerprint aRequest) const
+std::optional<Fingerprint>
+CrashGuard::QuarantinedSubject(const CrashSubjects& aSubjects) const
 {
-  return this->options.isOn &&
-         this->ledger.StatusOf(aRequest, Now()) == CrashStatus::Quarantined;
+  if (!this->options.isOn) {
+    return std::nullopt;
+  }
+  const TimePoint now = Now();
+  Fingerprint longest = aSubjects.request;
+  for (const Fingerprint part : aSubjects.parts) {
+    if (this->ledger.QuarantineLeft(part, now) >
+        this->ledger.QuarantineLeft(longest, now)) {
+      longest = part;
+    }
+  }
+  return this->ledger.StatusOf(longest, now) == CrashStatus::Quarantined
+           ? std::optional(longest)
+           : std::nullopt;
 }
 
 bool
-CrashGuard::IsSuspect(Fingerprint aRequest) const
+CrashGuard::IsSuspect(const CrashSubjects& aSubjects) const
 {
-  return this->ledger.StatusOf(aRequest, Now()) == CrashStatus::Suspect;
+  const TimePoint now = Now();
+  const auto isSuspect = [&](Fingerprint aSubject) {
+    return this->ledger.StatusOf(aSubject, now) == CrashStatus::Suspect;
+  };
+  return isSuspect(aSubjects.request) ||
+         std::ranges::any_of(aSubjects.parts, isSuspect);
 }
 
 Duration
-CrashGuard::QuarantineLeft(Fingerprint aRequest) const
+CrashGuard::QuarantineLeft(Fingerprint aSubject) const
 {
-  return this->ledger.QuarantineLeft(aRequest, Now());
+  return this->ledger.QuarantineLeft(aSubject, Now());
 }
 
 bool
-CrashGuard::HasToWait(Fingerprint aRequest, bool aIsNew) const
+CrashGuard::HasToWait(const CrashSubjects& aSubjects, bool aIsNew) const
 {
   const TimePoint now = Now();
   if (!this->options.isOn) {
     return false;
   }
-  if (aIsNew && this->broken.HasRecentBreak(aRequest, now)) {
+  if (aIsNew && this->broken.HasRecentBreak(aSubjects.request, now)) {
     return true;
   }
-  return this->ledger.StatusOf(aRequest, now) == CrashStatus::Suspect &&
-         (this->copies.HasAny(aRequest, now) ||
-          this->ledger.IsUndecided(aRequest, now));
+  return this->IsToWaitFor(aSubjects.request, aIsNew, now) ||
+         std::ranges::any_of(aSubjects.parts, [&](Fingerprint aPart) {
+           return this->IsToWaitFor(aPart, aIsNew, now);
+         });
+}
+
+bool
+CrashGuard::IsToWaitFor(Fingerprint aSubject, bool aIsNew, TimePoint aNow) const
+{
+  return this->ledger.StatusOf(aSubject, aNow) == CrashStatus::Suspect &&
+         (this->copies.HasAny(aSubject, aNow) ||
+          (aIsNew && this->broken.HasRecentBreak(aSubject, aNow)) ||
+          this->ledger.IsUndecided(aSubject, aNow));
+}
+
+void
+CrashGuard::OnSent(const CrashSubjects& aSubjects)
+{
+  this->copies.OnSent(aSubjects.request);
+  for (const Fingerprint part : aSubjects.parts) {
+    this->copies.OnSent(part);
+  }
 }
 
 void
-CrashGuard::OnSent(Fingerprint aRequest)
+CrashGuard::OnDone(const CrashSubjects& aSubjects, bool aHasPassed)
 {
-  this->copies.OnSent(aRequest);
+  this->copies.OnDone(aSubjects.request);
+  if (aHasPassed) {
+    return;
+  }
+  for (const Fingerprint part : aSubjects.parts) {
+    this->copies.OnDone(part);
+  }
 }
 
 void
-CrashGuard::OnDone(Fingerprint aRequest)
+CrashGuard::OnAnswered(const CrashSubjects& aSubjects)
 {
-  this->copies.OnDone(aRequest);
+  const TimePoint now = Now();
+  if (this->ledger.OnAnswered(aSubjects.request, now)) {
+    this->keeper.Persist(this->LogVerdict(aSubjects.request, "answer", now));
+  }
 }
 
 void
-CrashGuard::OnAnswered(Fingerprint aRequest)
+CrashGuard::OnPassed(const CrashSubjects& aSubjects, TimePoint aBegun)
 {
   const TimePoint now = Now();
-  if (this->ledger.OnAnswered(aRequest, now)) {
-    this->keeper.Persist(this->LogVerdict(aRequest, "answer", now));
+  for (const Fingerprint part : aSubjects.parts) {
+    this->copies.OnDone(part);
+    if (this->ledger.OnPassed(part, aBegun, now)) {
+      this->keeper.Persist(this->LogVerdict(part, "answer", now));
+    }
   }
 }
 
 void
 CrashGuard::OnBroken(const InstanceName& aInstance,
-                     Fingerprint aRequest,
-                     const BrokenAttempt& aBroken)
+                     const CrashSubjects& aSubjects,
+                     const BrokenAttempt& aBroken,
+                     bool aHasPassed)
 {
   // A server that announced its departure has left: this is no crash.
   if (!this->options.isOn || this->pool.IsLeaving(aInstance)) {
     return;
   }
   const std::optional<CrashWeight> weight = WeighBreak(aBroken);
-  if (!weight || !this->broken.Add(aInstance, aRequest, *weight, Now())) {
+  if (!weight ||
+      !this->broken.Add(aInstance, aSubjects, *weight, aHasPassed, Now())) {
     return;
   }
   this->toProbe.push_back(aInstance);
@@ -155,7 +205,7 @@
       "how",
       aHow,
       "broken_off",
-      runs.size(),
+      std::ranges::count(runs, kWholeRequest, &CrashEvidence::specificity),
       "suspects",
       this->ledger.SuspectCount());
   for (const CrashEvidence& evidence : runs) {
@@ -164,19 +214,21 @@
 }
 
 QuarantineVerdict
-CrashGuard::LogVerdict(Fingerprint aRequest,
+CrashGuard::LogVerdict(Fingerprint aSubject,
                        std::string_view aFrom,
                        TimePoint aNow) const
 {
-  const QuarantineVerdict verdict = *this->ledger.VerdictOf(aRequest, aNow);
+  const QuarantineVerdict verdict = *this->ledger.VerdictOf(aSubject, aNow);
   Log(LogLevel::Warning,
       verdict.isLifted ? "quarantine_lifted" : "request_quarantined",
       "fingerprint",
-      FingerprintText(aRequest),
+      FingerprintText(aSubject),
+      "kind",
+      this->ledger.IsPart(aSubject) ? "part" : "request",
       "round",
       verdict.round,
       "score",
-      this->ledger.ScoreOf(aRequest),
+      this->ledger.ScoreOf(aSubject),
       "left_ms",
       WholeMillis(verdict.left),
       "from",
@@ -187,8 +239,8 @@
 void
 CrashGuard::EvaluateEvidence(TimePoint aNow)
 {
-  for (const Fingerprint request : this->ledger.Evaluate(aNow)) {
-    this->keeper.Persist(this->LogVerdict(request, "evidence", aNow));
+  for (const Fingerprint subject : this->ledger.Evaluate(aNow)) {
+    this->keeper.Persist(this->LogVerdict(subject, "evidence", aNow));
   }
 }
 
@@ -202,15 +254,15 @@
   }
   const TimePoint now = Now();
   aDigest.crashes = this->ledger.OutgoingUpdate(now);
-  for (const Fingerprint request : this->ledger.Suspects()) {
-    // A request that has just been aborted counts as in flight until the
+  for (const Fingerprint subject : this->ledger.Suspects()) {
+    // What has just been aborted counts as in flight until the
     // verdict on its server can be sent: meanwhile other gateways would send
-    // their duplicates.
+    // theirs.
     const bool isInFlight =
-      this->copies.HasOwn(request) || this->broken.HasRecentBreak(request, now);
+      this->copies.HasOwn(subject) || this->broken.HasRecentBreak(subject, now);
     if (isInFlight &&
         aDigest.suspectsInFlight.size() < CrashLedger::kMaxUpdateEntries) {
-      aDigest.suspectsInFlight.push_back(request);
+      aDigest.suspectsInFlight.push_back(subject);
     }
   }
 }
@@ -226,7 +278,7 @@
     aDigest.gateway, aDigest.suspectsInFlight, now);
   for (const QuarantineVerdict& verdict : aDigest.crashes.verdicts) {
     if (this->ledger.Take(verdict, now)) {
-      this->LogVerdict(verdict.request, aDigest.gateway.Value(), now);
+      this->LogVerdict(verdict.subject, aDigest.gateway.Value(), now);
     }
   }
   if (aDigest.crashes.evidence.empty()) {
@@ -248,7 +300,7 @@
 {
   const TimePoint now = Now();
   if (this->ledger.Take(aVerdict, now)) {
-    this->LogVerdict(aVerdict.request, "store", now);
+    this->LogVerdict(aVerdict.subject, "store", now);
   }
 }
 
--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -8,9 +8,10 @@
 
 namespace dogwoodvale {
 
-/// Quarantines requests that crash backend servers: detects crashed servers,
-/// exchanges the evidence with the other gateways, and decides whether a
-/// request may be sent. The evidence is evaluated by CrashLedger.
+/// Quarantines requests that crash backend servers, and parts of prompts that
+/// do: detects crashed servers, exchanges the evidence with the other gateways,
+/// and decides whether a request may be sent. The evidence is evaluated by
+/// CrashLedger.
 ///
 /// Guards against a request that crashes each server that starts it and that
 /// its caller retries, under new ids, at any gateway: each crash aborts
@@ -38,26 +39,34 @@
   /// Reads the quarantines that are stored.
   void Start();
 
-  bool IsQuarantined(Fingerprint aRequest) const;
-  bool IsSuspect(Fingerprint aRequest) const;
+  /// \return the request or the part of its prompt that is quarantined for the
+  /// longest time; nothing if the request may be sent.
+  std::optional<Fingerprint> QuarantinedSubject(
+    const CrashSubjects& aSubjects) const;
+  bool IsSuspect(const CrashSubjects& aSubjects) const;
   /// Time until the quarantine ends.
-  Duration QuarantineLeft(Fingerprint aRequest) const;
-  /// Whether a suspect request has to wait: a duplicate of it is in flight,
-  /// here or at a gateway that reported so, or evidence against it is still
-  /// being collected.
-  /// \param aIsNew it has not been sent yet. A retry goes to the next server
-  /// without waiting for the verdict on the last one.
-  bool HasToWait(Fingerprint aRequest, bool aIsNew) const;
+  Duration QuarantineLeft(Fingerprint aSubject) const;
+  /// Whether a request has to wait: it or a part of its prompt is a suspect,
+  /// and another request with this is in flight, here or at a gateway that
+  /// reported so, or evidence against it is still being collected. \param
+  /// aIsNew it has not been sent yet. A retry goes to the next server without
+  /// waiting for the verdict on the last one.
+  bool HasToWait(const CrashSubjects& aSubjects, bool aIsNew) const;
 
-  void OnSent(Fingerprint aRequest);
-  void OnDone(Fingerprint aRequest);
+  void OnSent(const CrashSubjects& aSubjects);
+  /// \param aHasPassed OnPassed() was called for this attempt.
+  void OnDone(const CrashSubjects& aSubjects, bool aHasPassed);
   /// A server has completed the request.
-  void OnAnswered(Fingerprint aRequest);
+  void OnAnswered(const CrashSubjects& aSubjects);
+  /// The parts of the prompt have got through, see CrashLedger::OnPassed().
+  /// Called once per attempt.
+  void OnPassed(const CrashSubjects& aSubjects, TimePoint aBegun);
   /// The connection broke before the answer was complete. The server is probed
   /// after kProbeDelay, to see whether it crashed.
   void OnBroken(const InstanceName& aInstance,
-                Fingerprint aRequest,
-                const BrokenAttempt& aBroken);
+                const CrashSubjects& aSubjects,
+                const BrokenAttempt& aBroken,
+                bool aHasPassed);
   /// Another incarnation has taken over the server's address.
   void OnReplaced(const InstanceName& aInstance);
   /// The list of backend servers in the pool has changed.
@@ -87,8 +96,10 @@
   void OnCrashed(const InstanceName& aInstance, const char* aHow);
   /// Logs and stores the verdicts that follow from the evidence.
   void EvaluateEvidence(TimePoint aNow);
-  /// Logs the request's newest verdict after a change. \return the verdict.
-  QuarantineVerdict LogVerdict(Fingerprint aRequest,
+  /// \param aIsNew see HasToWait().
+  bool IsToWaitFor(Fingerprint aSubject, bool aIsNew, TimePoint aNow) const;
+  /// Logs the subject's newest verdict after a change. \return the verdict.
+  QuarantineVerdict LogVerdict(Fingerprint aSubject,
                                std::string_view aFrom,
                                TimePoint aNow) const;
 
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -119,6 +119,9 @@
       EndName(outcome),
       "reason",
       outcome.error ? outcome.error->detail : "",
+      "quarantined_part",
+      outcome.quarantinedPart == 0 ? ""
+                                   : FingerprintText(outcome.quarantinedPart),
       "run",
       outcome.error ? DispositionName(outcome.error->disposition) : "ran",
       "attempts",
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -231,14 +231,13 @@
 GatewayRequest::PassesCrashGuard(TimePoint aNow)
 {
   CrashGuard& guard = this->host.Crashes();
-  const Fingerprint request = this->admitted.subjects.request;
-  if (guard.IsQuarantined(request)) {
-    this->GiveUp(ErrorCode::Quarantined,
-                 "it crashes the backend servers that run it");
+  const CrashSubjects& subjects = this->admitted.subjects;
+  if (const auto quarantined = guard.QuarantinedSubject(subjects)) {
+    this->GiveUpQuarantined(*quarantined);
     return false;
   }
   const std::optional<Duration> wait = this->suspectWait.Next(
-    guard, request, this->outcome.attempts == 0, aNow, this->host.Random());
+    guard, subjects, this->outcome.attempts == 0, aNow, this->host.Random());
   if (wait) {
     this->suspectTimer.StartOnce(*wait);
   }
@@ -455,7 +454,7 @@
                                     *this->host.Ports().backends,
                                     this->PlanFor(aCandidate.name, now),
                                     *this);
-  this->host.Crashes().OnSent(this->admitted.subjects.request);
+  this->host.Crashes().OnSent(this->admitted.subjects);
   const BackendRequestMetadata metadata =
     this->MetadataFor(aCandidate.name, now);
   ++this->outcome.attempts;
@@ -497,6 +496,15 @@
   }
 }
 
+void
+GatewayRequest::RecordPassed()
+{
+  if (!std::exchange(this->sent->hasPassed, true)) {
+    this->host.Crashes().OnPassed(this->admitted.subjects,
+                                  this->sent->begunAt.value_or(this->sent->at));
+  }
+}
+
 void
 GatewayRequest::RecordExecutionStart(TimePoint aStarted)
 {
@@ -565,6 +573,11 @@
   const TimePoint now = Now();
   this->RecordFirstResponse(now);
   this->RecordExecutionStart(now);
+  if (!this->sent->begunAt) {
+    this->sent->begunAt = now;
+  } else if (Between(*this->sent->begunAt, now) >= CrashLedger::kPassTime) {
+    this->RecordPassed();
+  }
   this->RecordGap(now);
   if (!this->streamStarted) {
     this->EndWait(true);
@@ -604,7 +617,8 @@
 GatewayRequest::OnAttemptStreamEnd()
 {
   this->outcome.complete = true;
-  this->host.Crashes().OnAnswered(this->admitted.subjects.request);
+  this->host.Crashes().OnAnswered(this->admitted.subjects);
+  this->RecordPassed();
   this->exchange->EndStream();
   this->Finish();
 }
@@ -624,7 +638,8 @@
   // Only a success shows that the request ran without crashing the server; an
   // error may have been returned before it ran.
   if (IsSuccess(answer.status)) {
-    this->host.Crashes().OnAnswered(this->admitted.subjects.request);
+    this->host.Crashes().OnAnswered(this->admitted.subjects);
+    this->RecordPassed();
   }
   // The caller already has the head of a stream, so a whole answer can't be
   // forwarded.
@@ -694,7 +709,7 @@
   }
   if (const auto broken = this->attempt->ConnectionBreak(now)) {
     this->host.Crashes().OnBroken(
-      instance, this->admitted.subjects.request, *broken);
+      instance, this->admitted.subjects, *broken, this->sent->hasPassed);
   }
   this->mayHaveRun = this->mayHaveRun || !IsNotRun(aFailure);
   this->timesSent += aFailure == AttemptFailure::NotSent ? 0 : 1;
@@ -760,6 +775,18 @@
                wait);
 }
 
+void
+GatewayRequest::GiveUpQuarantined(Fingerprint aSubject)
+{
+  const bool isPart = aSubject != this->admitted.subjects.request;
+  this->outcome.quarantinedPart = isPart ? aSubject : 0;
+  this->GiveUp(
+    ErrorCode::Quarantined,
+    isPart ? "a part of its prompt crashes the backend servers that run it"
+           : "it crashes the backend servers that run it",
+    this->host.Crashes().QuarantineLeft(aSubject));
+}
+
 void
 GatewayRequest::GiveUp(ErrorCode aCode,
                        std::string_view aReason,
@@ -778,8 +805,7 @@
   if (!this->mayHaveRun) {
     error.retryAfter =
       aCode == ErrorCode::Quarantined
-        ? std::chrono::ceil<milliseconds>(this->host.Crashes().QuarantineLeft(
-            this->admitted.subjects.request))
+        ? std::chrono::ceil<milliseconds>(aWait)
         : DrawRetryAfter(aWait, this->GetRoute().target, this->host.Random());
   }
   this->outcome.error = error;
@@ -825,7 +851,7 @@
   if (this->sent) {
     this->RecordHeldMemory(Now());
     this->host.Backends().OnDone(this->sent->instance, this->sent->work);
-    this->host.Crashes().OnDone(this->admitted.subjects.request);
+    this->host.Crashes().OnDone(this->admitted.subjects, this->sent->hasPassed);
     this->sent.reset();
   }
   this->attempt.reset();
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -80,6 +80,9 @@
   std::optional<FoundOrigin> origin;
   /// None unless a stream that has begun could not be continued.
   ResumptionRefusal refusedResumption = ResumptionRefusal::None;
+  /// The part of the prompt for which the request was refused; 0 if it was not
+  /// refused for one.
+  Fingerprint quarantinedPart = 0;
   /// Chunks of one or more whole events passed on to the caller.
   std::uint64_t events = 0;
 };
@@ -156,6 +159,10 @@
     /// The server had fewer known requests than slots when it was chosen.
     bool hadFreeSlot = false;
     bool hasResponded = false;
+    /// When the first event of this attempt arrived.
+    std::optional<TimePoint> begunAt{};
+    /// CrashGuard::OnPassed() was called.
+    bool hasPassed = false;
     /// Up to when the memory that it takes counts as the customer's use.
     TimePoint heldUntil{};
   };
@@ -205,6 +212,8 @@
   /// Reports to RankGuard that the request waits no longer for its answer.
   void EndWait(bool aHasAnswer);
   void RecordFirstResponse(TimePoint aNow);
+  /// Reports that the prompt has got through, once per attempt.
+  void RecordPassed();
   void RecordExecutionStart(TimePoint aStarted);
   void RecordGap(TimePoint aNow);
   /// Events that have arrived in this attempt; those without an id count as one
@@ -219,9 +228,12 @@
   RetryVerdict Decide(AttemptFailure aFailure, TimePoint aNow);
   bool ShouldForward(const BackendAnswer& aAnswer) const;
   void ForwardAnswer(std::string_view aBody);
+  /// Ends the request because it or a part of its prompt is quarantined.
+  void GiveUpQuarantined(Fingerprint aSubject);
   /// Ends the request with an error.
   /// \param aWait estimated time until a server accepts such a request; the
-  /// Retry-After of the error is drawn from it.
+  /// Retry-After of the error is drawn from it. The time that is left of a
+  /// quarantine is exact and is passed on as it is.
   void GiveUp(ErrorCode aCode,
               std::string_view aReason,
               Duration aWait = Duration::zero());
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -138,21 +138,31 @@
 
 struct PackedEvidence
 {
-  Fingerprint request = 0;
+  Fingerprint subject = 0;
   ServerKey server = 0;
   std::uint8_t weight = 0;
 
-  MSGPACK_DEFINE_ARRAY(request, server, weight);
+  MSGPACK_DEFINE_ARRAY(subject, server, weight);
+};
+
+struct PackedPartEvidence
+{
+  Fingerprint subject = 0;
+  ServerKey server = 0;
+  std::uint8_t weight = 0;
+  Specificity specificity = 0;
+
+  MSGPACK_DEFINE_ARRAY(subject, server, weight, specificity);
 };
 
 struct PackedVerdict
 {
-  Fingerprint request = 0;
+  Fingerprint subject = 0;
   std::uint32_t round = 0;
   bool isLifted = false;
   std::int64_t leftMillis = 0;
 
-  MSGPACK_DEFINE_ARRAY(request, round, isLifted, leftMillis);
+  MSGPACK_DEFINE_ARRAY(subject, round, isLifted, leftMillis);
 };
 
 struct PackedUsageUpdate
@@ -259,6 +269,7 @@
   std::vector<PackedRank> ranks;
   std::vector<PackedShare> shares;
   std::vector<PackedOrigins> origins;
+  std::vector<PackedPartEvidence> partEvidence;
 
   MSGPACK_DEFINE_ARRAY(gateway,
                        incarnation,
@@ -282,7 +293,8 @@
                        decode,
                        ranks,
                        shares,
-                       origins);
+                       origins,
+                       partEvidence);
 };
 
 std::vector<PackedOrigins>
@@ -322,12 +334,17 @@
 PackCrashes(const PeerDigest& aDigest, PackedDigest& aPacked)
 {
   for (const CrashEvidence& line : aDigest.crashes.evidence) {
-    aPacked.evidence.push_back(
-      { line.request, line.server, static_cast<std::uint8_t>(line.weight) });
+    const auto weight = static_cast<std::uint8_t>(line.weight);
+    if (line.IsOfPart()) {
+      aPacked.partEvidence.push_back(
+        { line.subject, line.server, weight, line.specificity });
+    } else {
+      aPacked.evidence.push_back({ line.subject, line.server, weight });
+    }
   }
   for (const QuarantineVerdict& line : aDigest.crashes.verdicts) {
     aPacked.verdicts.push_back(
-      { line.request,
+      { line.subject,
         line.round,
         line.isLifted,
         std::chrono::duration_cast<milliseconds>(line.left).count() });
@@ -338,16 +355,23 @@
 void
 UnpackCrashes(PackedDigest&& aPacked, PeerDigest& aDigest)
 {
-  for (const PackedEvidence& line : aPacked.evidence) {
-    const bool isKnown =
-      line.weight <= static_cast<std::uint8_t>(CrashWeight::Early);
-    if (isKnown) {
+  const auto add = [&aDigest](const auto& aLine, Specificity aSpecificity) {
+    if (aLine.weight <= static_cast<std::uint8_t>(CrashWeight::Early)) {
       aDigest.crashes.evidence.push_back(
-        { line.request, line.server, static_cast<CrashWeight>(line.weight) });
+        { aLine.subject,
+          aLine.server,
+          static_cast<CrashWeight>(aLine.weight),
+          aSpecificity });
     }
+  };
+  for (const PackedEvidence& line : aPacked.evidence) {
+    add(line, kWholeRequest);
+  }
+  for (const PackedPartEvidence& line : aPacked.partEvidence) {
+    add(line, line.specificity);
   }
   for (const PackedVerdict& line : aPacked.verdicts) {
-    aDigest.crashes.verdicts.push_back({ line.request,
+    aDigest.crashes.verdicts.push_back({ line.subject,
                                          line.round,
                                          line.isLifted,
                                          milliseconds(line.leftMillis) });
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -64,7 +64,7 @@
   /// Prompts sent since the last digest.
   std::vector<RoutedPrompt> routed;
   CrashUpdate crashes;
-  /// Suspect requests that the sender has in flight.
+  /// Suspects that the sender has in flight.
   std::vector<Fingerprint> suspectsInFlight;
   /// The list of backend servers that the sender has read from the store.
   ListStamp list;
--- a/dogwoodvale/src/Gateway/QuarantineStore.cpp
+++ b/dogwoodvale/src/Gateway/QuarantineStore.cpp
@@ -40,7 +40,7 @@
   const bool isRead = aKey.starts_with(QuarantineStore::kPrefix) &&
                       ReadWhole(aKey.substr(QuarantineStore::kPrefix.size()),
                                 kHexadecimal,
-                                verdict.request) &&
+                                verdict.subject) &&
                       ReadWhole(aValue, kDecimal, verdict.round);
   if (!isRead) {
     return absl::InvalidArgumentError("not a quarantine");
@@ -110,7 +110,7 @@
   if (this->pending.size() >= kMaxPendingWrites) {
     return;
   }
-  this->pending[aVerdict.request] = aVerdict;
+  this->pending[aVerdict.subject] = aVerdict;
   this->WriteNext();
 }
 
@@ -124,7 +124,7 @@
   if (before == this->era) {
     return;
   }
-  for (const auto& [request, one] : this->stored) {
+  for (const auto& [subject, one] : this->stored) {
     QuarantineVerdict verdict = one.verdict;
     verdict.left = verdict.isLifted ? verdict.left : Between(now, one.until);
     this->Persist(verdict);
@@ -146,7 +146,7 @@
     ttl, [this, verdict](const absl::StatusOr<LeaseGrant>& aGrant) {
       const std::unique_ptr<StoreCall> ended = std::move(this->writeCall);
       if (aGrant.ok()) {
-        this->stored[verdict.request] = { verdict, Now() + aGrant->ttl };
+        this->stored[verdict.subject] = { verdict, Now() + aGrant->ttl };
         this->Put(verdict, aGrant->id);
       } else {
         this->writeTimer.StartOnce(kRetryPeriod);
@@ -158,7 +158,7 @@
 QuarantineStore::Put(const QuarantineVerdict& aVerdict, LeaseId aLease)
 {
   Operation put;
-  put.key = fmt::format("{}{}", kPrefix, FingerprintText(aVerdict.request));
+  put.key = fmt::format("{}{}", kPrefix, FingerprintText(aVerdict.subject));
   put.value = WriteVerdict(aVerdict);
   put.lease = aLease;
   Transaction transaction;
@@ -170,7 +170,7 @@
         this->writeTimer.StartOnce(kRetryPeriod);
         return;
       }
-      const auto written = this->pending.find(aVerdict.request);
+      const auto written = this->pending.find(aVerdict.subject);
       if (written != this->pending.end() && written->second == aVerdict) {
         this->pending.erase(written);
       }
--- a/dogwoodvale/src/Gateway/QuarantineStore.h
+++ b/dogwoodvale/src/Gateway/QuarantineStore.h
@@ -13,7 +13,7 @@
 /// Persists quarantines in the store, each as one key under its own lease.
 ///
 /// Gateways hold quarantines in memory and exchange them. If all gateways are
-/// killed at once, each quarantined request would have to crash three more
+/// killed at once, each quarantined subject would have to crash three more
 /// servers to be detected again; the stored copies avoid that.
 class QuarantineStore
 {
@@ -27,7 +27,7 @@
   /// consistently after kRereadDelay, when gateways that started together have
   /// all done their first read.
   void Start();
-  /// Stores a verdict, in place of an earlier one of the same request. Retried
+  /// Stores a verdict, in place of an earlier one of the same subject. Retried
   /// every kRetryPeriod until the store has applied it. Dropped if
   /// kMaxPendingWrites others are pending.
   void Persist(const QuarantineVerdict& aVerdict);
--- a/dogwoodvale/src/Gateway/SuspectWait.cpp
+++ b/dogwoodvale/src/Gateway/SuspectWait.cpp
@@ -6,12 +6,12 @@
 
 std::optional<Duration>
 SuspectWait::Next(const CrashGuard& aGuard,
-                  Fingerprint aRequest,
+                  const CrashSubjects& aSubjects,
                   bool aIsNew,
                   TimePoint aNow,
                   std::mt19937_64& aRandom)
 {
-  const bool hasToWait = aGuard.HasToWait(aRequest, aIsNew);
+  const bool hasToWait = aGuard.HasToWait(aSubjects, aIsNew);
   if (hasToWait && !this->since) {
     this->since = aNow;
   }
@@ -25,7 +25,7 @@
   // No random delay if an answer has cleared the request meanwhile: duplicates
   // may then run at the same time.
   if (!std::exchange(this->needsRandomDelay, false) ||
-      !aGuard.IsSuspect(aRequest)) {
+      !aGuard.IsSuspect(aSubjects)) {
     return std::nullopt;
   }
   std::uniform_int_distribution<Duration::rep> draw(0, kMaxRandomDelay.count());
--- a/dogwoodvale/src/Gateway/SuspectWait.h
+++ b/dogwoodvale/src/Gateway/SuspectWait.h
@@ -8,8 +8,9 @@
 
 namespace dogwoodvale {
 
-/// Delays a request that is suspected of crashing servers while a duplicate of
-/// it is in flight, so that duplicates run one after another.
+/// Delays a request that is suspected of crashing servers, itself or by a part
+/// of its prompt, while another one of these is in flight, so that they run one
+/// after another.
 ///
 /// When ten gateways get the same crashing request at once, they run it 20
 /// times before the digests have told them of the crashes; with the delay it is
@@ -21,7 +22,7 @@
   /// \param aIsNew see CrashGuard::HasToWait().
   /// \return time until the next call; nothing if the request may be sent.
   std::optional<Duration> Next(const CrashGuard& aGuard,
-                               Fingerprint aRequest,
+                               const CrashSubjects& aSubjects,
                                bool aIsNew,
                                TimePoint aNow,
                                std::mt19937_64& aRandom);
--- a/dogwoodvale/src/Quarantine/CrashEvidence.h
+++ b/dogwoodvale/src/Quarantine/CrashEvidence.h
@@ -25,12 +25,22 @@
   Early = 2,
 };
 
-/// One request was in flight at one server when that server exited.
+/// How few requests share a subject: the position of a part in its prompt, from
+/// 0 on, or kWholeRequest. Requests share the first parts of their prompts, so
+/// of two subjects that explain the same exits the more specific one is blamed.
+using Specificity = std::uint8_t;
+inline constexpr Specificity kWholeRequest = 255;
+
+/// A request, or a request with one part of a prompt, was in flight at a server
+/// when that server exited.
 struct CrashEvidence
 {
-  Fingerprint request = 0;
+  Fingerprint subject = 0;
   ServerKey server = 0;
   CrashWeight weight = CrashWeight::None;
+  Specificity specificity = kWholeRequest;
+
+  bool IsOfPart() const { return this->specificity != kWholeRequest; }
 
   bool operator==(const CrashEvidence&) const = default;
 };
--- a/dogwoodvale/src/Quarantine/CrashLedger.cpp
+++ b/dogwoodvale/src/Quarantine/CrashLedger.cpp
@@ -36,6 +36,13 @@
 
 } // namespace
 
+bool
+CrashLedger::Suspect::HoldsBack() const
+{
+  const std::uint32_t score = Sum(this->exits);
+  return this->IsPart() ? score >= kPartSuspectScore : score > 0;
+}
+
 CrashLedger::CrashLedger(Duration aQuarantine)
   : quarantine(aQuarantine)
 {
@@ -46,45 +53,62 @@
                   Source aSource,
                   TimePoint aNow)
 {
-  const bool isEvidence = aEvidence.weight != CrashWeight::None;
-  if (isEvidence &&
-      this->IsAttributedToOther(aEvidence.server, aEvidence.request)) {
-    return;
-  }
-  if (!isEvidence && !this->suspects.contains(aEvidence.request)) {
+  const Fingerprint subject = aEvidence.subject;
+  CrashWeight weight = aEvidence.weight;
+  Source source = aSource;
+  if (weight != CrashWeight::None && aEvidence.IsOfPart() &&
+      this->HasPassed(subject, aNow)) {
+    if (aSource == Source::Own) {
+      return;
+    }
+    // Reported back: the sender does not know that the part gets through.
+    weight = CrashWeight::None;
+    source = Source::Own;
+  } else if (weight == CrashWeight::None
+               ? !this->suspects.contains(subject)
+               : !aEvidence.IsOfPart() &&
+                   this->IsAttributedToOther(aEvidence.server, subject)) {
     return;
   }
-  Suspect& suspect = this->SuspectOf(aEvidence.request, aNow);
+  Suspect& suspect = this->SuspectOf(subject, aNow);
+  suspect.specificity = std::max(suspect.specificity, aEvidence.specificity);
   const auto known =
     std::ranges::find(suspect.exits, aEvidence.server, &ServerExit::server);
   if (known == suspect.exits.end()) {
     if (suspect.exits.size() >= kMaxExits) {
       suspect.exits.erase(suspect.exits.begin());
     }
-    suspect.exits.push_back(
-      { aEvidence.server, aEvidence.weight, aSource, aNow });
+    suspect.exits.push_back({ aEvidence.server, weight, source, aNow });
   } else {
-    const CrashWeight merged = Merge(known->weight, aEvidence.weight);
+    const CrashWeight merged = Merge(known->weight, weight);
     if (merged == known->weight) {
       return;
     }
     known->weight = merged;
-    known->source = aSource;
+    known->source = source;
     known->receivedAt = aNow;
   }
-  if (isEvidence && this->HasUnliftedVerdict(aEvidence.request)) {
-    this->AttributeExits(aEvidence.request);
+  if (weight != CrashWeight::None && this->HasUnliftedVerdict(subject)) {
+    this->AttributeExits(subject);
   }
 }
 
+bool
+CrashLedger::HasPassed(Fingerprint aPart, TimePoint aExitAt) const
+{
+  const auto found = this->passed.find(aPart);
+  return found != this->passed.end() &&
+         aExitAt <= found->second + kPassValidity;
+}
+
 CrashLedger::Suspect&
-CrashLedger::SuspectOf(Fingerprint aRequest, TimePoint aNow)
+CrashLedger::SuspectOf(Fingerprint aSubject, TimePoint aNow)
 {
-  if (!this->suspects.contains(aRequest) &&
+  if (!this->suspects.contains(aSubject) &&
       this->suspects.size() >= kMaxSuspects) {
     this->EvictWeakest();
   }
-  Suspect& suspect = this->suspects[aRequest];
+  Suspect& suspect = this->suspects[aSubject];
   suspect.updatedAt = aNow;
   return suspect;
 }
@@ -100,31 +124,33 @@
 }
 
 bool
-CrashLedger::HasUnliftedVerdict(Fingerprint aRequest) const
+CrashLedger::HasUnliftedVerdict(Fingerprint aSubject) const
 {
-  const auto found = this->verdicts.find(aRequest);
+  const auto found = this->verdicts.find(aSubject);
   return found != this->verdicts.end() && !found->second.isLifted;
 }
 
 bool
-CrashLedger::IsAttributedToOther(ServerKey aServer, Fingerprint aRequest) const
+CrashLedger::IsAttributedToOther(ServerKey aServer, Fingerprint aSubject) const
 {
   const auto found = this->attributedTo.find(aServer);
-  return found != this->attributedTo.end() && found->second != aRequest;
+  return found != this->attributedTo.end() && found->second != aSubject;
 }
 
 bool
-CrashLedger::LeadsAtAnyExit(Fingerprint aRequest,
+CrashLedger::LeadsAtAnyExit(Fingerprint aSubject,
+                            Specificity aSpecificity,
                             std::span<const ServerExit> aExits) const
 {
-  const std::uint32_t score = Sum(aExits);
+  const auto own = std::pair(Sum(aExits), aSpecificity);
   const auto isRival = [&](const auto& aOther, ServerKey aServer) {
-    return aOther.first != aRequest && Sum(aOther.second.exits) >= score &&
-           std::ranges::any_of(aOther.second.exits,
-                               [&](const ServerExit& aTheirs) {
-                                 return aTheirs.server == aServer &&
-                                        aTheirs.weight != CrashWeight::None;
-                               });
+    const Suspect& other = aOther.second;
+    return aOther.first != aSubject &&
+           std::pair(Sum(other.exits), other.specificity) >= own &&
+           std::ranges::any_of(other.exits, [&](const ServerExit& aTheirs) {
+             return aTheirs.server == aServer &&
+                    aTheirs.weight != CrashWeight::None;
+           });
   };
   return std::ranges::any_of(aExits, [&](const ServerExit& aExit) {
     return std::ranges::none_of(this->suspects, [&](const auto& aOther) {
@@ -134,7 +160,7 @@
 }
 
 bool
-CrashLedger::ShouldQuarantine(Fingerprint aRequest,
+CrashLedger::ShouldQuarantine(Fingerprint aSubject,
                               const Suspect& aSuspect,
                               TimePoint aNow) const
 {
@@ -144,7 +170,7 @@
       return aExit.weight != CrashWeight::None &&
              Between(aExit.receivedAt, aNow) >= kSettleTime;
     });
-  const auto verdict = this->verdicts.find(aRequest);
+  const auto verdict = this->verdicts.find(aSubject);
   if (verdict != this->verdicts.end() && !verdict->second.isLifted) {
     // One crash after the quarantine has expired suffices for the next one.
     const TimePoint expiredAt = verdict->second.endsAt;
@@ -154,41 +180,43 @@
            });
   }
   const std::uint32_t score = Sum(settled);
-  return score >= kCertainScore ||
-         (score >= kQuarantineScore && this->LeadsAtAnyExit(aRequest, settled));
+  return (score >= kCertainScore && !aSuspect.IsPart()) ||
+         (score >= kQuarantineScore &&
+          this->LeadsAtAnyExit(aSubject, aSuspect.specificity, settled));
 }
 
 std::vector<Fingerprint>
 CrashLedger::Evaluate(TimePoint aNow)
 {
   std::vector<Fingerprint> quarantined;
-  for (const auto& [request, suspect] : this->suspects) {
+  for (const auto& [subject, suspect] : this->suspects) {
     const bool isCandidate = Sum(suspect.exits) >= kQuarantineScore ||
-                             this->verdicts.contains(request);
-    if (isCandidate && this->ShouldQuarantine(request, suspect, aNow)) {
-      quarantined.push_back(request);
+                             this->verdicts.contains(subject);
+    if (isCandidate && this->ShouldQuarantine(subject, suspect, aNow)) {
+      quarantined.push_back(subject);
     }
   }
-  for (const Fingerprint request : quarantined) {
-    this->Quarantine(request, aNow);
+  for (const Fingerprint subject : quarantined) {
+    this->Quarantine(subject, aNow);
   }
   return quarantined;
 }
 
 void
-CrashLedger::Quarantine(Fingerprint aRequest, TimePoint aNow)
+CrashLedger::Quarantine(Fingerprint aSubject, TimePoint aNow)
 {
-  const auto before = this->verdicts.find(aRequest);
+  const auto before = this->verdicts.find(aSubject);
   const std::uint32_t round =
     before == this->verdicts.end() ? 1 : before->second.round + 1;
-  this->SetVerdict(aRequest, { round, false, aNow + this->quarantine, aNow });
-  this->AttributeExits(aRequest);
+  this->SetVerdict(aSubject,
+                   { round, false, aNow + this->quarantine, aNow, aNow });
+  this->AttributeExits(aSubject);
 }
 
 void
-CrashLedger::SetVerdict(Fingerprint aRequest, const Verdict& aVerdict)
+CrashLedger::SetVerdict(Fingerprint aSubject, const Verdict& aVerdict)
 {
-  if (!this->verdicts.contains(aRequest) &&
+  if (!this->verdicts.contains(aSubject) &&
       this->verdicts.size() >= kMaxVerdicts) {
     const auto first =
       std::ranges::min_element(this->verdicts, {}, [](const auto& aItem) {
@@ -197,25 +225,25 @@
     this->DropAttributions(first->first);
     this->verdicts.erase(first);
   }
-  this->verdicts[aRequest] = aVerdict;
+  this->verdicts[aSubject] = aVerdict;
 }
 
 void
-CrashLedger::AttributeExits(Fingerprint aRequest)
+CrashLedger::AttributeExits(Fingerprint aSubject)
 {
-  const auto culprit = this->suspects.find(aRequest);
+  const auto culprit = this->suspects.find(aSubject);
   if (culprit == this->suspects.end()) {
     return;
   }
   for (const ServerExit& exit : culprit->second.exits) {
     if (exit.weight != CrashWeight::None) {
-      this->attributedTo.try_emplace(exit.server, aRequest);
+      this->attributedTo.try_emplace(exit.server, aSubject);
     }
   }
-  for (auto& [request, suspect] : this->suspects) {
+  for (auto& [subject, suspect] : this->suspects) {
     for (ServerExit& exit : suspect.exits) {
-      if (exit.weight != CrashWeight::None &&
-          this->IsAttributedToOther(exit.server, request)) {
+      if (exit.weight != CrashWeight::None && !suspect.IsPart() &&
+          this->IsAttributedToOther(exit.server, subject)) {
         exit.weight = CrashWeight::None;
       }
     }
@@ -223,22 +251,22 @@
 }
 
 void
-CrashLedger::DropAttributions(Fingerprint aRequest)
+CrashLedger::DropAttributions(Fingerprint aSubject)
 {
-  absl::erase_if(this->attributedTo, [aRequest](const auto& aItem) {
-    return aItem.second == aRequest;
+  absl::erase_if(this->attributedTo, [aSubject](const auto& aItem) {
+    return aItem.second == aSubject;
   });
 }
 
 void
-CrashLedger::ClearExits(Fingerprint aRequest, TimePoint aNow)
+CrashLedger::ClearExits(Fingerprint aSubject, TimePoint aUntil, TimePoint aNow)
 {
-  const auto found = this->suspects.find(aRequest);
+  const auto found = this->suspects.find(aSubject);
   if (found == this->suspects.end()) {
     return;
   }
   for (ServerExit& exit : found->second.exits) {
-    if (exit.weight != CrashWeight::None) {
+    if (exit.weight != CrashWeight::None && exit.receivedAt <= aUntil) {
       exit.weight = CrashWeight::None;
       exit.source = Source::Own;
       exit.receivedAt = aNow;
@@ -249,7 +277,7 @@
 bool
 CrashLedger::Take(const QuarantineVerdict& aVerdict, TimePoint aNow)
 {
-  const auto known = this->verdicts.find(aVerdict.request);
+  const auto known = this->verdicts.find(aVerdict.subject);
   const auto order = [](std::uint32_t aRound, bool aIsLifted) {
     return std::pair(aRound, aIsLifted);
   };
@@ -268,16 +296,17 @@
       return false;
     }
   }
-  this->SetVerdict(aVerdict.request,
+  this->SetVerdict(aVerdict.subject,
                    { aVerdict.round,
                      aVerdict.isLifted,
                      aNow + std::min(aVerdict.left, this->quarantine),
+                     aNow,
                      aNow });
   if (aVerdict.isLifted) {
-    this->DropAttributions(aVerdict.request);
-    this->ClearExits(aVerdict.request, aNow);
+    this->DropAttributions(aVerdict.subject);
+    this->ClearExits(aVerdict.subject, aNow, aNow);
   } else {
-    this->AttributeExits(aVerdict.request);
+    this->AttributeExits(aVerdict.subject);
   }
   return true;
 }
@@ -285,12 +314,33 @@
 bool
 CrashLedger::OnAnswered(Fingerprint aRequest, TimePoint aNow)
 {
-  this->ClearExits(aRequest, aNow);
-  const auto verdict = this->verdicts.find(aRequest);
+  this->ClearExits(aRequest, aNow, aNow);
+  return this->Lift(aRequest, aNow);
+}
+
+bool
+CrashLedger::OnPassed(Fingerprint aPart, TimePoint aBegun, TimePoint aNow)
+{
+  const TimePoint until = aBegun + kPassValidity;
+  if (until >= aNow &&
+      (this->passed.contains(aPart) || this->passed.size() < kMaxPassed)) {
+    TimePoint& begun = this->passed[aPart];
+    begun = std::max(begun, aBegun);
+  }
+  this->ClearExits(aPart, until, aNow);
+  const auto verdict = this->verdicts.find(aPart);
+  return verdict != this->verdicts.end() && verdict->second.since <= until &&
+         this->Lift(aPart, aNow);
+}
+
+bool
+CrashLedger::Lift(Fingerprint aSubject, TimePoint aNow)
+{
+  const auto verdict = this->verdicts.find(aSubject);
   if (verdict == this->verdicts.end() || verdict->second.isLifted) {
     return false;
   }
-  this->DropAttributions(aRequest);
+  this->DropAttributions(aSubject);
   verdict->second.isLifted = true;
   verdict->second.endsAt = aNow;
   verdict->second.receivedAt = aNow;
@@ -298,9 +348,9 @@
 }
 
 Duration
-CrashLedger::QuarantineLeft(Fingerprint aRequest, TimePoint aNow) const
+CrashLedger::QuarantineLeft(Fingerprint aSubject, TimePoint aNow) const
 {
-  const auto found = this->verdicts.find(aRequest);
+  const auto found = this->verdicts.find(aSubject);
   if (found == this->verdicts.end() || found->second.isLifted) {
     return Duration::zero();
   }
@@ -308,20 +358,23 @@
 }
 
 CrashStatus
-CrashLedger::StatusOf(Fingerprint aRequest, TimePoint aNow) const
+CrashLedger::StatusOf(Fingerprint aSubject, TimePoint aNow) const
 {
-  if (this->QuarantineLeft(aRequest, aNow) > Duration::zero()) {
+  if (this->QuarantineLeft(aSubject, aNow) > Duration::zero()) {
     return CrashStatus::Quarantined;
   }
-  const bool isSuspect =
-    this->ScoreOf(aRequest) > 0 || this->HasUnliftedVerdict(aRequest);
-  return isSuspect ? CrashStatus::Suspect : CrashStatus::Clear;
+  const auto found = this->suspects.find(aSubject);
+  const bool hasEvidence =
+    found != this->suspects.end() && found->second.HoldsBack();
+  return hasEvidence || this->HasUnliftedVerdict(aSubject)
+           ? CrashStatus::Suspect
+           : CrashStatus::Clear;
 }
 
 bool
-CrashLedger::IsUndecided(Fingerprint aRequest, TimePoint aNow) const
+CrashLedger::IsUndecided(Fingerprint aSubject, TimePoint aNow) const
 {
-  const auto found = this->suspects.find(aRequest);
+  const auto found = this->suspects.find(aSubject);
   if (found == this->suspects.end()) {
     return false;
   }
@@ -336,23 +389,30 @@
 }
 
 std::uint32_t
-CrashLedger::ScoreOf(Fingerprint aRequest) const
+CrashLedger::ScoreOf(Fingerprint aSubject) const
 {
-  const auto found = this->suspects.find(aRequest);
+  const auto found = this->suspects.find(aSubject);
   return found == this->suspects.end() ? 0 : Sum(found->second.exits);
 }
 
+bool
+CrashLedger::IsPart(Fingerprint aSubject) const
+{
+  const auto found = this->suspects.find(aSubject);
+  return found != this->suspects.end() && found->second.IsPart();
+}
+
 std::optional<QuarantineVerdict>
-CrashLedger::VerdictOf(Fingerprint aRequest, TimePoint aNow) const
+CrashLedger::VerdictOf(Fingerprint aSubject, TimePoint aNow) const
 {
-  const auto found = this->verdicts.find(aRequest);
+  const auto found = this->verdicts.find(aSubject);
   if (found == this->verdicts.end()) {
     return std::nullopt;
   }
-  return QuarantineVerdict{ aRequest,
+  return QuarantineVerdict{ aSubject,
                             found->second.round,
                             found->second.isLifted,
-                            this->QuarantineLeft(aRequest, aNow) };
+                            this->QuarantineLeft(aSubject, aNow) };
 }
 
 CrashUpdate
@@ -362,30 +422,34 @@
     return Between(aReceivedAt, aNow) < kRepeatTime;
   };
   CrashUpdate update;
-  for (const auto& [request, verdict] : this->verdicts) {
-    const Duration left = this->QuarantineLeft(request, aNow);
+  for (const auto& [subject, verdict] : this->verdicts) {
+    const Duration left = this->QuarantineLeft(subject, aNow);
     if (left > Duration::zero() || isNew(verdict.receivedAt)) {
       update.verdicts.push_back(
-        { request, verdict.round, verdict.isLifted, left });
+        { subject, verdict.round, verdict.isLifted, left });
     }
   }
+  // What clears a part goes first, as other gateways may be about to blame it.
   struct Line
   {
-    std::uint32_t score = 0;
+    std::pair<bool, std::uint32_t> order;
     CrashEvidence evidence;
   };
   std::vector<Line> lines;
-  for (const auto& [request, suspect] : this->suspects) {
+  for (const auto& [subject, suspect] : this->suspects) {
     for (const ServerExit& exit : suspect.exits) {
       const bool isToSend =
         exit.source == Source::Own || suspect.exits.size() > 1;
       if (isToSend && isNew(exit.receivedAt)) {
+        const bool clearsPart =
+          suspect.IsPart() && exit.weight == CrashWeight::None;
         lines.push_back(
-          { Sum(suspect.exits), { request, exit.server, exit.weight } });
+          { { clearsPart, Sum(suspect.exits) },
+            { subject, exit.server, exit.weight, suspect.specificity } });
       }
     }
   }
-  std::ranges::sort(lines, std::greater<>(), &Line::score);
+  std::ranges::sort(lines, std::greater<>(), &Line::order);
   lines.resize(std::min(lines.size(), kMaxUpdateEntries));
   for (const Line& line : lines) {
     update.evidence.push_back(line.evidence);
@@ -399,13 +463,13 @@
 std::vector<Fingerprint>
 CrashLedger::Suspects() const
 {
-  std::vector<Fingerprint> requests;
-  for (const auto& [request, suspect] : this->suspects) {
-    if (Sum(suspect.exits) > 0) {
-      requests.push_back(request);
+  std::vector<Fingerprint> subjects;
+  for (const auto& [subject, suspect] : this->suspects) {
+    if (suspect.HoldsBack()) {
+      subjects.push_back(subject);
     }
   }
-  return requests;
+  return subjects;
 }
 
 void
@@ -421,6 +485,9 @@
     }
     return isOver;
   });
+  absl::erase_if(this->passed, [aNow](const auto& aItem) {
+    return aItem.second + kPassValidity < aNow;
+  });
 }
 
 std::size_t
--- a/dogwoodvale/src/Quarantine/CrashLedger.h
+++ b/dogwoodvale/src/Quarantine/CrashLedger.h
@@ -2,6 +2,7 @@
 #define DOGWOODVALE_QUARANTINE_CRASHLEDGER_H
 
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -10,25 +11,26 @@
 
 namespace dogwoodvale {
 
-/// Whether a request may be sent to backend servers.
+/// Whether a request, or a request with a part, may be sent to backend servers.
 enum class CrashStatus : std::uint8_t
 {
-  /// No evidence against it.
+  /// No evidence against it, or too little against a part.
   Clear,
-  /// It was in flight at a server that exited, or its quarantine has expired:
-  /// only one of its duplicates runs at a time.
+  /// It was in flight at a server that exited (a part: at two), or its
+  /// quarantine has expired: only one request with it runs at a time.
   Suspect,
   /// It is not sent to any server.
   Quarantined,
 };
 
-/// Quarantines a request or lifts its quarantine, at all gateways.
+/// Quarantines a subject, a request or a part of prompts, or lifts its
+/// quarantine, at all gateways.
 struct QuarantineVerdict
 {
-  Fingerprint request = 0;
-  /// Number of quarantines of this request so far; the higher round overrides.
+  Fingerprint subject = 0;
+  /// Number of quarantines of this subject so far; the higher round overrides.
   std::uint32_t round = 0;
-  /// The quarantine of this round is lifted: a server has answered the request.
+  /// The quarantine of this round is lifted: the subject has got through.
   bool isLifted = false;
   /// Remaining time of the quarantine.
   Duration left{ 0 };
@@ -48,16 +50,21 @@
   }
 };
 
-/// Finds the request that crashes servers when several exit in succession.
+/// Finds what crashes servers when several exit in succession: a request, or a
+/// part of prompts that many requests share, no two of which need be alike.
 ///
 /// Every request in flight at a server breaks off when the server exits, so an
-/// exit is evidence against all of them. Only the request that caused it is in
-/// flight again at the next exit, and it is never answered. A request is
-/// quarantined when its score reaches kQuarantineScore, as after three exits
-/// with nothing of its answer sent, and it leads at one of these exits: no
-/// other request in flight there has as high a score. The exits are then
-/// attributed to it and no longer count against others. An answer clears a
-/// request.
+/// exit is evidence against all of them and their parts. Only the subject that
+/// caused it is in flight again at the next exit, and it never gets through. A
+/// subject is quarantined when its score reaches kQuarantineScore, as after
+/// three exits with nothing of its answer sent, and it leads at one of these
+/// exits: no other subject in flight there has a higher score, or the same and
+/// is as specific. The exits are then attributed to it and no longer count
+/// against other requests.
+///
+/// An answer clears a request. A part is cleared by any request with it that
+/// gets through, see OnPassed(): a part that many requests share is in flight
+/// at most exits, while other requests with it get through elsewhere.
 ///
 /// Updates from other gateways may be merged in any order and any number of
 /// times: of two weights for one exit the higher counts, except that
@@ -74,12 +81,12 @@
 
   explicit CrashLedger(Duration aQuarantine);
 
-  /// Adds evidence that a request was in flight at a server that exited.
+  /// Adds evidence that a subject was in flight at a server that exited.
   /// \param aSource whether this gateway observed it or another reported it.
   void Take(const CrashEvidence& aEvidence, Source aSource, TimePoint aNow);
   /// Evaluates the evidence received at least kSettleTime ago; called every
   /// kEvaluationPeriod.
-  /// \return requests that this call quarantines.
+  /// \return subjects that this call quarantines.
   std::vector<Fingerprint> Evaluate(TimePoint aNow);
   /// Applies another gateway's verdict.
   /// \return whether it overrides the one known here.
@@ -87,49 +94,70 @@
   /// A server has answered the request.
   /// \return whether this lifts its quarantine.
   bool OnAnswered(Fingerprint aRequest, TimePoint aNow);
+  /// A request with the part has got through: a server has answered it, or has
+  /// been writing the answer for kPassTime. Clears the part of the exits until
+  /// kPassValidity after \p aBegun.
+  /// \param aBegun when the server began to write. A long stream from before
+  /// the part began to crash servers does not clear it of later exits.
+  /// \return whether this lifts its quarantine.
+  bool OnPassed(Fingerprint aPart, TimePoint aBegun, TimePoint aNow);
 
-  CrashStatus StatusOf(Fingerprint aRequest, TimePoint aNow) const;
+  CrashStatus StatusOf(Fingerprint aSubject, TimePoint aNow) const;
   /// Remaining time of its quarantine; zero if it is not quarantined.
-  Duration QuarantineLeft(Fingerprint aRequest, TimePoint aNow) const;
+  Duration QuarantineLeft(Fingerprint aSubject, TimePoint aNow) const;
   /// Whether more evidence may still arrive from other gateways, or the
   /// evidence would suffice for a quarantine but has not been evaluated yet. A
-  /// request that crashes servers would crash another one each time it is sent
+  /// subject that crashes servers would crash another one each time it is sent
   /// in this state.
-  bool IsUndecided(Fingerprint aRequest, TimePoint aNow) const;
+  bool IsUndecided(Fingerprint aSubject, TimePoint aNow) const;
   /// Sum of the CrashWeight values of the evidence against it.
-  std::uint32_t ScoreOf(Fingerprint aRequest) const;
+  std::uint32_t ScoreOf(Fingerprint aSubject) const;
+  /// Whether the evidence is against a part of prompts.
+  bool IsPart(Fingerprint aSubject) const;
   /// Its current verdict, for storage that outlives this process; nothing if
   /// there is none.
-  std::optional<QuarantineVerdict> VerdictOf(Fingerprint aRequest,
+  std::optional<QuarantineVerdict> VerdictOf(Fingerprint aSubject,
                                              TimePoint aNow) const;
 
   /// Update for the other gateways. Active quarantines are always included,
   /// since a gateway that was disconnected or has just started has missed them;
   /// everything else for kRepeatTime. Evidence from other gateways is forwarded
-  /// only for requests with two exits or more: those with one exit are many,
+  /// only for subjects with two exits or more: those with one exit are many,
   /// and every gateway nearby has received their evidence first-hand.
   CrashUpdate OutgoingUpdate(TimePoint aNow) const;
-  /// Requests with a score above 0.
+  /// Subjects with evidence that requests have to wait for.
   std::vector<Fingerprint> Suspects() const;
   /// Drops evidence and verdicts older than kRetention.
   void Expire(TimePoint aNow);
 
-  /// Number of requests with evidence, including evidence of no weight.
+  /// Number of subjects with evidence, including evidence of no weight.
   std::size_t SuspectCount() const { return this->suspects.size(); }
   std::size_t QuarantinedCount(TimePoint aNow) const;
 
   /// Three exits of servers that had sent nothing of the answer.
   static constexpr std::uint32_t kQuarantineScore = 6;
-  /// Sufficient without leading: two requests that are always in flight
-  /// together never lead, and must not crash servers indefinitely.
+  /// Sufficient for a request without leading: two requests that are always in
+  /// flight together never lead, and must not crash servers indefinitely. Of
+  /// two parts the one further back in the prompt leads.
   static constexpr std::uint32_t kCertainScore = 2 * kQuarantineScore;
-  /// Exits kept per request; three to six decide.
+  /// A part with less is no suspect. One exit is evidence against each part in
+  /// flight there, and all requests with one of them would wait for each other.
+  static constexpr std::uint32_t kPartSuspectScore = 4;
+  /// A part that crashes servers does so when they begin to write an answer.
+  static constexpr Duration kPassTime = seconds(1);
+  /// For how long after a request has begun to be answered its parts are not
+  /// blamed for exits, provided that it gets through. Longer than kPassTime, so
+  /// that a part with a few requests a second is never blamed.
+  static constexpr Duration kPassValidity = seconds(2);
+  /// Exits kept per subject; three to six decide.
   static constexpr std::size_t kMaxExits = 16;
   /// 2,048 suspects and 256 verdicts take under 1 MiB. The suspect with the
   /// lowest score, and of these the oldest, is evicted first, so that a flood
-  /// of requests with one exit cannot evict one with two.
+  /// of subjects with one exit cannot evict one with two.
   static constexpr std::size_t kMaxSuspects = 2048;
   static constexpr std::size_t kMaxVerdicts = 256;
+  /// Parts that have got through, kept for kPassValidity.
+  static constexpr std::size_t kMaxPassed = 4096;
   /// Retention of evidence, and of a quarantine after it has expired: within
   /// this time one further crash quarantines the request again.
   static constexpr Duration kRetention = seconds(600);
@@ -161,6 +189,12 @@
   {
     std::vector<ServerExit> exits;
     TimePoint updatedAt{};
+    /// The highest of its evidence.
+    Specificity specificity = 0;
+
+    bool IsPart() const { return this->specificity != kWholeRequest; }
+    /// Whether the evidence is enough for requests to wait for each other.
+    bool HoldsBack() const;
   };
   struct Verdict
   {
@@ -168,38 +202,50 @@
     bool isLifted = false;
     TimePoint endsAt{};
     TimePoint receivedAt{};
+    /// Start of the round, as known here.
+    TimePoint since{};
   };
 
-  Suspect& SuspectOf(Fingerprint aRequest, TimePoint aNow);
+  Suspect& SuspectOf(Fingerprint aSubject, TimePoint aNow);
   /// Evicts the suspect with the lowest score, of these the oldest.
   void EvictWeakest();
-  /// Whether the server's exit is attributed to another request.
-  bool IsAttributedToOther(ServerKey aServer, Fingerprint aRequest) const;
+  /// Whether a request with the part got through that clears it of an exit at
+  /// \p aExitAt.
+  bool HasPassed(Fingerprint aPart, TimePoint aExitAt) const;
+  /// Whether the server's exit is attributed to another subject.
+  bool IsAttributedToOther(ServerKey aServer, Fingerprint aSubject) const;
   /// Whether it has a verdict that is not lifted; the quarantine itself may
   /// have expired.
-  bool HasUnliftedVerdict(Fingerprint aRequest) const;
-  bool ShouldQuarantine(Fingerprint aRequest,
+  bool HasUnliftedVerdict(Fingerprint aSubject) const;
+  bool ShouldQuarantine(Fingerprint aSubject,
                         const Suspect& aSuspect,
                         TimePoint aNow) const;
-  /// Whether there is an exit in \p aExits at which no other request in flight
-  /// has as high a score.
-  bool LeadsAtAnyExit(Fingerprint aRequest,
+  /// Whether there is an exit in \p aExits at which no other subject in flight
+  /// has a higher score, or the same and is as specific.
+  bool LeadsAtAnyExit(Fingerprint aSubject,
+                      Specificity aSpecificity,
                       std::span<const ServerExit> aExits) const;
-  void Quarantine(Fingerprint aRequest, TimePoint aNow);
-  void SetVerdict(Fingerprint aRequest, const Verdict& aVerdict);
-  /// Attributes the exits of the request to it; evidence against others at
-  /// these exits loses its weight.
-  void AttributeExits(Fingerprint aRequest);
-  void DropAttributions(Fingerprint aRequest);
-  /// Takes the weight from all evidence against the request.
-  void ClearExits(Fingerprint aRequest, TimePoint aNow);
+  void Quarantine(Fingerprint aSubject, TimePoint aNow);
+  void SetVerdict(Fingerprint aSubject, const Verdict& aVerdict);
+  /// Attributes the exits of the subject to it; evidence against other requests
+  /// at these exits loses its weight. Evidence against parts does not, as the
+  /// request that is blamed may have crashed the servers by one of them.
+  void AttributeExits(Fingerprint aSubject);
+  void DropAttributions(Fingerprint aSubject);
+  /// Takes the weight from all evidence received until \p aUntil.
+  void ClearExits(Fingerprint aSubject, TimePoint aUntil, TimePoint aNow);
+  /// \return whether it had a verdict that was not lifted.
+  bool Lift(Fingerprint aSubject, TimePoint aNow);
 
   /// Length of a quarantine.
   Duration quarantine;
   absl::flat_hash_map<Fingerprint, Suspect> suspects;
   absl::flat_hash_map<Fingerprint, Verdict> verdicts;
-  /// The request that each exit is attributed to.
+  /// The subject that each exit is attributed to.
   absl::flat_hash_map<ServerKey, Fingerprint> attributedTo;
+  /// When the newest request with a part that has got through began to be
+  /// answered.
+  absl::flat_hash_map<Fingerprint, TimePoint> passed;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Quarantine/InFlightDuplicates.cpp
+++ b/dogwoodvale/src/Quarantine/InFlightDuplicates.cpp
@@ -5,15 +5,15 @@
 namespace dogwoodvale {
 
 void
-InFlightDuplicates::OnSent(Fingerprint aRequest)
+InFlightDuplicates::OnSent(Fingerprint aSubject)
 {
-  ++this->own[aRequest];
+  ++this->own[aSubject];
 }
 
 void
-InFlightDuplicates::OnDone(Fingerprint aRequest)
+InFlightDuplicates::OnDone(Fingerprint aSubject)
 {
-  const auto found = this->own.find(aRequest);
+  const auto found = this->own.find(aSubject);
   if (found != this->own.end() && --found->second == 0) {
     this->own.erase(found);
   }
@@ -21,26 +21,26 @@
 
 void
 InFlightDuplicates::SetPeerDuplicates(const InstanceName& aGateway,
-                                      std::span<const Fingerprint> aRequests,
+                                      std::span<const Fingerprint> aSubjects,
                                       TimePoint aNow)
 {
-  if (aRequests.empty()) {
+  if (aSubjects.empty()) {
     this->peerReports.erase(aGateway);
     return;
   }
-  this->peerReports[aGateway] = { { aRequests.begin(), aRequests.end() },
+  this->peerReports[aGateway] = { { aSubjects.begin(), aSubjects.end() },
                                   aNow };
 }
 
 bool
-InFlightDuplicates::HasAny(Fingerprint aRequest, TimePoint aNow) const
+InFlightDuplicates::HasAny(Fingerprint aSubject, TimePoint aNow) const
 {
-  return this->HasOwn(aRequest) ||
+  return this->HasOwn(aSubject) ||
          std::ranges::any_of(this->peerReports, [&](const auto& aItem) {
            const PeerReport& report = aItem.second;
            return Between(report.receivedAt, aNow) <= kReportTtl &&
-                  std::ranges::find(report.requests, aRequest) !=
-                    report.requests.end();
+                  std::ranges::find(report.subjects, aSubject) !=
+                    report.subjects.end();
          });
 }
 
--- a/dogwoodvale/src/Quarantine/InFlightDuplicates.h
+++ b/dogwoodvale/src/Quarantine/InFlightDuplicates.h
@@ -11,25 +11,24 @@
 
 namespace dogwoodvale {
 
-/// Requests in flight at backend servers: how many duplicates of each, of the
-/// same fingerprint, this gateway has sent, and which suspects the other
-/// gateways report.
+/// Subjects in flight at backend servers: how many requests with each this
+/// gateway has sent, and which suspects the other gateways report.
 class InFlightDuplicates
 {
 public:
-  void OnSent(Fingerprint aRequest);
-  void OnDone(Fingerprint aRequest);
+  void OnSent(Fingerprint aSubject);
+  void OnDone(Fingerprint aSubject);
   /// Replaces what \p aGateway reported before.
   void SetPeerDuplicates(const InstanceName& aGateway,
-                         std::span<const Fingerprint> aRequests,
+                         std::span<const Fingerprint> aSubjects,
                          TimePoint aNow);
 
-  bool HasOwn(Fingerprint aRequest) const
+  bool HasOwn(Fingerprint aSubject) const
   {
-    return this->own.contains(aRequest);
+    return this->own.contains(aSubject);
   }
   /// Whether this or another gateway has it in flight.
-  bool HasAny(Fingerprint aRequest, TimePoint aNow) const;
+  bool HasAny(Fingerprint aSubject, TimePoint aNow) const;
   /// Drops gateways whose last report is older than kReportTtl.
   void Expire(TimePoint aNow);
 
@@ -39,7 +38,7 @@
 private:
   struct PeerReport
   {
-    std::vector<Fingerprint> requests;
+    std::vector<Fingerprint> subjects;
     TimePoint receivedAt{};
   };
 
--- a/dogwoodvale/src/Quarantine/UnresolvedAttempts.cpp
+++ b/dogwoodvale/src/Quarantine/UnresolvedAttempts.cpp
@@ -4,17 +4,39 @@
 
 namespace dogwoodvale {
 
+void
+UnresolvedAttempts::ServerAttempts::Add(const CrashEvidence& aEvidence)
+{
+  const auto known = std::ranges::find(
+    this->attempts, aEvidence.subject, &CrashEvidence::subject);
+  if (known != this->attempts.end()) {
+    known->weight = std::max(known->weight, aEvidence.weight);
+    known->specificity = std::max(known->specificity, aEvidence.specificity);
+  } else if (this->attempts.size() < kMaxEntries) {
+    this->attempts.push_back(aEvidence);
+  }
+}
+
 bool
 UnresolvedAttempts::Add(const InstanceName& aInstance,
-                        Fingerprint aRequest,
+                        const CrashSubjects& aSubjects,
                         CrashWeight aWeight,
+                        bool aHasPassed,
                         TimePoint aNow)
 {
   const auto [at, isFirst] =
     this->servers.try_emplace(aInstance, ServerAttempts{ {}, aNow });
-  if (at->second.attempts.size() < kMaxAttempts) {
-    at->second.attempts.push_back(
-      { aRequest, ServerKeyOf(aInstance), aWeight });
+  const ServerKey server = ServerKeyOf(aInstance);
+  at->second.Add({ aSubjects.request, server, aWeight });
+  if (aHasPassed) {
+    return isFirst;
+  }
+  for (std::size_t i = 0; i < aSubjects.parts.size(); ++i) {
+    // A part has either got through or not, whatever was received meanwhile.
+    at->second.Add({ aSubjects.parts[i],
+                     server,
+                     CrashWeight::Early,
+                     static_cast<Specificity>(i) });
   }
   return isFirst;
 }
@@ -38,14 +60,14 @@
 }
 
 bool
-UnresolvedAttempts::HasRecentBreak(Fingerprint aRequest, TimePoint aNow) const
+UnresolvedAttempts::HasRecentBreak(Fingerprint aSubject, TimePoint aNow) const
 {
   return std::ranges::any_of(this->servers, [&](const auto& aItem) {
     const ServerAttempts& server = aItem.second;
     return Between(server.since, aNow) < kProbeWait &&
            std::ranges::find(server.attempts,
-                             aRequest,
-                             &CrashEvidence::request) != server.attempts.end();
+                             aSubject,
+                             &CrashEvidence::subject) != server.attempts.end();
   });
 }
 
--- a/dogwoodvale/src/Quarantine/UnresolvedAttempts.h
+++ b/dogwoodvale/src/Quarantine/UnresolvedAttempts.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "CrashEvidence.h"
+#include "CrashSubjects.h"
 
 namespace dogwoodvale {
 
@@ -16,20 +17,23 @@
 {
 public:
   /// Adds an attempt whose connection broke.
+  /// \param aHasPassed it got through, see CrashLedger::OnPassed(), so that it
+  /// is no evidence against the parts of its prompt.
   /// \return whether it is the first unresolved one of its server.
   bool Add(const InstanceName& aInstance,
-           Fingerprint aRequest,
+           const CrashSubjects& aSubjects,
            CrashWeight aWeight,
+           bool aHasPassed,
            TimePoint aNow);
   /// The server has exited: removes its attempts.
   /// \return them as evidence; empty if there are none.
   std::vector<CrashEvidence> OnServerExited(const InstanceName& aInstance);
   /// The server accepts connections: its attempts are discarded.
   void OnServerAlive(const InstanceName& aInstance);
-  /// Whether an attempt of the request is at a server whose first unresolved
+  /// Whether an attempt of the subject is at a server whose first unresolved
   /// break was less than kProbeWait ago, so that the result of the probe of
   /// this server may still come.
-  bool HasRecentBreak(Fingerprint aRequest, TimePoint aNow) const;
+  bool HasRecentBreak(Fingerprint aSubject, TimePoint aNow) const;
   /// Servers with unresolved attempts.
   std::vector<InstanceName> UnresolvedServers() const;
   /// Discards the attempts of servers that are unresolved after
@@ -42,14 +46,18 @@
   /// A probe is sent after 50 ms and answered within a round trip. A server
   /// that does not answer must not delay requests for longer.
   static constexpr Duration kProbeWait = milliseconds(150);
-  /// Maximum attempts per server; no server has more in flight.
-  static constexpr std::size_t kMaxAttempts = 512;
+  /// Maximum requests and parts per server: some 512 attempts, the most that a
+  /// server has in flight, with three parts each.
+  static constexpr std::size_t kMaxEntries = 2048;
 
 private:
   struct ServerAttempts
   {
     std::vector<CrashEvidence> attempts;
     TimePoint since{};
+
+    /// Adds it once per subject.
+    void Add(const CrashEvidence& aEvidence);
   };
 
   std::map<InstanceName, ServerAttempts> servers;
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -1,5 +1,6 @@
 #include "SealedEngine.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 
@@ -159,9 +160,11 @@
 SealedEngine::IsCrashing(const SealedRun& aRun) const
 {
   const std::string& body = this->settings.crashBody;
-  const std::string& part = this->settings.crashPart;
   return (!body.empty() && aRun.body.find(body) != std::string::npos) ||
-         (!part.empty() && HasSharedPart(aRun.prompt, part));
+         std::ranges::any_of(this->settings.crashParts,
+                             [&aRun](const std::string& aPart) {
+                               return HasSharedPart(aRun.prompt, aPart);
+                             });
 }
 
 void
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -24,9 +24,9 @@
   Duration work = milliseconds(2);
   /// A request whose body contains this crashes the engine; empty for none.
   std::string crashBody;
-  /// Id of a part of a prompt; a request with it before its last part crashes
-  /// the engine. Empty for none.
-  std::string crashPart;
+  /// Ids of parts of prompts; a request with one of them before its last part
+  /// crashes the engine.
+  std::vector<std::string> crashParts;
   /// From the begin of such a run, which has its head and no event, to the
   /// crash.
   Duration crashDelay = milliseconds(50);
--- a/test/CrashLedger.cpp
+++ b/test/CrashLedger.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <random>
+
 #include "dogwoodvale/Quarantine"
 
 using namespace dogwoodvale;
@@ -232,7 +234,7 @@
   CHECK(ledger.SuspectCount() == CrashLedger::kMaxSuspects);
   const CrashUpdate news = ledger.OutgoingUpdate(kStart + milliseconds(2));
   CHECK(news.evidence.size() == CrashLedger::kMaxUpdateEntries);
-  CHECK(news.evidence.front().request == kCrashing);
+  CHECK(news.evidence.front().subject == kCrashing);
   ledger.Take(Early(kCrashing, 3), Source::Own, kStart);
   CHECK(EvaluateLater(ledger) == std::vector{ kCrashing });
 }
@@ -266,8 +268,9 @@
 {
   UnresolvedAttempts broken;
   const InstanceName server("s1");
-  CHECK(broken.Add(server, kOther, CrashWeight::Late, kStart));
-  CHECK_FALSE(broken.Add(server, kCrashing, CrashWeight::Early, kStart));
+  CHECK(broken.Add(server, { kOther, {} }, CrashWeight::Late, false, kStart));
+  CHECK_FALSE(
+    broken.Add(server, { kCrashing, {} }, CrashWeight::Early, false, kStart));
   SECTION("it exited")
   {
     CHECK(broken.OnServerExited(server) ==
@@ -341,3 +344,219 @@
     RC_ASSERT(EvaluateLater(ledger) == std::vector{ kCrashing });
   });
 }
+
+namespace {
+
+constexpr Fingerprint kPart = 11;
+constexpr Fingerprint kSoundPart = 12;
+constexpr Fingerprint kDeepPart = 13;
+constexpr Specificity kMiddle = 1;
+
+CrashEvidence
+OfPart(Fingerprint aPart, ServerKey aServer, Specificity aSpecificity = kMiddle)
+{
+  return { aPart, aServer, CrashWeight::Early, aSpecificity };
+}
+
+} // namespace
+
+// No two of the requests that hold a crashing part are alike.
+TEST_CASE("a part in flight at three exits is quarantined", "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  for (ServerKey server = 1; server <= 3; ++server) {
+    ledger.Take(Early(100 + server, server), Source::Own, kStart);
+    ledger.Take(OfPart(kPart, server), Source::Peer, kStart);
+    CHECK((ledger.StatusOf(kPart, kStart) == CrashStatus::Suspect) ==
+          (server >= 2));
+  }
+  CHECK(EvaluateLater(ledger) == std::vector{ kPart });
+  CHECK(ledger.IsPart(kPart));
+}
+
+// A part that nearly all requests share is in flight at every exit. If it were
+// blamed, all these requests would be refused.
+TEST_CASE("a part with which others get through is not blamed", "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  const auto exitServers = [&](ServerKey aFirst, TimePoint aAt) {
+    for (ServerKey server = aFirst; server < aFirst + 6; ++server) {
+      ledger.Take(OfPart(kSoundPart, server, 0), Source::Own, aAt);
+    }
+  };
+  SECTION("before the exits")
+  {
+    ledger.OnPassed(kSoundPart, kStart - seconds(1), kStart);
+    exitServers(1, kStart);
+    CHECK(ledger.ScoreOf(kSoundPart) == 0);
+  }
+  SECTION("after the exits")
+  {
+    exitServers(1, kStart);
+    CHECK(ledger.ScoreOf(kSoundPart) == 12);
+    ledger.OnPassed(kSoundPart, kStart + seconds(1), kStart + seconds(2));
+    CHECK(ledger.ScoreOf(kSoundPart) == 0);
+  }
+  SECTION("it is blamed again for later exits")
+  {
+    ledger.OnPassed(kSoundPart, kStart, kStart + seconds(1));
+    exitServers(1, kStart + CrashLedger::kPassValidity + Duration(1));
+    CHECK(ledger.ScoreOf(kSoundPart) == 12);
+    return;
+  }
+  CHECK(EvaluateLater(ledger, kStart + seconds(2)).empty());
+}
+
+// A long stream that began before a part began to crash servers ends while it
+// does. It says nothing of the exits since.
+TEST_CASE("an old stream does not clear a part of later exits", "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  const TimePoint exit = kStart + seconds(5);
+  for (ServerKey server = 1; server <= 3; ++server) {
+    ledger.Take(OfPart(kPart, server), Source::Own, exit);
+  }
+  ledger.OnPassed(kPart, kStart, exit);
+  CHECK(ledger.ScoreOf(kPart) == 6);
+  REQUIRE(EvaluateLater(ledger, exit) == std::vector{ kPart });
+  CHECK_FALSE(ledger.OnPassed(kPart, kStart, exit + seconds(1)));
+  CHECK(ledger.StatusOf(kPart, exit + seconds(1)) == CrashStatus::Quarantined);
+  CHECK(ledger.OnPassed(kPart, exit + seconds(1), exit + seconds(2)));
+  CHECK(ledger.StatusOf(kPart, exit + seconds(2)) == CrashStatus::Clear);
+}
+
+// Each gateway sees few requests: one that does not know that a part gets
+// through would blame it if those that do kept this to themselves.
+TEST_CASE("a gateway that knows better clears a part for the others", "[parts]")
+{
+  CrashLedger here(kQuarantine);
+  CrashLedger there(kQuarantine);
+  there.OnPassed(kSoundPart, kStart - seconds(1), kStart);
+  for (ServerKey server = 1; server <= 3; ++server) {
+    here.Take(OfPart(kSoundPart, server, 0), Source::Own, kStart);
+  }
+  Apply(there, here.OutgoingUpdate(kStart), kStart);
+  const CrashUpdate cleared = there.OutgoingUpdate(kStart);
+  CHECK(cleared.evidence.size() == 3);
+  Apply(here, cleared, kStart);
+  CHECK(here.ScoreOf(kSoundPart) == 0);
+  CHECK(EvaluateLater(here).empty());
+}
+
+// All requests with a crashing part share the parts before it, too. Without
+// other requests the parts can't be told apart; the one that fewer share goes.
+TEST_CASE("of parts at the same exits the one further back is blamed",
+          "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  for (ServerKey server = 1; server <= 3; ++server) {
+    ledger.Take(OfPart(kPart, server, 0), Source::Own, kStart);
+    ledger.Take(OfPart(kDeepPart, server, 2), Source::Own, kStart);
+  }
+  CHECK(EvaluateLater(ledger) == std::vector{ kDeepPart });
+  // If it was the other one after all, its next exit shows that.
+  ledger.Take(OfPart(kPart, 4, 0), Source::Own, kStart);
+  CHECK(EvaluateLater(ledger) == std::vector{ kPart });
+}
+
+// A request that crashes servers by its own content is retried by its caller;
+// its parts are in flight at the same exits, and other requests need them.
+TEST_CASE("a retried request is blamed rather than its parts", "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  for (ServerKey server = 1; server <= 3; ++server) {
+    ledger.Take(Early(kCrashing, server), Source::Own, kStart);
+    ledger.Take(OfPart(kPart, server), Source::Own, kStart);
+  }
+  CHECK(EvaluateLater(ledger) == std::vector{ kCrashing });
+  CHECK(EvaluateLater(ledger, kStart + seconds(1)).empty());
+  // The request crashed them by a part of it: others with it go on to.
+  ledger.Take(OfPart(kPart, 4), Source::Own, kStart);
+  CHECK(EvaluateLater(ledger) == std::vector{ kPart });
+}
+
+// Requests of which no two are alike fill a bounded ledger.
+TEST_CASE("a flood of requests does not push out a suspect part", "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  ledger.Take(OfPart(kPart, 1), Source::Own, kStart);
+  ledger.Take(OfPart(kPart, 2), Source::Own, kStart);
+  for (Fingerprint other = 1000; other < 1000 + 4 * CrashLedger::kMaxSuspects;
+       ++other) {
+    ledger.Take(Early(other, 2), Source::Own, kStart);
+  }
+  CHECK(ledger.SuspectCount() == CrashLedger::kMaxSuspects);
+  ledger.Take(OfPart(kPart, 3), Source::Own, kStart);
+  CHECK(EvaluateLater(ledger) == std::vector{ kPart });
+}
+
+TEST_CASE("a request that got through is no evidence against its parts",
+          "[parts]")
+{
+  UnresolvedAttempts broken;
+  const InstanceName server("e1");
+  broken.Add(
+    server, { kOther, { kPart, kDeepPart } }, CrashWeight::Late, true, kStart);
+  broken.Add(
+    server, { kCrashing, { kPart, kPart } }, CrashWeight::Early, false, kStart);
+  const std::vector<CrashEvidence> evidence = broken.OnServerExited(server);
+  const ServerKey key = ServerKeyOf(server);
+  const std::vector<CrashEvidence> expected{ Late(kOther, key),
+                                             Early(kCrashing, key),
+                                             OfPart(kPart, key, 1) };
+  CHECK(evidence == expected);
+}
+
+// Updates come late, twice, out of order or not at all; the gateways have to
+// agree on the part to blame, and on no other one.
+TEST_CASE("gateways blame the same part whatever becomes of updates", "[parts]")
+{
+  CHECK(rc::check([] {
+    constexpr std::size_t kLedgers = 4;
+    constexpr int kSteps = 60;
+    constexpr Duration kTick = milliseconds(100);
+    std::vector<CrashLedger> ledgers(kLedgers, CrashLedger(kQuarantine));
+    std::vector<std::pair<std::size_t, CrashUpdate>> pending;
+    std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+    const auto any = [&random](std::size_t aBelow) {
+      return std::uniform_int_distribution<std::size_t>(0, aBelow - 1)(random);
+    };
+    TimePoint now = kStart;
+    ServerKey server = 0;
+    for (int step = 0; step < kSteps; ++step, now += kTick) {
+      if (step % 8 == 0 && step < kSteps / 2) {
+        ++server;
+        ledgers[any(kLedgers)].Take(OfPart(kPart, server), Source::Own, now);
+        ledgers[any(kLedgers)].Take(
+          OfPart(kSoundPart, server, 0), Source::Own, now);
+      }
+      if (step % 5 == 0) {
+        ledgers[any(kLedgers)].OnPassed(
+          kSoundPart, now - CrashLedger::kPassTime, now);
+      }
+      for (std::size_t from = 0; from < kLedgers; ++from) {
+        const CrashUpdate update = ledgers[from].OutgoingUpdate(now);
+        for (std::size_t to = 0; to < kLedgers; ++to) {
+          if (to != from && any(4) > 0) {
+            pending.emplace_back(to, update);
+          }
+        }
+      }
+      // Delivers about two thirds of what is under way, some of it twice.
+      std::erase_if(pending, [&](const auto& aOne) {
+        const bool isDelivered = any(3) > 0;
+        if (isDelivered) {
+          Apply(ledgers[aOne.first], aOne.second, now);
+        }
+        return isDelivered && any(10) > 0;
+      });
+      for (CrashLedger& ledger : ledgers) {
+        ledger.Evaluate(now);
+        RC_ASSERT(!IsQuarantined(ledger, kSoundPart, now));
+      }
+    }
+    for (const CrashLedger& ledger : ledgers) {
+      RC_ASSERT(IsQuarantined(ledger, kPart, now));
+    }
+  }));
+}
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -325,7 +325,8 @@
   digest.storeContact = milliseconds(1234);
   digest.work = { { InstanceName("e1"), { 1, { 0, 2 }, 3, 1 } } };
   digest.routed = { { InstanceName("e2"), { { 4, 40 }, { 5, 50 } }, 6 } };
-  digest.crashes.evidence = { { 10, 11, CrashWeight::Late } };
+  digest.crashes.evidence = { { 10, 11, CrashWeight::Late },
+                              { 42, 43, CrashWeight::Early, 44 } };
   digest.crashes.verdicts = { { 12, 13, true, seconds(14) } };
   digest.suspectsInFlight = { 15 };
   digest.rates = { { InstanceName("e3"), 2.5, milliseconds(16) },
@@ -458,9 +459,9 @@
 }
 
 // Guards a rolling upgrade to the version that appends loads, decode sums,
-// ranks, shares and origins: a digest that ends with the departures is still
-// decoded, and the leading fields of a new one can be read by the older
-// version.
+// ranks, shares, origins and evidence against parts: a digest that ends with
+// the departures is still decoded, and the leading fields of a new one can be
+// read by the older version.
 TEST_CASE("a digest without the appended fields is decoded", "[digest]")
 {
   PeerDigest digest;
@@ -474,12 +475,13 @@
   digest.ranks = { { ServiceName("s"), 1, 2, 3, 4 } };
   digest.shares = { { ServiceName("s"), {}, 1.5, 2 } };
   digest.origins = { { 5, { ServiceName("s"), "v1" }, milliseconds(6) } };
+  digest.crashes.evidence = { { 7, 8, CrashWeight::Early, 9 } };
   const std::string bytes =
     WriteDigest(digest, "secret").substr(kKeyedDigestBytes);
   const auto whole = msgpack::unpack(bytes.data(), bytes.size());
   std::vector<msgpack::object> fields;
   whole.get().convert(fields);
-  constexpr std::size_t kAppended = 5;
+  constexpr std::size_t kAppended = 6;
   constexpr std::size_t kOlderFields = 18;
   REQUIRE(fields.size() == kOlderFields + kAppended);
   // From no appended field to all but one.
@@ -500,7 +502,8 @@
     CHECK(read->decode.size() == (count > kOlderFields + 1 ? 1 : 0));
     CHECK(read->ranks.size() == (count > kOlderFields + 2 ? 1 : 0));
     CHECK(read->shares.size() == (count > kOlderFields + 3 ? 1 : 0));
-    CHECK(read->origins.empty());
+    CHECK(read->origins.size() == (count > kOlderFields + 4 ? 1 : 0));
+    CHECK(read->crashes.IsEmpty());
   }
 }
 
--- a/test/QuarantineStore.cpp
+++ b/test/QuarantineStore.cpp
@@ -41,7 +41,7 @@
   CHECK(setup.store.GrantedLeases() == 1);
   setup.quarantines.Start();
   REQUIRE(setup.Until([&] { return !setup.read.empty(); }));
-  CHECK(setup.read[0].request == 0xab);
+  CHECK(setup.read[0].subject == 0xab);
   CHECK(setup.read[0].round == 3);
   CHECK_FALSE(setup.read[0].isLifted);
   CHECK(setup.read[0].left > seconds(3600));
@@ -86,5 +86,5 @@
   setup.quarantines.Start();
   REQUIRE(setup.Until([&] { return !setup.read.empty(); }));
   CHECK(setup.read.size() == 1);
-  CHECK(setup.read[0].request == 0xab);
+  CHECK(setup.read[0].subject == 0xab);
 }
--- a/test/StoreEra.cpp
+++ b/test/StoreEra.cpp
@@ -142,7 +142,7 @@
   QuarantineStore quarantines(*loop, store, [](const QuarantineVerdict&) {});
   quarantines.RunMaintenance();
   QuarantineVerdict verdict;
-  verdict.request = 7;
+  verdict.subject = 7;
   verdict.round = 1;
   verdict.left = seconds(60);
   quarantines.Persist(verdict);
--- a/test/support/CrashSite.h
+++ b/test/support/CrashSite.h
@@ -16,6 +16,7 @@
 public:
   static constexpr const char* kCrashBody = "crashes whoever runs it";
   static constexpr const char* kCrashPart = "bad0";
+  static constexpr const char* kOtherCrashPart = "bad1";
   static constexpr Duration kEntryLapses = milliseconds(250);
   static constexpr Duration kComesBack = milliseconds(400);
 
@@ -104,7 +105,9 @@
     standins::SealedEngineSettings settings = this->engineSettings;
     settings.instance = made.name;
     settings.crashBody = this->isFixed ? "" : kCrashBody;
-    settings.crashPart = this->isFixed ? "" : kCrashPart;
+    if (!this->isFixed) {
+      settings.crashParts = { kCrashPart, kOtherCrashPart };
+    }
     made.engine = *standins::SealedEngine::Create(
       *this->loop, { "127.0.0.1", 0 }, settings);
     this->Register(made.name, *made.engine, "ready");
