Send that a part is cleared once, not from every gateway that knows it

Model test: fleets find the part after 0.7 to 1.1 s, 3 to 5 servers exit, no other subject is quarantined.

--- a/dogwoodvale/src/Quarantine/CrashLedger.cpp
+++ b/dogwoodvale/src/Quarantine/CrashLedger.cpp
@@ -82,6 +82,10 @@
   } else {
     const CrashWeight merged = Merge(known->weight, weight);
     if (merged == known->weight) {
+      const bool isClear = merged == CrashWeight::None;
+      if (isClear && suspect.IsPart() && aSource == Source::Peer) {
+        RepeatClearing(*known, aEvidence.weight, aNow);
+      }
       return;
     }
     known->weight = merged;
@@ -93,6 +97,19 @@
   }
 }
 
+void
+CrashLedger::RepeatClearing(ServerExit& aExit,
+                            CrashWeight aPeers,
+                            TimePoint aNow)
+{
+  if (aPeers == CrashWeight::None) {
+    aExit.source = Source::Peer;
+  } else {
+    aExit.source = Source::Own;
+    aExit.receivedAt = aNow;
+  }
+}
+
 bool
 CrashLedger::HasPassed(Fingerprint aPart, TimePoint aExitAt) const
 {
@@ -438,11 +455,11 @@
   std::vector<Line> lines;
   for (const auto& [subject, suspect] : this->suspects) {
     for (const ServerExit& exit : suspect.exits) {
+      const bool clearsPart =
+        suspect.IsPart() && exit.weight == CrashWeight::None;
       const bool isToSend =
-        exit.source == Source::Own || suspect.exits.size() > 1;
+        exit.source == Source::Own || (suspect.exits.size() > 1 && !clearsPart);
       if (isToSend && isNew(exit.receivedAt)) {
-        const bool clearsPart =
-          suspect.IsPart() && exit.weight == CrashWeight::None;
         lines.push_back(
           { { clearsPart, Sum(suspect.exits) },
             { subject, exit.server, exit.weight, suspect.specificity } });
--- a/dogwoodvale/src/Quarantine/CrashLedger.h
+++ b/dogwoodvale/src/Quarantine/CrashLedger.h
@@ -209,6 +209,13 @@
   Suspect& SuspectOf(Fingerprint aSubject, TimePoint aNow);
   /// Evicts the suspect with the lowest score, of these the oldest.
   void EvictWeakest();
+  /// Decides whether to go on sending that a part is cleared of an exit: not if
+  /// another gateway does, as all that know it would, but again if one still
+  /// blames the part.
+  /// \param aPeers what a peer has sent of it.
+  static void RepeatClearing(ServerExit& aExit,
+                             CrashWeight aPeers,
+                             TimePoint aNow);
   /// Whether a request with the part got through that clears it of an exit at
   /// \p aExitAt.
   bool HasPassed(Fingerprint aPart, TimePoint aExitAt) const;
--- a/test/CrashModel.cpp
+++ b/test/CrashModel.cpp
@@ -11,6 +11,13 @@
 
 constexpr Duration kStep = milliseconds(10);
 constexpr Fingerprint kCrashing = 1;
+/// Parts of prompts: the one that crashes servers, one of all requests, and one
+/// of each customer.
+constexpr Fingerprint kCrashingPart = 2;
+constexpr Fingerprint kCommonPart = 3;
+constexpr Fingerprint kFirstCustomerPart = 4;
+constexpr Fingerprint kCustomers = 10;
+constexpr Fingerprint kFirstOther = kFirstCustomerPart + kCustomers;
 const TimePoint kStart = TimePoint{} + seconds(1000);
 
 struct ModelOptions
@@ -27,27 +34,28 @@
   /// Retries of a request when its server exits, each at another server by
   /// another gateway.
   int repeats = 0;
+  /// Crashing requests are not alike, but share a part of their prompts.
+  bool crashesByPart = false;
   unsigned seed = 1;
 };
 
 struct ModelResult
 {
   std::size_t exits = 0;
-  /// Runs of the crashing request sent later than kContact after the third
-  /// exit.
+  /// Runs of crashing requests sent later than kContact after the third exit.
   std::size_t lateAttempts = 0;
   std::size_t othersQuarantined = 0;
-  /// Time from the third exit until all gateways quarantine the request.
+  /// Time from the third exit until all gateways quarantine what crashes.
   Duration knownAfter = Duration::max();
   /// Bytes for crash updates alone, in the worst second of any gateway.
   std::size_t mostBytesPerSecond = 0;
   std::size_t mostSuspects = 0;
 };
 
-/// Simulates the ledgers of a fleet of gateways, with servers that one request
-/// crashes. Gateways know of a server's exit after kDetectionTime and send
-/// updates as PeerExchange does: to all gateways of their cell and to one at
-/// random.
+/// Simulates the ledgers of a fleet of gateways, with servers that one request,
+/// or one part of prompts, crashes. Gateways know of a server's exit after
+/// kDetectionTime and send updates as PeerExchange does: to all gateways of
+/// their cell and to one at random.
 class CrashModel
 {
 public:
@@ -103,6 +111,7 @@
   struct Attempt
   {
     Fingerprint request = 0;
+    std::vector<Fingerprint> parts;
     std::size_t gateway = 0;
     TimePoint since{};
     int repeats = 0;
@@ -130,31 +139,67 @@
     return std::uniform_real_distribution<double>(0, 1)(this->random) < aShare;
   }
 
-  void Send(Fingerprint aRequest, int aRepeats)
+  Fingerprint Culprit() const
   {
-    const std::size_t gateway = this->Draw(this->gateways.size());
+    return this->options.crashesByPart ? kCrashingPart : kCrashing;
+  }
+  bool IsCrashing(const Attempt& aAttempt) const
+  {
+    return this->options.crashesByPart
+             ? std::ranges::find(aAttempt.parts, kCrashingPart) !=
+                 aAttempt.parts.end()
+             : aAttempt.request == kCrashing;
+  }
+
+  bool IsQuarantined(std::size_t aGateway, Fingerprint aSubject) const
+  {
+    return this->gateways[aGateway].ledger.StatusOf(aSubject, this->now) ==
+           CrashStatus::Quarantined;
+  }
+
+  void Send(Attempt aAttempt)
+  {
+    aAttempt.gateway = this->Draw(this->gateways.size());
+    aAttempt.since = this->now;
     Server& server = this->servers[this->Draw(this->servers.size())];
     if (server.backAt > this->now ||
-        this->gateways[gateway].ledger.StatusOf(aRequest, this->now) ==
-          CrashStatus::Quarantined) {
+        this->IsQuarantined(aAttempt.gateway, aAttempt.request) ||
+        std::ranges::any_of(aAttempt.parts, [&](Fingerprint aPart) {
+          return this->IsQuarantined(aAttempt.gateway, aPart);
+        })) {
       return;
     }
-    server.attempts.push_back({ aRequest, gateway, this->now, aRepeats });
-    const bool isLate = this->thirdExit && aRequest == kCrashing &&
+    const bool isLate = this->thirdExit && this->IsCrashing(aAttempt) &&
                         Between(*this->thirdExit, this->now) > kContact;
     this->result.lateAttempts += isLate ? 1 : 0;
+    server.attempts.push_back(std::move(aAttempt));
+  }
+
+  /// Sends a crashing request, which shares all parts but one with others.
+  void SendCrashing()
+  {
+    if (this->options.crashesByPart) {
+      this->Send({ ++this->lastOther,
+                   { kCommonPart, kFirstCustomerPart, kCrashingPart } });
+    } else {
+      this->Send({ kCrashing, { kCommonPart, kFirstCustomerPart } });
+    }
   }
 
   void Arrive(long aStep)
   {
     if ((aStep * kStep) % this->options.crashInterval < kStep) {
-      this->Send(kCrashing, 0);
+      this->SendCrashing();
     }
     const double expected =
       this->options.othersPerSecond * static_cast<double>(kStep.count()) / 1e6;
     for (double left = expected; left > 0; left -= 1) {
       if (this->Chance(left)) {
-        this->Send(++this->lastOther, this->options.repeats);
+        Attempt other{ ++this->lastOther,
+                       { kCommonPart,
+                         kFirstCustomerPart + this->Draw(kCustomers) } };
+        other.repeats = this->options.repeats;
+        this->Send(std::move(other));
       }
     }
   }
@@ -164,7 +209,7 @@
     for (Server& server : this->servers) {
       const bool crashes =
         std::ranges::any_of(server.attempts, [&](const Attempt& aAttempt) {
-          return aAttempt.request == kCrashing &&
+          return this->IsCrashing(aAttempt) &&
                  Between(aAttempt.since, this->now) >= kCrashesAfter;
         });
       if (crashes) {
@@ -174,8 +219,11 @@
         const bool isAnswered =
           Between(aAttempt.since, this->now) >= kRequestTime;
         if (isAnswered) {
-          this->gateways[aAttempt.gateway].ledger.OnAnswered(aAttempt.request,
-                                                             this->now);
+          CrashLedger& ledger = this->gateways[aAttempt.gateway].ledger;
+          ledger.OnAnswered(aAttempt.request, this->now);
+          for (const Fingerprint part : aAttempt.parts) {
+            ledger.OnPassed(part, aAttempt.since + kCrashesAfter, this->now);
+          }
         }
         return isAnswered;
       });
@@ -199,14 +247,24 @@
       for (const Attempt& attempt : exit.attempts) {
         const bool hadBody =
           Between(attempt.since, exit.at) > kCrashesAfter + kDetectionTime;
-        this->gateways[attempt.gateway].ledger.Take(
-          { attempt.request,
-            exit.key,
-            hadBody ? CrashWeight::Late : CrashWeight::Early },
-          CrashLedger::Source::Own,
-          this->now);
+        CrashLedger& ledger = this->gateways[attempt.gateway].ledger;
+        ledger.Take({ attempt.request,
+                      exit.key,
+                      hadBody ? CrashWeight::Late : CrashWeight::Early },
+                    CrashLedger::Source::Own,
+                    this->now);
+        for (std::size_t i = 0; i < attempt.parts.size(); ++i) {
+          ledger.Take({ attempt.parts[i],
+                        exit.key,
+                        CrashWeight::Early,
+                        static_cast<Specificity>(i) },
+                      CrashLedger::Source::Own,
+                      this->now);
+        }
         if (attempt.repeats > 0) {
-          this->Send(attempt.request, attempt.repeats - 1);
+          Attempt repeated = attempt;
+          --repeated.repeats;
+          this->Send(std::move(repeated));
         }
       }
       this->exited.pop_front();
@@ -273,10 +331,11 @@
     bool allKnow = true;
     for (Gateway& gateway : this->gateways) {
       for (const Fingerprint request : gateway.ledger.Evaluate(this->now)) {
-        this->result.othersQuarantined += request == kCrashing ? 0 : 1;
+        this->result.othersQuarantined += request == this->Culprit() ? 0 : 1;
       }
-      allKnow = allKnow && gateway.ledger.StatusOf(kCrashing, this->now) ==
-                             CrashStatus::Quarantined;
+      allKnow =
+        allKnow && gateway.ledger.StatusOf(this->Culprit(), this->now) ==
+                     CrashStatus::Quarantined;
       this->result.mostSuspects =
         std::max(this->result.mostSuspects, gateway.ledger.SuspectCount());
     }
@@ -292,7 +351,7 @@
   std::deque<Exited> exited;
   TimePoint now = kStart;
   ServerKey lastServer = 0;
-  Fingerprint lastOther = kCrashing;
+  Fingerprint lastOther = kFirstOther;
   std::optional<TimePoint> thirdExit;
   ModelResult result;
 };
@@ -354,6 +413,27 @@
   CheckFleet(options);
 }
 
+// No two of the requests are alike that crash the servers, and the other parts
+// of their prompts are in flight at each exit.
+TEST_CASE("fleets quarantine the part of prompts that crashes servers",
+          "[model]")
+{
+  ModelOptions options;
+  options.crashesByPart = true;
+  SECTION("of thirty gateways") {}
+  SECTION("of three hundred gateways in cells")
+  {
+    options.gateways = 300;
+    options.servers = 500;
+    options.othersPerSecond = 3000;
+  }
+  SECTION("with a third of datagrams lost")
+  {
+    options.loss = 0.33;
+  }
+  CheckFleet(options);
+}
+
 // One request crashes a few servers in succession. The many other requests in
 // flight there are retried and so are present at several exits, but none of
 // these may be quarantined.
