Take a stream that ends inside an event as a sign of a crash

An answer without a length ends with its connection, in order even if its server has crashed. The gateway reported such a stream as broken off, and resumed it where it may, but took it for no break of the connection: the server was not probed, and what it ran was no evidence in the quarantine. Red before: servers_crashed stayed 0 after a half event and after a head alone.

--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -162,6 +162,8 @@
     return;
   }
   if (this->splitter.HasPartialEvent() || this->splitter.EventCount() == 0) {
+    // An answer without a length ends in order even if its server crashes.
+    this->breakReason = absl::DataLossError("the stream ended inside an event");
     this->Fail(AttemptFailure::Garbled, "the stream ended inside an event");
     return;
   }
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -86,8 +86,8 @@
   /// Number of whole events with an id that have arrived.
   std::uint64_t EventCount() const { return this->splitter.EventCount(); }
   void SetReadingPaused(bool aPaused);
-  /// How the connection broke after the request was sent; nothing if it did
-  /// not break.
+  /// How the connection broke after the request was sent, or the stream ended
+  /// inside an event; nothing if neither.
   std::optional<BrokenAttempt> ConnectionBreak(TimePoint aNow) const;
 
   bool IsOwnAnswer(std::span<const HeaderField> aHeaders) override;
@@ -115,7 +115,8 @@
   std::string body;
   bool isStream = false;
   TimePoint startedAt{};
-  /// Why the connection broke after the request was sent; OK if it did not.
+  /// Why the connection broke after the request was sent, or the stream ended
+  /// inside an event; OK if neither.
   absl::Status breakReason;
 };
 
--- /dev/null
+++ b/test/AnswersWithoutLength.cpp
@@ -0,0 +1,247 @@
+#include <catch2/catch.hpp>
+
+#include "support/PlatformSite.h"
+
+using namespace dogwoodvale;
+using test::PlatformSite;
+using test::RawSocket;
+
+namespace {
+
+const std::string kHead = "HTTP/1.1 200 OK\r\n"
+                          "Dogwoodvale-Attempt-Id: a-1\r\n"
+                          "Dogwoodvale-Response-Seal: a seal\r\n";
+const std::string kStreamHead =
+  kHead + "Content-Type: text/event-stream\r\n\r\n";
+const std::string kPlainHead = kHead + "\r\n";
+const std::string kFirst = "id: 1\ndata: first\n\n";
+/// The second event, which ends with a character of three bytes and a break.
+const std::string kSecond = "id: 2\ndata: caf\xe2\x82\xac\n\n";
+constexpr std::size_t kBreakBytes = 2;
+
+/// How a server ends a connection.
+enum class Ending : std::uint8_t
+{
+  Close,
+  Reset,
+};
+
+/// A site with bare servers, of which the test writes every byte.
+class BareSite : public PlatformSite
+{
+public:
+  explicit BareSite(int aServers = 1)
+    : PlatformSite(0)
+  {
+    for (int i = 1; i <= aServers; ++i) {
+      this->listeners.push_back(RawSocket::Listen());
+      this->store->Put(
+        fmt::format("servers/b{}", i),
+        fmt::format(
+          R"({{"service":"s","address":"{}","zone":"z","slots":4,)"
+          R"("state":"ready","sequence":1,"born":{},"version":"v1"}})",
+          this->listeners.back().Address().ToString(),
+          kBorn));
+    }
+    this->gateway = &this->ReadyGateway();
+  }
+
+  /// Sends a caller's request and takes it at the server that it goes to.
+  /// \return that server's index.
+  std::size_t Begin(const std::string& aPath,
+                    const std::string& aProtocol = "HTTP/1.1")
+  {
+    std::string text = RequestText(aPath, "a-1", "Connection: close\r\n");
+    text.replace(text.find("HTTP/1.1"), aProtocol.size(), aProtocol);
+    this->caller = RawSocket::Connect(this->gateway->CallerAddress());
+    this->caller.Send(text);
+    return this->Take();
+  }
+
+  /// Takes the next request at any server.
+  std::size_t Take()
+  {
+    std::size_t at = 0;
+    this->server.Close();
+    this->server = RawSocket();
+    REQUIRE(this->Until([&] {
+      for (std::size_t i = 0; i < this->listeners.size(); ++i) {
+        if (this->listeners[i].Accept(this->server)) {
+          at = i;
+        }
+      }
+      return this->server.Has("\r\n\r\nbody");
+    }));
+    return at;
+  }
+
+  /// Writes the bytes and ends the connection once the gateway has read them.
+  void Answer(const std::string& aBytes, Ending aEnding)
+  {
+    this->server.Send(aBytes);
+    this->Until([] { return false; }, milliseconds(30));
+    if (aEnding == Ending::Reset) {
+      this->server.Reset();
+    } else {
+      this->server.Close();
+    }
+  }
+
+  /// \return what the caller got, once its connection is closed.
+  const std::string& Received()
+  {
+    REQUIRE(this->Until([&] { return this->caller.IsClosed(); }));
+    return this->caller.received;
+  }
+
+  std::vector<RawSocket> listeners;
+  RawSocket server;
+  RawSocket caller;
+  Gateway* gateway = nullptr;
+};
+
+bool
+Has(const std::string& aText, std::string_view aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("an answer that ends with its connection reaches the caller whole",
+          "[close]")
+{
+  BareSite site;
+  SECTION("a stream")
+  {
+    site.Begin("/note/stream/x");
+    site.Answer(kStreamHead + kFirst + kSecond, Ending::Close);
+    CHECK(Has(site.Received(), kFirst));
+    CHECK(Has(site.Received(), kSecond));
+    CHECK(site.Received().ends_with("\r\n0\r\n\r\n"));
+  }
+  SECTION("a stream, to a caller without chunks")
+  {
+    site.Begin("/note/stream/x", "HTTP/1.0");
+    site.Answer(kStreamHead + kFirst + kSecond, Ending::Close);
+    CHECK(site.Received().ends_with("\r\n\r\n" + kFirst + kSecond));
+    CHECK_FALSE(site.caller.wasReset);
+  }
+  SECTION("a plain answer")
+  {
+    site.Begin("/once/x");
+    site.Answer(kPlainHead + "whole", Ending::Close);
+    CHECK(site.Received().starts_with("HTTP/1.1 200"));
+    CHECK(Has(site.Received(), "Content-Length: 5\r\n"));
+    CHECK(site.Received().ends_with("\r\n\r\nwhole"));
+  }
+}
+
+// An answer that was broken off must not look complete.
+TEST_CASE("an answer that is broken off does not look complete", "[close]")
+{
+  BareSite site;
+  const std::string whole = kFirst + kSecond;
+  const auto without = [&whole](std::size_t aBytes) {
+    return whole.substr(0, whole.size() - aBytes);
+  };
+  SECTION("streams")
+  {
+    const std::string protocol = GENERATE("HTTP/1.1", "HTTP/1.0");
+    SECTION("closed inside an event")
+    {
+      site.Begin("/note/stream/x", protocol);
+      site.Answer(kStreamHead + without(8), Ending::Close);
+    }
+    SECTION("closed inside a character")
+    {
+      site.Begin("/note/stream/x", protocol);
+      site.Answer(kStreamHead + without(kBreakBytes + 1), Ending::Close);
+    }
+    SECTION("closed before the break that ends an event")
+    {
+      site.Begin("/note/stream/x", protocol);
+      site.Answer(kStreamHead + without(kBreakBytes), Ending::Close);
+    }
+    SECTION("reset after an event")
+    {
+      site.Begin("/note/stream/x", protocol);
+      site.Answer(kStreamHead + kFirst, Ending::Reset);
+    }
+    CHECK(Has(site.Received(), kFirst));
+    CHECK_FALSE(Has(site.Received(), "caf"));
+    CHECK_FALSE(site.Received().ends_with("0\r\n\r\n"));
+    CHECK(site.caller.wasReset);
+  }
+  SECTION("a stream closed after its head")
+  {
+    site.Begin("/note/stream/x");
+    site.Answer(kStreamHead, Ending::Close);
+    CHECK(site.Received().starts_with("HTTP/1.1 502"));
+  }
+  SECTION("a plain answer that is reset")
+  {
+    site.Begin("/once/x");
+    site.Answer(kPlainHead + "half", Ending::Reset);
+    CHECK(site.Received().starts_with("HTTP/1.1 502"));
+    CHECK_FALSE(Has(site.Received(), "half"));
+  }
+  SECTION("a plain answer with no proof")
+  {
+    site.Begin("/once/x");
+    site.Answer("HTTP/1.1 200 OK\r\n\r\nwhole", Ending::Close);
+    CHECK(site.Received().starts_with("HTTP/1.1 502"));
+  }
+}
+
+TEST_CASE("a stream that ends inside an event is resumed after it", "[close]")
+{
+  BareSite site(2);
+  const std::size_t first = site.Begin("/stream/x");
+  site.Answer(kStreamHead + kFirst + kSecond.substr(0, 9), Ending::Close);
+  CHECK(site.Take() != first);
+  CHECK(site.server.Has("Last-Event-Id: 1\r\n"));
+  site.Answer(kStreamHead + kSecond, Ending::Close);
+  CHECK(Has(site.Received(), kFirst));
+  CHECK(Has(site.Received(), kSecond));
+  CHECK(site.Received().ends_with("\r\n0\r\n\r\n"));
+}
+
+// A server that crashes ends the connections of answers without a length in
+// order, so that no error tells of it.
+TEST_CASE("a server that ends after a half event is seen to have crashed",
+          "[close]")
+{
+  BareSite site;
+  site.Begin("/note/stream/x");
+  site.listeners[0].Close();
+  SECTION("inside its first event")
+  {
+    site.Answer(kStreamHead + kFirst.substr(0, 9), Ending::Close);
+  }
+  SECTION("after its head")
+  {
+    site.Answer(kStreamHead, Ending::Close);
+  }
+  site.Received();
+  CHECK(site.Until([&] {
+    return Has(site.gateway->Metrics(), "{reason=\"servers_crashed\"} 1\n");
+  }));
+  CHECK(Has(site.gateway->Metrics(), "{reason=\"crash_suspects\"} 1\n"));
+}
+
+// The server would take the next request for a part of a connection that it is
+// about to close.
+TEST_CASE("a connection that ends an answer is not used again", "[close]")
+{
+  BareSite site;
+  site.Begin("/again/x");
+  site.server.Send(kPlainHead + "whole");
+  CHECK_FALSE(
+    site.Until([&] { return site.caller.IsClosed(); }, milliseconds(100)));
+  site.server.Close();
+  CHECK(site.Received().ends_with("whole"));
+  site.Begin("/again/x");
+  site.Answer(kPlainHead + "next", Ending::Close);
+  CHECK(site.Received().ends_with("next"));
+}
