Blame a part only for exits apart in time, and a tied one only after four

When all servers are killed at once, each part that some requests share is in flight at several of them, and none of these may have got through yet: three such exits would have quarantined it. A part is now blamed for exits over at least half a second. A part further back in the same prompts as the crashing one, with few other requests, was blamed after three exits; now after four, which gives other requests time to clear it.

--- a/dogwoodvale/src/Quarantine/CrashLedger.cpp
+++ b/dogwoodvale/src/Quarantine/CrashLedger.cpp
@@ -36,6 +36,17 @@
 
 } // namespace
 
+Duration
+CrashLedger::SpanOf(std::span<const ServerExit> aExits)
+{
+  if (aExits.empty()) {
+    return Duration::zero();
+  }
+  const auto [first, last] =
+    std::ranges::minmax(aExits, {}, &ServerExit::receivedAt);
+  return Between(first.receivedAt, last.receivedAt);
+}
+
 bool
 CrashLedger::Suspect::HoldsBack() const
 {
@@ -159,11 +170,19 @@
                             Specificity aSpecificity,
                             std::span<const ServerExit> aExits) const
 {
-  const auto own = std::pair(Sum(aExits), aSpecificity);
+  const std::uint32_t score = Sum(aExits);
+  const auto goesFirst = [&](const Suspect& aOther) {
+    const std::uint32_t others = Sum(aOther.exits);
+    if (others != score) {
+      return others > score;
+    }
+    const bool isPartAlike = aOther.IsPart() && aSpecificity != kWholeRequest;
+    return aOther.specificity >= aSpecificity ||
+           (isPartAlike && score < kTiedPartsScore);
+  };
   const auto isRival = [&](const auto& aOther, ServerKey aServer) {
     const Suspect& other = aOther.second;
-    return aOther.first != aSubject &&
-           std::pair(Sum(other.exits), other.specificity) >= own &&
+    return aOther.first != aSubject && goesFirst(other) &&
            std::ranges::any_of(other.exits, [&](const ServerExit& aTheirs) {
              return aTheirs.server == aServer &&
                     aTheirs.weight != CrashWeight::None;
@@ -196,6 +215,9 @@
              return aExit.receivedAt > expiredAt;
            });
   }
+  if (aSuspect.IsPart() && SpanOf(settled) < kPartMinSpan) {
+    return false;
+  }
   const std::uint32_t score = Sum(settled);
   return (score >= kCertainScore && !aSuspect.IsPart()) ||
          (score >= kQuarantineScore &&
--- a/dogwoodvale/src/Quarantine/CrashLedger.h
+++ b/dogwoodvale/src/Quarantine/CrashLedger.h
@@ -143,6 +143,14 @@
   /// A part with less is no suspect. One exit is evidence against each part in
   /// flight there, and all requests with one of them would wait for each other.
   static constexpr std::uint32_t kPartSuspectScore = 4;
+  /// Four exits. From there on a part is blamed rather than those before it in
+  /// the same prompts, which may be in flight at the same exits. Up to there
+  /// other requests have time to clear one of them.
+  static constexpr std::uint32_t kTiedPartsScore = 8;
+  /// A part is blamed for exits over at least this time. When many servers are
+  /// killed at once, each part that some requests share is in flight at several
+  /// of them, and none of these may have got through yet.
+  static constexpr Duration kPartMinSpan = milliseconds(500);
   /// A part that crashes servers does so when they begin to write an answer.
   static constexpr Duration kPassTime = seconds(1);
   /// For how long after a request has begun to be answered its parts are not
@@ -207,6 +215,8 @@
   };
 
   Suspect& SuspectOf(Fingerprint aSubject, TimePoint aNow);
+  /// Time between the first and the last of the exits.
+  static Duration SpanOf(std::span<const ServerExit> aExits);
   /// Evicts the suspect with the lowest score, of these the oldest.
   void EvictWeakest();
   /// Decides whether to go on sending that a part is cleared of an exit: not if
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -162,6 +162,24 @@
     return fmt::format("Dogwoodvale-Token-Count: {},10\r\n", aPromptTokens);
   }
 
+  /// States a prompt of 200 tokens by its parts, "ID:TOKENS,ID:TOKENS".
+  static std::string PromptHeaders(const std::string& aParts)
+  {
+    return fmt::format("Dogwoodvale-Model: m\r\n"
+                       "Dogwoodvale-Token-Count: 200,10\r\n"
+                       "Dogwoodvale-Prompt-Prefix: {}\r\n",
+                       aParts);
+  }
+
+  /// Head, without its end, of a server's answer to an attempt.
+  static std::string AnswerHead(const std::string& aId)
+  {
+    return fmt::format("HTTP/1.1 200 OK\r\n"
+                       "Dogwoodvale-Attempt-Id: {}\r\n"
+                       "Dogwoodvale-Response-Seal: a seal\r\n",
+                       aId);
+  }
+
   /// A customer with the key "key2", for PutConfiguration().
   static std::string SecondCustomer()
   {
