Play a part of prompts that ends engines in the soak

Requests with the part come at gateways drawn at random, no two alike; others share their caller and all other parts.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -48,6 +48,8 @@
         self.site, self.rng, self.own_bodies = site, rng, own_bodies
         self.answers, self.stopping, self.healed_at = [], False, None
         self.breaks_streams = breaks_streams
+        # Of each prompt, before a last part of its own; none without.
+        self.shared_parts = ""
         # Of its own, so that a seed draws the same requests as without breaks.
         self.breaks = random.Random(0)
 
@@ -78,12 +80,13 @@
                 return False
         return True
 
-    async def once(self, name, route, body=b"body"):
-        """One request on a connection of its own."""
+    async def once(self, name, route, body=b"body", shared_parts=None):
+        """One request on a connection of its own, with the callers' parts or others."""
         answer = Answer(uuid.uuid4().hex[:16], route, name)
         try:
             reader, writer = await self._connect(name)
-            await asyncio.wait_for(self._ask(reader, writer, answer, body), PATIENCE_S)
+            asking = self._ask(reader, writer, answer, body, shared_parts)
+            await asyncio.wait_for(asking, PATIENCE_S)
             writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -141,7 +144,14 @@
                 return
             await asyncio.sleep(self.rng.uniform(0, 0.05))
 
-    async def _ask(self, reader, writer, answer, body):
+    def _prompt(self, answer, shared_parts):
+        parts = self.shared_parts if shared_parts is None else shared_parts
+        if not parts:
+            return ""
+        return ("Dogwoodvale-Model: m\r\nDogwoodvale-Token-Count: 160,12\r\n"
+                f"Dogwoodvale-Prompt-Prefix: {parts},{answer.id}:20\r\n")
+
+    async def _ask(self, reader, writer, answer, body, shared_parts=None):
         resumes = ""
         if answer.earlier:
             resumes = (f"Last-Event-Id: {answer.events()[-1][0]}\r\n"
@@ -154,6 +164,7 @@
             f"Dogwoodvale-Attempt-Id: {answer.id}\r\n"
             f"Dogwoodvale-Credential: {self.rng.choice(KEYS)}\r\n"
             f"Dogwoodvale-Deadline-Ms: {PATIENCE_S * 1000}\r\n{resumes}"
+            f"{self._prompt(answer, shared_parts)}"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         lines = head.split("\r\n")
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -1,4 +1,4 @@
-"""One caller's request ends each engine that runs it, and comes again and again."""
+"""Requests end each engine that runs them, and come again and again."""
 
 import asyncio
 import contextlib
@@ -9,6 +9,7 @@
 
 CRASH_BODY = "ends whoever runs it"
 CRASH_ROUTE = "/note/stream/"
+CRASH_PART, FIRST_PART = "bad", "f1"
 ENGINES, GATEWAYS = 10, 4
 # By then each gateway in touch has heard what the others saw.
 CONTACT_S = 3
@@ -18,6 +19,12 @@
 
 
 class CrashPlay:
+    """One caller's request, always the same."""
+
+    OPTIONS = ("--crash-body", CRASH_BODY)
+    # Ends after which it has to be known.
+    KNOWN_ENDS = 3
+
     def __init__(self, site, callers, rng):
         self.site, self.callers, self.rng = site, callers, rng
         self.tries, self.ends = [], []
@@ -28,11 +35,13 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             name = self.rng.choice(sorted(self.site.gateways))
-            self.tries.append(
-                await self.callers.once(name, CRASH_ROUTE, CRASH_BODY.encode()))
+            self.tries.append(await self._try(name))
             await asyncio.sleep(self.rng.uniform(0.05, 0.5))
         supervising.cancel()
 
+    def _try(self, name):
+        return self.callers.once(name, CRASH_ROUTE, CRASH_BODY.encode())
+
     async def _supervise(self):
         """Replaces engines that have ended, as another incarnation elsewhere."""
         while True:
@@ -58,10 +67,10 @@
             return [f"the play shows nothing: {len(self.ends)} engines ended"]
         findings = check(self.site, self.callers)
         runs = runs_of(self.site)
-        known = self.ends[2] + CONTACT_S
+        known = self.ends[min(self.KNOWN_ENDS, len(self.ends)) - 1] + CONTACT_S
         late = sum(runs[t.id] for t in self.tries if t.sent > known)
         if late > MOST_LATE:
-            findings.append(f"{late} runs begin after the third end is known")
+            findings.append(f"{late} runs begin after {self.KNOWN_ENDS} ends are known")
         refused = sum(1 for a in self.callers.answers if b'"quarantined"' in a.body)
         if refused:
             findings.append(f"{refused} requests of others are quarantined")
@@ -73,3 +82,19 @@
 
     def summary(self):
         return f"{len(self.tries)} tries, {len(self.ends)} engines ended; {self.callers.summary()}"
+
+
+class PartPlay(CrashPlay):
+    """Requests that share one part of their prompts, no two alike. Others share their
+    caller and all other parts."""
+
+    OPTIONS = ("--crash-part", CRASH_PART)
+    KNOWN_ENDS = 5
+
+    def __init__(self, site, callers, rng):
+        super().__init__(site, callers, rng)
+        callers.shared_parts = f"{FIRST_PART}:100,50a:40"
+
+    def _try(self, name):
+        body = f"note {len(self.tries)}".encode()
+        return self.callers.once(name, CRASH_ROUTE, body, f"{FIRST_PART}:100,{CRASH_PART}:40")
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -103,11 +103,11 @@
 
 
 class Site:
-    def __init__(self, build, folder, rng, crash_body=None):
-        """With crash_body, engines end under it, and no proxy stands before them:
-        one would take connections for an engine that has ended."""
+    def __init__(self, build, folder, rng, crash_options=()):
+        """With crash_options, engines end under a request, and no proxy stands before
+        them: one would take connections for an engine that has ended."""
         self.build, self.folder, self.rng = build, folder, rng
-        self.crash_body = crash_body
+        self.crash_options = list(crash_options)
         self.engines, self.gateways, self.proxies = {}, {}, {}
         self.settings, self.version, self.log = {}, 0, []
         self.engine_count = 0
@@ -168,12 +168,11 @@
             f"{self.build}/standin_sealed_engine", "--listen", f"127.0.0.1:{port}",
             "--instance", name, "--events", "12", "--gap-ms", "15", "--work-ms", "10",
             "--software", self.software[name]]
-        if self.crash_body:
-            command += ["--crash-body", self.crash_body]
+        command += self.crash_options
         process = Process(self, name, command)
         await process.start()
         self.engines[name] = (process, port)
-        if not self.crash_body:
+        if not self.crash_options:
             self.proxies[name] = Proxy(port)
             await self.proxies[name].start()
         await post_soon(port, "/standin/fault", {"clear": True})
--- a/standins/programs/standin_sealed_engine.cpp
+++ b/standins/programs/standin_sealed_engine.cpp
@@ -24,6 +24,7 @@
   --gap-ms N        Pause between events [default: 10].
   --work-ms N       Time to an answer or a first event [default: 10].
   --crash-body TEXT  A request whose body contains this ends the process; "" for none [default: ].
+  --crash-part ID  A request with this part of a prompt, not its last, ends the process; "" for none [default: ].
   -h --help         Show this.
   --version         Show the version.
 )";
@@ -40,6 +41,9 @@
   settings.events = static_cast<std::uint64_t>(options.Number("--events"));
   settings.gap = options.Milliseconds("--gap-ms");
   settings.crashBody = options.Text("--crash-body");
+  if (const std::string part = options.Text("--crash-part"); !part.empty()) {
+    settings.crashParts = { part };
+  }
   settings.onCrash = [] { std::_Exit(kCrashed); };
   settings.work = options.Milliseconds("--work-ms");
   return RunStandin("sealed_engine", [&](EventLoop& aLoop) {
