Let no stand-in outlive a crashing play of the soak; share a test's settings

Cause: an engine that was about to replace an ended one when the play ended started after the site had been stopped, and stayed (three were left after a play with the quarantine off). The play now waits for replacements.

LongNotes stood in two tests alike and is in their support now; a doc comment had its parameter in the middle of a sentence. No logic of the product is changed.

--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -46,11 +46,11 @@
   bool IsSuspect(const CrashSubjects& aSubjects) const;
   /// Time until the quarantine ends.
   Duration QuarantineLeft(Fingerprint aSubject) const;
-  /// Whether a request has to wait: it or a part of its prompt is a suspect,
-  /// and another request with this is in flight, here or at a gateway that
-  /// reported so, or evidence against it is still being collected. \param
-  /// aIsNew it has not been sent yet. A retry goes to the next server without
-  /// waiting for the verdict on the last one.
+  /// \param aIsNew the request has not been sent yet. A retry goes to the next
+  /// server without waiting for the verdict on the last one.
+  /// \return whether the request has to wait: it or a part of its prompt is a
+  /// suspect, and another request with this is in flight, here or at a gateway
+  /// that reported so, or evidence against it is still being collected.
   bool HasToWait(const CrashSubjects& aSubjects, bool aIsNew) const;
 
   void OnSent(const CrashSubjects& aSubjects);
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -28,6 +28,7 @@
     def __init__(self, site, callers, rng):
         self.site, self.callers, self.rng = site, callers, rng
         self.tries, self.ends = [], []
+        self.replacing = set()
 
     async def run(self, seconds):
         """Sends the request at gateways drawn at random until the time is up."""
@@ -38,6 +39,8 @@
             self.tries.append(await self._try(name))
             await asyncio.sleep(self.rng.uniform(0.05, 0.5))
         supervising.cancel()
+        # Engines that start after the site has stopped would outlive the play.
+        await asyncio.gather(*self.replacing, return_exceptions=True)
 
     def _try(self, name):
         return self.callers.once(name, CRASH_ROUTE, CRASH_BODY.encode())
@@ -50,7 +53,9 @@
                     self.ends.append(time.monotonic())
                     self.site.note(f"{name} has ended")
                     del self.site.engines[name]
-                    asyncio.create_task(self._replace(name))
+                    task = asyncio.create_task(self._replace(name))
+                    self.replacing.add(task)
+                    task.add_done_callback(self.replacing.discard)
             await asyncio.sleep(0.01)
 
     async def _replace(self, name):
--- a/test/CrashingPart.cpp
+++ b/test/CrashingPart.cpp
@@ -4,6 +4,7 @@
 
 using namespace dogwoodvale;
 using test::CrashSite;
+using test::LongNotes;
 
 namespace {
 
@@ -17,16 +18,6 @@
 /// Share of the sound requests that begin once the part is quarantined.
 constexpr double kServedShare = 0.9;
 
-/// Requests take 100 ms, so that a crash aborts some.
-standins::SealedEngineSettings
-LongNotes()
-{
-  standins::SealedEngineSettings settings;
-  settings.events = 10;
-  settings.gap = milliseconds(10);
-  return settings;
-}
-
 /// Which parts the requests have between the first part, which all share, and
 /// the last one, which is each request's own.
 struct Prompts
--- a/test/CrashingRequest.cpp
+++ b/test/CrashingRequest.cpp
@@ -4,6 +4,7 @@
 
 using namespace dogwoodvale;
 using test::CrashSite;
+using test::LongNotes;
 
 namespace {
 
@@ -27,16 +28,6 @@
   return count;
 }
 
-/// Requests take 100 ms, so that a crash aborts some.
-standins::SealedEngineSettings
-LongNotes()
-{
-  standins::SealedEngineSettings settings;
-  settings.events = 10;
-  settings.gap = milliseconds(10);
-  return settings;
-}
-
 struct Served
 {
   std::size_t sent = 0;
--- a/test/support/CrashSite.h
+++ b/test/support/CrashSite.h
@@ -7,6 +7,16 @@
 
 namespace dogwoodvale::test {
 
+/// Requests take 100 ms, so that a crash aborts some.
+inline standins::SealedEngineSettings
+LongNotes()
+{
+  standins::SealedEngineSettings settings;
+  settings.events = 10;
+  settings.gap = milliseconds(10);
+  return settings;
+}
+
 /// A site whose engines crash when they run a request with one certain body, or
 /// one whose prompt has a certain part that other requests share. A crashed
 /// engine's connections break at once, its entry expires after kEntryLapses,
