Read bounds of a gateway that are not whole numbers

Cause: retry_extra, instance_drain_ms, lease_ms and descriptors were read as whole numbers, but a site may state its bounds as fractions; the process then ends with exit code 2 and never listens.

Change: times keep the fraction, to the microsecond; counts are limits and are rounded down. Numbers out of range, texts and null stay errors, with their place. The test goes through each bound, whole and with a fraction.

--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -29,11 +29,11 @@
 
 constexpr NumberBounds kRetryRatio{ 0, 10 };
 constexpr NumberBounds kBoundSeconds{ 0.001, 3600 };
-constexpr IntegerBounds kRetryExtra{ 0, 1'000'000 };
-constexpr IntegerBounds kBoundMs{ 1, 3'600'000 };
-constexpr IntegerBounds kDescriptors{ 64, 10'000'000 };
+constexpr NumberBounds kRetryExtra{ 0, 1'000'000 };
+constexpr NumberBounds kBoundMs{ 1, 3'600'000 };
+constexpr NumberBounds kDescriptors{ 64, 10'000'000 };
 
-constexpr IntegerBounds kLeaseMs{ 1000, 600'000 };
+constexpr NumberBounds kLeaseMs{ 1000, 600'000 };
 
 constexpr std::size_t kMaxStaticInstances = 100'000;
 constexpr std::size_t kMaxStoreAddresses = 16;
@@ -137,6 +137,33 @@
   }
 }
 
+/// A number of milliseconds, whole or not.
+void
+ReadBoundMillis(ObjectReader& aReader,
+                std::string_view aKey,
+                NumberBounds aBounds,
+                Duration& aTarget)
+{
+  constexpr double kMicros = 1e3;
+  double value = 0;
+  if (aReader.ReadNumber(aKey, aBounds, value)) {
+    aTarget = Duration(static_cast<Duration::rep>(value * kMicros));
+  }
+}
+
+/// An upper limit on a count; a fraction is rounded down, which keeps it.
+void
+ReadCountLimit(ObjectReader& aReader,
+               std::string_view aKey,
+               NumberBounds aBounds,
+               std::uint32_t& aTarget)
+{
+  double value = 0;
+  if (aReader.ReadNumber(aKey, aBounds, value)) {
+    aTarget = static_cast<std::uint32_t>(value);
+  }
+}
+
 void
 ReadDecisions(const ReadScope& aScope,
               const Json::Value& aValue,
@@ -173,7 +200,7 @@
   }
   reader.Require("assigned");
   reader.ReadStrings("assigned", aDuties.assigned);
-  reader.ReadMilliseconds("lease_ms", kLeaseMs, aDuties.lease);
+  ReadBoundMillis(reader, "lease_ms", kLeaseMs, aDuties.lease);
   ReadSeconds(reader, "usage_window_s", aDuties.usageWindow);
   ReadSeconds(reader, "usage_due_s", aDuties.usageDue);
   reader.Finish();
@@ -192,12 +219,12 @@
   }
   reader.ReadNumber("retry_ratio", kRetryRatio, aGateway.retryRatio);
   ReadSeconds(reader, "retry_window_s", aGateway.retryWindow);
-  reader.ReadInteger("retry_extra", kRetryExtra, aGateway.retryExtra);
-  reader.ReadMilliseconds(
-    "instance_drain_ms", kBoundMs, aGateway.instanceDrain);
+  ReadCountLimit(reader, "retry_extra", kRetryExtra, aGateway.retryExtra);
+  ReadBoundMillis(
+    reader, "instance_drain_ms", kBoundMs, aGateway.instanceDrain);
   ReadSeconds(reader, "quarantine_s", aGateway.quarantine);
   ReadSeconds(reader, "stop_grace_s", aGateway.stopGrace);
-  reader.ReadInteger("descriptors", kDescriptors, aGateway.descriptors);
+  ReadCountLimit(reader, "descriptors", kDescriptors, aGateway.descriptors);
   reader.ReadChoice("chooser", kGatewayChooserNames, aGateway.chooser);
   if (const Json::Value* decisions = reader.Find("decisions")) {
     ReadDecisions(aScope, *decisions, aGateway.decisions);
--- a/test/SettingsGateway.cpp
+++ b/test/SettingsGateway.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <fstream>
+#include <functional>
 
 #include "dogwoodvale/Settings"
 
@@ -53,6 +54,124 @@
   CHECK(text.find("\"entry\" has no meaning") != std::string::npos);
 }
 
+// Guards against a gateway that does not start, as its site states a bound with
+// a fraction.
+TEST_CASE("bounds of a site are read whole and with fractions", "[settings]")
+{
+  struct Bound
+  {
+    std::string key;
+    std::string whole;
+    std::string fraction;
+    std::function<double(const GatewaySettings&)> read;
+    double expectedWhole;
+    double expectedFraction;
+  };
+  const auto millis = [](Duration aTime) {
+    return std::chrono::duration<double, std::milli>(aTime).count();
+  };
+  using Settings = GatewaySettings;
+  const std::vector<Bound> bounds{
+    { "retry_ratio",
+      "1",
+      "0.25",
+      [](const Settings& aOne) { return aOne.retryRatio; },
+      1,
+      0.25 },
+    { "retry_window_s",
+      "10",
+      "2.5",
+      [&](const Settings& aOne) { return millis(aOne.retryWindow); },
+      10'000,
+      2'500 },
+    { "retry_extra",
+      "1040",
+      "152.9",
+      [](const Settings& aOne) { return double(aOne.retryExtra); },
+      1040,
+      152 },
+    { "instance_drain_ms",
+      "5000",
+      "735.25",
+      [&](const Settings& aOne) { return millis(aOne.instanceDrain); },
+      5'000,
+      735.25 },
+    { "stop_grace_s",
+      "8",
+      "1.5",
+      [&](const Settings& aOne) { return millis(aOne.stopGrace); },
+      8'000,
+      1'500 },
+    { "quarantine_s",
+      "600",
+      "0.5",
+      [&](const Settings& aOne) { return millis(aOne.quarantine); },
+      600'000,
+      500 },
+    { "descriptors",
+      "4100",
+      "4100.5",
+      [](const Settings& aOne) { return double(aOne.descriptors); },
+      4100,
+      4100 },
+  };
+  const auto read = [](const std::string& aKey, const std::string& aNumber) {
+    Findings findings;
+    const auto settings = ParseDaemonSettings(
+      SettingsText(fmt::format(
+        R"("gateway":{{"callers":"127.0.0.1:3","{}":{}}})", aKey, aNumber)),
+      "s.json",
+      findings);
+    INFO(findings.Render());
+    CHECK(findings.IsEmpty());
+    return settings.gateway;
+  };
+  for (const Bound& bound : bounds) {
+    INFO(bound.key);
+    CHECK(bound.read(read(bound.key, bound.whole)) ==
+          Approx(bound.expectedWhole));
+    CHECK(bound.read(read(bound.key, bound.fraction)) ==
+          Approx(bound.expectedFraction));
+    for (const char* bad : { "-1", "1e300", "\"4\"", "null", "[]" }) {
+      INFO(bad);
+      Findings findings;
+      ParseDaemonSettings(
+        SettingsText(fmt::format(
+          R"("gateway":{{"callers":"127.0.0.1:3","{}":{}}})", bound.key, bad)),
+        "s.json",
+        findings);
+      CHECK(findings.Render().find(bound.key) != std::string::npos);
+    }
+  }
+}
+
+// The same for the bounds of the duties.
+TEST_CASE("bounds of duties are read whole and with fractions", "[settings]")
+{
+  const auto read = [](const std::string& aBounds) {
+    Findings findings;
+    const auto settings = ParseDaemonSettings(
+      SettingsText(R"("gateway":{"callers":"127.0.0.1:3","duties":{)"
+                   R"("api":"127.0.0.1:4","assigned":[],)" +
+                   aBounds + "}}"),
+      "s.json",
+      findings);
+    INFO(findings.Render());
+    CHECK(findings.IsEmpty());
+    return settings.gateway.duties;
+  };
+  const DutySettings whole =
+    read(R"("lease_ms":2000,"usage_window_s":5,"usage_due_s":10)");
+  CHECK(whole.lease == seconds(2));
+  CHECK(whole.usageWindow == seconds(5));
+  CHECK(whole.usageDue == seconds(10));
+  const DutySettings fractions =
+    read(R"("lease_ms":1470.588,"usage_window_s":0.75,"usage_due_s":1.25)");
+  CHECK(fractions.lease == Duration(1'470'588));
+  CHECK(fractions.usageWindow == milliseconds(750));
+  CHECK(fractions.usageDue == milliseconds(1250));
+}
+
 TEST_CASE("a change of the settings file is noticed without a signal",
           "[settings]")
 {
