Send no request whose caller has left, however late its close is read (GONE)

What has happened meanwhile is found in one turn, in the order of the descriptors: a request is read, a failed one tried again or a connection ready before the close of the caller is looked at, and the bytes were written one turn later still.

Change: what leaves the gateway passes one look at the caller's socket, in TryNext(), where all waits end, and where a connection that was waited for is ready. The request is written at once then, not on the next turn, so that no turn lies between the look and the write. The entry looks in the same place.

Ruled out: the wait of suspects and the question for a stream's origin end with the request and send nothing afterwards.

--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -213,7 +213,9 @@
 void
 CallerRequest::TryNext()
 {
-  if (this->done) {
+  // A caller that has left, perhaps before its request was read, gets nothing
+  // sent for it.
+  if (this->done || this->exchange->CheckCallerGone()) {
     return;
   }
   ChoiceRequest choice;
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -40,6 +40,9 @@
 {
 public:
   virtual ~AttemptListener() = default;
+  /// The attempt had to wait for a connection; the request is written after
+  /// this, unless the attempt has been destroyed.
+  virtual void OnAttemptConnected() = 0;
   /// The head of an answer arrived, also of one that fails later.
   virtual void OnAttemptHead(const BackendAnswer& aHead) = 0;
   /// One or more whole events of a stream.
@@ -90,6 +93,7 @@
   /// inside an event; nothing if neither.
   std::optional<BrokenAttempt> ConnectionBreak(TimePoint aNow) const;
 
+  void OnConnected() override { this->listener.OnAttemptConnected(); }
   bool IsOwnAnswer(std::span<const HeaderField> aHeaders) override;
   void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
   void OnBody(std::string_view aBytes) override;
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -286,6 +286,11 @@
 void
 GatewayRequest::TryNext()
 {
+  // All waits but the one for a connection end here. A request whose caller has
+  // left meanwhile must not be sent.
+  if (this->exchange->CheckCallerGone()) {
+    return;
+  }
   const TimePoint now = Now();
   if (!this->PassesCrashGuard(now) || this->RefuseForRanks(now)) {
     return;
@@ -554,6 +559,12 @@
   }
 }
 
+void
+GatewayRequest::OnAttemptConnected()
+{
+  this->exchange->CheckCallerGone();
+}
+
 void
 GatewayRequest::OnAttemptHead(const BackendAnswer& aHead)
 {
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -138,6 +138,7 @@
   void OnCallerGone() override;
   void OnDrained() override;
 
+  void OnAttemptConnected() override;
   void OnAttemptHead(const BackendAnswer& aHead) override;
   void OnAttemptEvents(std::string_view aBytes) override;
   void OnAttemptStreamEnd() override;
--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -13,6 +13,9 @@
 {
 public:
   virtual ~BackendCallHandler() = default;
+  /// The call had to wait for its connection, which is there now; the request
+  /// is written after this, unless the call has been destroyed.
+  virtual void OnConnected() {}
   /// Whether the answer that begins is this call's own. A server may send a
   /// second answer to an earlier request, late, where the next is expected;
   /// what is not one's own is read over, and the call waits on.
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -84,13 +84,33 @@
   this->call = &aCall;
   aCall.connection = this;
   this->isHead = aIsHead;
-  this->requestBytes = aBytes.size();
+  this->isWritten = false;
   this->ResetParser();
-  if (this->connected) {
-    const timeval limit = ToTimeval(this->owner.Options().idleTimeout);
-    bufferevent_set_timeouts(this->stream, &limit, &limit);
+  if (!this->connected) {
+    this->unwritten = aBytes;
+    return;
+  }
+  const timeval limit = ToTimeval(this->owner.Options().idleTimeout);
+  bufferevent_set_timeouts(this->stream, &limit, &limit);
+  this->Write(aBytes);
+}
+
+void
+BackendConnection::Write(std::string_view aBytes)
+{
+  // At once rather than on the loop's next turn: on a busy machine that comes
+  // late, and the caller may have left by then.
+  const ssize_t sent = send(bufferevent_getfd(this->stream),
+                            aBytes.data(),
+                            aBytes.size(),
+                            MSG_DONTWAIT | MSG_NOSIGNAL);
+  std::string_view rest = aBytes;
+  rest.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
+  this->isWritten = rest.size() < aBytes.size();
+  this->requestBytes = rest.size();
+  if (!rest.empty()) {
+    bufferevent_write(this->stream, rest.data(), rest.size());
   }
-  bufferevent_write(this->stream, aBytes.data(), aBytes.size());
 }
 
 void
@@ -250,6 +270,8 @@
       bufferevent_set_timeouts(this->stream, nullptr, nullptr);
       this->owner.Pool(*this);
       handler(ProbeResult::Accepted);
+    } else {
+      this->WriteRequest();
     }
     return;
   }
@@ -280,6 +302,17 @@
   }
 }
 
+void
+BackendConnection::WriteRequest()
+{
+  if (this->call != nullptr) {
+    this->call->handler.OnConnected();
+  }
+  if (this->call != nullptr) {
+    this->Write(std::exchange(this->unwritten, {}));
+  }
+}
+
 void
 BackendConnection::SetLinkTimeout()
 {
@@ -352,8 +385,9 @@
   BackendCallImpl& failed = *std::exchange(this->call, nullptr);
   failed.connection = nullptr;
   const bool untouched =
-    evbuffer_get_length(bufferevent_get_output(this->stream)) ==
-    this->requestBytes;
+    !this->unwritten.empty() ||
+    (!this->isWritten && evbuffer_get_length(bufferevent_get_output(
+                           this->stream)) == this->requestBytes);
   this->Close();
   this->owner.Retire(*this);
   failed.handler.OnFailed(aReason, !untouched);
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -60,6 +60,9 @@
   /// \return how many bytes are dealt with.
   std::size_t ReadAnswer(std::string_view aBytes);
   void ResetParser();
+  void Write(std::string_view aBytes);
+  /// Writes the request that has waited for the connection.
+  void WriteRequest();
   void SetLinkTimeout();
   void NoteKeepAlive();
   void Complete(bool aKeep);
@@ -70,7 +73,12 @@
   BackendCallImpl* call = nullptr;
   std::function<void(ProbeResult)> probe;
   std::unique_ptr<HttpParser> parser;
+  /// The system has taken the first bytes of the request.
+  bool isWritten = false;
+  /// Bytes of the request that it had not taken at once.
   std::size_t requestBytes = 0;
+  /// A request that waits for the connection.
+  std::string unwritten;
   bool connected = false;
   bool isHead = false;
   /// The body has no length of its own and ends when the server closes.
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -6,8 +6,11 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <cerrno>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace dogwoodvale::internal {
@@ -379,6 +382,23 @@
   this->Drop();
 }
 
+bool
+CallerConnection::HasCallerClosed() const
+{
+  if (this->stream == nullptr) {
+    return true;
+  }
+  const int descriptor = bufferevent_getfd(this->stream);
+  char byte = 0;
+  const ssize_t peeked = recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (peeked <= 0) {
+    return peeked == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+  // Bytes of a next request hide a close behind them from recv().
+  pollfd state{ descriptor, POLLRDHUP, 0 };
+  return poll(&state, 1, 0) > 0;
+}
+
 void
 CallerConnection::Drop()
 {
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -42,6 +42,9 @@
   bool IsBusy() const { return this->phase != Phase::Idle; }
   /// Closes at once, telling the exchange's handler.
   void Drop();
+  /// Whether the caller has closed its sending half or reset the connection.
+  /// Asks the system, as its bytes may not all have been read.
+  bool HasCallerClosed() const;
 
   // For the exchange.
   void WriteHead(int aStatus,
@@ -112,6 +115,7 @@
   void SendPart(std::string_view aBytes) override;
   void EndStream() override;
   std::size_t PendingBytes() const override;
+  bool CheckCallerGone() override;
 
   /// The connection is lost; the handler is told unless the answer is whole.
   void Detach(bool aTell);
--- a/dogwoodvale/src/Http/CallerExchangeImpl.cpp
+++ b/dogwoodvale/src/Http/CallerExchangeImpl.cpp
@@ -70,6 +70,15 @@
   return this->connection == nullptr ? 0 : this->connection->PendingBytes();
 }
 
+bool
+CallerExchangeImpl::CheckCallerGone()
+{
+  if (this->connection != nullptr && this->connection->HasCallerClosed()) {
+    this->connection->Drop();
+  }
+  return this->connection == nullptr;
+}
+
 void
 CallerExchangeImpl::Detach(bool aTell)
 {
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -41,6 +41,12 @@
 
   /// Bytes not yet taken by the caller's socket.
   virtual std::size_t PendingBytes() const = 0;
+
+  /// Looks whether the caller has closed its connection, also if the loop has
+  /// not come to read that: on a busy machine a request is read long after it
+  /// arrived, and the close behind it later still. Then tells the handler.
+  /// \return whether the caller is gone.
+  virtual bool CheckCallerGone() = 0;
 };
 
 class CallerHandler
