--- a/dogwoodvale/src/Gateway/CrashGuard.cpp
+++ b/dogwoodvale/src/Gateway/CrashGuard.cpp
@@ -10,8 +10,10 @@
                        StoreClient& aStore,
                        Options aOptions)
   : pool(aPool)
-  , options(aOptions)
-  , ledger(aOptions.quarantine)
+  , options(std::move(aOptions))
+  , ledger(this->options.quarantine)
+  , turns(this->options.self, this->copies)
+  , gate(this->ledger, this->copies, this->broken, this->turns)
   , keeper(
       aLoop,
       aStore,
@@ -49,48 +51,12 @@
            : std::nullopt;
 }
 
-bool
-CrashGuard::IsSuspect(const CrashSubjects& aSubjects) const
-{
-  const TimePoint now = Now();
-  const auto isSuspect = [&](Fingerprint aSubject) {
-    return this->ledger.StatusOf(aSubject, now) == CrashStatus::Suspect;
-  };
-  return isSuspect(aSubjects.request) ||
-         std::ranges::any_of(aSubjects.parts, isSuspect);
-}
-
 Duration
 CrashGuard::QuarantineLeft(Fingerprint aSubject) const
 {
   return this->ledger.QuarantineLeft(aSubject, Now());
 }
 
-bool
-CrashGuard::HasToWait(const CrashSubjects& aSubjects, bool aIsNew) const
-{
-  const TimePoint now = Now();
-  if (!this->options.isOn) {
-    return false;
-  }
-  if (aIsNew && this->broken.HasRecentBreak(aSubjects.request, now)) {
-    return true;
-  }
-  return this->IsToWaitFor(aSubjects.request, aIsNew, now) ||
-         std::ranges::any_of(aSubjects.parts, [&](Fingerprint aPart) {
-           return this->IsToWaitFor(aPart, aIsNew, now);
-         });
-}
-
-bool
-CrashGuard::IsToWaitFor(Fingerprint aSubject, bool aIsNew, TimePoint aNow) const
-{
-  return this->ledger.StatusOf(aSubject, aNow) == CrashStatus::Suspect &&
-         (this->copies.HasAny(aSubject, aNow) ||
-          (aIsNew && this->broken.HasRecentBreak(aSubject, aNow)) ||
-          this->ledger.IsUndecided(aSubject, aNow));
-}
-
 void
 CrashGuard::OnSent(const CrashSubjects& aSubjects)
 {
@@ -254,17 +220,8 @@
   }
   const TimePoint now = Now();
   aDigest.crashes = this->ledger.OutgoingUpdate(now);
-  for (const Fingerprint subject : this->ledger.Suspects()) {
-    // What has just been aborted counts as in flight until the
-    // verdict on its server can be sent: meanwhile other gateways would send
-    // theirs.
-    const bool isInFlight =
-      this->copies.HasOwn(subject) || this->broken.HasRecentBreak(subject, now);
-    if (isInFlight &&
-        aDigest.suspectsInFlight.size() < CrashLedger::kMaxUpdateEntries) {
-      aDigest.suspectsInFlight.push_back(subject);
-    }
-  }
+  aDigest.suspectsInFlight =
+    this->gate.SuspectsInFlight(CrashLedger::kMaxUpdateEntries, now);
 }
 
 void
--- a/dogwoodvale/src/Gateway/CrashGuard.h
+++ b/dogwoodvale/src/Gateway/CrashGuard.h
@@ -29,6 +29,7 @@
     bool isOn = true;
     /// How long a request stays quarantined.
     Duration quarantine = seconds(600);
+    InstanceName self{};
   };
 
   CrashGuard(EventLoop& aLoop,
@@ -43,15 +44,13 @@
   /// longest time; nothing if the request may be sent.
   std::optional<Fingerprint> QuarantinedSubject(
     const CrashSubjects& aSubjects) const;
-  bool IsSuspect(const CrashSubjects& aSubjects) const;
   /// Time until the quarantine ends.
   Duration QuarantineLeft(Fingerprint aSubject) const;
-  /// \param aIsNew the request has not been sent yet. A retry goes to the next
-  /// server without waiting for the verdict on the last one.
-  /// \return whether the request has to wait: it or a part of its prompt is a
-  /// suspect, and another request with this is in flight, here or at a gateway
-  /// that reported so, or evidence against it is still being collected.
-  bool HasToWait(const CrashSubjects& aSubjects, bool aIsNew) const;
+  /// What is known of suspects; nothing if the guard is off.
+  const SuspectGate* Gate() const
+  {
+    return this->options.isOn ? &this->gate : nullptr;
+  }
 
   void OnSent(const CrashSubjects& aSubjects);
   /// \param aHasPassed OnPassed() was called for this attempt.
@@ -71,6 +70,11 @@
   void OnReplaced(const InstanceName& aInstance);
   /// The list of backend servers in the pool has changed.
   void OnInstances();
+  /// \param aPeriod time between two digests from the same gateway.
+  void SetDigestPeriod(Duration aPeriod)
+  {
+    this->turns.SetReportPeriod(aPeriod);
+  }
 
   /// Adds this gateway's evidence, verdicts and suspects in flight.
   void AddToDigest(PeerDigest& aDigest) const;
@@ -96,8 +100,6 @@
   void OnCrashed(const InstanceName& aInstance, const char* aHow);
   /// Logs and stores the verdicts that follow from the evidence.
   void EvaluateEvidence(TimePoint aNow);
-  /// \param aIsNew see HasToWait().
-  bool IsToWaitFor(Fingerprint aSubject, bool aIsNew, TimePoint aNow) const;
   /// Logs the subject's newest verdict after a change. \return the verdict.
   QuarantineVerdict LogVerdict(Fingerprint aSubject,
                                std::string_view aFrom,
@@ -108,6 +110,8 @@
   CrashLedger ledger;
   UnresolvedAttempts broken;
   InFlightDuplicates copies;
+  TrialTurns turns;
+  SuspectGate gate;
   QuarantineStore keeper;
   /// Servers to be probed for whether they still accept connections.
   std::vector<InstanceName> toProbe;
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -54,11 +54,12 @@
   , pool(
       aLoop,
       { .decisions = aSettings.gateway.decisions, .self = aSettings.instance })
-  , crashes(
-      aLoop,
-      this->pool,
-      *this->ports.store,
-      { aSettings.gateway.decisions.quarantine, aSettings.gateway.quarantine })
+  , crashes(aLoop,
+            this->pool,
+            *this->ports.store,
+            { aSettings.gateway.decisions.quarantine,
+              aSettings.gateway.quarantine,
+              aSettings.instance })
   , origins(
       aLoop,
       [this](const SocketAddress& aFrom, const std::string& aPath) {
@@ -323,6 +324,8 @@
   this->directory->SetSharing(this->settings.gateway.decisions.sharedReads &&
                               view.cells == 1);
   this->peers->SetPeers(view.members, aGateways, this->settings.instance);
+  this->crashes.SetDigestPeriod(
+    PeerExchange::DigestPeriod(view.members.size()));
   std::vector<GatewayMember> others(aGateways.begin(), aGateways.end());
   std::erase_if(others, [this](const GatewayMember& aOne) {
     return aOne.name == this->settings.instance;
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -236,12 +236,25 @@
     this->GiveUpQuarantined(*quarantined);
     return false;
   }
-  const std::optional<Duration> wait = this->suspectWait.Next(
-    guard, subjects, this->outcome.attempts == 0, aNow, this->host.Random());
-  if (wait) {
-    this->suspectTimer.StartOnce(*wait);
+  const SuspectGate* gate = guard.Gate();
+  if (gate == nullptr) {
+    return true;
   }
-  return !wait;
+  const SuspectWait::Step step = this->suspectWait.Next(
+    *gate, subjects, this->outcome.attempts == 0, aNow, this->host.Random());
+  switch (step.action) {
+    case SuspectWait::Action::Send:
+      return true;
+    case SuspectWait::Action::Wait:
+      this->suspectTimer.StartOnce(step.wait);
+      return false;
+    case SuspectWait::Action::Refuse:
+      this->GiveUp(ErrorCode::NoBackendServer,
+                   "a part of its prompt may crash backend servers",
+                   SuspectWait::kMaxWait);
+      return false;
+  }
+  return true;
 }
 
 bool
@@ -460,6 +473,7 @@
                                     this->PlanFor(aCandidate.name, now),
                                     *this);
   this->host.Crashes().OnSent(this->admitted.subjects);
+  this->suspectWait.EndTurn();
   const BackendRequestMetadata metadata =
     this->MetadataFor(aCandidate.name, now);
   ++this->outcome.attempts;
@@ -877,6 +891,7 @@
   this->done = true;
   this->deadline.Stop();
   this->suspectTimer.Stop();
+  this->suspectWait.EndTurn();
   this->EndWait(false);
   const TimePoint now = Now();
   this->outcome.total = Between(this->accepted, now);
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -8,10 +8,10 @@
 #include "Admission.h"
 #include "AttemptHealth.h"
 #include "BackendPool.h"
+#include "CrashGuard.h"
 #include "DirectAttempt.h"
 #include "OriginFinder.h"
 #include "StreamObserver.h"
-#include "SuspectWait.h"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Quarantine/CrashLedger.cpp
+++ b/dogwoodvale/src/Quarantine/CrashLedger.cpp
@@ -47,6 +47,38 @@
   return Between(first.receivedAt, last.receivedAt);
 }
 
+std::size_t
+CrashLedger::CountIsolated(std::span<const ServerExit> aExits)
+{
+  std::vector<TimePoint> times;
+  for (const ServerExit& exit : aExits) {
+    times.push_back(exit.receivedAt);
+  }
+  std::ranges::sort(times);
+  std::size_t isolated = 0;
+  TimePoint before{};
+  for (const TimePoint at : times) {
+    isolated += Between(before, at) >= kIsolation ? 1 : 0;
+    before = at;
+  }
+  return isolated;
+}
+
+std::vector<CrashLedger::ServerExit>
+CrashLedger::SettledExits(const Suspect& aSuspect, TimePoint aNow) const
+{
+  std::vector<ServerExit> settled;
+  std::ranges::copy_if(
+    aSuspect.exits, std::back_inserter(settled), [&](const ServerExit& aExit) {
+      const auto first = this->heardOf.find(aExit.server);
+      const TimePoint since =
+        first == this->heardOf.end() ? aExit.receivedAt : first->second;
+      return aExit.weight != CrashWeight::None &&
+             Between(since, aNow) >= kSettleTime;
+    });
+  return settled;
+}
+
 bool
 CrashLedger::Suspect::HoldsBack() const
 {
@@ -81,10 +113,19 @@
                    this->IsAttributedToOther(aEvidence.server, subject)) {
     return;
   }
+  if (this->heardOf.size() < kMaxHeardOf) {
+    this->heardOf.try_emplace(aEvidence.server, aNow);
+  }
   Suspect& suspect = this->SuspectOf(subject, aNow);
   suspect.specificity = std::max(suspect.specificity, aEvidence.specificity);
-  const auto known =
+  auto known =
     std::ranges::find(suspect.exits, aEvidence.server, &ServerExit::server);
+  if (known != suspect.exits.end() && weight != CrashWeight::None &&
+      Between(known->receivedAt, aNow) > kSameExitTime) {
+    suspect.exits.erase(known);
+    known = suspect.exits.end();
+    this->heardOf[aEvidence.server] = aNow;
+  }
   if (known == suspect.exits.end()) {
     if (suspect.exits.size() >= kMaxExits) {
       suspect.exits.erase(suspect.exits.begin());
@@ -165,32 +206,49 @@
   return found != this->attributedTo.end() && found->second != aSubject;
 }
 
+std::vector<CrashLedger::Rival>
+CrashLedger::Rivals(TimePoint aNow) const
+{
+  std::vector<Rival> rivals;
+  for (const auto& [subject, suspect] : this->suspects) {
+    if (Sum(suspect.exits) < kQuarantineScore) {
+      continue;
+    }
+    const std::uint32_t score = Sum(SettledExits(suspect, aNow));
+    if (score >= kQuarantineScore) {
+      rivals.push_back({ subject, &suspect, score });
+    }
+  }
+  return rivals;
+}
+
 bool
 CrashLedger::LeadsAtAnyExit(Fingerprint aSubject,
                             Specificity aSpecificity,
-                            std::span<const ServerExit> aExits) const
+                            std::span<const ServerExit> aExits,
+                            std::span<const Rival> aRivals)
 {
   const std::uint32_t score = Sum(aExits);
-  const auto goesFirst = [&](const Suspect& aOther) {
-    const std::uint32_t others = Sum(aOther.exits);
-    if (others != score) {
-      return others > score;
+  const bool decidesTies = CountIsolated(aExits) >= kTiedPartsExits;
+  const auto goesFirst = [&](const Rival& aOther) {
+    if (aOther.subject == aSubject || aOther.score < score) {
+      return false;
     }
-    const bool isPartAlike = aOther.IsPart() && aSpecificity != kWholeRequest;
-    return aOther.specificity >= aSpecificity ||
-           (isPartAlike && score < kTiedPartsScore);
+    const bool isTiedPart =
+      aOther.suspect->IsPart() && aSpecificity != kWholeRequest;
+    return aOther.score > score ||
+           aOther.suspect->specificity >= aSpecificity ||
+           (isTiedPart && !decidesTies);
   };
-  const auto isRival = [&](const auto& aOther, ServerKey aServer) {
-    const Suspect& other = aOther.second;
-    return aOther.first != aSubject && goesFirst(other) &&
-           std::ranges::any_of(other.exits, [&](const ServerExit& aTheirs) {
-             return aTheirs.server == aServer &&
-                    aTheirs.weight != CrashWeight::None;
-           });
+  const auto isAt = [](const Rival& aOther, ServerKey aServer) {
+    return std::ranges::any_of(
+      aOther.suspect->exits, [&](const ServerExit& aTheirs) {
+        return aTheirs.server == aServer && aTheirs.weight != CrashWeight::None;
+      });
   };
   return std::ranges::any_of(aExits, [&](const ServerExit& aExit) {
-    return std::ranges::none_of(this->suspects, [&](const auto& aOther) {
-      return isRival(aOther, aExit.server);
+    return std::ranges::none_of(aRivals, [&](const Rival& aOther) {
+      return goesFirst(aOther) && isAt(aOther, aExit.server);
     });
   });
 }
@@ -198,14 +256,10 @@
 bool
 CrashLedger::ShouldQuarantine(Fingerprint aSubject,
                               const Suspect& aSuspect,
+                              std::span<const Rival> aRivals,
                               TimePoint aNow) const
 {
-  std::vector<ServerExit> settled;
-  std::ranges::copy_if(
-    aSuspect.exits, std::back_inserter(settled), [&](const ServerExit& aExit) {
-      return aExit.weight != CrashWeight::None &&
-             Between(aExit.receivedAt, aNow) >= kSettleTime;
-    });
+  const std::vector<ServerExit> settled = SettledExits(aSuspect, aNow);
   const auto verdict = this->verdicts.find(aSubject);
   if (verdict != this->verdicts.end() && !verdict->second.isLifted) {
     // One crash after the quarantine has expired suffices for the next one.
@@ -221,17 +275,18 @@
   const std::uint32_t score = Sum(settled);
   return (score >= kCertainScore && !aSuspect.IsPart()) ||
          (score >= kQuarantineScore &&
-          this->LeadsAtAnyExit(aSubject, aSuspect.specificity, settled));
+          LeadsAtAnyExit(aSubject, aSuspect.specificity, settled, aRivals));
 }
 
 std::vector<Fingerprint>
 CrashLedger::Evaluate(TimePoint aNow)
 {
+  const std::vector<Rival> rivals = this->Rivals(aNow);
   std::vector<Fingerprint> quarantined;
   for (const auto& [subject, suspect] : this->suspects) {
     const bool isCandidate = Sum(suspect.exits) >= kQuarantineScore ||
                              this->verdicts.contains(subject);
-    if (isCandidate && this->ShouldQuarantine(subject, suspect, aNow)) {
+    if (isCandidate && this->ShouldQuarantine(subject, suspect, rivals, aNow)) {
       quarantined.push_back(subject);
     }
   }
@@ -427,6 +482,14 @@
   });
 }
 
+bool
+CrashLedger::IsDisputed(Fingerprint aSubject, TimePoint aNow) const
+{
+  return this->IsPart(aSubject) &&
+         this->ScoreOf(aSubject) >= kQuarantineScore &&
+         this->StatusOf(aSubject, aNow) == CrashStatus::Suspect;
+}
+
 std::uint32_t
 CrashLedger::ScoreOf(Fingerprint aSubject) const
 {
@@ -524,6 +587,9 @@
     }
     return isOver;
   });
+  absl::erase_if(this->heardOf, [aNow](const auto& aItem) {
+    return Between(aItem.second, aNow) > kRetention;
+  });
   absl::erase_if(this->passed, [aNow](const auto& aItem) {
     return aItem.second + kPassValidity < aNow;
   });
--- a/dogwoodvale/src/Quarantine/CrashLedger.h
+++ b/dogwoodvale/src/Quarantine/CrashLedger.h
@@ -110,6 +110,9 @@
   /// subject that crashes servers would crash another one each time it is sent
   /// in this state.
   bool IsUndecided(Fingerprint aSubject, TimePoint aNow) const;
+  /// Whether it is a part with enough evidence for a quarantine and no verdict,
+  /// as others in flight at the same exits have as much.
+  bool IsDisputed(Fingerprint aSubject, TimePoint aNow) const;
   /// Sum of the CrashWeight values of the evidence against it.
   std::uint32_t ScoreOf(Fingerprint aSubject) const;
   /// Whether the evidence is against a part of prompts.
@@ -143,10 +146,12 @@
   /// A part with less is no suspect. One exit is evidence against each part in
   /// flight there, and all requests with one of them would wait for each other.
   static constexpr std::uint32_t kPartSuspectScore = 4;
-  /// Four exits. From there on a part is blamed rather than those before it in
-  /// the same prompts, which may be in flight at the same exits. Up to there
-  /// other requests have time to clear one of them.
-  static constexpr std::uint32_t kTiedPartsScore = 8;
+  /// Exits, each at least kIsolation after the one before, from which on a part
+  /// is blamed rather than those before it in the same prompts, which may be in
+  /// flight at the same exits. Up to there other requests have time to clear
+  /// one of them. Exits in quick succession leave none.
+  static constexpr std::size_t kTiedPartsExits = 4;
+  static constexpr Duration kIsolation = milliseconds(400);
   /// A part is blamed for exits over at least this time. When many servers are
   /// killed at once, each part that some requests share is in flight at several
   /// of them, and none of these may have got through yet.
@@ -164,6 +169,8 @@
   /// of subjects with one exit cannot evict one with two.
   static constexpr std::size_t kMaxSuspects = 2048;
   static constexpr std::size_t kMaxVerdicts = 256;
+  /// Exits whose first report is kept, for kRetention.
+  static constexpr std::size_t kMaxHeardOf = 4096;
   /// Parts that have got through, kept for kPassValidity.
   static constexpr std::size_t kMaxPassed = 4096;
   /// Retention of evidence, and of a quarantine after it has expired: within
@@ -181,6 +188,10 @@
   /// Time for which an entry is repeated, as datagrams may be lost: in thirty
   /// datagrams between four gateways, in nine between thirty.
   static constexpr Duration kRepeatTime = milliseconds(1500);
+  /// Reports of a server's exit that come later than this after the first are
+  /// of another exit: it has restarted under its name, which an outage of the
+  /// store can hide. Reports are sent for kRepeatTime, and passed on once.
+  static constexpr Duration kSameExitTime = 2 * kRepeatTime;
   /// Maximum evidence entries and maximum verdicts in one message, 3 KB
   /// together.
   static constexpr std::size_t kMaxUpdateEntries = 96;
@@ -204,6 +215,15 @@
     /// Whether the evidence is enough for requests to wait for each other.
     bool HoldsBack() const;
   };
+  /// A subject that may lead, and its score by settled exits alone. While
+  /// servers exit in quick succession, each subject would otherwise be behind
+  /// what has not settled yet of the others.
+  struct Rival
+  {
+    Fingerprint subject = 0;
+    const Suspect* suspect = nullptr;
+    std::uint32_t score = 0;
+  };
   struct Verdict
   {
     std::uint32_t round = 0;
@@ -217,6 +237,14 @@
   Suspect& SuspectOf(Fingerprint aSubject, TimePoint aNow);
   /// Time between the first and the last of the exits.
   static Duration SpanOf(std::span<const ServerExit> aExits);
+  /// Number of exits that came at least kIsolation after the one before.
+  static std::size_t CountIsolated(std::span<const ServerExit> aExits);
+  /// The exits of \p aSuspect that are evidence and of which this gateway heard
+  /// first, whatever the subject, at least kSettleTime ago.
+  std::vector<ServerExit> SettledExits(const Suspect& aSuspect,
+                                       TimePoint aNow) const;
+  /// The subjects whose settled exits suffice for a quarantine.
+  std::vector<Rival> Rivals(TimePoint aNow) const;
   /// Evicts the suspect with the lowest score, of these the oldest.
   void EvictWeakest();
   /// Decides whether to go on sending that a part is cleared of an exit: not if
@@ -236,12 +264,14 @@
   bool HasUnliftedVerdict(Fingerprint aSubject) const;
   bool ShouldQuarantine(Fingerprint aSubject,
                         const Suspect& aSuspect,
+                        std::span<const Rival> aRivals,
                         TimePoint aNow) const;
-  /// Whether there is an exit in \p aExits at which no other subject in flight
-  /// has a higher score, or the same and is as specific.
-  bool LeadsAtAnyExit(Fingerprint aSubject,
-                      Specificity aSpecificity,
-                      std::span<const ServerExit> aExits) const;
+  /// Whether there is an exit in \p aExits at which none of the rivals in
+  /// flight has a higher score, or the same and is as specific.
+  static bool LeadsAtAnyExit(Fingerprint aSubject,
+                             Specificity aSpecificity,
+                             std::span<const ServerExit> aExits,
+                             std::span<const Rival> aRivals);
   void Quarantine(Fingerprint aSubject, TimePoint aNow);
   void SetVerdict(Fingerprint aSubject, const Verdict& aVerdict);
   /// Attributes the exits of the subject to it; evidence against other requests
@@ -258,6 +288,8 @@
   Duration quarantine;
   absl::flat_hash_map<Fingerprint, Suspect> suspects;
   absl::flat_hash_map<Fingerprint, Verdict> verdicts;
+  /// When this gateway first heard of each exit, for some subject.
+  absl::flat_hash_map<ServerKey, TimePoint> heardOf;
   /// The subject that each exit is attributed to.
   absl::flat_hash_map<ServerKey, Fingerprint> attributedTo;
   /// When the newest request with a part that has got through began to be
--- a/dogwoodvale/src/Quarantine/InFlightDuplicates.cpp
+++ b/dogwoodvale/src/Quarantine/InFlightDuplicates.cpp
@@ -32,18 +32,33 @@
                                   aNow };
 }
 
+bool
+InFlightDuplicates::PeerReport::Has(Fingerprint aSubject, TimePoint aNow) const
+{
+  return Between(this->receivedAt, aNow) <= kReportTtl &&
+         std::ranges::find(this->subjects, aSubject) != this->subjects.end();
+}
+
 bool
 InFlightDuplicates::HasAny(Fingerprint aSubject, TimePoint aNow) const
 {
   return this->HasOwn(aSubject) ||
          std::ranges::any_of(this->peerReports, [&](const auto& aItem) {
-           const PeerReport& report = aItem.second;
-           return Between(report.receivedAt, aNow) <= kReportTtl &&
-                  std::ranges::find(report.subjects, aSubject) !=
-                    report.subjects.end();
+           return aItem.second.Has(aSubject, aNow);
          });
 }
 
+bool
+InFlightDuplicates::HasPeerBefore(const InstanceName& aName,
+                                  Fingerprint aSubject,
+                                  TimePoint aNow) const
+{
+  return std::any_of(
+    this->peerReports.begin(),
+    this->peerReports.lower_bound(aName),
+    [&](const auto& aItem) { return aItem.second.Has(aSubject, aNow); });
+}
+
 void
 InFlightDuplicates::Expire(TimePoint aNow)
 {
--- a/dogwoodvale/src/Quarantine/InFlightDuplicates.h
+++ b/dogwoodvale/src/Quarantine/InFlightDuplicates.h
@@ -29,6 +29,10 @@
   }
   /// Whether this or another gateway has it in flight.
   bool HasAny(Fingerprint aSubject, TimePoint aNow) const;
+  /// Whether a gateway whose name is less than \p aName has reported it.
+  bool HasPeerBefore(const InstanceName& aName,
+                     Fingerprint aSubject,
+                     TimePoint aNow) const;
   /// Drops gateways whose last report is older than kReportTtl.
   void Expire(TimePoint aNow);
 
@@ -40,6 +44,8 @@
   {
     std::vector<Fingerprint> subjects;
     TimePoint receivedAt{};
+
+    bool Has(Fingerprint aSubject, TimePoint aNow) const;
   };
 
   absl::flat_hash_map<Fingerprint, std::uint32_t> own;
--- a/test/CrashLedger.cpp
+++ b/test/CrashLedger.cpp
@@ -382,6 +382,64 @@
   CHECK(ledger.IsPart(kPart));
 }
 
+// In an outage of the store no gateway learns that a server has restarted. Its
+// next exit must count, though it is known by the same name.
+TEST_CASE("a server that restarts under its name can exit again", "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  for (ServerKey server = 1; server <= 3; ++server) {
+    ledger.Take(OfPart(kPart, server), Source::Own, kStart);
+  }
+  const TimePoint repeated = kStart + CrashLedger::kRepeatTime;
+  ledger.Take(OfPart(kPart, 1), Source::Peer, repeated);
+  CHECK(EvaluateLater(ledger, repeated).empty());
+  const TimePoint again = kStart + CrashLedger::kSameExitTime + Duration(1);
+  ledger.Take(OfPart(kPart, 1), Source::Own, again);
+  CHECK(ledger.ScoreOf(kPart) == 6);
+  CHECK(EvaluateLater(ledger, again) == std::vector{ kPart });
+}
+
+// Servers exit in quick succession under requests with three shared parts, of
+// which the one in the middle crashes them. No answer completes, so that
+// nothing tells the parts apart until a sound request has run by itself.
+TEST_CASE("parts at the same fast exits are disputed until one gets through",
+          "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  TimePoint now = kStart;
+  for (ServerKey server = 1; server <= 10; ++server) {
+    now += milliseconds(100);
+    ledger.Take(OfPart(kSoundPart, server, 0), Source::Own, now);
+    ledger.Take(OfPart(kPart, server, 1), Source::Own, now);
+    ledger.Take(OfPart(kDeepPart, server, 2), Source::Own, now);
+    CHECK(ledger.Evaluate(now).empty());
+  }
+  CHECK(EvaluateLater(ledger, now).empty());
+  for (const Fingerprint part : { kSoundPart, kPart, kDeepPart }) {
+    CHECK(ledger.IsDisputed(part, now));
+  }
+  const TimePoint passed = now + seconds(1);
+  ledger.OnPassed(kSoundPart, now, passed);
+  ledger.OnPassed(kDeepPart, now, passed);
+  CHECK_FALSE(ledger.IsDisputed(kDeepPart, passed));
+  CHECK(ledger.IsDisputed(kPart, passed));
+  CHECK(ledger.Evaluate(passed) == std::vector{ kPart });
+}
+
+// The report of a crashing part may arrive after that of one that others share.
+TEST_CASE("an exit settles once for all parts in flight there", "[parts]")
+{
+  CrashLedger ledger(kQuarantine);
+  constexpr Duration kLater = milliseconds(60);
+  for (ServerKey server = 1; server <= 3; ++server) {
+    ledger.Take(OfPart(kSoundPart, server, 0), Source::Own, ExitTime(server));
+    ledger.Take(OfPart(kPart, server), Source::Peer, ExitTime(server) + kLater);
+  }
+  ledger.Take(OfPart(kPart, 4), Source::Own, ExitTime(4));
+  CHECK(EvaluateLater(ledger, ExitTime(3)).empty());
+  CHECK(EvaluateLater(ledger, ExitTime(4)) == std::vector{ kPart });
+}
+
 // A part that nearly all requests share is in flight at every exit. If it were
 // blamed, all these requests would be refused.
 TEST_CASE("a part with which others get through is not blamed", "[parts]")
--- a/test/support/CrashSite.h
+++ b/test/support/CrashSite.h
@@ -20,7 +20,7 @@
 /// A site whose engines crash when they run a request with one certain body, or
 /// one whose prompt has a certain part that other requests share. A crashed
 /// engine's connections break at once, its entry expires after kEntryLapses,
-/// and it restarts as another incarnation after kComesBack.
+/// and it restarts as another incarnation after comesBack.
 class CrashSite : public FleetSite
 {
 public:
@@ -28,7 +28,6 @@
   static constexpr const char* kCrashPart = "bad0";
   static constexpr const char* kOtherCrashPart = "bad1";
   static constexpr Duration kEntryLapses = milliseconds(250);
-  static constexpr Duration kComesBack = milliseconds(400);
 
   CrashSite(int aEngines,
             int aGateways,
@@ -93,6 +92,11 @@
 
   /// When each engine crashed.
   std::vector<TimePoint> crashes;
+  /// Time until a crashed engine restarts.
+  Duration comesBack = milliseconds(400);
+  /// Engines restart at their address and stay listed, as in an outage of the
+  /// store.
+  bool keepsAddress = false;
 
 private:
   struct Running
@@ -106,20 +110,26 @@
     std::string name;
     TimePoint at{};
     bool isListed = true;
+    SocketAddress address;
   };
 
   void StartEngine()
+  {
+    this->StartEngine(fmt::format("e{}", ++this->started), { "127.0.0.1", 0 });
+  }
+
+  void StartEngine(const std::string& aName, const SocketAddress& aAddress)
   {
     Running made;
-    made.name = fmt::format("e{}", ++this->started);
+    made.name = aName;
     standins::SealedEngineSettings settings = this->engineSettings;
     settings.instance = made.name;
     settings.crashBody = this->isFixed ? "" : kCrashBody;
     if (!this->isFixed) {
       settings.crashParts = { kCrashPart, kOtherCrashPart };
     }
-    made.engine = *standins::SealedEngine::Create(
-      *this->loop, { "127.0.0.1", 0 }, settings);
+    made.engine =
+      *standins::SealedEngine::Create(*this->loop, aAddress, settings);
     this->Register(made.name, *made.engine, "ready");
     this->running.push_back(std::move(made));
   }
@@ -134,7 +144,8 @@
         const auto& runs = one.engine->Runs();
         this->pastRuns.insert(this->pastRuns.end(), runs.begin(), runs.end());
         this->crashes.push_back(now);
-        this->crashed.push_back({ one.name, now });
+        this->crashed.push_back(
+          { one.name, now, !this->keepsAddress, one.engine->Address() });
       }
     }
     std::erase_if(this->running,
@@ -146,12 +157,18 @@
       }
     }
     const auto isRestarting = [&](const Crashed& aOne) {
-      return Between(aOne.at, now) >= kComesBack;
+      return Between(aOne.at, now) >= this->comesBack;
     };
-    const auto restarting = std::ranges::count_if(this->crashed, isRestarting);
+    std::vector<Crashed> restarting;
+    std::ranges::copy_if(
+      this->crashed, std::back_inserter(restarting), isRestarting);
     std::erase_if(this->crashed, isRestarting);
-    for (auto i = restarting; i > 0; --i) {
-      this->StartEngine();
+    for (const Crashed& one : restarting) {
+      if (this->keepsAddress) {
+        this->StartEngine(one.name, one.address);
+      } else {
+        this->StartEngine();
+      }
     }
   }
 
