--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -236,12 +236,25 @@
     this->GiveUpQuarantined(*quarantined);
     return false;
   }
-  const std::optional<Duration> wait = this->suspectWait.Next(
-    guard, subjects, this->outcome.attempts == 0, aNow, this->host.Random());
-  if (wait) {
-    this->suspectTimer.StartOnce(*wait);
+  const SuspectGate* gate = guard.Gate();
+  if (gate == nullptr) {
+    return true;
+  }
+  const SuspectWait::Step step = this->suspectWait.Next(
+    *gate, subjects, this->outcome.attempts == 0, aNow, this->host.Random());
+  switch (step.action) {
+    case SuspectWait::Action::Send:
+      return true;
+    case SuspectWait::Action::Wait:
+      this->suspectTimer.StartOnce(step.wait);
+      return false;
+    case SuspectWait::Action::Refuse:
+      this->GiveUp(ErrorCode::NoBackendServer,
+                   "a part of its prompt may crash backend servers",
+                   SuspectWait::kMaxWait);
+      return false;
   }
-  return !wait;
+  return true;
 }
 
 bool
@@ -286,6 +299,11 @@
 void
 GatewayRequest::TryNext()
 {
+  // All waits but the one for a connection end here. A request whose caller has
+  // left meanwhile must not be sent.
+  if (this->exchange->CheckCallerGone()) {
+    return;
+  }
   const TimePoint now = Now();
   if (!this->PassesCrashGuard(now) || this->RefuseForRanks(now)) {
     return;
@@ -455,6 +473,7 @@
                                     this->PlanFor(aCandidate.name, now),
                                     *this);
   this->host.Crashes().OnSent(this->admitted.subjects);
+  this->suspectWait.EndTurn();
   const BackendRequestMetadata metadata =
     this->MetadataFor(aCandidate.name, now);
   ++this->outcome.attempts;
@@ -554,6 +573,12 @@
   }
 }
 
+void
+GatewayRequest::OnAttemptConnected()
+{
+  this->exchange->CheckCallerGone();
+}
+
 void
 GatewayRequest::OnAttemptHead(const BackendAnswer& aHead)
 {
@@ -866,6 +891,7 @@
   this->done = true;
   this->deadline.Stop();
   this->suspectTimer.Stop();
+  this->suspectWait.EndTurn();
   this->EndWait(false);
   const TimePoint now = Now();
   this->outcome.total = Between(this->accepted, now);
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -8,10 +8,10 @@
 #include "Admission.h"
 #include "AttemptHealth.h"
 #include "BackendPool.h"
+#include "CrashGuard.h"
 #include "DirectAttempt.h"
 #include "OriginFinder.h"
 #include "StreamObserver.h"
-#include "SuspectWait.h"
 
 namespace dogwoodvale {
 
@@ -138,6 +138,7 @@
   void OnCallerGone() override;
   void OnDrained() override;
 
+  void OnAttemptConnected() override;
   void OnAttemptHead(const BackendAnswer& aHead) override;
   void OnAttemptEvents(std::string_view aBytes) override;
   void OnAttemptStreamEnd() override;
