--- a/dogwoodvale/src/Quarantine/SuspectWait.cpp
+++ b/dogwoodvale/src/Quarantine/SuspectWait.cpp
@@ -46,14 +46,7 @@
   if (!this->since) {
     this->since = aNow;
   }
-  TrialTurns& turns = aGate.Turns();
-  if (aGate.IsVerdictDue(aDisputed, aNow)) {
-    this->EndTurn();
-  } else if (this->claim == nullptr) {
-    this->claim = turns.TryClaim(aDisputed, aNow);
-  } else if (turns.TurnOf(*this->claim, aNow) == TrialTurns::Turn::Lost) {
-    this->EndTurn();
-  } else if (turns.TurnOf(*this->claim, aNow) == TrialTurns::Turn::Mine) {
+  if (this->AdvanceTurn(aGate, aDisputed, aNow) == TrialTurns::Turn::Mine) {
     return {};
   }
   if (Between(*this->since, aNow) >= kMaxTurnWait) {
@@ -63,4 +56,24 @@
   return { Action::Wait, kCheckPeriod };
 }
 
+TrialTurns::Turn
+SuspectWait::AdvanceTurn(const SuspectGate& aGate,
+                         std::span<const Fingerprint> aDisputed,
+                         TimePoint aNow)
+{
+  if (aGate.IsVerdictDue(aDisputed, aNow)) {
+    this->EndTurn();
+    return TrialTurns::Turn::Lost;
+  }
+  if (this->claim == nullptr) {
+    this->claim = aGate.Turns().TryClaim(aDisputed, aNow);
+    return TrialTurns::Turn::Pending;
+  }
+  const TrialTurns::Turn turn = aGate.Turns().TurnOf(*this->claim, aNow);
+  if (turn == TrialTurns::Turn::Lost) {
+    this->EndTurn();
+  }
+  return turn;
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Quarantine/SuspectWait.h
+++ b/dogwoodvale/src/Quarantine/SuspectWait.h
@@ -65,6 +65,12 @@
                    std::span<const Fingerprint> aDisputed,
                    TimePoint aNow);
 
+  /// Claims the parts, or gives the claim up if another gateway goes first or a
+  /// verdict is due.
+  TrialTurns::Turn AdvanceTurn(const SuspectGate& aGate,
+                               std::span<const Fingerprint> aDisputed,
+                               TimePoint aNow);
+
   /// Start of the wait.
   std::optional<TimePoint> since;
   /// The request has waited and takes the random delay before it is sent.
