--- a/test/CrashModel.cpp
+++ b/test/CrashModel.cpp
@@ -4,15 +4,12 @@
 
 using namespace dogwoodvale;
 using test::CrashModel;
+using test::kMostBytes;
 using test::ModelOptions;
 using test::ModelResult;
 
 namespace {
 
-/// A hundredth of the slowest link of a gateway, 10 Mbit/s, in bytes per
-/// second.
-constexpr std::size_t kMostBytes = 12'500;
-
 void
 CheckFleet(ModelOptions aOptions)
 {
--- a/test/CrashingPartModel.cpp
+++ b/test/CrashingPartModel.cpp
@@ -4,6 +4,7 @@
 
 using namespace dogwoodvale;
 using test::CrashModel;
+using test::FastStart;
 using test::ModelOptions;
 using test::ModelResult;
 
@@ -19,24 +20,6 @@
 constexpr double kServedShare = 0.9;
 constexpr std::size_t kMaxLateRuns = 3;
 
-ModelOptions
-FastStart(std::size_t aGateways, std::size_t aServers)
-{
-  ModelOptions options;
-  options.gateways = aGateways;
-  options.servers = aServers;
-  options.othersPerSecond = 4.5 * static_cast<double>(aServers);
-  options.commonShare = 0.6;
-  options.crashesByPart = true;
-  options.hasDeepPart = true;
-  options.crashesFrom = seconds(4);
-  options.crashingAtOnce = static_cast<int>(2 * aServers);
-  options.crashInterval = milliseconds(1000) / static_cast<int>(aServers);
-  options.restartTime = seconds(2);
-  options.length = seconds(25);
-  return options;
-}
-
 void
 CheckContained(ModelOptions aOptions, unsigned aSeeds)
 {
--- a/test/support/CrashModel.h
+++ b/test/support/CrashModel.h
@@ -9,6 +9,9 @@
 
 namespace dogwoodvale::test {
 
+/// A hundredth of the slowest link of a gateway, 10 Mbit/s, in bytes per
+/// second.
+inline constexpr std::size_t kMostBytes = 12'500;
 inline constexpr Duration kStep = milliseconds(10);
 inline constexpr Fingerprint kCrashing = 1;
 /// Parts of prompts: the one that crashes servers, one of all requests, and one
@@ -52,6 +55,26 @@
   unsigned seed = 1;
 };
 
+/// Many requests with a crashing part come at once, before any gateway knows of
+/// a crash, and end all or most servers within a second.
+inline ModelOptions
+FastStart(std::size_t aGateways, std::size_t aServers)
+{
+  ModelOptions options;
+  options.gateways = aGateways;
+  options.servers = aServers;
+  options.othersPerSecond = 4.5 * static_cast<double>(aServers);
+  options.commonShare = 0.6;
+  options.crashesByPart = true;
+  options.hasDeepPart = true;
+  options.crashesFrom = seconds(4);
+  options.crashingAtOnce = static_cast<int>(2 * aServers);
+  options.crashInterval = milliseconds(1000) / static_cast<int>(aServers);
+  options.restartTime = seconds(2);
+  options.length = seconds(25);
+  return options;
+}
+
 struct ModelResult
 {
   std::size_t exits = 0;
