--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -20,6 +20,7 @@
 constexpr double kReadPeriodSpread = 0.15;
 /// After this many missed reads the list is fetched from other gateways.
 constexpr int kMissedReads = 2;
+constexpr Duration kBehindLogPeriod = seconds(1);
 
 } // namespace
 
@@ -72,6 +73,8 @@
           aSettings.instance,
           this->incarnation,
           aSettings.gateway.duties)
+  , loopDelay(aLoop)
+  , metrics(this->loopDelay)
   , suspensionDetector(aLoop,
                        [this](Duration aLost) { this->OnSuspended(aLost); })
   , maintenanceTimer(aLoop, [this] { this->RunMaintenance(); })
@@ -297,6 +300,17 @@
 void
 Gateway::OnRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
+  const Duration behindFor = this->catchUp.BehindFor(Now());
+  if (behindFor > Duration::zero()) {
+    Log(LogLevel::Info,
+        "routes_caught_up",
+        "version",
+        aRoutes->Version(),
+        "behind_ms",
+        WholeMillis(behindFor),
+        "loop_delay_ms",
+        WholeMillis(this->loopDelay.Last()));
+  }
   this->catchUp.OnInForce(aRoutes->Version());
   this->callers->SetBounds(
     BoundsOf(aRoutes->Limits(), this->settings.gateway.descriptors));
@@ -443,6 +457,27 @@
   }
 }
 
+void
+Gateway::LogIfBehind(TimePoint aNow)
+{
+  const Duration behindFor = this->catchUp.BehindFor(aNow);
+  if (behindFor < kBehindLogPeriod ||
+      Between(this->behindLoggedAt, aNow) < kBehindLogPeriod) {
+    return;
+  }
+  this->behindLoggedAt = aNow;
+  Log(LogLevel::Warning,
+      "routes_behind",
+      "version",
+      this->directory->Routes().Version(),
+      "newest",
+      this->catchUp.Newest(aNow),
+      "behind_ms",
+      WholeMillis(behindFor),
+      "loop_delay_ms",
+      WholeMillis(this->loopDelay.Last()));
+}
+
 bool
 Gateway::IsListFresh(TimePoint aNow) const
 {
@@ -494,6 +529,7 @@
   this->origins.SetListCurrent(this->IsListCurrent(now), now);
   this->origins.RunMaintenance(now);
   this->FetchOutdatedFromPeers(now);
+  this->LogIfBehind(now);
   if (!this->stopping) {
     this->usage.RunMaintenance(*this->peers, this->random);
     this->warmStart->RunMaintenance(now, this->ownCell == 0);
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include "DirectoryCache.h"
 #include "GatewayMetrics.h"
 #include "GatewayRequest.h"
+#include "LoopDelayMonitor.h"
 #include "OriginFinder.h"
 #include "PeerExchange.h"
 #include "RoutesCatchUp.h"
@@ -99,6 +100,8 @@
   /// Fetches from other gateways what this one lacks or has only outdated.
   void FetchOutdatedFromPeers(TimePoint aNow);
   void FetchRoutesFromPeer(TimePoint aNow);
+  /// Logs, at most once in kBehindLogPeriod, that the routes are outdated.
+  void LogIfBehind(TimePoint aNow);
   void CheckStopped();
   /// Destroys the requests that are done (deferred deletion).
   void DestroyDoneRequests();
@@ -122,6 +125,7 @@
   CrashGuard crashes;
   OriginFinder origins;
   UsageAccounting usage;
+  LoopDelayMonitor loopDelay;
   GatewayMetrics metrics;
   std::unique_ptr<DirectoryCache> directory;
   RoutesCatchUp catchUp;
@@ -140,6 +144,7 @@
   std::size_t cells = 1;
   std::size_t ownCell = 0;
   std::uint64_t digestSequence = 0;
+  TimePoint behindLoggedAt{};
   bool stopping = false;
   bool accepting = true;
   StopSchedule stopSchedule;
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -2,7 +2,7 @@
 
 namespace dogwoodvale {
 
-GatewayMetrics::GatewayMetrics()
+GatewayMetrics::GatewayMetrics(const LoopDelayMonitor& aLoopDelay)
   : refusals(this->registry.AddCounter<ReasonLabels>(
       "gateway_refusals_total",
       "Requests refused before they had a route."))
@@ -22,6 +22,7 @@
 {
   this->registry.AddSource(this->classes);
   this->registry.AddSource(this->customers);
+  this->registry.AddSource(aLoopDelay);
 }
 
 bool
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "GatewayRequest.h"
+#include "LoopDelayMonitor.h"
 #include "dogwoodvale/Metrics"
 
 namespace dogwoodvale {
@@ -65,7 +66,8 @@
 class GatewayMetrics
 {
 public:
-  GatewayMetrics();
+  /// \param aLoopDelay is shown with the rest; must outlive this object.
+  explicit GatewayMetrics(const LoopDelayMonitor& aLoopDelay);
 
   void Record(const GatewayRequest& aRequest);
   /// Counts a request that was refused on admission.
