--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -136,9 +136,12 @@
     settings.gateway.quarantine = this->quarantine;
     settings.gateway.decisions = this->decisions;
     settings.gateway.duties = this->duties;
-    auto ports = platform::CreatePorts(*this->loop, settings);
+    GatewayPorts ports = *platform::CreatePorts(*this->loop, settings);
+    if (this->wrapCallers) {
+      ports.callers = this->wrapCallers(std::move(ports.callers));
+    }
     this->gateways.push_back(
-      *Gateway::Create(*this->loop, settings, *std::move(ports)));
+      *Gateway::Create(*this->loop, settings, std::move(ports)));
     return *this->gateways.back();
   }
 
@@ -223,6 +226,10 @@
   Duration quarantine = seconds(600);
   /// Address at which gateways reach the store, if not the store's own.
   std::optional<SocketAddress> storeRelay;
+  /// Replaces the callers' protocol of gateways that are added later, if set.
+  std::function<std::unique_ptr<CallerProtocol>(
+    std::unique_ptr<CallerProtocol>)>
+    wrapCallers;
   GatewayDecisions decisions;
   DutySettings duties;
   std::unique_ptr<EventLoop> loop = *EventLoop::Create();
