Handle the control plane's connections before requests

Cause: the event loop handled every connection once a turn, and libevent's buffers read 4 kB at a time, so a document of 50 kB between gateways took 13 turns and one of 1 MB from the store some 70 or more, each as long as the requests in between made it. The fewer processor time there was, the later a version came.

The loop has two priorities now.

--- a/dogwoodvale/src/Core/EventLoop.cpp
+++ b/dogwoodvale/src/Core/EventLoop.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr long kMicrosecondsPerSecond = 1000000;
+/// With three, libevent's default is the middle one, EventPriority::Control.
+constexpr int kPriorities = 3;
 
 timeval
 ToTimeval(Duration aDuration)
@@ -23,9 +25,13 @@
   event_config* config = event_config_new();
   // Coarse timers round up to 4 ms, which is as long as an engine step.
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  const timeval slice = ToTimeval(kTrafficSlice);
+  constexpr int kNoLimit = -1;
+  event_config_set_max_dispatch_interval(
+    config, &slice, kNoLimit, static_cast<int>(EventPriority::Traffic));
   event_base* base = event_base_new_with_config(config);
   event_config_free(config);
-  if (base == nullptr) {
+  if (base == nullptr || event_base_priority_init(base, kPriorities) != 0) {
     return absl::InternalError("libevent gave no event base");
   }
   return std::unique_ptr<EventLoop>(new EventLoop(base));
@@ -51,7 +57,9 @@
 EventLoop::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
 {
   const TimePoint end = Now() + aLimit;
-  Timer tick(*this, [] {});
+  // EVLOOP_ONCE alone does not return while traffic is waiting.
+  Timer tick(
+    *this, [this] { this->Stop(); }, EventPriority::Control);
   tick.StartRepeating(milliseconds(1));
   while (!aDone()) {
     if (Now() >= end) {
@@ -68,10 +76,13 @@
   event_base_loopbreak(this->base);
 }
 
-Timer::Timer(EventLoop& aLoop, std::function<void()> aCallback)
+Timer::Timer(EventLoop& aLoop,
+             std::function<void()> aCallback,
+             EventPriority aPriority)
   : callback(std::move(aCallback))
   , timeout(event_new(aLoop.Base(), -1, 0, &Timer::OnTimeout, this))
 {
+  event_priority_set(this->timeout, static_cast<int>(aPriority));
 }
 
 Timer::~Timer()
--- a/dogwoodvale/src/Core/EventLoop.h
+++ b/dogwoodvale/src/Core/EventLoop.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_CORE_EVENTLOOP_H
 #define DOGWOODVALE_CORE_EVENTLOOP_H
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -12,7 +13,23 @@
 
 namespace dogwoodvale {
 
+/// Which of the events that are due the loop handles first.
+enum class EventPriority : std::uint8_t
+{
+  /// Connections of the control plane; the default of libevent and so of what
+  /// its helpers create.
+  Control = 1,
+  /// Requests, their answers, and timers: a time limit that passes must not be
+  /// noticed before bytes that came earlier.
+  Traffic = 2,
+};
+
 /// The one loop of a process; everything runs on its thread.
+///
+/// Events of the control plane are handled before those of the traffic, and
+/// are looked for again at least every kTrafficSlice. A process that is short
+/// of processor time would otherwise handle each connection once a turn, and a
+/// document of many pieces would take as many turns.
 class EventLoop
 {
 public:
@@ -31,6 +48,8 @@
   bool RunUntil(const std::function<bool()>& aDone, Duration aLimit);
   void Stop();
 
+  static constexpr Duration kTrafficSlice = milliseconds(10);
+
 private:
   explicit EventLoop(event_base* aBase);
   event_base* base;
@@ -41,7 +60,9 @@
 class Timer
 {
 public:
-  Timer(EventLoop& aLoop, std::function<void()> aCallback);
+  Timer(EventLoop& aLoop,
+        std::function<void()> aCallback,
+        EventPriority aPriority = EventPriority::Traffic);
   ~Timer();
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
--- a/dogwoodvale/src/Gateway/LoopDelayMonitor.h
+++ b/dogwoodvale/src/Gateway/LoopDelayMonitor.h
@@ -6,7 +6,7 @@
 
 namespace dogwoodvale {
 
-/// Measures how late the event loop runs what is due.
+/// Measures how late the event loop handles traffic that is due.
 ///
 /// A loop that is short of processor time handles each connection less often,
 /// so everything takes longer that needs several turns of it.
--- a/dogwoodvale/src/Gateway/PeerExchange.cpp
+++ b/dogwoodvale/src/Gateway/PeerExchange.cpp
@@ -101,6 +101,7 @@
       static_cast<PeerExchange*>(aSelf)->OnReadable();
     },
     this);
+  event_priority_set(this->readable, static_cast<int>(EventPriority::Traffic));
   event_add(this->readable, nullptr);
   this->sendTimer.StartOnce(kMinDigestPeriod);
   return absl::OkStatus();
--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -51,6 +51,7 @@
   /// stay without a sign of life; 0 leaves it to the system (minutes). Without
   /// it a link that fell silent (no reset) looks open for good.
   Duration silentLinkTimeout{ 0 };
+  EventPriority priority = EventPriority::Traffic;
 };
 
 /// What a server's address says to a new connection.
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -56,6 +56,9 @@
   bufferevent_enable(this->stream, EV_READ | EV_WRITE);
   bufferevent_socket_connect(
     this->stream, aAddress.Get(), static_cast<int>(aAddress.size));
+  // Assigning the socket has reset it.
+  bufferevent_priority_set(this->stream,
+                           static_cast<int>(this->owner.Options().priority));
 }
 
 BackendConnection::~BackendConnection()
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -71,6 +71,8 @@
       static_cast<CallerConnection*>(aSelf)->OnEvent(aWhat);
     },
     this);
+  bufferevent_priority_set(this->stream,
+                           static_cast<int>(EventPriority::Traffic));
   const CallerBounds& bounds = this->owner.Bounds();
   bufferevent_setwatermark(this->stream,
                            EV_WRITE,
--- a/dogwoodvale/src/Peer/Http2Session.cpp
+++ b/dogwoodvale/src/Peer/Http2Session.cpp
@@ -132,6 +132,16 @@
       0) {
     this->FailLater(absl::UnavailableError("connecting failed"));
   }
+  this->SetTrafficPriority();
+}
+
+/// Streams of requests share the session with control messages.
+void
+Http2Session::SetTrafficPriority()
+{
+  constexpr int kPriority = static_cast<int>(EventPriority::Traffic);
+  event_priority_set(this->flushEvent, kPriority);
+  bufferevent_priority_set(this->socket, kPriority);
 }
 
 /// For failures inside a call from outside: the caller may not yet hold what
@@ -149,6 +159,7 @@
   this->rejections = std::move(aRejections);
   this->SetUpSocket(
     bufferevent_socket_new(this->loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE));
+  this->SetTrafficPriority();
   this->OnConnected();
 }
 
--- a/dogwoodvale/src/Peer/Http2Session.h
+++ b/dogwoodvale/src/Peer/Http2Session.h
@@ -89,6 +89,7 @@
   class Scope;
 
   void CreateSession();
+  void SetTrafficPriority();
   void SetUpSocket(bufferevent* aSocket);
   void OnConnected();
   void OnReadable();
--- a/dogwoodvale/src/Store/HttpExchange.cpp
+++ b/dogwoodvale/src/Store/HttpExchange.cpp
@@ -25,7 +25,10 @@
     , onDone(std::move(aOnDone))
     , timeout(aCall.timeout)
     , maxBodyBytes(aCall.maxBodyBytes)
-    , deliveryTimer(aLoop, [this] { this->Deliver(); })
+    , deliveryTimer(
+        aLoop,
+        [this] { this->Deliver(); },
+        EventPriority::Control)
     , timeoutTimer(aLoop, [this] { this->OnTimeout(); })
   {
     this->timeoutTimer.StartOnce(this->timeout);
