Serve no request by routes that have been outdated for too long

From three quarters of routes_apply_ms on it refuses new requests as not run, with Retry-After, and its ready check fails, so that callers and the balancer go elsewhere. The time counts for each version from its first report, as a series of changes would otherwise look like one old one. A gateway that got the newest document and can't read it serves on, since during an upgrade that may be all gateways of the older software.

RoutesCatchUp has a case for the series of changes.

--- a/dogwoodvale/src/Gateway/Admission.cpp
+++ b/dogwoodvale/src/Gateway/Admission.cpp
@@ -66,10 +66,15 @@
 {
   const bool mayBeOutdated = aError.code == ErrorCode::UnknownRoute ||
                              aError.code == ErrorCode::Unauthorized;
-  return mayBeOutdated ? Refusal(ErrorCode::NotReady,
-                                 "a newer configuration is on its way",
-                                 kConfigurationRetryAfter)
-                       : aError;
+  return mayBeOutdated ? OutdatedRoutesError() : aError;
+}
+
+RequestError
+OutdatedRoutesError()
+{
+  return Refusal(ErrorCode::NotReady,
+                 "a newer configuration is on its way",
+                 kConfigurationRetryAfter);
 }
 
 std::variant<AdmittedRequest, RequestError>
--- a/dogwoodvale/src/Gateway/Admission.h
+++ b/dogwoodvale/src/Gateway/Admission.h
@@ -68,6 +68,11 @@
              BackendPool& aPool,
              std::mt19937_64& aRandom);
 
+/// For a request that may not be served by the routes in force, as a newer
+/// version is known of; retryable.
+RequestError
+OutdatedRoutesError();
+
 /// The error that a gateway returns in place of \p aError when it knows of a
 /// newer configuration than its own: an unknown route or key may be defined
 /// there, so these errors become retryable ones.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -21,6 +21,9 @@
 /// After this many missed reads the list is fetched from other gateways.
 constexpr int kMissedReads = 2;
 constexpr Duration kBehindLogPeriod = seconds(1);
+/// Share of the time in which a change has to be in force after which outdated
+/// routes are no longer used; the rest covers how long the news was on its way.
+constexpr double kOverdueShare = 0.75;
 
 } // namespace
 
@@ -200,6 +203,10 @@
   CallerRequestMetadata callerMetadata =
     this->ports.callers->Read(aExchange->Request());
   const std::string id = callerMetadata.attemptId;
+  if (this->AreRoutesOverdue(Now())) {
+    this->Refuse(*aExchange, OutdatedRoutesError(), id);
+    return;
+  }
   auto result = AdmitRequest(aExchange->Request(),
                              std::move(callerMetadata),
                              this->directory->Routes().Table(),
@@ -457,6 +464,16 @@
   }
 }
 
+bool
+Gateway::AreRoutesOverdue(TimePoint aNow) const
+{
+  const auto limit = Duration(static_cast<Duration::rep>(
+    kOverdueShare *
+    static_cast<double>(this->settings.gateway.routesApply.count())));
+  return this->catchUp.BehindFor(aNow) >= limit &&
+         !this->directory->Routes().HasUnreadable();
+}
+
 void
 Gateway::LogIfBehind(TimePoint aNow)
 {
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -100,6 +100,9 @@
   /// Fetches from other gateways what this one lacks or has only outdated.
   void FetchOutdatedFromPeers(TimePoint aNow);
   void FetchRoutesFromPeer(TimePoint aNow);
+  /// Whether a newer version of the routes has been known of for so long that
+  /// requests may no longer be served by the one in force.
+  bool AreRoutesOverdue(TimePoint aNow) const;
   /// Logs, at most once in kBehindLogPeriod, that the routes are outdated.
   void LogIfBehind(TimePoint aNow);
   void CheckStopped();
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -46,6 +46,9 @@
   if (!this->directory->HasInstances()) {
     return absl::UnavailableError("no list of backend servers yet");
   }
+  if (this->AreRoutesOverdue(Now())) {
+    return absl::UnavailableError("a newer configuration is on its way");
+  }
   return absl::OkStatus();
 }
 
--- a/dogwoodvale/src/Gateway/RoutesCache.cpp
+++ b/dogwoodvale/src/Gateway/RoutesCache.cpp
@@ -79,6 +79,7 @@
   const TimePoint begun = Now();
   auto parsed = this->format.ParseRoutes(aDocument, this->Version());
   const auto parseMillis = WholeMillis(Between(begun, Now()));
+  this->hasUnreadable = !parsed.ok();
   if (!parsed.ok()) {
     Log(LogLevel::Error,
         "routes_rejected",
--- a/dogwoodvale/src/Gateway/RoutesCache.h
+++ b/dogwoodvale/src/Gateway/RoutesCache.h
@@ -40,6 +40,9 @@
   const std::string& CompressedDocument();
   /// Total size of all documents received, applied or not.
   std::uint64_t BytesRead() const { return this->bytesRead; }
+  /// Whether the last new document could not be read, e.g. as it was written
+  /// for a newer version of this software.
+  bool HasUnreadable() const { return this->hasUnreadable; }
   /// Whether the store's watch is established, as far as is known.
   bool IsWatching() const { return this->isWatching; }
   /// Time since the store last sent anything on the watch.
@@ -63,6 +66,7 @@
   std::string compressed;
   std::uint64_t bytesRead = 0;
   TimePoint heardAt{};
+  bool hasUnreadable = false;
   bool isWatching = true;
 };
 
--- a/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
+++ b/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
@@ -14,13 +14,13 @@
     return;
   }
   if (!this->IsBehind(aNow)) {
-    this->behindSince.reset();
+    this->missing.clear();
   }
   Peer& peer = this->peers[aGateway];
   peer.version = aVersion;
   peer.heardAt = aNow;
-  if (aVersion > this->inForce && !this->behindSince) {
-    this->behindSince = aNow;
+  if (aVersion > this->inForce) {
+    this->missing.emplace(aVersion, aNow);
   }
   std::erase_if(this->peers, [&](const auto& aItem) {
     return !this->IsValid(aItem.second, aNow);
@@ -31,13 +31,8 @@
 RoutesCatchUp::OnInForce(Epoch aVersion)
 {
   this->inForce = std::max(this->inForce, aVersion);
-  const bool isBehind =
-    std::ranges::any_of(this->peers, [this](const auto& aItem) {
-      return aItem.second.version > this->inForce;
-    });
-  if (!isBehind) {
-    this->behindSince.reset();
-  }
+  this->missing.erase(this->missing.begin(),
+                      this->missing.upper_bound(this->inForce));
 }
 
 bool
@@ -61,8 +56,8 @@
 Duration
 RoutesCatchUp::BehindFor(TimePoint aNow) const
 {
-  return this->IsBehind(aNow) && this->behindSince
-           ? Between(*this->behindSince, aNow)
+  return this->IsBehind(aNow) && !this->missing.empty()
+           ? Between(this->missing.begin()->second, aNow)
            : Duration::zero();
 }
 
--- a/dogwoodvale/src/Gateway/RoutesCatchUp.h
+++ b/dogwoodvale/src/Gateway/RoutesCatchUp.h
@@ -40,7 +40,8 @@
   /// The newest version that a gateway reported within kVersionTtl, or the one
   /// in force if that is newer.
   Epoch Newest(TimePoint aNow) const;
-  /// For how long a newer version than the one in force has been known of.
+  /// For how long the oldest of the newer versions has been known of; in a
+  /// series of changes each version has its own time to come into force.
   Duration BehindFor(TimePoint aNow) const;
   bool IsBehind(TimePoint aNow) const
   {
@@ -70,8 +71,8 @@
   Epoch inForce = 0;
   bool isWatching = true;
   bool isAsking = false;
-  /// Since when a version newer than the one in force is known of.
-  std::optional<TimePoint> behindSince;
+  /// When each version newer than the one in force was first reported.
+  std::map<Epoch, TimePoint> missing;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -222,6 +222,7 @@
   ReadCountLimit(reader, "retry_extra", kRetryExtra, aGateway.retryExtra);
   ReadBoundMillis(
     reader, "instance_drain_ms", kBoundMs, aGateway.instanceDrain);
+  ReadBoundMillis(reader, "routes_apply_ms", kBoundMs, aGateway.routesApply);
   ReadSeconds(reader, "quarantine_s", aGateway.quarantine);
   ReadSeconds(reader, "stop_grace_s", aGateway.stopGrace);
   ReadCountLimit(reader, "descriptors", kDescriptors, aGateway.descriptors);
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -158,6 +158,8 @@
   std::uint32_t retryExtra = 10;
   /// A backend server that has said that it leaves gets no new work after this.
   Duration instanceDrain = seconds(2);
+  /// An accepted change of the routes must be in force everywhere after this.
+  Duration routesApply = seconds(2);
   /// How long a request that crashes servers is kept from them.
   Duration quarantine = seconds(600);
   /// From the order to stop until the process is killed.
--- a/test/RoutesCatchUp.cpp
+++ b/test/RoutesCatchUp.cpp
@@ -77,6 +77,24 @@
   CHECK(setup.catchUp.BehindFor(At(9100)) == milliseconds(100));
 }
 
+// A gateway that applies each of many changes in time would seem to be behind
+// since the first of them.
+TEST_CASE("each version has its own time to come into force", "[catchup]")
+{
+  Setup setup;
+  setup.catchUp.OnPeerVersion(kFirst, 6, At(0));
+  setup.catchUp.OnPeerVersion(kFirst, 7, At(400));
+  CHECK(setup.catchUp.BehindFor(At(500)) == milliseconds(500));
+  setup.catchUp.OnInForce(6);
+  CHECK(setup.catchUp.BehindFor(At(500)) == milliseconds(100));
+  setup.catchUp.OnPeerVersion(kSecond, 9, At(700));
+  CHECK(setup.catchUp.BehindFor(At(800)) == milliseconds(400));
+  setup.catchUp.OnInForce(7);
+  CHECK(setup.catchUp.BehindFor(At(800)) == milliseconds(100));
+  setup.catchUp.OnInForce(9);
+  CHECK(setup.catchUp.BehindFor(At(800)) == Duration::zero());
+}
+
 // Without the spread, the first gateway with a new version would send it to all
 // others.
 TEST_CASE("requests are spread over the gateways with the newest version",
