--- a/test/CallerGone.cpp
+++ b/test/CallerGone.cpp
@@ -37,6 +37,13 @@
   return count;
 }
 
+/// Whether the gateway holds no request any more.
+bool
+IsIdle(Gateway& aGateway)
+{
+  return aGateway.Statusz().find("\"requests\" : 0,") != std::string::npos;
+}
+
 /// Lists \p aServer, which is no stand-in, as the only one of the service.
 void
 ListOnly(const PlatformSite& aSite, const RawSocket& aServer)
@@ -73,6 +80,8 @@
   CHECK(ArrivalCount(site, "first") == 0);
   CHECK(ArrivalCount(site, "second") == 0);
   CHECK(gateway.Ready().ok());
+  CHECK(IsIdle(gateway));
+  CHECK(site.Ask(gateway, kIdempotent, "after").starts_with("HTTP/1.1 200"));
 }
 
 TEST_CASE("a request is not retried if its caller left with the failure",
@@ -95,6 +104,7 @@
   caller.Close();
   Run(site, kSettleTime);
   CHECK(ArrivalCount(site, "retried") == 0);
+  CHECK(IsIdle(gateway));
 }
 
 TEST_CASE("a request is not sent if its caller left while it was connecting",
@@ -119,6 +129,7 @@
   for (RawSocket taken; server.Accept(taken);) {
     CHECK_FALSE(taken.Has("connecting"));
   }
+  CHECK(IsIdle(gateway));
 }
 
 TEST_CASE("a request is not sent if its caller left while it was held back",
@@ -135,4 +146,27 @@
   std::this_thread::sleep_for(milliseconds(1'200));
   site.Run(kSettleTime);
   CHECK(site.CrashingRuns() == before);
+  CHECK(IsIdle(*site.gateways[0]));
+}
+
+// What a request that leaves had occupied must serve the next one.
+TEST_CASE("a server's slots are free again once their callers have left",
+          "[gone]")
+{
+  PlatformSite site(1);
+  Gateway& gateway = site.ReadyGateway();
+  constexpr int kRounds = 3;
+  constexpr int kCallers = 12;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<RawSocket> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(RawSocket::Connect(gateway.CallerAddress()));
+      callers.back().Send(PlatformSite::RequestText(
+        "/stream/x", fmt::format("left-{}-{}", round, i)));
+    }
+    Run(site, milliseconds(20));
+    callers.clear();
+    CHECK(site.Until([&] { return IsIdle(gateway); }, milliseconds(500)));
+  }
+  CHECK(site.Ask(gateway, kIdempotent, "after").starts_with("HTTP/1.1 200"));
 }
