Bound the versions whose first report a gateway keeps

A gateway that cannot read any newer configuration would keep one entry for each change until it is replaced. The oldest 64 are kept, by which BehindFor() goes. OutdatedRoutes and RoutesCatchUp are green.

--- a/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
+++ b/dogwoodvale/src/Gateway/RoutesCatchUp.cpp
@@ -19,7 +19,7 @@
   Peer& peer = this->peers[aGateway];
   peer.version = aVersion;
   peer.heardAt = aNow;
-  if (aVersion > this->inForce) {
+  if (aVersion > this->inForce && this->missing.size() < kMaxMissing) {
     this->missing.emplace(aVersion, aNow);
   }
   std::erase_if(this->peers, [&](const auto& aItem) {
--- a/dogwoodvale/src/Gateway/RoutesCatchUp.h
+++ b/dogwoodvale/src/Gateway/RoutesCatchUp.h
@@ -55,6 +55,9 @@
   static constexpr Duration kPeerBackoff = seconds(1);
   /// How long a reported version is valid after the gateway's last digest.
   static constexpr Duration kVersionTtl = seconds(3);
+  /// Versions whose first report is kept. Beyond it only the older ones are, by
+  /// which BehindFor() goes.
+  static constexpr std::size_t kMaxMissing = 64;
 
 private:
   struct Peer
