--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -178,6 +178,7 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 start, headers = parse_head(await reader.readuntil(b"\r\n\r\n"))
+                self.on_head({k.lower(): v for k, v in headers})
                 body, whole = await read_body(reader, headers)
                 if not whole:
                     break
@@ -186,6 +187,9 @@
                     break
         writer.close()
 
+    def on_head(self, names):
+        """A request has reached the engine, its body is yet to come."""
+
     def run(self, method, target, headers, body):
         """Notes that the engine begins to work on the request."""
         names = {k.lower(): v for k, v in headers}
@@ -263,6 +267,8 @@
             self.route("/poll/", "idempotent", "clearing-api", attempts=2)]
         self.services = [{"name": "clearing-api", "healthPath": "/health", "maxConnections": 100}]
         self.tenants = [{"name": n, "apiKeys": [k]} for n, k in KEYS.items()]
+        self.limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
+                       "headerTimeoutMs": 5000, "idleTimeoutMs": 10000}
 
     @staticmethod
     def route(prefix, kind, service, attempts=1, timeout=2000, **more):
@@ -305,9 +311,7 @@
         self.version += 3
         await self.put("op/config", {
             "version": self.version, "routes": self.routes, "services": self.services,
-            "tenants": self.tenants,
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
-                       "headerTimeoutMs": 5000, "idleTimeoutMs": 10000}})
+            "tenants": self.tenants, "limits": self.limits})
         self.record.note(f"operator: version {self.version} acknowledged")
 
     async def add_engine(self, engine):
