--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -35,15 +35,24 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(ip="127.0.0.1"):
-    """A port below those of outgoing connections that nobody listens to."""
+def is_free(ip, port):
+    """Whether nobody listens to the port, by TCP or UDP."""
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as sock:
+                sock.bind((ip, port))
+        return True
+    except OSError:
+        return False
+
+
+def free_port(*ips):
+    """A port below those of outgoing connections, free at all the addresses."""
     while True:
         port = random.SystemRandom().randrange(15000, 32000)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind((ip, port))
-            if port not in _given:
-                _given.add(port)
-                return port
+        if port not in _given and all(is_free(ip, port) for ip in ips or ("127.0.0.1",)):
+            _given.add(port)
+            return port
 
 
 def new_id():
@@ -261,7 +270,7 @@
         self.engines, self.gateways, self.version, self.store = {}, {}, 0, None
         self.store_port = free_port()
         # All gateways of a site use one port for each other, at their own addresses.
-        self.peer_port = free_port()
+        self.peer_port = free_port(*(f"127.0.0.{n}" for n in range(2, 5)))
         self.routes = [
             self.route("/ack/", "non_idempotent", "clearing-api", attempts=1),
             self.route("/poll/", "idempotent", "clearing-api", attempts=2)]
@@ -382,16 +391,19 @@
     record = Record(pathlib.Path(folder) / "record.txt")
 
     async def play():
+        # So that a run that is ended from outside leaves no process behind.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         site = Site(record)
         try:
             await site.start_store()
-            return await asyncio.wait_for(case(site, record), 110)
+            return await asyncio.wait_for(case(site, record), 95)
         finally:
             await site.stop()
 
     try:
         held = asyncio.run(play())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         record.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
