--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -316,11 +316,14 @@
     async def remove(self, key):
         return await self.store_call("/standin/remove", {"key": key})
 
+    def document(self):
+        """The configuration, as the operator writes it."""
+        return {"version": self.version, "routes": self.routes, "services": self.services,
+                "tenants": self.tenants, "limits": self.limits}
+
     async def configure(self):
         self.version += 3
-        await self.put("op/config", {
-            "version": self.version, "routes": self.routes, "services": self.services,
-            "tenants": self.tenants, "limits": self.limits})
+        await self.put("op/config", self.document())
         self.record.note(f"operator: version {self.version} acknowledged")
 
     async def add_engine(self, engine):
