--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,13 +1,17 @@
 """The store gives no answer for 5.5 s; after its return a key is taken away."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
-from harness import BOUNDS, KEYS, Connection, Engine, main, new_id, request, trouble  # noqa: E402
+from harness import BOUNDS, KEYS, Connection, Engine, main, new_id, request  # noqa: E402
+
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 REVOKED = KEYS["branch"]
 
@@ -36,7 +40,7 @@
         await asyncio.sleep(max(0.0, begin + second - time.monotonic()))
 
     await until(8.5)
-    if trouble():
+    if TROUBLE:
         await site.store_call("/standin/fault", {"silent": True})
         record.note("the store gives no answer")
     await until(14.0)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -30,11 +30,6 @@
 _given = set()
 
 
-def trouble():
-    """Whether the disruption of the case is to take place."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def is_free(ip, port):
     """Whether nobody listens to the port, by TCP or UDP."""
     try:
