Log what a planned stop cuts off, and how late its steps are

The log of a stop said how many requests were open, not which, nor what was unsent, so that a stream cut by the exit, one whose last bytes were dropped and one given up as silent could not be told apart. A line cut_by_stop for each open request (id, phase, server, age, time since its last event, bytes unsent), accepting_ended with its delay, and stopped with connections and unsent bytes. No logic is changed.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -582,7 +582,9 @@
     return;
   }
   this->stopping = true;
-  this->stopSchedule = StopSchedule(Now(), this->settings.gateway.stopGrace);
+  this->stopOrdered = Now();
+  this->stopSchedule =
+    StopSchedule(this->stopOrdered, this->settings.gateway.stopGrace);
   Log(LogLevel::Info, "draining", "requests", this->requests.size());
   this->callers->AnnounceClosing();
   this->usage.Stop();
@@ -603,17 +605,44 @@
   if (this->accepting) {
     this->accepting = false;
     this->callers->StopAccepting();
+    Log(LogLevel::Info,
+        "accepting_ended",
+        "after_ms",
+        WholeMillis(Between(this->stopOrdered, now)),
+        "requests",
+        this->requests.size(),
+        "loop_delay_ms",
+        WholeMillis(this->loopDelay.Last()));
   }
   this->callers->CloseIdleConnections();
   const bool isIdle =
     this->requests.empty() && this->callers->OpenConnections() == 0;
   if (isIdle || this->stopSchedule.IsDrainOver(now)) {
-    Log(isIdle ? LogLevel::Info : LogLevel::Warning,
-        "stopped",
-        "requests",
-        this->requests.size());
-    this->loop.Stop();
+    this->EndStop(now);
+  }
+}
+
+void
+Gateway::EndStop(TimePoint aNow)
+{
+  const std::size_t unsent = this->callers->UnsentBytes();
+  const bool isClean = this->requests.empty() && unsent == 0;
+  for (const auto& [request, owned] : this->requests) {
+    if (!request->IsDone()) {
+      LogCutRequest(*request, aNow);
+    }
   }
+  Log(isClean ? LogLevel::Info : LogLevel::Warning,
+      "stopped",
+      "after_ms",
+      WholeMillis(Between(this->stopOrdered, aNow)),
+      "requests",
+      this->requests.size(),
+      "connections",
+      this->callers->OpenConnections(),
+      "unsent_bytes",
+      unsent);
+  this->loop.Stop();
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -109,6 +109,8 @@
   /// Logs, at most once in kBehindLogPeriod, that the routes are outdated.
   void LogIfBehind(TimePoint aNow);
   void CheckStopped();
+  /// Logs what is open and ends the process.
+  void EndStop(TimePoint aNow);
   /// Destroys the requests that are done (deferred deletion).
   void DestroyDoneRequests();
   void OnSuspended(Duration aLost);
@@ -153,6 +155,7 @@
   std::uint64_t digestSequence = 0;
   TimePoint behindLoggedAt{};
   bool stopping = false;
+  TimePoint stopOrdered{};
   bool accepting = true;
   StopSchedule stopSchedule;
   SuspensionDetector suspensionDetector;
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -206,4 +206,31 @@
       aFailed.next);
 }
 
+void
+LogCutRequest(const GatewayRequest& aRequest, TimePoint aNow)
+{
+  const GatewayOutcome& outcome = aRequest.Outcome();
+  const RequestProgress progress = aRequest.Progress(aNow);
+  Log(LogLevel::Warning,
+      "cut_by_stop",
+      "id",
+      aRequest.Admitted().callerMetadata.attemptId,
+      "route",
+      aRequest.Admitted().route->name,
+      "phase",
+      RequestPhaseName(progress.phase),
+      "instance",
+      outcome.instance.Value(),
+      "attempts",
+      outcome.attempts,
+      "events",
+      outcome.events,
+      "age_ms",
+      WholeMillis(progress.age),
+      "since_event_ms",
+      WholeMillis(progress.sinceEvent),
+      "unsent_bytes",
+      progress.unsentBytes);
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/GatewayLog.h
+++ b/dogwoodvale/src/Gateway/GatewayLog.h
@@ -42,6 +42,10 @@
                  const FailedAttempt& aFailed,
                  Duration aListAge);
 
+/// Logs a request that the end of a planned stop cuts off.
+void
+LogCutRequest(const GatewayRequest& aRequest, TimePoint aNow);
+
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -57,6 +57,22 @@
   return "";
 }
 
+std::string_view
+RequestPhaseName(RequestPhase aPhase)
+{
+  switch (aPhase) {
+    case RequestPhase::FindingOrigin:
+      return "finding_origin";
+    case RequestPhase::AwaitingTurn:
+      return "awaiting_turn";
+    case RequestPhase::AwaitingAnswer:
+      return "awaiting_answer";
+    case RequestPhase::Streaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
 GatewayRequest::GatewayRequest(GatewayRequestHost& aHost,
                                std::unique_ptr<CallerExchange> aExchange,
                                AdmittedRequest aAdmitted)
@@ -212,6 +228,26 @@
   return std::max(Between(aNow, this->deadlineAt), Duration::zero());
 }
 
+RequestProgress
+GatewayRequest::Progress(TimePoint aNow) const
+{
+  RequestProgress progress;
+  progress.age = Between(this->accepted, aNow);
+  progress.sinceEvent =
+    this->streamStarted ? Between(this->lastEventsAt, aNow) : progress.age;
+  progress.unsentBytes =
+    this->exchange == nullptr ? 0 : this->exchange->PendingBytes();
+  if (this->attempt != nullptr) {
+    progress.phase = this->streamStarted ? RequestPhase::Streaming
+                                         : RequestPhase::AwaitingAnswer;
+  } else {
+    progress.phase = this->originQuery != nullptr && !this->outcome.origin
+                       ? RequestPhase::FindingOrigin
+                       : RequestPhase::AwaitingTurn;
+  }
+  return progress;
+}
+
 // Placement and sending.
 
 PlacementRequest
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -87,6 +87,35 @@
   std::uint64_t events = 0;
 };
 
+/// What a request that has no whole answer yet waits for.
+enum class RequestPhase : std::uint8_t
+{
+  /// Other gateways are asked what began its stream.
+  FindingOrigin,
+  /// Requests suspected of crashing servers take turns.
+  AwaitingTurn,
+  /// A server has it and has sent nothing of the answer.
+  AwaitingAnswer,
+  /// A server sends events.
+  Streaming,
+};
+
+/// Name of the phase in log lines.
+std::string_view
+RequestPhaseName(RequestPhase aPhase);
+
+/// How far a request is that has no whole answer yet, for logs.
+struct RequestProgress
+{
+  RequestPhase phase = RequestPhase::AwaitingAnswer;
+  /// Since it was accepted.
+  Duration age{ 0 };
+  /// Since the last event of its stream; since it was accepted if it has none.
+  Duration sinceEvent{ 0 };
+  /// Bytes of the answer that the caller's socket has not taken.
+  std::size_t unsentBytes = 0;
+};
+
 /// The services of the gateway that a request uses.
 class GatewayRequestHost
 {
@@ -135,6 +164,7 @@
   const AdmittedRequest& Admitted() const { return this->admitted; }
   const GatewayOutcome& Outcome() const { return this->outcome; }
   bool IsDone() const { return this->done; }
+  RequestProgress Progress(TimePoint aNow) const;
 
   void OnCallerGone() override;
   void OnDrained() override;
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -132,6 +132,15 @@
     return busy;
   }
 
+  std::size_t UnsentBytes() const override
+  {
+    std::size_t bytes = 0;
+    for (const auto& [key, connection] : this->connections) {
+      bytes += connection->PendingBytes();
+    }
+    return bytes;
+  }
+
   void CloseIdleConnections() override
   {
     std::vector<CallerConnection*> idle;
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -105,6 +105,8 @@
   virtual std::size_t OpenConnections() const = 0;
   /// Connections on which a request is being received or answered.
   virtual std::size_t BusyConnections() const = 0;
+  /// Bytes of answers that the callers' sockets have not taken.
+  virtual std::size_t UnsentBytes() const = 0;
   /// Closes the connections on which no request has begun; for the end of a
   /// planned stop.
   virtual void CloseIdleConnections() = 0;
