Reproduce streams that are lost around a planned stop, red

In one process: a request whose last bytes come after accepting has ended is passed on and cut by the exit, streams are cut at 0.92 of the grace, a request without an answer is reset. The stand-in engine pauses, says how its runs end and makes as many events as a query asks for.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,8 @@
 ROUTES = ["/stream/", "/note/stream/", "/once/", "/again/"]
 CONNECTIONS = 12
 PATIENCE_S = 4
+# Of a stream, unless the callers ask for other lengths.
+EVENTS = 12
 # Share of streams whose connection breaks midway at the caller, and when.
 LEAVING_SHARE = 0.2
 LEAVING_S = 0.1
@@ -23,6 +25,8 @@
         self.id, self.route, self.gateway = ident, route, gateway
         # The attempt whose stream it resumes.
         self.earlier = earlier
+        # Of its whole stream.
+        self.length = earlier.length if earlier else EVENTS
         self.sent = time.monotonic()
         self.status, self.headers, self.body = 0, {}, b""
         # Whole by HTTP's own rules.
@@ -50,6 +54,9 @@
         self.breaks_streams = breaks_streams
         # Of each prompt, before a last part of its own; none without.
         self.shared_parts = ""
+        self.connections, self.patience_s = CONNECTIONS, PATIENCE_S
+        # The fewest and the most events that a stream is asked for; none: the engine's own.
+        self.lengths = None
         # Of its own, so that a seed draws the same requests as without breaks.
         self.breaks = random.Random(0)
 
@@ -93,7 +100,7 @@
         return answer
 
     async def run(self):
-        await asyncio.gather(*(self._caller(i) for i in range(CONNECTIONS)))
+        await asyncio.gather(*(self._caller(i) for i in range(self.connections)))
 
     def _connect(self, name):
         port = self.site.gateways[name][1]
@@ -120,7 +127,7 @@
         self.answers.append(again)
         try:
             reader, writer = await self._connect(again.gateway)
-            await asyncio.wait_for(self._ask(reader, writer, again, b"body"), PATIENCE_S)
+            await asyncio.wait_for(self._ask(reader, writer, again, b"body"), self.patience_s)
             writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -130,10 +137,12 @@
         """Requests on one connection, until it closes."""
         while not self.stopping:
             answer = Answer(uuid.uuid4().hex[:16], self.rng.choice(ROUTES), name)
+            if self.lengths and "stream" in answer.route:
+                answer.length = self.rng.randint(*self.lengths)
             self.answers.append(answer)
             try:
                 body = answer.id.encode() if self.own_bodies else b"body"
-                await asyncio.wait_for(self._ask(reader, writer, answer, body), PATIENCE_S)
+                await asyncio.wait_for(self._ask(reader, writer, answer, body), self.patience_s)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
                 return
             finally:
@@ -160,10 +169,10 @@
               and self.breaks.random() < LEAVING_SHARE):
             asyncio.get_running_loop().call_later(LEAVING_S, writer.transport.abort)
         writer.write(
-            f"POST {answer.route}x HTTP/1.1\r\nHost: soak.example\r\n"
+            f"POST {answer.route}x?events={answer.length} HTTP/1.1\r\nHost: soak.example\r\n"
             f"Dogwoodvale-Attempt-Id: {answer.id}\r\n"
             f"Dogwoodvale-Credential: {self.rng.choice(KEYS)}\r\n"
-            f"Dogwoodvale-Deadline-Ms: {PATIENCE_S * 1000}\r\n{resumes}"
+            f"Dogwoodvale-Deadline-Ms: {self.patience_s * 1000}\r\n{resumes}"
             f"{self._prompt(answer, shared_parts)}"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
--- a/soak/check.py
+++ b/soak/check.py
@@ -3,7 +3,6 @@
 import re
 from collections import Counter
 
-EVENTS = 12
 PROMISES = {408, 421, 429, 503}
 SEAL = "dogwoodvale-response-seal"
 RECOVERED_SHARE = 0.5
@@ -27,8 +26,8 @@
     ids = [i for i, _ in answer.events()]
     if ids != list(range(1, len(ids) + 1)):
         return f"pieces out of order: {ids}"
-    if answer.whole and len(ids) != EVENTS:
-        return f"ends as complete after {len(ids)} of {EVENTS} pieces"
+    if answer.whole and len(ids) != answer.length:
+        return f"ends as complete after {len(ids)} of {answer.length} pieces"
     return None
 
 
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -107,6 +107,8 @@
         """With crash_options, engines end under a request, and no proxy stands before
         them: one would take connections for an engine that has ended."""
         self.build, self.folder, self.rng = build, folder, rng
+        self.grace_s, self.timeout_ms, self.slots = GRACE_S, 3000, 8
+        self.versions = SOFTWARE
         self.crash_options = list(crash_options)
         self.engines, self.gateways, self.proxies = {}, {}, {}
         self.settings, self.version, self.log = {}, 0, []
@@ -138,7 +140,7 @@
 
         def route(prefix, kind, attempts, resume):
             return {"name": f"r{prefix}", "host": "soak.example", "prefix": prefix,
-                    "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 200,
+                    "kind": kind, "timeoutMs": self.timeout_ms, "targetLatencyMs": 200,
                     "targetGapMs": 100, "priority": 0, "service": "s",
                     "maxAttempts": attempts, "public": False,
                     "sessionAffinity": False, "streamResume": resume}
@@ -162,7 +164,7 @@
     async def add_engine(self):
         self.engine_count += 1
         name = f"e{self.engine_count}"
-        self.software[name] = SOFTWARE[self.engine_count % len(SOFTWARE)]
+        self.software[name] = self.versions[self.engine_count % len(self.versions)]
         port = free_port()
         command = [
             f"{self.build}/standin_sealed_engine", "--listen", f"127.0.0.1:{port}",
@@ -183,7 +185,7 @@
         port = proxy.port if proxy else self.engines[name][1]
         await self.put(f"servers/{name}", {
             "service": "s", "address": f"127.0.0.1:{port}", "zone": "z",
-            "slots": 8, "state": state, "sequence": 1,
+            "slots": self.slots, "state": state, "sequence": 1,
             "version": self.software[name]})
 
     async def retire(self, name):
@@ -207,7 +209,7 @@
             "peer_secret": SECRET, "platform": {"store": [f"127.0.0.1:{proxy.port}"]},
             "gateway": {"callers": f"127.0.0.1:{callers}", "retry_ratio": 0.5,
                         "instance_drain_ms": DRAIN_MS,
-                        "stop_grace_s": GRACE_S, "descriptors": 1024}}
+                        "stop_grace_s": self.grace_s, "descriptors": 1024}}
         self.settings[name] = settings
         self.write_settings(name)
         process = Process(self, name, [
@@ -246,7 +248,7 @@
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
         for process in everything:
-            await process.end(GRACE_S + 2)
+            await process.end(self.grace_s + 2)
         for proxy in self.proxies.values():
             await proxy.stop()
         (self.folder / "events.log").write_text("\n".join(self.events) + "\n")
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <utility>
 
 namespace dogwoodvale::standins {
 
@@ -73,6 +74,13 @@
   if (aFault.isMember("rate_limit")) {
     this->faults.rateLimit = aFault["rate_limit"].asString();
   }
+  if (aFault["pause_ms"].isNumeric()) {
+    this->faults.pause = milliseconds(aFault["pause_ms"].asInt64());
+  }
+  if (aFault["pause_every"].isNumeric()) {
+    this->faults.pauseEvery =
+      std::max<std::uint64_t>(aFault["pause_every"].asUInt64(), 1);
+  }
   if (aFault.isMember("load")) {
     this->faults.load = aFault["load"].asString();
   }
@@ -167,6 +175,24 @@
                              });
 }
 
+std::uint64_t
+SealedEngine::LastEventOf(const SealedRun& aRun) const
+{
+  constexpr std::string_view kEvents = "events=";
+  const std::size_t at = aRun.path.find(kEvents);
+  return at == std::string::npos
+           ? this->settings.events
+           : std::strtoull(
+               aRun.path.c_str() + at + kEvents.size(), nullptr, 10);
+}
+
+void
+SealedEngine::End(SealedRun& aRun, const char* aHow)
+{
+  aRun.end = aHow;
+  Log(LogLevel::Info, "run_ended", "id", aRun.id, "end", aHow);
+}
+
 void
 SealedEngine::Begin(Exchange& aExchange)
 {
@@ -190,6 +216,10 @@
   work.run = this->runs.size();
   work.streams = run.path.find("/stream/") != std::string::npos;
   work.next = run.resumedAfter + 1;
+  work.last = this->LastEventOf(run);
+  if ((work.run + 1) % this->faults.pauseEvery == 0) {
+    work.pause = this->faults.pause;
+  }
   work.crashes = this->IsCrashing(run);
   work.due = run.at + (work.crashes && !work.streams ? this->settings.crashDelay
                                                      : this->settings.work);
@@ -217,7 +247,7 @@
 {
   const auto found = this->working.find(&aExchange);
   if (found != this->working.end()) {
-    this->runs[found->second.run].end = "cancelled";
+    this->End(this->runs[found->second.run], "cancelled");
     this->working.erase(found);
   }
 }
@@ -242,9 +272,15 @@
     this->Crash();
     return false;
   }
+  const bool isPaused =
+    aWork.streams ? 2 * aWork.next > aWork.last : aWork.pause > Duration(0);
+  if (isPaused && aWork.pause > Duration(0)) {
+    aWork.due = aNow + std::exchange(aWork.pause, Duration(0));
+    return false;
+  }
   if (!aWork.streams) {
     this->AddMarks(aExchange, run);
-    run.end = "complete";
+    this->End(run, "complete");
     Json::Value body;
     body["instance"] = this->settings.instance;
     body["id"] = run.id;
@@ -262,12 +298,12 @@
   }
   const std::uint64_t made = aWork.next - run.resumedAfter;
   if (this->faults.crashAfter > 0 && made > this->faults.crashAfter) {
-    run.end = "crashed";
+    this->End(run, "crashed");
     aExchange.Drop();
     return true;
   }
-  if (aWork.next > this->settings.events) {
-    run.end = "complete";
+  if (aWork.next > aWork.last) {
+    this->End(run, "complete");
     aExchange.EndStream();
     return true;
   }
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -68,10 +68,11 @@
 /// service: proves its answers, streams events with ids, resumes after an
 /// event, and says when it has not run a request.
 ///
-/// A path that contains "/stream/" is answered by events. POST /standin/fault
-/// {"crash_after":N,"refuse":true,"error":true,"hang":true,"skip":true,
-/// "no_proof":true,"rate_limit":"2.5","leaving":true,"retry_after":"1.5",
-/// "load":"3,0,64,120","clear":true}; GET /standin/record.
+/// A path that contains "/stream/" is answered by events, as many as a query
+/// "events=N" says. POST /standin/fault {"crash_after":N,"refuse":true,
+/// "error":true,"hang":true,"skip":true,"no_proof":true,"rate_limit":"2.5",
+/// "leaving":true,"retry_after":"1.5","load":"3,0,64,120","pause_ms":M,
+/// "pause_every":N,"clear":true}; GET /standin/record.
 class SealedEngine : public RequestHandler
 {
 public:
@@ -90,7 +91,9 @@
   /// the text in which all answers name the requests a second that it takes;
   /// leaving: all answers say that it leaves; retry_after: the
   /// text in which a refusal names the seconds of rest that it asks for; load:
-  /// the text in which all answers state its load.
+  /// the text in which all answers state its load; pause_ms: one run in
+  /// pause_every (each, if not given) sends nothing for so long, once in the
+  /// middle of its stream or before its whole answer.
   void SetFault(const Json::Value& aFault);
   bool HasCrashed() const { return this->crashed; }
 
@@ -110,6 +113,8 @@
     bool leaving = false;
     std::string retryAfter;
     std::string load;
+    Duration pause{ 0 };
+    std::uint64_t pauseEvery = 1;
   };
   struct Work
   {
@@ -118,6 +123,9 @@
     bool begun = false;
     bool crashes = false;
     std::uint64_t next = 1;
+    std::uint64_t last = 0;
+    /// Of a pause that is still to come; 0 if none is.
+    Duration pause{ 0 };
     TimePoint due{};
   };
 
@@ -126,6 +134,8 @@
   /// Whether the run ends the engine.
   bool IsCrashing(const SealedRun& aRun) const;
   void Begin(Exchange& aExchange);
+  std::uint64_t LastEventOf(const SealedRun& aRun) const;
+  void End(SealedRun& aRun, const char* aHow);
   void AddLoad(Exchange& aExchange) const;
   void AddNeeds(Exchange& aExchange) const;
   void OnTick();
--- /dev/null
+++ b/test/PlannedStop.cpp
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+
+#include "support/PlatformSite.h"
+
+using namespace dogwoodvale;
+using test::PlatformSite;
+using test::RawSocket;
+
+namespace {
+
+constexpr Duration kGrace = seconds(2);
+
+/// A gateway with a grace period of two seconds before one engine, whose
+/// streams take as long as a test says.
+class StoppingSite : public PlatformSite
+{
+public:
+  explicit StoppingSite(Duration aStream)
+    : PlatformSite(0)
+  {
+    standins::SealedEngineSettings engine;
+    engine.events = kEvents;
+    engine.gap = aStream / kEvents;
+    this->AddEngine("e1", engine);
+    this->gateway = &this->ReadyGateway();
+  }
+
+  RawSocket Begin(const std::string& aPath, const std::string& aId)
+  {
+    RawSocket caller = RawSocket::Connect(this->gateway->CallerAddress());
+    caller.Send(RequestText(aPath, aId));
+    const std::size_t runs = this->engines[0]->Runs().size();
+    this->Until([&] { return this->engines[0]->Runs().size() > runs; });
+    return caller;
+  }
+
+  void Stop()
+  {
+    this->stopped = Now();
+    this->gateway->BeginStop();
+  }
+
+  /// Runs until that long after the stop was ordered.
+  void RunUntilAfterStop(Duration aTime) const
+  {
+    this->Until([] { return false; }, Between(Now(), this->stopped + aTime));
+  }
+
+  /// Runs the loop to its end, as the daemon does.
+  void RunToExit() const { this->loop->Run(); }
+
+  static constexpr std::uint64_t kEvents = 20;
+  Gateway* gateway = nullptr;
+  TimePoint stopped{};
+};
+
+} // namespace
+
+// Guards against passing on, late in a planned stop, what its end then cuts:
+// the caller of a request that is refused unrun goes to another gateway.
+TEST_CASE("a request read after accepting has ended is refused unrun", "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  const std::string request = PlatformSite::RequestText("/stream/x", "id-1");
+  RawSocket caller = RawSocket::Connect(site.gateway->CallerAddress());
+  caller.Send(request.substr(0, 40));
+  site.Until([] { return false; }, milliseconds(20));
+  site.Stop();
+  site.RunUntilAfterStop(milliseconds(1200));
+  caller.Send(request.substr(40));
+  CHECK(site.Until([&] { return caller.Has("HTTP/1.1 503"); }, seconds(1)));
+  CHECK(caller.Has("Retry-After"));
+  CHECK(caller.Has("Connection: close"));
+  CHECK(site.engines[0]->Runs().empty());
+}
+
+// Guards against cutting streams off while there is time left to finish them.
+TEST_CASE("a stream that ends late in the grace period is whole", "[stop]")
+{
+  StoppingSite site(milliseconds(1880));
+  RawSocket caller = site.Begin("/note/stream/x", "id-1");
+  site.Stop();
+  site.RunToExit();
+  CHECK(Between(site.stopped, Now()) < kGrace);
+  CHECK(caller.Has("piece 20\n"));
+  CHECK(caller.Has("\r\n0\r\n\r\n"));
+}
+
+// Guards against a reset where a true answer can be given: no server will end
+// this request in time, so that its caller is told that it may have run.
+TEST_CASE("a request with no answer at the end of a stop is told so", "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  Json::Value hangs(Json::objectValue);
+  hangs["hang"] = true;
+  site.engines[0]->SetFault(hangs);
+  RawSocket caller = RawSocket::Connect(site.gateway->CallerAddress());
+  std::string request = PlatformSite::RequestText("/once/x", "id-1");
+  const std::string limit = "Deadline-Ms: 1500";
+  request.replace(request.find(limit), limit.size(), "Deadline-Ms: 5000");
+  site.PutConfiguration(2, 5000);
+  site.Until([&] {
+    return site.gateway->Statusz().find("\"routes_version\" : 2") !=
+           std::string::npos;
+  });
+  caller.Send(request);
+  REQUIRE(site.Until([&] { return !site.engines[0]->Runs().empty(); }));
+  site.Stop();
+  site.RunToExit();
+  CHECK(caller.Has("HTTP/1.1 502"));
+  CHECK_FALSE(caller.wasReset);
+}
+
+// Guards against a planned stop that lasts after all work is done.
+TEST_CASE("a stop ends when nothing is left to deliver", "[stop]")
+{
+  StoppingSite site(milliseconds(200));
+  RawSocket caller = site.Begin("/stream/x", "id-1");
+  site.Stop();
+  bool ended = false;
+  Timer closes(*site.loop, [&] {
+    if (caller.Has("\r\n0\r\n\r\n") && !ended) {
+      ended = true;
+      caller.Close();
+    }
+  });
+  closes.StartRepeating(milliseconds(5));
+  site.RunToExit();
+  CHECK(ended);
+  CHECK(Between(site.stopped, Now()) < milliseconds(1200));
+}
