Give a silent attempt up only as another one takes over

Callers of a server that paused saw their streams reset after 0.9 s, around a planned stop and without one, though the server spoke again and nothing else could go on: a time-out gave the run up first and looked for a successor afterwards. None was found where no server had the stream's version or room, where the retry budget was spent, or all servers were behind.

A time-out now only reports the silence. The request finds a successor, with a connection, and the old run ends in the moment in which the new one is sent (DecideOnSilence, no I/O); otherwise the run is kept, asked about again every 100 ms, and its events are delivered, late as they may be. Bytes that have arrived and are not read yet are no silence, nor is a caller that reads too slowly for reading to go on.

A line attempt_silent tells of the first silence of an attempt.

--- a/dogwoodvale/src/Gateway/AttemptTimeouts.h
+++ b/dogwoodvale/src/Gateway/AttemptTimeouts.h
@@ -7,7 +7,8 @@
 
 namespace dogwoodvale {
 
-/// How long an attempt waits for the server to send something; 0 is no limit.
+/// How long a server may send nothing before its attempt counts as silent and
+/// another one may take over; 0 is no limit.
 struct AttemptTimeouts
 {
   /// From sending to the first event of a stream or the end of an answer.
--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -8,6 +8,8 @@
 
 constexpr int kMisdirected = 421;
 constexpr std::string_view kEventStream = "text/event-stream";
+/// How often a silence that lasts is reported.
+constexpr Duration kSilencePeriod = milliseconds(100);
 
 bool
 IsSuccess(int aStatus)
@@ -55,9 +57,7 @@
   , plan(std::move(aPlan))
   , listener(aListener)
   , splitter(this->plan.resumeAfter)
-  , silenceTimer(aLoop, [this] {
-    this->Fail(AttemptFailure::Silent, "no sign of life in time");
-  })
+  , silenceTimer(aLoop, [this] { this->OnSilence(); })
 {
 }
 
@@ -99,12 +99,28 @@
   }
 }
 
+void
+DirectAttempt::OnSilence()
+{
+  this->silenceTimer.StartOnce(kSilencePeriod);
+  this->listener.OnAttemptSilent();
+}
+
 void
 DirectAttempt::SetReadingPaused(bool aPaused)
 {
-  if (this->call != nullptr) {
-    this->call->SetReadingPaused(aPaused);
+  if (this->call == nullptr) {
+    return;
   }
+  this->call->SetReadingPaused(aPaused);
+  this->RestartTimeout(aPaused ? Duration::zero()
+                               : this->plan.timeouts.betweenEvents);
+}
+
+bool
+DirectAttempt::HasUnread() const
+{
+  return this->call != nullptr && this->call->HasUnread();
 }
 
 bool
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -54,6 +54,9 @@
   virtual void OnAttemptAnswer(std::string_view aBody) = 0;
   virtual void OnAttemptFailed(AttemptFailure aFailure,
                                std::string_view aReason) = 0;
+  /// The server has sent nothing for longer than AttemptTimeouts allows. The
+  /// attempt goes on, and this is called again while the silence lasts.
+  virtual void OnAttemptSilent() = 0;
 };
 
 /// One request sent to one backend server, until its answer is complete or has
@@ -96,7 +99,10 @@
   }
   /// Number of whole events with an id that have arrived.
   std::uint64_t EventCount() const { return this->splitter.EventCount(); }
+  /// While reading is paused no silence is reported.
   void SetReadingPaused(bool aPaused);
+  /// See BackendCall::HasUnread().
+  bool HasUnread() const;
   /// How the connection broke after the request was sent, or the stream ended
   /// inside an event; nothing if neither.
   std::optional<BrokenAttempt> ConnectionBreak(TimePoint aNow) const;
@@ -116,6 +122,7 @@
   void Fail(AttemptFailure aFailure, std::string_view aReason);
   /// Restarts the time-out for the next part of the answer; 0 disables it.
   void RestartTimeout(Duration aTimeout);
+  void OnSilence();
 
   const BackendProtocol& protocol;
   AnswerBuffers& buffers;
--- a/dogwoodvale/src/Gateway/GatewayLog.h
+++ b/dogwoodvale/src/Gateway/GatewayLog.h
@@ -42,6 +42,11 @@
                  const FailedAttempt& aFailed,
                  Duration aListAge);
 
+/// Logs an attempt whose server has sent nothing for longer than allowed and
+/// that goes on.
+void
+LogSilentAttempt(const GatewayRequest& aRequest, TimePoint aNow);
+
 /// Logs a request that the end of a planned stop cuts off.
 void
 LogCutRequest(const GatewayRequest& aRequest, TimePoint aNow);
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -366,13 +366,7 @@
     return;
   }
   const DirectCandidate& server = candidates[placed->server];
-  this->outcome.instance = server.name;
-  this->outcome.softwareVersion = server.softwareVersion;
-  this->outcome.cachedTokens = server.cachedTokens;
-  this->outcome.believedRequests = server.work.requests;
-  this->outcome.reportedRequests = server.reportedRequests;
-  this->outcome.timeFactor = server.timeFactor;
-  this->outcome.placement = *placed;
+  this->RecordPlacement(server, *placed);
   if (this->IsRefusedForShare(
         FindCapacity(candidates, wanted, &*placed), standing, now)) {
     return;
@@ -392,6 +386,59 @@
   this->SendTo(server, *client);
 }
 
+void
+GatewayRequest::RecordPlacement(const DirectCandidate& aServer,
+                                const Placement& aPlacement)
+{
+  this->outcome.instance = aServer.name;
+  this->outcome.softwareVersion = aServer.softwareVersion;
+  this->outcome.cachedTokens = aServer.cachedTokens;
+  this->outcome.believedRequests = aServer.work.requests;
+  this->outcome.reportedRequests = aServer.reportedRequests;
+  this->outcome.timeFactor = aServer.timeFactor;
+  this->outcome.placement = aPlacement;
+}
+
+std::optional<GatewayRequest::Destination>
+GatewayRequest::FindSuccessor(TimePoint aNow)
+{
+  CrashGuard& guard = this->host.Crashes();
+  const CrashSubjects& subjects = this->admitted.subjects;
+  if (guard.QuarantinedSubject(subjects)) {
+    return std::nullopt;
+  }
+  if (const SuspectGate* gate = guard.Gate()) {
+    const auto step =
+      this->suspectWait.Next(*gate, subjects, false, aNow, this->host.Random());
+    if (step.action != SuspectWait::Action::Send) {
+      this->suspectWait.EndTurn();
+      return std::nullopt;
+    }
+  }
+  BackendPool& pool = this->host.Backends();
+  const ServiceName& service = this->admitted.service->name;
+  std::vector<InstanceName> tried = this->excluded;
+  tried.push_back(this->sent->instance);
+  std::vector<DirectCandidate> candidates = pool.Candidates(
+    *this->admitted.service, this->admitted.demand, tried, aNow);
+  PlacementRequest wanted = this->MakePlacementRequest(aNow);
+  wanted.mayHaveBeenPrefilled = true;
+  pool.Spread(
+    service, this->admitted.demand, candidates, this->host.Random(), aNow);
+  const std::optional<Placement> placed = this->host.RequestPlacer().Place(
+    candidates, wanted, pool.PrefillOf(service), this->host.Random());
+  if (!placed || placed->timeliness == Timeliness::Hopeless) {
+    return std::nullopt;
+  }
+  const DirectCandidate& server = candidates[placed->server];
+  BackendClient* client =
+    pool.Acquire(server.name, this->admitted.demand, aNow);
+  if (client == nullptr) {
+    return std::nullopt;
+  }
+  return Destination{ server, *placed, client };
+}
+
 std::optional<ShareStanding>
 GatewayRequest::StandingWhileShort(TimePoint aNow) const
 {
@@ -793,13 +840,9 @@
   this->TryNext();
 }
 
-RetryVerdict
-GatewayRequest::Decide(AttemptFailure aFailure, TimePoint aNow)
+AttemptOutcome
+GatewayRequest::OutcomeSoFar() const
 {
-  RetryWindow& retries = this->host.RetriesOf(this->admitted.service->name);
-  // A request of which no byte was written puts no load on any server, so it is
-  // not charged to the retry budget.
-  const bool isFree = aFailure == AttemptFailure::NotSent;
   AttemptOutcome ended;
   ended.disposition =
     this->mayHaveRun ? Disposition::MayHaveRun : Disposition::NotRun;
@@ -808,19 +851,82 @@
   ended.streaming = this->streamStarted;
   ended.canResume =
     this->GetRoute().isResumable && this->lastDeliveredEvent.has_value();
+  return ended;
+}
+
+RetryAllowance
+GatewayRequest::AllowanceAt(TimePoint aNow, bool aIsFree)
+{
   RetryAllowance allowance;
-  allowance.hasBudget = isFree || retries.HasRoom(aNow);
+  allowance.hasBudget =
+    aIsFree || this->host.RetriesOf(this->admitted.service->name).HasRoom(aNow);
   allowance.deadlineLeft = this->TimeLeft(aNow);
   allowance.minUsefulTime = kMinUsefulTime;
   allowance.attempts = this->timesSent;
   allowance.maxAttempts = this->GetRoute().maxAttempts;
-  const RetryVerdict verdict = DecideRetry(ended, allowance);
+  return allowance;
+}
+
+RetryVerdict
+GatewayRequest::Decide(AttemptFailure aFailure, TimePoint aNow)
+{
+  // A request of which no byte was written puts no load on any server, so it is
+  // not charged to the retry budget.
+  const bool isFree = aFailure == AttemptFailure::NotSent;
+  const RetryVerdict verdict =
+    DecideRetry(this->OutcomeSoFar(), this->AllowanceAt(aNow, isFree));
   if (verdict != RetryVerdict::GiveUp && !isFree) {
-    retries.TryTake(aNow);
+    this->host.RetriesOf(this->admitted.service->name).TryTake(aNow);
   }
   return verdict;
 }
 
+void
+GatewayRequest::OnAttemptSilent()
+{
+  if (this->exchange->CheckCallerGone()) {
+    return;
+  }
+  const TimePoint now = Now();
+  const bool hasUnread = this->attempt->HasUnread();
+  if (!hasUnread && !std::exchange(this->sent->wasSilent, true)) {
+    this->HealthOf(this->sent->instance)
+      .OnFailed(AttemptFailure::Silent, this->sent->hadFreeSlot);
+    LogSilentAttempt(*this, now);
+  }
+  AttemptOutcome ended = this->OutcomeSoFar();
+  ended.disposition = Disposition::MayHaveRun;
+  RetryAllowance allowance = this->AllowanceAt(now, false);
+  ++allowance.attempts;
+  // Finding a server is the dearer part.
+  if (DecideOnSilence(ended, allowance, hasUnread, true) ==
+      SilenceVerdict::Wait) {
+    return;
+  }
+  const std::optional<Destination> next = this->FindSuccessor(now);
+  if (DecideOnSilence(ended, allowance, hasUnread, next.has_value()) ==
+      SilenceVerdict::HandOver) {
+    this->HandOver(*next, now);
+  }
+}
+
+void
+GatewayRequest::HandOver(const Destination& aTo, TimePoint aNow)
+{
+  this->mayHaveRun = true;
+  ++this->timesSent;
+  this->excluded.push_back(this->sent->instance);
+  this->host.RetriesOf(this->admitted.service->name).TryTake(aNow);
+  const bool resumes = this->outcome.events > 0;
+  this->outcome.resumes += resumes ? 1 : 0;
+  this->LogAttempt(AttemptFailureName(AttemptFailure::Silent),
+                   "another server takes over",
+                   resumes ? "resume" : "retry");
+  this->EndAttempt();
+  this->RecordPlacement(aTo.server, aTo.placement);
+  this->SendTo(aTo.server, *aTo.client);
+}
+
 void
 GatewayRequest::GiveUpUnplaced()
 {
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -176,6 +176,7 @@
   void OnAttemptAnswer(std::string_view aBody) override;
   void OnAttemptFailed(AttemptFailure aFailure,
                        std::string_view aReason) override;
+  void OnAttemptSilent() override;
 
   /// Bytes buffered for a slow caller above which reading from the server
   /// pauses.
@@ -195,6 +196,8 @@
     std::optional<TimePoint> begunAt{};
     /// CrashGuard::OnPassed() was called.
     bool hasPassed = false;
+    /// It has been silent for too long at least once.
+    bool wasSilent = false;
     /// Up to when the memory that it takes counts as the customer's use.
     TimePoint heldUntil{};
   };
@@ -258,6 +261,23 @@
   /// not be forwarded.
   void HandleFailure(AttemptFailure aFailure, std::string_view aReason);
   RetryVerdict Decide(AttemptFailure aFailure, TimePoint aNow);
+  /// What is known of the request after the attempts that have ended.
+  AttemptOutcome OutcomeSoFar() const;
+  RetryAllowance AllowanceAt(TimePoint aNow, bool aIsFree);
+  /// A server that another attempt could be sent to, with a connection.
+  struct Destination
+  {
+    DirectCandidate server;
+    Placement placement;
+    BackendClient* client = nullptr;
+  };
+  /// Finds a server that would take over from the one that has the request.
+  /// \return nothing if none would now.
+  std::optional<Destination> FindSuccessor(TimePoint aNow);
+  void HandOver(const Destination& aTo, TimePoint aNow);
+  /// Records the placement of the next attempt, for logs and metrics.
+  void RecordPlacement(const DirectCandidate& aServer,
+                       const Placement& aPlacement);
   bool ShouldForward(const BackendAnswer& aAnswer) const;
   void ForwardAnswer(std::string_view aBody);
   /// Ends the request because it or a part of its prompt is quarantined.
--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -38,6 +38,9 @@
 public:
   virtual ~BackendCall() = default;
   virtual void SetReadingPaused(bool aPaused) = 0;
+  /// Whether bytes from the server, or the end of its connection, have arrived
+  /// and are not handled yet, as on a busy machine.
+  virtual bool HasUnread() const = 0;
 };
 
 struct BackendClientOptions
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -426,4 +426,10 @@
   }
 }
 
+bool
+BackendCallImpl::HasUnread() const
+{
+  return this->connection != nullptr && this->connection->HasUnread();
+}
+
 } // namespace dogwoodvale::internal
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -42,6 +42,7 @@
   /// The call was given up: closes at once.
   void Cancel();
   void SetReadingPaused(bool aPaused);
+  bool HasUnread() const { return this->connected && !this->IsCleanNow(); }
   /// Looks at the socket whether the server closed or sent anything since.
   bool IsCleanNow() const;
   /// Closes, with no call told.
@@ -106,6 +107,7 @@
   }
   ~BackendCallImpl() override;
   void SetReadingPaused(bool aPaused) override;
+  bool HasUnread() const override;
 
   BackendCallHandler& handler;
   BackendConnection* connection = nullptr;
--- a/dogwoodvale/src/Requests/RetryDecision.cpp
+++ b/dogwoodvale/src/Requests/RetryDecision.cpp
@@ -39,4 +39,17 @@
   return aOutcome.streaming ? RetryVerdict::GiveUp : RetryVerdict::Retry;
 }
 
+SilenceVerdict
+DecideOnSilence(const AttemptOutcome& aOutcome,
+                const RetryAllowance& aAllowance,
+                bool aHasUnread,
+                bool aHasServer)
+{
+  const bool isSilent = !aHasUnread;
+  const bool canFollow =
+    aHasServer && DecideRetry(aOutcome, aAllowance) != RetryVerdict::GiveUp;
+  return isSilent && canFollow ? SilenceVerdict::HandOver
+                               : SilenceVerdict::Wait;
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Requests/RetryDecision.h
+++ b/dogwoodvale/src/Requests/RetryDecision.h
@@ -53,6 +53,27 @@
 RetryVerdict
 DecideRetry(const AttemptOutcome& aOutcome, const RetryAllowance& aAllowance);
 
+/// What to do about an attempt whose server has sent nothing for a while.
+enum class SilenceVerdict : std::uint8_t
+{
+  /// The attempt goes on; its answer is delivered if the server speaks again.
+  Wait,
+  /// Another attempt takes over in this moment; what the silent server still
+  /// sends goes to nobody.
+  HandOver,
+};
+
+/// Decides whether another attempt takes over from a silent one. A silent
+/// server may only be pausing, so that its attempt is given up for another one
+/// and never for nothing. \param aOutcome what giving the attempt up would
+/// mean. \param aHasUnread bytes from the server have arrived and are not read
+/// yet. \param aHasServer another server would take the request now.
+SilenceVerdict
+DecideOnSilence(const AttemptOutcome& aOutcome,
+                const RetryAllowance& aAllowance,
+                bool aHasUnread,
+                bool aHasServer);
+
 } // namespace dogwoodvale
 
 #endif
--- a/test/RoutingRetries.cpp
+++ b/test/RoutingRetries.cpp
@@ -227,3 +227,31 @@
   }
   CHECK(admission.CustomerCount() == 0);
 }
+
+// Guards against giving a pausing server up though nothing follows it.
+TEST_CASE("a silent attempt is handed over only to one that may follow",
+          "[routing][retries]")
+{
+  CHECK(rc::check("hand over if and only if all conditions hold", [] {
+    AttemptOutcome outcome;
+    outcome.idempotent = *rc::gen::arbitrary<bool>();
+    outcome.streaming = *rc::gen::arbitrary<bool>();
+    outcome.canResume = *rc::gen::arbitrary<bool>();
+    outcome.deliveredTokens = *rc::gen::inRange(0, 3);
+    RetryAllowance allowance;
+    allowance.hasBudget = *rc::gen::arbitrary<bool>();
+    allowance.deadlineLeft = milliseconds(*rc::gen::inRange(0, 100));
+    allowance.minUsefulTime = milliseconds(20);
+    allowance.attempts = *rc::gen::inRange<std::uint32_t>(0, 5);
+    const bool hasUnread = *rc::gen::arbitrary<bool>();
+    const bool hasServer = *rc::gen::arbitrary<bool>();
+    const bool mayFollow =
+      !hasUnread && hasServer && outcome.idempotent && allowance.hasBudget &&
+      allowance.deadlineLeft > allowance.minUsefulTime &&
+      allowance.attempts < allowance.maxAttempts &&
+      (outcome.deliveredTokens == 0 || outcome.canResume || !outcome.streaming);
+    const SilenceVerdict verdict =
+      DecideOnSilence(outcome, allowance, hasUnread, hasServer);
+    RC_ASSERT((verdict == SilenceVerdict::HandOver) == mayFollow);
+  }));
+}
