Check and bound the lines of chunked bodies before the library reads them

And a size line without end was read as long as it came. ChunkFraming checks what lies between chunks as it comes: at most 15 digits a size, no extensions, trailers within the bound of a head. What comes before the first wrong byte is still delivered.

--- a/dogwoodvale/src/Http/HttpParser.cpp
+++ b/dogwoodvale/src/Http/HttpParser.cpp
@@ -200,6 +200,7 @@
   , kind(aKind)
   , listener(aListener)
   , headerBytes(aHeaderBytes)
+  , framing(aHeaderBytes)
 {
   htparser_init(this->parser.get(),
                 aKind == Kind::Request ? htp_type_request : htp_type_response);
@@ -221,7 +222,7 @@
   std::size_t taken = 0;
   while (taken < aBytes.size() && this->state == State::Reading) {
     const std::string_view rest = aBytes.substr(taken);
-    taken += this->headDone ? this->Parse(rest) : this->GatherHead(rest);
+    taken += this->headDone ? this->ParseBody(rest) : this->GatherHead(rest);
   }
   return taken;
 }
@@ -266,6 +267,25 @@
   return taken;
 }
 
+std::size_t
+HttpParser::ParseBody(std::string_view aBytes)
+{
+  if (!this->chunked) {
+    return this->Parse(aBytes);
+  }
+  const ChunkFraming::Result checked = this->framing.Check(aBytes);
+  const std::size_t taken =
+    checked.valid == 0 ? 0 : this->Parse(aBytes.substr(0, checked.valid));
+  if (this->state != State::Reading ||
+      checked.verdict == ChunkFraming::Verdict::Valid) {
+    return taken;
+  }
+  this->state = checked.verdict == ChunkFraming::Verdict::TooLong
+                  ? State::TooLarge
+                  : State::Malformed;
+  return aBytes.size();
+}
+
 std::size_t
 HttpParser::Parse(std::string_view aBytes)
 {
--- a/dogwoodvale/src/Http/HttpParser.h
+++ b/dogwoodvale/src/Http/HttpParser.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "ChunkFraming.h"
 #include "HttpMessage.h"
 
 struct htparser;
@@ -79,6 +80,7 @@
   int Fail();
   std::size_t GatherHead(std::string_view aBytes);
   std::size_t Parse(std::string_view aBytes);
+  std::size_t ParseBody(std::string_view aBytes);
   bool CheckHead();
   bool ReadFraming(const HeaderField& aField);
 
@@ -94,6 +96,7 @@
   bool awaitsValue = false;
   bool hasTrailers = false;
   bool chunked = false;
+  ChunkFraming framing;
   std::optional<std::uint64_t> contentLength;
   std::string method;
   std::string path;
--- a/test/HttpParser.cpp
+++ b/test/HttpParser.cpp
@@ -127,3 +127,33 @@
     RC_ASSERT(result.body.size() <= text.size());
   });
 }
+
+// Guards against chunk lines that libevhtp reads as it likes: where char is
+// unsigned it takes any byte for a digit, and a size without end is read on.
+TEST_CASE("the lines of a chunked body are checked and bounded", "[http]")
+{
+  using State = HttpParser::State;
+  const std::string zeros(16, '0');
+  const auto [body, expected] = GENERATE_COPY(table<std::string, State>({
+    { "3\r\nabc\r\n0\r\n\r\n", State::Complete },
+    { "00a\r\n0123456789\r\n0\r\nX-T: 1\r\n\r\n", State::Complete },
+    { "zz\r\n", State::Malformed },
+    { "\r\n", State::Malformed },
+    { "-1\r\n", State::Malformed },
+    { "0x1\r\n", State::Malformed },
+    { "3;a=b\r\nabc\r\n", State::Malformed },
+    { "3 \r\nabc\r\n", State::Malformed },
+    { "3\nabc\r\n", State::Malformed },
+    { "1\r\nabc", State::Malformed },
+    { "1\r\na\n0\r\n\r\n", State::Malformed },
+    { zeros, State::TooLarge },
+    { "0\r\nX-T: " + std::string(2000, 'x'), State::TooLarge },
+  }));
+  const std::string head =
+    "POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  INFO(body.substr(0, 40));
+  for (const std::size_t size : { 1, 7, 4096 }) {
+    CHECK(Parse(HttpParser::Kind::Request, head + body, { size }).state ==
+          expected);
+  }
+}
