Take a server's own entry after another writer's that came first

A gateway that read another writer's entry first, one that names a service of no configuration, kept that service for the server and refused its own entry as one of another service, until either started again; no request reached the server. A listed service that the configuration has now replaces one that it has not, if nothing of this gateway is at the server; a server that has its service keeps it, as before.

ForeignEntries: "a server's own entry is taken after a foreign one" is red with the replacement taken out (two checks), green with it.

--- a/dogwoodvale/src/Gateway/BackendPool.cpp
+++ b/dogwoodvale/src/Gateway/BackendPool.cpp
@@ -119,6 +119,33 @@
       aInstance.softwareVersion);
 }
 
+void
+BackendPool::OnOtherService(Member& aMember, const DirectInstance& aListed)
+{
+  const InstanceName name = aListed.name;
+  const ServiceName known = aMember.instance.service;
+  // An incarnation serves one service, and another writer's entry names one
+  // that no configuration has. Whichever came first, the server's own holds.
+  const bool isOwn = this->cacheTokens.contains(aListed.service) &&
+                     !this->cacheTokens.contains(known) &&
+                     this->work.Own(name).IsZero();
+  Log(LogLevel::Warning,
+      "instance_of_other_service",
+      "instance",
+      name.Value(),
+      "service",
+      known.Value(),
+      "listed",
+      aListed.service.Value(),
+      "taken",
+      isOwn);
+  if (isOwn) {
+    this->health[known].Remove(name);
+    this->members.erase(name);
+    this->Add(aListed);
+  }
+}
+
 void
 BackendPool::SetInstances(std::span<const DirectInstance> aInstances)
 {
@@ -133,17 +160,8 @@
     }
     Member& member = found->second;
     member.isListed = true;
-    // An incarnation serves one service; another writer's entry is under its
-    // key, and what it said itself holds.
     if (instance.service != member.instance.service) {
-      Log(LogLevel::Warning,
-          "instance_of_other_service",
-          "instance",
-          instance.name.Value(),
-          "service",
-          member.instance.service.Value(),
-          "listed",
-          instance.service.Value());
+      this->OnOtherService(member, instance);
       continue;
     }
     // An incarnation that has announced that it leaves never returns, so an
--- a/dogwoodvale/src/Gateway/BackendPool.h
+++ b/dogwoodvale/src/Gateway/BackendPool.h
@@ -272,6 +272,8 @@
   };
 
   void Add(const DirectInstance& aInstance);
+  /// A listed entry names another service than the server's known one.
+  void OnOtherService(Member& aMember, const DirectInstance& aListed);
   /// Passes the known number of requests of a server to the activity.
   void CountRequests(const InstanceName& aInstance, TimePoint aNow);
   /// The mean time factor that the server states; nothing without reports.
--- a/test/ForeignEntries.cpp
+++ b/test/ForeignEntries.cpp
@@ -17,6 +17,19 @@
   {
   }
 
+  /// \param aService named by the entry that is there as the gateway starts.
+  explicit ForeignEntrySite(const std::string& aService)
+    : PlatformSite(1)
+    , gateway(this->StartBehind(aService))
+  {
+  }
+
+  Gateway& StartBehind(const std::string& aService)
+  {
+    this->PutEntry(aService, this->engines[0]->Address());
+    return this->ReadyGateway();
+  }
+
   void PutEntry(const std::string& aService, const SocketAddress& aAddress)
   {
     this->store->Put(
@@ -54,3 +67,16 @@
   site.Until([] { return false; }, milliseconds(1500));
   CHECK(site.IsServed());
 }
+
+// Guards against a server that no gateway uses, as another writer's entry was
+// read before its own.
+TEST_CASE("a server's own entry is taken after a foreign one", "[foreign]")
+{
+  ForeignEntrySite site("unknown");
+  CHECK_FALSE(site.IsServed());
+  site.Register("e1", *site.engines[0], "ready");
+  site.Until([] { return false; }, milliseconds(1500));
+  CHECK(site.IsServed());
+  site.PutEntry("unknown", site.engines[0]->Address());
+  CHECK(site.IsServed());
+}
