Keep a retry to the software version that was reported

A record that others may hold cannot be taken back at once, so a retry now keeps to its version: to that of the report once a digest has taken it, or of a service that others take for uniform. Before that, a retry may change the version, as it did. If no server of the version takes it, its caller is told so, and its next attempt has an id, and a record, of its own.

--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -193,6 +193,17 @@
   }
 }
 
+void
+GatewayRequest::KeepReportedOrigin()
+{
+  std::optional<std::string>& required = this->admitted.demand.requiredSoftware;
+  const std::string& version = this->sent->softwareVersion;
+  if (this->GetRoute().isResumable && !required && !version.empty() &&
+      this->host.Origins().IsKnownElsewhere(this->admitted.stream)) {
+    required = version;
+  }
+}
+
 void
 GatewayRequest::OnOverdue()
 {
@@ -834,6 +845,7 @@
   this->mayHaveRun = this->mayHaveRun || !IsNotRun(aFailure);
   this->timesSent += aFailure == AttemptFailure::NotSent ? 0 : 1;
   this->excluded.push_back(instance);
+  this->KeepReportedOrigin();
   const RetryVerdict verdict = this->Decide(aFailure, now);
   this->LogAttempt(AttemptFailureName(aFailure),
                    aReason,
@@ -914,6 +926,7 @@
       SilenceVerdict::Wait) {
     return;
   }
+  this->KeepReportedOrigin();
   const std::optional<Destination> next = this->FindSuccessor(now);
   if (DecideOnSilence(ended, allowance, hasUnread, next.has_value()) ==
       SilenceVerdict::HandOver) {
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -215,6 +215,9 @@
   /// Records what may be about to begin the stream, in case the caller has to
   /// resume it.
   void RecordOrigin(TimePoint aNow);
+  /// Before a retry: keeps it to the software version of the first attempt if
+  /// another gateway may already take the stream for one of that version.
+  void KeepReportedOrigin();
   void RefuseResumption(ResumptionRefusal aWhy);
   /// Places the request and sends it, unless it has to wait or is refused.
   void TryNext();
--- a/dogwoodvale/src/Gateway/OriginFinder.h
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -120,6 +120,11 @@
                   TimePoint aNow);
   void OnFetchFailed(std::string_view aPath);
   void RunMaintenance(TimePoint aNow);
+  /// See StreamOrigins::IsKnownElsewhere().
+  bool IsKnownElsewhere(StreamKey aKey) const
+  {
+    return this->origins.IsKnownElsewhere(aKey);
+  }
   std::size_t RecordCount() const { return this->origins.Count(); }
 
   static constexpr std::string_view kPath = "/peer/origin/";
--- a/dogwoodvale/src/Resumption/StreamOrigins.cpp
+++ b/dogwoodvale/src/Resumption/StreamOrigins.cpp
@@ -44,6 +44,7 @@
     // Other gateways may hold the former record, so they need the new one.
     aIsReported = aIsReported || found->second.wasReported;
     record.reportsLeft = found->second.reportsLeft;
+    record.wasTaken = found->second.wasTaken;
   }
   this->Insert(aKey, std::move(record));
   const auto inserted = this->records.find(aKey);
@@ -101,6 +102,14 @@
   return Found{ found->second.origin, found->second.isOwn };
 }
 
+bool
+StreamOrigins::IsKnownElsewhere(StreamKey aKey) const
+{
+  const auto found = this->records.find(aKey);
+  return found != this->records.end() && found->second.isOwn &&
+         (found->second.wasTaken || !found->second.wasReported);
+}
+
 std::vector<OriginUpdate>
 StreamOrigins::TakeUpdates(TimePoint aNow)
 {
@@ -119,6 +128,7 @@
                         record.origin,
                         std::chrono::duration_cast<milliseconds>(
                           Between(aNow, record.expiresAt)) });
+    record.wasTaken = true;
     if (--record.reportsLeft > 0) {
       next.push_back(key);
     }
--- a/dogwoodvale/src/Resumption/StreamOrigins.h
+++ b/dogwoodvale/src/Resumption/StreamOrigins.h
@@ -49,6 +49,9 @@
   /// Takes in what another gateway reports.
   void Apply(std::span<const OriginUpdate> aUpdates, TimePoint aNow);
   std::optional<Found> Find(StreamKey aKey, TimePoint aNow) const;
+  /// Whether another gateway may take the own stream for one of the recorded
+  /// origin: it was told, or infers it as it was not.
+  bool IsKnownElsewhere(StreamKey aKey) const;
   /// What to report now. Each record is reported kReports times, as a report
   /// may be lost.
   std::vector<OriginUpdate> TakeUpdates(TimePoint aNow);
@@ -73,6 +76,8 @@
     /// How often it is still to be reported.
     int reportsLeft = 0;
     bool wasReported = false;
+    /// A report has been taken for sending.
+    bool wasTaken = false;
   };
 
   void Insert(StreamKey aKey, Record aRecord);
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -77,6 +77,9 @@
   if (aFault["pause_ms"].isNumeric()) {
     this->faults.pause = milliseconds(aFault["pause_ms"].asInt64());
   }
+  if (aFault["work_ms"].isNumeric()) {
+    this->faults.work = milliseconds(aFault["work_ms"].asInt64());
+  }
   if (aFault["pause_every"].isNumeric()) {
     this->faults.pauseEvery =
       std::max<std::uint64_t>(aFault["pause_every"].asUInt64(), 1);
@@ -186,6 +189,13 @@
                aRun.path.c_str() + at + kEvents.size(), nullptr, 10);
 }
 
+Duration
+SealedEngine::WorkTime() const
+{
+  return this->faults.work >= Duration(0) ? this->faults.work
+                                          : this->settings.work;
+}
+
 void
 SealedEngine::End(SealedRun& aRun, const char* aHow)
 {
@@ -222,7 +232,7 @@
   }
   work.crashes = this->IsCrashing(run);
   work.due = run.at + (work.crashes && !work.streams ? this->settings.crashDelay
-                                                     : this->settings.work);
+                                                     : this->WorkTime());
   // For checkers: the record goes with the process, its output stays.
   Log(LogLevel::Info, "run", "id", run.id, "path", run.path);
   this->runs.push_back(std::move(run));
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -72,7 +72,7 @@
 /// "events=N" says. POST /standin/fault {"crash_after":N,"refuse":true,
 /// "error":true,"hang":true,"skip":true,"no_proof":true,"rate_limit":"2.5",
 /// "leaving":true,"retry_after":"1.5","load":"3,0,64,120","pause_ms":M,
-/// "pause_every":N,"clear":true}; GET /standin/record.
+/// "pause_every":N,"work_ms":M,"clear":true}; GET /standin/record.
 class SealedEngine : public RequestHandler
 {
 public:
@@ -115,6 +115,8 @@
     std::string load;
     Duration pause{ 0 };
     std::uint64_t pauseEvery = 1;
+    /// In place of the settings' own, if not negative.
+    Duration work{ -1 };
   };
   struct Work
   {
@@ -134,6 +136,7 @@
   /// Whether the run ends the engine.
   bool IsCrashing(const SealedRun& aRun) const;
   void Begin(Exchange& aExchange);
+  Duration WorkTime() const;
   std::uint64_t LastEventOf(const SealedRun& aRun) const;
   void End(SealedRun& aRun, const char* aHow);
   void AddLoad(Exchange& aExchange) const;
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -203,6 +203,29 @@
   CHECK(Judge(streams).mixed == 0);
 }
 
+// Guards against a retry at another version than other gateways were told of:
+// the caller leaves after the first event, before they are told of the retry.
+TEST_CASE("a retry keeps to the version that was reported", "[versions]")
+{
+  VersionedSite site({ "v1", "v2" }, 2);
+  std::vector<VersionedSite::Stream> streams;
+  for (std::size_t i = 0; i < 12; ++i) {
+    site.engines[0]->SetFault(VersionedSite::Fault("no_proof"));
+    // The first event comes after a digest, which goes out every 50 ms.
+    site.engines[0]->SetFault(VersionedSite::Fault("work_ms", 120));
+    streams.push_back(site.Begin(0));
+    VersionedSite::Stream& stream = streams.back();
+    site.Until(
+      [&] { return stream.last->socket.IsClosed() || stream.LastEvent() > 0; });
+    site.engines[0]->SetFault(VersionedSite::Fault("clear"));
+    if (stream.LastEvent() > 0) {
+      site.Resume(stream, 1);
+    }
+  }
+  site.Settle();
+  CHECK(Judge(streams).mixed == 0);
+}
+
 // Guards against refusals after an outage of the store, which changes no list.
 TEST_CASE("a stream of a uniform service resumes after an outage of the store",
           "[versions]")
--- a/test/support/VersionedSite.h
+++ b/test/support/VersionedSite.h
@@ -138,10 +138,10 @@
   /// Waits until the caller has an event of the stream.
   bool HasBegun(const Stream& aStream) const
   {
-    return this->Until([&] {
-      aStream.last->socket.Read();
-      return aStream.LastEvent() > 0;
+    this->Until([&] {
+      return aStream.last->socket.IsClosed() || aStream.LastEvent() > 0;
     });
+    return aStream.LastEvent() > 0;
   }
 
 private:
