--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -226,6 +226,49 @@
   CHECK(Judge(streams).mixed == 0);
 }
 
+// Guards against guessing, after all gateways were killed at once, that the
+// only version that is left has begun every stream.
+TEST_CASE("no stream is joined from two versions after all gateways restart",
+          "[versions]")
+{
+  VersionedSite site(kTwoVersions, 3);
+  std::vector<VersionedSite::Stream> streams;
+  for (std::size_t i = 0; i < kStreams; ++i) {
+    streams.push_back(site.Begin(i % 3));
+    REQUIRE(site.HasBegun(streams.back()));
+  }
+  site.gateways.clear();
+  for (const VersionedSite::Stream& stream : streams) {
+    site.Until([&] { return stream.last->socket.IsClosed(); });
+  }
+  bool leavesLater = false;
+  SECTION("while both versions serve") {}
+  SECTION("and the older version has left before")
+  {
+    site.RemoveEngines("v1");
+  }
+  SECTION("and the older version leaves right after")
+  {
+    leavesLater = true;
+  }
+  site.StartGateways(3);
+  if (leavesLater) {
+    site.RemoveEngines("v1");
+  }
+  // Callers come back several times, as a refusal tells them to.
+  for (int attempt = 0; attempt < 4; ++attempt) {
+    for (std::size_t i = 0; i < kStreams; ++i) {
+      if (!streams[i].IsWhole()) {
+        site.Resume(streams[i], (i + 1) % 3);
+      }
+    }
+    site.Settle();
+    site.Run(milliseconds(300));
+  }
+  const Verdict verdict = Judge(streams);
+  CHECK(verdict.mixed == 0);
+}
+
 // Guards against refusals after an outage of the store, which changes no list.
 TEST_CASE("a stream of a uniform service resumes after an outage of the store",
           "[versions]")
