Place a successor the way a first attempt is placed, and log open requests at one place

Read once more: the search for a server that takes over from a silent one repeated the placement of a new request line by line, and two log lines of a request that is still open differed by two fields only. PlaceBeside serves both, with the draws in the same order, and LogOpenRequest both lines; attempt_silent has the fields of cut_by_stop now. No decision changes.

That arrived bytes are no silence had no test: SilentServers "bytes that have arrived and are not read are no silence" fails three checks with the look taken out (the stream is resent and its ready end lost) and is green with it. SilentServers 6 cases, PlannedStop 4, Gateway 24: green.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -637,7 +637,7 @@
   for (const auto& [request, owned] : this->requests) {
     if (!request->IsDone()) {
       ++cut;
-      LogCutRequest(*request, aNow);
+      LogOpenRequest(LogLevel::Warning, "cut_by_stop", *request, aNow);
       request->OnStopEnds();
     }
   }
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -207,35 +207,15 @@
 }
 
 void
-LogSilentAttempt(const GatewayRequest& aRequest, TimePoint aNow)
+LogOpenRequest(LogLevel aLevel,
+               std::string_view aEvent,
+               const GatewayRequest& aRequest,
+               TimePoint aNow)
 {
   const GatewayOutcome& outcome = aRequest.Outcome();
   const RequestProgress progress = aRequest.Progress(aNow);
-  Log(LogLevel::Info,
-      "attempt_silent",
-      "id",
-      aRequest.Admitted().callerMetadata.attemptId,
-      "instance",
-      outcome.instance.Value(),
-      "attempt",
-      outcome.attempts,
-      "phase",
-      RequestPhaseName(progress.phase),
-      "events",
-      outcome.events,
-      "age_ms",
-      WholeMillis(progress.age),
-      "since_event_ms",
-      WholeMillis(progress.sinceEvent));
-}
-
-void
-LogCutRequest(const GatewayRequest& aRequest, TimePoint aNow)
-{
-  const GatewayOutcome& outcome = aRequest.Outcome();
-  const RequestProgress progress = aRequest.Progress(aNow);
-  Log(LogLevel::Warning,
-      "cut_by_stop",
+  Log(aLevel,
+      aEvent,
       "id",
       aRequest.Admitted().callerMetadata.attemptId,
       "route",
--- a/dogwoodvale/src/Gateway/GatewayLog.h
+++ b/dogwoodvale/src/Gateway/GatewayLog.h
@@ -42,14 +42,14 @@
                  const FailedAttempt& aFailed,
                  Duration aListAge);
 
-/// Logs an attempt whose server has sent nothing for longer than allowed and
-/// that goes on.
+/// Logs how far a request is that has no whole answer yet: "attempt_silent" for
+/// one whose server has sent nothing for longer than allowed, "cut_by_stop" for
+/// one that is open at the end of a planned stop.
 void
-LogSilentAttempt(const GatewayRequest& aRequest, TimePoint aNow);
-
-/// Logs a request that the end of a planned stop cuts off.
-void
-LogCutRequest(const GatewayRequest& aRequest, TimePoint aNow);
+LogOpenRequest(LogLevel aLevel,
+               std::string_view aEvent,
+               const GatewayRequest& aRequest,
+               TimePoint aNow);
 
 } // namespace dogwoodvale
 
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -367,19 +367,13 @@
     return;
   }
   BackendPool& pool = this->host.Backends();
-  const ServiceName& service = this->admitted.service->name;
-  std::vector<DirectCandidate> candidates = pool.Candidates(
-    *this->admitted.service, this->admitted.demand, this->excluded, now);
   const std::optional<ShareStanding> standing = this->StandingWhileShort(now);
   PlacementRequest wanted = this->MakePlacementRequest(now);
   if (standing && standing->isOver) {
     this->outcome.overShare = true;
     wanted.priorities.inTime = wanted.priorities.late;
   }
-  pool.Spread(
-    service, this->admitted.demand, candidates, this->host.Random(), now);
-  const std::optional<Placement> placed = this->host.RequestPlacer().Place(
-    candidates, wanted, pool.PrefillOf(service), this->host.Random());
+  const auto [candidates, placed] = this->PlaceBeside(this->excluded, wanted);
   if (!placed) {
     const CapacityFinding finding = FindCapacity(candidates, wanted, nullptr);
     if (!this->IsRefusedForShare(finding, standing, now)) {
@@ -408,6 +402,26 @@
   this->SendTo(server, *client);
 }
 
+GatewayRequest::Placing
+GatewayRequest::PlaceBeside(std::span<const InstanceName> aExcluded,
+                            const PlacementRequest& aWanted)
+{
+  const TimePoint now = Now();
+  BackendPool& pool = this->host.Backends();
+  const ServiceName& service = this->admitted.service->name;
+  Placing placing;
+  placing.candidates = pool.Candidates(
+    *this->admitted.service, this->admitted.demand, aExcluded, now);
+  pool.Spread(service,
+              this->admitted.demand,
+              placing.candidates,
+              this->host.Random(),
+              now);
+  placing.placed = this->host.RequestPlacer().Place(
+    placing.candidates, aWanted, pool.PrefillOf(service), this->host.Random());
+  return placing;
+}
+
 void
 GatewayRequest::RecordPlacement(const DirectCandidate& aServer,
                                 const Placement& aPlacement)
@@ -437,24 +451,17 @@
       return std::nullopt;
     }
   }
-  BackendPool& pool = this->host.Backends();
-  const ServiceName& service = this->admitted.service->name;
   std::vector<InstanceName> tried = this->excluded;
   tried.push_back(this->sent->instance);
-  std::vector<DirectCandidate> candidates = pool.Candidates(
-    *this->admitted.service, this->admitted.demand, tried, aNow);
   PlacementRequest wanted = this->MakePlacementRequest(aNow);
   wanted.mayHaveBeenPrefilled = true;
-  pool.Spread(
-    service, this->admitted.demand, candidates, this->host.Random(), aNow);
-  const std::optional<Placement> placed = this->host.RequestPlacer().Place(
-    candidates, wanted, pool.PrefillOf(service), this->host.Random());
+  const auto [candidates, placed] = this->PlaceBeside(tried, wanted);
   if (!placed || placed->timeliness == Timeliness::Hopeless) {
     return std::nullopt;
   }
   const DirectCandidate& server = candidates[placed->server];
   BackendClient* client =
-    pool.Acquire(server.name, this->admitted.demand, aNow);
+    this->host.Backends().Acquire(server.name, this->admitted.demand, aNow);
   if (client == nullptr) {
     return std::nullopt;
   }
@@ -915,7 +922,7 @@
   if (!hasUnread && !std::exchange(this->sent->wasSilent, true)) {
     this->HealthOf(this->sent->instance)
       .OnFailed(AttemptFailure::Silent, this->sent->hadFreeSlot);
-    LogSilentAttempt(*this, now);
+    LogOpenRequest(LogLevel::Info, "attempt_silent", *this, now);
   }
   AttemptOutcome ended = this->OutcomeSoFar();
   ended.disposition = Disposition::MayHaveRun;
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -277,6 +277,14 @@
     Placement placement;
     BackendClient* client = nullptr;
   };
+  /// The servers that may take the request, and where it was placed, if at all.
+  struct Placing
+  {
+    std::vector<DirectCandidate> candidates;
+    std::optional<Placement> placed;
+  };
+  Placing PlaceBeside(std::span<const InstanceName> aExcluded,
+                      const PlacementRequest& aWanted);
   /// Finds a server that would take over from the one that has the request.
   /// \return nothing if none would now.
   std::optional<Destination> FindSuccessor(TimePoint aNow);
--- a/test/SilentServers.cpp
+++ b/test/SilentServers.cpp
@@ -1,3 +1,6 @@
+#include <array>
+#include <thread>
+
 #include <catch2/catch.hpp>
 
 #include "support/PlatformSite.h"
@@ -57,6 +60,27 @@
     return count;
   }
 
+  /// A server that the test plays itself.
+  void RegisterAddress(const std::string& aName, const SocketAddress& aAddress)
+  {
+    this->store->Put(
+      "servers/" + aName,
+      fmt::format(R"({{"service":"s","address":"{}","zone":"z","slots":4,)"
+                  R"("state":"ready","sequence":1,"born":{},"version":"v1"}})",
+                  aAddress.ToString(),
+                  kBorn));
+  }
+
+  /// Takes the engines off the list and waits until no request reaches them.
+  void RemoveEngines()
+  {
+    for (std::size_t i = 0; i < this->engines.size(); ++i) {
+      this->store->Remove(fmt::format("servers/e{}", i + 1));
+    }
+    // The list is read every 100 ms.
+    this->Until([] { return false; }, milliseconds(500));
+  }
+
   Gateway* gateway = nullptr;
 };
 
@@ -115,3 +139,37 @@
   }
   CHECK(site.engines[0]->Runs().size() == 1);
 }
+
+// Guards against taking the gateway's own delay for a server's silence: the
+// rest of the stream has arrived before the time-out is noticed.
+TEST_CASE("bytes that have arrived and are not read are no silence",
+          "[silence]")
+{
+  PausingSite site({ "v1", "v1" });
+  std::array<RawSocket, 2> listeners = { RawSocket::Listen(),
+                                         RawSocket::Listen() };
+  for (std::size_t i = 0; i < listeners.size(); ++i) {
+    site.RegisterAddress(fmt::format("r{}", i + 1), listeners[i].Address());
+  }
+  site.RemoveEngines();
+  RawSocket caller = RawSocket::Connect(site.gateway->CallerAddress());
+  caller.Send(PlatformSite::RequestText("/stream/x", "id-1"));
+  RawSocket server;
+  REQUIRE(site.Until([&] {
+    return listeners[0].Accept(server) || listeners[1].Accept(server);
+  }));
+  REQUIRE(site.Until([&] { return server.Has("\r\n\r\n"); }));
+  server.Send(PlatformSite::AnswerHead("id-1") +
+              "Content-Type: text/event-stream\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n"
+              "11\r\nid: 1\ndata: one\n\n\r\n");
+  REQUIRE(site.Until([&] { return caller.Has("data: one"); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  server.Send("11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  CHECK(site.Until([&] { return caller.Has("\r\n0\r\n\r\n"); }, seconds(1)));
+  CHECK(caller.Has("data: two"));
+  RawSocket other;
+  CHECK_FALSE(listeners[0].Accept(other));
+  CHECK_FALSE(listeners[1].Accept(other));
+}
