--- a/test/PlannedStop.cpp
+++ b/test/PlannedStop.cpp
@@ -29,24 +29,13 @@
   RawSocket Begin(const std::string& aPath, const std::string& aId)
   {
     RawSocket caller = RawSocket::Connect(this->gateway->CallerAddress());
-    caller.Send(LongRequestText(aPath, aId));
+    caller.Send(
+      WithTimeLimit(RequestText(aPath, aId), milliseconds(kTimeLimitMillis)));
     const std::size_t runs = this->engines[0]->Runs().size();
     this->Until([&] { return this->engines[0]->Runs().size() > runs; });
     return caller;
   }
 
-  /// A request whose time limit is longer than the grace period.
-  static std::string LongRequestText(const std::string& aPath,
-                                     const std::string& aId)
-  {
-    std::string text = RequestText(aPath, aId);
-    const std::string limit = "Deadline-Ms: 1500";
-    text.replace(text.find(limit),
-                 limit.size(),
-                 fmt::format("Deadline-Ms: {}", kTimeLimitMillis));
-    return text;
-  }
-
   void Stop()
   {
     this->stopped = Now();
@@ -63,6 +52,7 @@
   void RunToExit() const { this->loop->Run(); }
 
   static constexpr std::uint64_t kEvents = 20;
+  /// Longer than the grace period.
   static constexpr int kTimeLimitMillis = 5000;
   Gateway* gateway = nullptr;
   TimePoint stopped{};
@@ -133,3 +123,25 @@
   CHECK(ended);
   CHECK(Between(site.stopped, Now()) < milliseconds(1200));
 }
+
+// Guards against a reset that takes a whole answer from a caller that has sent
+// its next request already: unread bytes make the system reset a connection.
+TEST_CASE("an answer is whole though its caller sent more during a stop",
+          "[stop]")
+{
+  StoppingSite site(milliseconds(1850));
+  RawSocket caller = site.Begin("/note/stream/x", "id-1");
+  site.Stop();
+  Timer sendsMore(*site.loop, [&] {
+    if (caller.Has("piece 19\n")) {
+      caller.Send(PlatformSite::RequestText("/note/stream/x", "id-2"));
+    }
+  });
+  sendsMore.StartRepeating(milliseconds(5));
+  site.RunToExit();
+  site.gateways.clear();
+  CHECK(caller.Has("piece 20\n"));
+  CHECK(caller.Has("\r\n0\r\n\r\n"));
+  CHECK_FALSE(caller.wasReset);
+  CHECK(site.engines[0]->Runs().size() == 1);
+}
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -269,6 +269,44 @@
   CHECK(verdict.mixed == 0);
 }
 
+// Guards against taking a service for uniform that had another version when a
+// stream began whose caller may wait for longer than the route's timeouts.
+TEST_CASE("a stream older than its route's timeouts keeps its version",
+          "[versions]")
+{
+  constexpr std::size_t kLongWaits = 12;
+  VersionedSite site(kTwoVersions, 2);
+  site.PutConfiguration(2, 1000);
+  site.Run(milliseconds(300));
+  site.timeLimit = seconds(9);
+  std::vector<VersionedSite::Stream> streams;
+  for (std::size_t i = 0; i < kLongWaits; ++i) {
+    streams.push_back(site.Begin(i % 2));
+  }
+  for (const VersionedSite::Stream& stream : streams) {
+    REQUIRE(site.HasBegun(stream));
+  }
+  site.gateways.clear();
+  for (const VersionedSite::Stream& stream : streams) {
+    site.Until([&] { return stream.last->socket.IsClosed(); });
+  }
+  site.RemoveEngines("v1");
+  site.StartGateways(2);
+  // Other callers of the route are served, and state how long they wait.
+  for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+    const VersionedSite::Stream other = site.Begin(gateway);
+    REQUIRE(site.HasBegun(other));
+  }
+  site.Run(milliseconds(2300));
+  site.timeLimit = seconds(2);
+  for (std::size_t i = 0; i < kLongWaits; ++i) {
+    REQUIRE_FALSE(streams[i].IsWhole());
+    site.Resume(streams[i], (i + 1) % 2);
+  }
+  site.Settle();
+  CHECK(Judge(streams).mixed == 0);
+}
+
 // Guards against refusals after an outage of the store, which changes no list.
 TEST_CASE("a stream of a uniform service resumes after an outage of the store",
           "[versions]")
--- a/test/support/FleetSite.h
+++ b/test/support/FleetSite.h
@@ -76,8 +76,10 @@
     made.gateway = aGateway;
     made.socket =
       RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
-    made.socket.Send(RequestText(
-      aPath, made.id, "Connection: close\r\n" + aMoreHeaders, aBody));
+    made.socket.Send(WithTimeLimit(
+      RequestText(
+        aPath, made.id, "Connection: close\r\n" + aMoreHeaders, aBody),
+      this->timeLimit));
     this->sent.push_back(std::move(made));
     return this->sent.back();
   }
@@ -144,6 +146,8 @@
   }
 
   std::list<Try> sent;
+  /// How long callers wait, as requests that are sent later state it.
+  milliseconds timeLimit{ 1500 };
 
 private:
   int startedGateways = 0;
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -206,6 +206,16 @@
                        aBody);
   }
 
+  /// RequestText() of a caller that waits for another time.
+  static std::string WithTimeLimit(std::string aRequest, milliseconds aLimit)
+  {
+    constexpr std::string_view kUsual = "Deadline-Ms: 1500";
+    aRequest.replace(aRequest.find(kUsual),
+                     kUsual.size(),
+                     fmt::format("Deadline-Ms: {}", aLimit.count()));
+    return aRequest;
+  }
+
   /// Sends a request on a new connection and waits until the gateway closes it.
   /// \return the bytes received.
   std::string Ask(const Gateway& aGateway,
