Take a service for uniform only once no older stream can come back

A gateway without a record takes the only listed version for a stream's once it has been the only one for twice the route's timeout in force. A stream is older where its caller waits for longer, or where a configuration has shortened the timeout since. While gateways live, records hide this: they last as long as the caller.

The bound is now the longest time limit that callers of the service have stated, plus the time for which an outdated list may be used; twice the longest timeout where that is more. The same bound is asked of other gateways' claims.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -242,6 +242,9 @@
     admitted.stream = keyOf(admitted.callerMetadata.attemptId);
     admitted.resumedStream = keyOf(admitted.callerMetadata.resumes);
     this->origins.SetListCurrent(this->IsListCurrent(Now()), Now());
+    if (const auto limit = admitted.callerMetadata.timeLimit) {
+      this->origins.OnTimeLimit(*admitted.route, *limit);
+    }
   }
   this->RetriesOf(admitted.service->name).OnRequest(Now());
   auto request = std::make_unique<GatewayRequest>(
--- a/dogwoodvale/src/Gateway/OriginFinder.cpp
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -65,12 +65,6 @@
   return aRoute.services.size() != 1;
 }
 
-Duration
-LifetimeOf(const HostRoute& aRoute)
-{
-  return OriginFinder::kLifetimeInTimeouts * aRoute.timeout;
-}
-
 } // namespace
 
 std::string_view
@@ -187,6 +181,32 @@
   std::swap(this->gatewaysByCell.front(), this->gatewaysByCell[aOwnCell]);
 }
 
+Duration
+OriginFinder::LifetimeOf(const HostRoute& aRoute) const
+{
+  Duration longest = kLifetimeInTimeouts * aRoute.timeout;
+  for (const WeightedService& one : aRoute.services) {
+    const auto found = this->lifetimes.find(one.service);
+    if (found != this->lifetimes.end()) {
+      longest = std::max(longest, found->second);
+    }
+  }
+  return longest;
+}
+
+void
+OriginFinder::OnTimeLimit(const HostRoute& aRoute, Duration aLimit)
+{
+  // A gateway whose list is out of date sends to servers that have left the
+  // list here.
+  const Duration untilLast =
+    std::min(aLimit, StreamOrigins::kMaxLifetime) + this->maxOutdated;
+  for (const WeightedService& one : aRoute.services) {
+    Duration& lifetime = this->lifetimes[one.service];
+    lifetime = std::max(lifetime, untilLast);
+  }
+}
+
 std::optional<StreamOrigin>
 OriginFinder::UniformOriginOf(const HostRoute& aRoute, TimePoint aNow) const
 {
@@ -195,7 +215,7 @@
   }
   const ServiceName& service = aRoute.services.front().service;
   const auto uniform = this->history.UniformOf(service, aNow);
-  if (!uniform || uniform->length < LifetimeOf(aRoute)) {
+  if (!uniform || uniform->length < this->LifetimeOf(aRoute)) {
     return std::nullopt;
   }
   return StreamOrigin{ service, uniform->version };
@@ -209,7 +229,7 @@
                      TimePoint aNow)
 {
   Duration& lifetime = this->lifetimes[aOrigin.service];
-  lifetime = std::max(lifetime, LifetimeOf(aRoute));
+  lifetime = std::max(lifetime, this->LifetimeOf(aRoute));
   const auto uniform = this->UniformOriginOf(aRoute, aNow);
   const bool isImplied = uniform && *uniform == aOrigin;
   this->origins.OnSent(aKey, aOrigin, aLifetime, !isImplied, aNow);
@@ -338,7 +358,7 @@
     const bool isImplied =
       isConfirmed && !IsSplit(query->route) &&
       query->route.services.front().service == found.origin.service &&
-      uniformFor >= LifetimeOf(query->route);
+      uniformFor >= this->LifetimeOf(query->route);
     if (isRecord || isImplied) {
       query->End(found);
     }
--- a/dogwoodvale/src/Gateway/OriginFinder.h
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -93,6 +93,9 @@
                    std::size_t aCells,
                    std::size_t aOwnCell);
 
+  /// A caller of the route states how long it waits: it may resume a stream
+  /// until then, whatever the route's timeout is.
+  void OnTimeLimit(const HostRoute& aRoute, Duration aLimit);
   /// A request whose answer may be resumed is sent to a server.
   /// \param aLifetime how long its caller may resume it.
   void OnSent(StreamKey aKey,
@@ -133,11 +136,15 @@
   /// Gateways asked in the own cell, and in each other one.
   static constexpr std::size_t kAskedInOwnCell = 3;
   static constexpr std::size_t kAskedInOtherCell = 1;
-  /// Streams of a route last for at most its timeout; a caller may resume one
-  /// at the very end, and that attempt lasts as long again.
+  /// Lifetime of the streams of callers that state no time limit: a stream
+  /// lasts for at most its route's timeout; a caller may resume it at the very
+  /// end, and that attempt lasts as long again.
   static constexpr int kLifetimeInTimeouts = 2;
 
 private:
+  /// How long before now a stream of the route that is resumed now may have
+  /// begun.
+  Duration LifetimeOf(const HostRoute& aRoute) const;
   /// \return nothing if the service of the route may have had servers of
   /// several versions while a stream lasts.
   std::optional<StreamOrigin> UniformOriginOf(const HostRoute& aRoute,
@@ -153,7 +160,8 @@
   bool isListCurrent = false;
   /// Since when it is not.
   TimePoint outdatedSince{};
-  /// How long streams of each service last at most.
+  /// How long after their begin streams of each service may be resumed. Never
+  /// shortened: streams that began under a longer bound may come back.
   std::map<ServiceName, Duration> lifetimes;
   /// Addresses of the other gateways by cell, the own one first.
   std::vector<std::vector<SocketAddress>> gatewaysByCell;
--- a/test/StreamOrigins.cpp
+++ b/test/StreamOrigins.cpp
@@ -246,3 +246,46 @@
   CHECK(isEnded);
   CHECK(found.has_value() == !isMixed);
 }
+
+// Guards against taking a service for uniform while a caller that waits for
+// longer than the route's timeouts may resume a stream of another version.
+TEST_CASE("an older stream is never taken for one of the only version",
+          "[versions]")
+{
+  rc::prop("no take-up within its caller's limit gets another version", [] {
+    const auto seconds = [](int aFrom, int aUntil) {
+      return milliseconds(1000 * *rc::gen::inRange(aFrom, aUntil));
+    };
+    const auto loop = *EventLoop::Create();
+    OriginFinder finder(
+      *loop,
+      [](const SocketAddress& /*aFrom*/, const std::string& /*aPath*/) {
+        return true;
+      },
+      milliseconds(1000));
+    HostRoute route;
+    route.services = { { kService, 1 } };
+    route.timeout = seconds(1, 20);
+    const Duration limit = seconds(1, 60);
+    // The stream began at kStart at a server of v1, which leaves later.
+    const TimePoint leaves = kStart + seconds(1, 30);
+    const TimePoint starts = kStart + seconds(-30, 60);
+    std::vector<DirectInstance> servers(2);
+    servers[0].service = servers[1].service = kService;
+    servers[0].softwareVersion = "v1";
+    servers[1].softwareVersion = "v2";
+    const auto list = [&](TimePoint aAt) {
+      finder.OnInstances(std::span(servers).subspan(aAt < leaves ? 0 : 1), aAt);
+    };
+    list(starts);
+    finder.SetListCurrent(true, starts);
+    if (starts < leaves) {
+      list(leaves);
+    }
+    finder.OnTimeLimit(route, limit);
+    const TimePoint resumed = std::max(starts, kStart + seconds(0, 60));
+    RC_PRE(resumed <= kStart + limit);
+    const auto found = finder.Find(1, route, resumed);
+    RC_ASSERT(!found || found->origin.softwareVersion == "v1");
+  });
+}
