Refuse what an entry reads after its drain grace, and answer what its stop ends

The planned stop's cause at entries: after the drain grace new connections were refused, but requests read on kept ones passed on; the stop waited for idle connections until stop_timeout_ms (600 s); then callers were reset, also where their request still waited in a queue. Now an entry says Connection: close from the order on, refuses what it reads after the grace (503, not run, Retry-After), closes idle connections, and at its end delivers what has arrived and tells each caller what is known: not run, or may have run; streams end with an error event. cut_by_stop names each request.

A sidecar's stop already refuses while it drains (Dispatcher) and has no callers of its own.

--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -620,36 +620,59 @@
   this->CreateWriter();
 }
 
+Disposition
+CallerRequest::CurrentDisposition()
+{
+  if (!this->running) {
+    return this->unclear                ? Disposition::MayHaveRun
+           : this->outcome.attempts > 0 ? this->pendingError.disposition
+                                        : Disposition::NotRun;
+  }
+  if (this->running->stream->WasWritten()) {
+    this->running->attempt.OnWriting();
+  }
+  return this->running->attempt.CurrentDisposition();
+}
+
 void
 CallerRequest::OnDeadline()
 {
   if (this->done) {
     return;
   }
-  RequestError error{ ErrorCode::DeadlineExceeded,
-                      Disposition::NotRun,
-                      "the class's budget is spent",
-                      JitteredRetryAfter(seconds(1), this->host.Random()) };
-  if (!this->running) {
-    error.disposition = this->unclear ? Disposition::MayHaveRun
-                        : this->outcome.attempts > 0
-                          ? this->pendingError.disposition
-                          : Disposition::NotRun;
-    this->GiveUp(error);
-    return;
+  const RequestError error{ ErrorCode::DeadlineExceeded,
+                            this->CurrentDisposition(),
+                            "the class's budget is spent",
+                            JitteredRetryAfter(seconds(1),
+                                               this->host.Random()) };
+  if (this->running) {
+    // A request that still waits in a queue can truthfully be called not run.
+    const bool asks =
+      error.disposition == Disposition::MayHaveRun && !this->running->started;
+    const bool isAsking = asks && this->AskAbout(*this->running, error);
+    this->StopAttempt(SendResult::Cancelled);
+    if (isAsking) {
+      return;
+    }
   }
-  if (this->running->stream->WasWritten()) {
-    this->running->attempt.OnWriting();
+  this->GiveUp(error);
+}
+
+void
+CallerRequest::OnStopEnds()
+{
+  if (this->done) {
+    return;
   }
-  error.disposition = this->running->attempt.CurrentDisposition();
-  // A request that still waits in a queue can truthfully be called not run.
-  const bool asks =
-    error.disposition == Disposition::MayHaveRun && !this->running->started;
-  if (asks && this->AskAbout(*this->running, error)) {
+  RequestError error = StoppingEntryError();
+  error.disposition = this->CurrentDisposition();
+  if (this->running) {
     this->StopAttempt(SendResult::Cancelled);
-    return;
   }
-  this->StopAttempt(SendResult::Cancelled);
+  if (error.disposition == Disposition::MayHaveRun) {
+    error.code = ErrorCode::BackendFailed;
+    error.retryAfter = milliseconds(0);
+  }
   this->GiveUp(error);
 }
 
@@ -715,4 +738,15 @@
   this->host.OnDone(*this);
 }
 
+RequestError
+StoppingEntryError()
+{
+  // A balancer sends the next attempt to another entry.
+  constexpr milliseconds kOtherEntryRetryAfter(50);
+  return { ErrorCode::Draining,
+           Disposition::NotRun,
+           "the entry is stopping",
+           kOtherEntryRetryAfter };
+}
+
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Entry/CallerRequest.h
+++ b/dogwoodvale/src/Entry/CallerRequest.h
@@ -73,6 +73,8 @@
   void Start();
   /// Ends it before any attempt.
   void Refuse(const RequestError& aError);
+  /// The process is about to exit: tells the caller what has become of it.
+  void OnStopEnds();
 
   const RequestId& Id() const { return this->id; }
   const ResolvedRequest& Resolved() const { return this->resolved; }
@@ -134,6 +136,8 @@
   /// Drops what was received, to try again from the beginning.
   void StartOver();
   void OnDeadline();
+  /// What is known of whether it ran, without asking.
+  Disposition CurrentDisposition();
   void GiveUp(const RequestError& aError);
   void Finish();
   Duration BudgetLeft(TimePoint aNow) const;
@@ -172,6 +176,10 @@
   bool done = false;
 };
 
+/// The answer to a request that a stopping entry does not pass on.
+RequestError
+StoppingEntryError();
+
 } // namespace dogwoodvale
 
 #endif
--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -222,6 +222,10 @@
 Entry::OnRequest(std::unique_ptr<CallerExchange> aExchange)
 {
   const RequestId id = this->NextId();
+  if (this->stopping && Now() >= this->graceEnd) {
+    this->RefuseEarly(*aExchange, StoppingEntryError(), id);
+    return;
+  }
   const Configuration* active = this->Active();
   if (active == nullptr) {
     this->RefuseEarly(*aExchange,
@@ -334,6 +338,7 @@
   this->graceEnd = now + this->settings.entry.drainGrace;
   this->stopDeadline = now + this->settings.stopTimeout;
   Log(LogLevel::Info, "draining", "requests", this->requests.size());
+  this->callers->AnnounceClosing();
   this->stopTimer.StartRepeating(kStopCheckPeriod);
 }
 
@@ -348,15 +353,48 @@
     this->accepting = false;
     this->callers->StopAccepting();
   }
-  const bool quiet =
+  this->callers->CloseIdleConnections();
+  const bool isIdle =
     this->requests.empty() && this->callers->OpenConnections() == 0;
-  if (quiet || now >= this->stopDeadline) {
-    Log(quiet ? LogLevel::Info : LogLevel::Warning,
-        "stopped",
-        "requests",
-        this->requests.size());
-    this->loop.Stop();
+  if (isIdle || this->drained) {
+    this->EndStop();
+  } else if (now >= this->stopDeadline) {
+    // What arrived before this turn of the loop is delivered in the next one.
+    this->drained = true;
+    this->stopTimer.StartOnce(Duration(0));
+  }
+}
+
+void
+Entry::EndStop()
+{
+  std::size_t cut = 0;
+  for (const auto& [id, request] : this->requests) {
+    if (!request->IsDone()) {
+      ++cut;
+      Log(LogLevel::Warning,
+          "cut_by_stop",
+          "id",
+          ToString(id),
+          "service",
+          request->Resolved().service.Value(),
+          "attempts",
+          request->Outcome().attempts,
+          "tokens",
+          request->Outcome().tokens);
+      request->OnStopEnds();
+    }
   }
+  const std::size_t unsent = this->callers->UnsentBytes();
+  Log(cut == 0 && unsent == 0 ? LogLevel::Info : LogLevel::Warning,
+      "stopped",
+      "requests",
+      cut,
+      "connections",
+      this->callers->OpenConnections(),
+      "unsent_bytes",
+      unsent);
+  this->loop.Stop();
 }
 
 absl::Status
--- a/dogwoodvale/src/Entry/Entry.h
+++ b/dogwoodvale/src/Entry/Entry.h
@@ -84,6 +84,8 @@
                    const RequestId& aId);
   void Sweep();
   void CheckStopped();
+  /// Answers what is still open and ends the loop.
+  void EndStop();
 
   EventLoop& loop;
   const DaemonSettings settings;
@@ -108,6 +110,8 @@
   TimePoint lastTold;
   bool stopping = false;
   bool accepting = true;
+  /// The stop timeout has passed.
+  bool drained = false;
   TimePoint graceEnd;
   TimePoint stopDeadline;
 };
