Keep reported origins in the store, so that streams outlive a kill of all gateways

The first gateway of a cell now writes what has been reported to one key of the store, at most every 200 ms and only for services that have had several versions lately; one that has just started and finds no answer among gateways reads it, at most once a second. Only what was reported is written, so that the rule that a retry keeps to the reported version also keeps this copy true. Where one version serves nothing is written (StreamVersions).

The claim test waits for the store's answer now before a query ends unanswered.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -72,11 +72,14 @@
             { aSettings.gateway.decisions.quarantine,
               aSettings.gateway.quarantine,
               aSettings.instance })
+  , originArchive(*this->ports.store,
+                  { aSettings.instance, aSettings.peerSecret })
   , origins(
       aLoop,
       [this](const SocketAddress& aFrom, const std::string& aPath) {
         return this->peers->Fetch(aFrom, aPath);
       },
+      this->originArchive,
       aSettings.gateway.instanceDrain + DirectoryCache::kPeerContactTtl)
   , answers(AnswerMemory(aSettings.gateway.memoryMegabytes))
   , usage(aLoop,
@@ -368,6 +371,7 @@
     return aOne.name == this->settings.instance;
   });
   this->origins.SetGateways(others, view.cells, view.own);
+  this->originArchive.SetCell(view.own);
   this->pool.SetGateways(this->listedGateways,
                          std::max<std::size_t>(view.members.size(), 1),
                          view.cells,
@@ -427,6 +431,7 @@
   if (CellOf(aDigest.gateway, this->cells) == this->ownCell) {
     this->usage.ApplyDigest(aDigest);
     this->warmStart->OnHeard(aDigest.gateway, now);
+    this->originArchive.OnHeard(aDigest.gateway, now);
   }
   for (const RoutedPrompt& prompt : aDigest.routed) {
     this->pool.OnPrefill(prompt.instance, prompt.steps, now);
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -132,6 +132,7 @@
   Placer placer;
   BackendPool pool;
   CrashGuard crashes;
+  OriginArchive originArchive;
   OriginFinder origins;
   AnswerBuffers answers;
   UsageAccounting usage;
--- a/dogwoodvale/src/Gateway/OriginFinder.cpp
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -79,6 +79,8 @@
       return "uniform";
     case OriginSource::Asked:
       return "asked";
+    case OriginSource::Archived:
+      return "archived";
   }
   return "unknown";
 }
@@ -91,7 +93,7 @@
   : finder(aFinder)
   , key(aKey)
   , handler(std::move(aHandler))
-  , timeout(aFinder.loop, [this] { this->End(std::nullopt); })
+  , timeout(aFinder.loop, [this] { this->OnUnanswered(); })
 {
   this->finder.queries.push_back(this);
 }
@@ -101,6 +103,17 @@
   std::erase(this->finder.queries, this);
 }
 
+void
+OriginFinder::Query::OnUnanswered()
+{
+  if (!this->awaitsArchive && this->finder.ReadArchive(this->route)) {
+    this->awaitsArchive = true;
+    this->timeout.StartOnce(kAskTimeout);
+    return;
+  }
+  this->End(std::nullopt);
+}
+
 void
 OriginFinder::Query::End(const std::optional<FoundOrigin>& aFound)
 {
@@ -127,9 +140,11 @@
 
 OriginFinder::OriginFinder(EventLoop& aLoop,
                            Fetcher aFetcher,
+                           OriginArchive& aArchive,
                            Duration aMaxOutdated)
   : loop(aLoop)
   , fetcher(std::move(aFetcher))
+  , archive(aArchive)
   , maxOutdated(aMaxOutdated)
 {
 }
@@ -375,7 +390,7 @@
   }
   for (Query* query : this->QueriesOf(question->key)) {
     if (query->unanswered > 0 && --query->unanswered == 0) {
-      query->End(std::nullopt);
+      query->OnUnanswered();
     }
   }
 }
@@ -391,6 +406,81 @@
       this->origins.ReportAll(service);
     }
   }
+  this->Save(aNow);
+}
+
+// The archive.
+
+bool
+OriginFinder::ReadArchive(const HostRoute& aRoute)
+{
+  const TimePoint now = Now();
+  // A gateway that has run for longer was told of the streams by reports.
+  return Between(this->startedAt, now) < this->LifetimeOf(aRoute) &&
+         this->archive.Read(now,
+                            [this](std::span<const OriginUpdate> aOrigins) {
+                              this->OnArchive(aOrigins);
+                            });
+}
+
+void
+OriginFinder::OnArchive(std::span<const OriginUpdate> aOrigins)
+{
+  const TimePoint now = Now();
+  this->origins.Apply(aOrigins, now);
+  for (const OriginUpdate& update : aOrigins) {
+    this->history.OnOrigin(update.origin, now);
+  }
+  std::vector<Query*> waiting;
+  std::ranges::copy_if(
+    this->queries, std::back_inserter(waiting), &Query::awaitsArchive);
+  for (Query* query : waiting) {
+    const auto found = this->origins.Find(query->key, now);
+    query->End(found ? std::optional(
+                         FoundOrigin{ found->origin, OriginSource::Archived })
+                     : std::nullopt);
+  }
+}
+
+bool
+OriginFinder::IsMixed(const ServiceName& aService, TimePoint aNow) const
+{
+  const auto found = this->lifetimes.find(aService);
+  return this->history.WasMixed(aService,
+                                found == this->lifetimes.end() ? Duration(0)
+                                                               : found->second,
+                                aNow);
+}
+
+void
+OriginFinder::Save(TimePoint aNow)
+{
+  const bool isAlone = std::ranges::all_of(this->gatewaysByCell,
+                                           &std::vector<SocketAddress>::empty);
+  if (isAlone) {
+    // Nobody is told, so that the archive is all that shares them.
+    this->origins.TakeUpdates(aNow);
+  }
+  const std::uint64_t revision = this->origins.SharedRevision();
+  if ((revision == this->savedRevision && !this->hasSaved) ||
+      !this->archive.MayWrite(aNow)) {
+    return;
+  }
+  std::vector<OriginUpdate> shared =
+    this->origins.Shared(OriginArchive::kMaxOrigins, aNow);
+  std::erase_if(shared, [&](const OriginUpdate& aOne) {
+    return !this->IsMixed(aOne.origin.service, aNow);
+  });
+  const bool isEmpty = shared.empty();
+  if (isEmpty ? !this->hasSaved : revision == this->savedRevision) {
+    return;
+  }
+  this->archive.Write(shared, [this, revision, isEmpty](bool aIsKept) {
+    if (aIsKept) {
+      this->savedRevision = revision;
+      this->hasSaved = !isEmpty;
+    }
+  });
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/OriginFinder.h
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <vector>
 
+#include "OriginArchive.h"
 #include "PeerDigest.h"
 #include "Ports.h"
 #include "WarmState.h"
@@ -25,6 +26,8 @@
   Uniform,
   /// Another gateway has answered a question.
   Asked,
+  /// The store had kept it.
+  Archived,
 };
 
 std::string_view
@@ -41,7 +44,8 @@
 ///
 /// While a service has one software version, gateways tell each other nothing.
 /// Else each reports the origin of a stream when it sends the request, before
-/// the first event can arrive. A gateway that has no report asks others.
+/// the first event can arrive. A gateway that has no report asks others, and
+/// after its start the store.
 class OriginFinder
 {
 public:
@@ -62,6 +66,8 @@
 
   private:
     friend class OriginFinder;
+    /// No gateway knows the origin, or none has answered in time.
+    void OnUnanswered();
     /// Ends the query; the handler may destroy it.
     void End(const std::optional<FoundOrigin>& aFound);
 
@@ -71,13 +77,17 @@
     HostRoute route;
     /// Gateways that have not answered.
     std::size_t unanswered = 0;
+    bool awaitsArchive = false;
     Timer timeout;
   };
 
   /// \param aMaxOutdated a list that was out of date for longer may have missed
   /// servers that came and left. Longer than an outage of the store takes to be
   /// told from a lost path to it.
-  OriginFinder(EventLoop& aLoop, Fetcher aFetcher, Duration aMaxOutdated);
+  OriginFinder(EventLoop& aLoop,
+               Fetcher aFetcher,
+               OriginArchive& aArchive,
+               Duration aMaxOutdated);
 
   /// The list of backend servers in force.
   void OnInstances(std::span<const DirectInstance> aInstances, TimePoint aNow);
@@ -131,7 +141,7 @@
   std::size_t RecordCount() const { return this->origins.Count(); }
 
   static constexpr std::string_view kPath = "/peer/origin/";
-  /// How long other gateways have to answer.
+  /// How long other gateways have to answer, and the store after them.
   static constexpr Duration kAskTimeout = milliseconds(300);
   /// Gateways asked in the own cell, and in each other one.
   static constexpr std::size_t kAskedInOwnCell = 3;
@@ -151,9 +161,19 @@
                                               TimePoint aNow) const;
   std::vector<SocketAddress> Targets(std::mt19937_64& aRandom) const;
   std::vector<Query*> QueriesOf(StreamKey aKey) const;
+  /// Asks the store, as no gateway knows the origin of a stream of the route.
+  /// \return whether an answer is awaited.
+  bool ReadArchive(const HostRoute& aRoute);
+  void OnArchive(std::span<const OriginUpdate> aOrigins);
+  /// Whether streams of the service may be of different versions, so that their
+  /// origins are kept in the store.
+  bool IsMixed(const ServiceName& aService, TimePoint aNow) const;
+  void Save(TimePoint aNow);
 
   EventLoop& loop;
   Fetcher fetcher;
+  OriginArchive& archive;
+  TimePoint startedAt = Now();
   StreamOrigins origins;
   SoftwareHistory history;
   Duration maxOutdated;
@@ -166,6 +186,9 @@
   /// Addresses of the other gateways by cell, the own one first.
   std::vector<std::vector<SocketAddress>> gatewaysByCell;
   std::vector<Query*> queries;
+  /// StreamOrigins::SharedRevision() of what the archive has from here.
+  std::uint64_t savedRevision = 0;
+  bool hasSaved = false;
 };
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Resumption/SoftwareHistory.h
+++ b/dogwoodvale/src/Resumption/SoftwareHistory.h
@@ -35,6 +35,13 @@
   void Adopt(const ServiceName& aService,
              const UniformSoftware& aUniform,
              TimePoint aNow);
+  /// A stream of the service began at that version, as another process tells.
+  void OnOrigin(const StreamOrigin& aOrigin, TimePoint aNow);
+  /// Whether the service has had servers of different versions within that
+  /// time.
+  bool WasMixed(const ServiceName& aService,
+                Duration aWithin,
+                TimePoint aNow) const;
   /// \return nothing if servers of several versions, or of an unknown one, are
   /// listed, or none is.
   std::optional<UniformSoftware> UniformOf(const ServiceName& aService,
@@ -47,6 +54,10 @@
     std::optional<std::string> version;
     /// Since when it is the only one.
     TimePoint since{};
+    /// The last version that was listed; empty before the first.
+    std::string last;
+    /// When another version than the last one was known of.
+    std::optional<TimePoint> mixedAt;
   };
 
   std::map<ServiceName, Service> services;
--- a/dogwoodvale/src/Resumption/StreamOrigins.cpp
+++ b/dogwoodvale/src/Resumption/StreamOrigins.cpp
@@ -9,6 +9,7 @@
 StreamOrigins::Insert(StreamKey aKey, Record aRecord)
 {
   this->byExpiry.emplace(aRecord.expiresAt, aKey);
+  this->sharedRevision += aRecord.IsShared() ? 1 : 0;
   this->records[aKey] = std::move(aRecord);
   while (this->records.size() > kMaxRecords) {
     this->Expire(this->byExpiry.begin()->first);
@@ -128,6 +129,7 @@
                         record.origin,
                         std::chrono::duration_cast<milliseconds>(
                           Between(aNow, record.expiresAt)) });
+    this->sharedRevision += record.IsShared() ? 0 : 1;
     record.wasTaken = true;
     if (--record.reportsLeft > 0) {
       next.push_back(key);
@@ -140,6 +142,27 @@
   return updates;
 }
 
+std::vector<OriginUpdate>
+StreamOrigins::Shared(std::size_t aMost, TimePoint aNow) const
+{
+  std::vector<OriginUpdate> shared;
+  for (auto latest = this->byExpiry.rbegin();
+       latest != this->byExpiry.rend() && shared.size() < aMost;
+       ++latest) {
+    const auto& [expiresAt, key] = *latest;
+    const auto found = this->records.find(key);
+    // A renewed record has a later entry in byExpiry.
+    if (expiresAt > aNow && found != this->records.end() &&
+        found->second.expiresAt == expiresAt && found->second.IsShared()) {
+      shared.push_back(
+        { key,
+          found->second.origin,
+          std::chrono::duration_cast<milliseconds>(Between(aNow, expiresAt)) });
+    }
+  }
+  return shared;
+}
+
 void
 StreamOrigins::Expire(TimePoint aNow)
 {
--- a/dogwoodvale/src/Resumption/StreamOrigins.h
+++ b/dogwoodvale/src/Resumption/StreamOrigins.h
@@ -55,6 +55,11 @@
   /// What to report now. Each record is reported kReports times, as a report
   /// may be lost.
   std::vector<OriginUpdate> TakeUpdates(TimePoint aNow);
+  /// The records that other gateways hold too, the ones that expire last first,
+  /// at most \p aMost.
+  std::vector<OriginUpdate> Shared(std::size_t aMost, TimePoint aNow) const;
+  /// Changes with each record that is added to Shared(), or replaced there.
+  std::uint64_t SharedRevision() const { return this->sharedRevision; }
   /// Drops the records that have expired.
   void Expire(TimePoint aNow);
   std::size_t Count() const { return this->records.size(); }
@@ -78,6 +83,8 @@
     bool wasReported = false;
     /// A report has been taken for sending.
     bool wasTaken = false;
+
+    bool IsShared() const { return !this->isOwn || this->wasTaken; }
   };
 
   void Insert(StreamKey aKey, Record aRecord);
@@ -87,6 +94,7 @@
   std::multimap<TimePoint, StreamKey> byExpiry;
   /// Records with reports left, the ones reported least recently first.
   std::vector<StreamKey> pending;
+  std::uint64_t sharedRevision = 0;
 };
 
 } // namespace dogwoodvale
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -269,6 +269,51 @@
   CHECK(verdict.mixed == 0);
 }
 
+// Guards against refusing all take-ups after all gateways were killed, which
+// takes with it what each of them knows of the streams.
+TEST_CASE("streams go on after all gateways were killed beside two versions",
+          "[versions]")
+{
+  const int gateways = GENERATE(1, 3);
+  constexpr std::size_t kLongStreams = 20;
+  VersionedSite site(kTwoVersions, gateways, milliseconds(80));
+  std::vector<VersionedSite::Stream> streams;
+  for (std::size_t i = 0; i < kLongStreams; ++i) {
+    streams.push_back(site.Begin(i % gateways));
+  }
+  for (const VersionedSite::Stream& stream : streams) {
+    REQUIRE(site.HasBegun(stream));
+  }
+  // Reports and their copy in the store take less than this.
+  site.Run(milliseconds(550));
+  site.gateways.clear();
+  for (const VersionedSite::Stream& stream : streams) {
+    site.Until([&] { return stream.last->socket.IsClosed(); });
+  }
+  site.StartGateways(gateways);
+  for (std::size_t i = 0; i < kLongStreams; ++i) {
+    REQUIRE_FALSE(streams[i].IsWhole());
+    site.Resume(streams[i], (i + 1) % gateways);
+  }
+  site.Settle();
+  const Verdict verdict = Judge(streams);
+  CHECK(verdict.mixed == 0);
+  CHECK(verdict.whole * 10 >= kLongStreams * 9);
+}
+
+// Guards against writes to the store where every stream is of one version.
+TEST_CASE("a service of one version keeps no streams in the store",
+          "[versions]")
+{
+  VersionedSite site({ "v1", "v1" }, 2);
+  for (std::size_t i = 0; i < 8; ++i) {
+    const VersionedSite::Stream stream = site.Begin(i % 2);
+    REQUIRE(site.HasBegun(stream));
+  }
+  site.Run(milliseconds(700));
+  CHECK(site.store->CountKeys("dogwoodvale/origins/") == 0);
+}
+
 // Guards against taking a service for uniform that had another version when a
 // stream began whose caller may wait for longer than the route's timeouts.
 TEST_CASE("a stream older than its route's timeouts keeps its version",
