Save how long callers may resume streams with the warm state

A gateway that started after all were killed learnt the longest time limit of a service's callers only from requests since; a caller that is the only one to wait so long could still get a text of two versions. The limits are a field at the end of the warm state now, which one gateway writes every two seconds and each reads at its start; an older build reads the leading fields as before.

StreamVersions "a stream older than its route's timeouts keeps its version" has both ways now: the limit known from before the kill, and from other callers after it.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -151,6 +151,7 @@
     *this->ports.store,
     *this->directory,
     this->pool,
+    this->origins,
     WarmStart::Options{ this->settings.gateway.decisions.warmStart,
                         this->settings.peerSecret });
   auto operatorServer =
--- a/dogwoodvale/src/Gateway/OriginFinder.cpp
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -222,6 +222,15 @@
   }
 }
 
+void
+OriginFinder::ApplyLifetimes(const std::map<ServiceName, Duration>& aLifetimes)
+{
+  for (const auto& [service, lifetime] : aLifetimes) {
+    Duration& known = this->lifetimes[service];
+    known = std::max(known, lifetime);
+  }
+}
+
 std::optional<StreamOrigin>
 OriginFinder::UniformOriginOf(const HostRoute& aRoute, TimePoint aNow) const
 {
--- a/dogwoodvale/src/Gateway/OriginFinder.h
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -103,9 +103,16 @@
                    std::size_t aCells,
                    std::size_t aOwnCell);
 
-  /// A caller of the route states how long it waits: it may resume a stream
+  /// A caller of the route states how long it waits. It may resume a stream
   /// until then, whatever the route's timeout is.
   void OnTimeLimit(const HostRoute& aRoute, Duration aLimit);
+  /// How long after their begin streams of each service may be resumed.
+  const std::map<ServiceName, Duration>& Lifetimes() const
+  {
+    return this->lifetimes;
+  }
+  /// Takes in what gateways knew before this one started.
+  void ApplyLifetimes(const std::map<ServiceName, Duration>& aLifetimes);
   /// A request whose answer may be resumed is sent to a server.
   /// \param aLifetime how long its caller may resume it.
   void OnSent(StreamKey aKey,
@@ -180,8 +187,7 @@
   bool isListCurrent = false;
   /// Since when it is not.
   TimePoint outdatedSince{};
-  /// How long after their begin streams of each service may be resumed. Never
-  /// shortened: streams that began under a longer bound may come back.
+  /// Never shortened: streams that began under a longer bound may come back.
   std::map<ServiceName, Duration> lifetimes;
   /// Addresses of the other gateways by cell, the own one first.
   std::vector<std::vector<SocketAddress>> gatewaysByCell;
--- a/dogwoodvale/src/Gateway/WarmStart.cpp
+++ b/dogwoodvale/src/Gateway/WarmStart.cpp
@@ -9,10 +9,12 @@
                      StoreClient& aStore,
                      DirectoryCache& aDirectory,
                      BackendPool& aPool,
+                     OriginFinder& aOrigins,
                      Options aOptions)
   : store(aStore)
   , directory(aDirectory)
   , pool(aPool)
+  , origins(aOrigins)
   , options(std::move(aOptions))
   , election(aSelf, Now())
 {
@@ -60,6 +62,7 @@
   const std::size_t servers = std::max<std::size_t>(this->pool.Count(), 1);
   state.caches = this->pool.Caches().MostRecentlyUsed(
     std::min(WarmState::kMaxStepsPerServer, WarmState::kMaxSteps / servers));
+  state.streamLifetimes = this->origins.Lifetimes();
   return state;
 }
 
@@ -101,6 +104,7 @@
   this->directory.Roster().ApplyHints(state->gateways, now);
   this->directory.ApplyHints(state->instances, now);
   this->pool.Seed(state->services, now);
+  this->origins.ApplyLifetimes(state->streamLifetimes);
   this->caches = state->caches;
   this->SeedCaches();
 }
--- a/dogwoodvale/src/Gateway/WarmStart.h
+++ b/dogwoodvale/src/Gateway/WarmStart.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "DirectoryCache.h"
+#include "OriginFinder.h"
 #include "WarmState.h"
 
 namespace dogwoodvale {
@@ -26,6 +27,7 @@
             StoreClient& aStore,
             DirectoryCache& aDirectory,
             BackendPool& aPool,
+            OriginFinder& aOrigins,
             Options aOptions);
 
   /// Reads the saved state.
@@ -62,6 +64,7 @@
   StoreClient& store;
   DirectoryCache& directory;
   BackendPool& pool;
+  OriginFinder& origins;
   Options options;
   /// Elects the gateway that writes.
   DutyElection election;
--- a/dogwoodvale/src/Gateway/WarmState.cpp
+++ b/dogwoodvale/src/Gateway/WarmState.cpp
@@ -9,6 +9,7 @@
 #include <openssl/crypto.h>
 
 #include "PackedDecode.h"
+#include "dogwoodvale/Resumption"
 
 namespace dogwoodvale {
 
@@ -85,8 +86,16 @@
   std::vector<PackedService> services;
   std::vector<PackedCache> caches;
   std::vector<PackedDecode> decode;
+  /// In milliseconds, by service.
+  std::map<std::string, std::int64_t> streamLifetimes;
 
-  MSGPACK_DEFINE_ARRAY(format, instances, gateways, services, caches, decode);
+  MSGPACK_DEFINE_ARRAY(format,
+                       instances,
+                       gateways,
+                       services,
+                       caches,
+                       decode,
+                       streamLifetimes);
 };
 
 PackedState
@@ -126,6 +135,9 @@
     }
     packed.caches.push_back(std::move(cache));
   }
+  for (const auto& [service, lifetime] : aState.streamLifetimes) {
+    packed.streamLifetimes[service.Value()] = WholeMillis(lifetime);
+  }
   return packed;
 }
 
@@ -184,6 +196,13 @@
           {} });
     }
   }
+  for (const auto& [service, millis] : aPacked.streamLifetimes) {
+    const std::int64_t longest =
+      std::chrono::duration_cast<milliseconds>(StreamOrigins::kMaxLifetime)
+        .count();
+    aState.streamLifetimes[ServiceName(service)] =
+      milliseconds(std::clamp<std::int64_t>(millis, 0, longest));
+  }
   // DecodeModel checks the sums, as it does those of digests.
   for (PackedDecode& packed : aPacked.decode) {
     DecodeUpdate sums = Unpack(std::move(packed));
--- a/dogwoodvale/src/Gateway/WarmState.h
+++ b/dogwoodvale/src/Gateway/WarmState.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_GATEWAY_WARMSTATE_H
 #define DOGWOODVALE_GATEWAY_WARMSTATE_H
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,6 +27,8 @@
   std::vector<ServiceEstimates> services;
   /// Prompt steps that each server probably has cached, the latest first.
   std::vector<std::pair<InstanceName, std::vector<PromptStep>>> caches;
+  /// How long after their begin streams of each service may be resumed.
+  std::map<ServiceName, Duration> streamLifetimes;
 
   /// Most steps of one server.
   static constexpr std::size_t kMaxStepsPerServer = 64;
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -324,6 +324,13 @@
   site.PutConfiguration(2, 1000);
   site.Run(milliseconds(300));
   site.timeLimit = seconds(9);
+  // The limit is known from before the kill or from other callers after it.
+  const bool isSaved = GENERATE(true, false);
+  if (isSaved) {
+    const VersionedSite::Stream earlier = site.Begin(0);
+    REQUIRE(site.HasBegun(earlier));
+    site.Run(milliseconds(2500));
+  }
   std::vector<VersionedSite::Stream> streams;
   for (std::size_t i = 0; i < kLongWaits; ++i) {
     streams.push_back(site.Begin(i % 2));
@@ -337,8 +344,7 @@
   }
   site.RemoveEngines("v1");
   site.StartGateways(2);
-  // Other callers of the route are served, and state how long they wait.
-  for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+  for (std::size_t gateway = 0; gateway < 2 && !isSaved; ++gateway) {
     const VersionedSite::Stream other = site.Begin(gateway);
     REQUIRE(site.HasBegun(other));
   }
