Use a server again after an entry with a later start

Callers lost a server for good when another writer had stated a later start (born) in its entry: the latest start is taken for the true one, so that the server's own heartbeats were dropped as of an earlier incarnation. A late write of an earlier incarnation comes once; a server that lives writes again. An earlier start that consistent reads show written twice now replaces the known one (instance_start_corrected in the log).

DirectoryCache "a server that writes its own start again is used again" and ForeignEntries "a server is used again after an entry with a later start" are red with the correction taken out, green with it; the test that an outdated entry brings no earlier incarnation back is unchanged and green.

--- a/dogwoodvale/src/Gateway/DirectoryCache.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryCache.cpp
@@ -260,6 +260,9 @@
   for (const KeyValue& value : aResult->values) {
     auto parsed = this->format.ParseInstance(value.key, value.value);
     if (parsed.ok()) {
+      if (!aMayBeOld) {
+        this->OnEarlierStart(*parsed, value.modRevision);
+      }
       read.push_back(*std::move(parsed));
       continue;
     }
@@ -274,6 +277,35 @@
   this->MergeInstances(std::move(read), now);
 }
 
+void
+DirectoryCache::OnEarlierStart(const DirectInstance& aInstance,
+                               Revision aRevision)
+{
+  const auto known = this->starts.find(aInstance.server);
+  if (known == this->starts.end() || aInstance.started == 0 ||
+      aInstance.started >= known->second) {
+    this->contested.erase(aInstance.server);
+    return;
+  }
+  Contested& seen = this->contested[aInstance.server];
+  // A write of an earlier incarnation may come late, but once; a server that
+  // lives writes again, so that the later start was another writer's.
+  const bool isWrittenAgain =
+    seen.started == aInstance.started && aRevision > seen.revision;
+  if (!isWrittenAgain) {
+    seen = { aInstance.started, aRevision };
+    return;
+  }
+  Log(LogLevel::Warning,
+      "instance_start_corrected",
+      "instance",
+      aInstance.name.Value(),
+      "was",
+      known->second);
+  known->second = aInstance.started;
+  this->contested.erase(aInstance.server);
+}
+
 void
 DirectoryCache::NoteRejected(const KeyValue& aValue,
                              const absl::Status& aReason)
@@ -385,6 +417,8 @@
   if (!this->HasInstances() || aEra == before) {
     return;
   }
+  // Revisions start anew.
+  this->contested.clear();
   // Live servers write their entries again. Entries of servers that have left
   // since the copy was made reappear until they expire.
   this->keepMissingUntil = aNow + kReturnGrace;
--- a/dogwoodvale/src/Gateway/DirectoryCache.h
+++ b/dogwoodvale/src/Gateway/DirectoryCache.h
@@ -146,6 +146,10 @@
   /// and not only to this one.
   bool WasDownForPeers(TimePoint aNow) const;
 
+  /// Handles an entry of a consistent read that states an earlier start than is
+  /// known for its server.
+  void OnEarlierStart(const DirectInstance& aInstance, Revision aRevision);
+
   StoreClient& store;
   const DirectoryFormat& format;
   Options options;
@@ -157,6 +161,13 @@
   std::mt19937_64 random;
   Instances instances;
   IncarnationStarts starts;
+  /// An entry that states an earlier start than is known.
+  struct Contested
+  {
+    std::uint64_t started = 0;
+    Revision revision = 0;
+  };
+  std::map<InstanceName, Contested> contested;
   /// Malformed entries of the last read: value by key.
   std::map<std::string, std::string> rejected;
   Instances hints;
--- a/test/DirectoryCache.cpp
+++ b/test/DirectoryCache.cpp
@@ -182,6 +182,27 @@
   }
 }
 
+// Guards against a server that is lost as another writer has stated a later
+// start in its entry.
+TEST_CASE("a server that writes its own start again is used again",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.Write("instances/e1", "ready@100");
+  REQUIRE(setup.Until([&] { return setup.observer.Has("e1@100"); }));
+  setup.store.Write("instances/e1", "ready@900");
+  REQUIRE(setup.Until([&] { return setup.observer.Has("e1@900"); }));
+  setup.store.Write("instances/e1", "ready@100");
+  setup.Pass(milliseconds(200));
+  CHECK_FALSE(setup.observer.Has("e1@100"));
+  setup.store.Write("instances/e1", "ready@100");
+  REQUIRE(setup.Until([&] { return setup.observer.Has("e1@100"); }));
+  CHECK(setup.observer.instances.size() == 2);
+  // The next incarnation is as any other.
+  setup.store.Write("instances/e1", "ready@200");
+  CHECK(setup.Until([&] { return setup.observer.Has("e1@200"); }));
+}
+
 // A server's entry is overwritten with malformed data, also during an outage of
 // the store. Requests must not go on to the address of the former entry.
 TEST_CASE("a server whose entry becomes malformed is removed from the list",
--- a/test/ForeignEntries.cpp
+++ b/test/ForeignEntries.cpp
@@ -80,3 +80,19 @@
   site.PutEntry("unknown", site.engines[0]->Address());
   CHECK(site.IsServed());
 }
+
+// Guards against a server that no gateway uses any more, as another writer has
+// stated a later start in its entry.
+TEST_CASE("a server is used again after an entry with a later start",
+          "[foreign]")
+{
+  ForeignEntrySite site;
+  REQUIRE(site.IsServed());
+  site.Register("e1", *site.engines[0], "ready", PlatformSite::kBorn + 1000);
+  site.Until([] { return false; }, milliseconds(300));
+  for (int heartbeat = 0; heartbeat < 3; ++heartbeat) {
+    site.Register("e1", *site.engines[0], "ready");
+    site.Until([] { return false; }, milliseconds(300));
+  }
+  CHECK(site.IsServed());
+}
