Deliver what was sent of a stream that cannot go on

A stream whose server broke off and that nothing could take over ended by a reset of the caller's connection. That drops what the system still holds and what the caller has not read, events that a caller could have resumed after: with 2 MB sent and unread, the caller got a reset and a part. An answer in chunks shows by its missing last chunk that it is incomplete, so it is closed after its bytes; one without chunks is still reset.

CallerServer "what was sent of an aborted stream arrives" is red with the change taken out. Two tests asked for a reset of every answer that is given up: they ask it of answers without chunks now, and of chunked ones that the last chunk is missing and, newly, that all that was sent arrives.

--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -430,6 +430,12 @@
 CallerConnection::Abort()
 {
   this->exchange = nullptr;
+  // A chunked answer shows by itself that it is incomplete, so that what the
+  // caller has not received yet need not be lost with the connection.
+  if (this->phase == Phase::Answering && this->chunked) {
+    this->StartClosing();
+    return;
+  }
   this->Close(true);
 }
 
