Bound the bodies of all requests together

All bodies that are received or not yet answered share an eighth of memory_mb now (a body that is sent on may be copied); what does not fit is refused before it is passed on: 503, not run, Retry-After, counted in caller_refused_for_memory_total.

CallerServer "bodies of many requests share a bound" (with a length and in chunks, freed by an answer and by a caller that leaves). Answers that callers leave unread are not in this budget. "trailers are no headers of a request" guards what the parser did already: green from its first run.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -166,11 +166,8 @@
     return forPeers.status();
   }
   this->peerServer = *std::move(forPeers);
-  auto server =
-    CallerServer::Create(this->loop,
-                         this->settings.gateway.callers,
-                         BoundsOf({}, this->settings.gateway.descriptors),
-                         *this);
+  auto server = CallerServer::Create(
+    this->loop, this->settings.gateway.callers, this->BoundsOf({}), *this);
   if (!server.ok()) {
     return server.status();
   }
@@ -182,6 +179,14 @@
   return absl::OkStatus();
 }
 
+CallerBounds
+Gateway::BoundsOf(const CallerLimits& aLimits) const
+{
+  return dogwoodvale::BoundsOf(aLimits,
+                               this->settings.gateway.descriptors,
+                               this->settings.gateway.memoryMegabytes);
+}
+
 void
 Gateway::Reload(const DaemonSettings& aSettings)
 {
@@ -339,8 +344,7 @@
         WholeMillis(this->loopDelay.Last()));
   }
   this->catchUp.OnInForce(aRoutes->Version());
-  this->callers->SetBounds(
-    BoundsOf(aRoutes->Limits(), this->settings.gateway.descriptors));
+  this->callers->SetBounds(this->BoundsOf(aRoutes->Limits()));
   this->pool.SetServices(aRoutes->Services());
 }
 
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -94,6 +94,7 @@
   absl::Status Open();
   /// Draws the interval between two reads of the list of backend servers.
   Duration InstanceReadPeriod();
+  CallerBounds BoundsOf(const CallerLimits& aLimits) const;
   void RunMaintenance();
   /// Whether the list of backend servers has been read recently, and no other
   /// gateway is known to have a newer one.
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -171,8 +171,7 @@
         this->DeliverRequest();
         break;
       case HttpParser::State::Stopped:
-        ++this->owner.MutableCounters().tooLarge;
-        this->Refuse(413, ErrorCode::TooLarge, "the body is too large");
+        this->RefuseBody();
         break;
       case HttpParser::State::TooLarge:
         ++this->owner.MutableCounters().tooLarge;
@@ -193,6 +192,10 @@
   if (length && *length > this->owner.Bounds().bodyBytes) {
     return false;
   }
+  this->lacksMemory = length && !this->owner.HasRoomFor(*length);
+  if (this->lacksMemory) {
+    return false;
+  }
   if (absl::EqualsIgnoreCase(
         ToAbsl(FindHeader(this->parser->Headers(), "expect")),
         "100-continue") &&
@@ -208,10 +211,39 @@
   if (this->body.size() + aBytes.size() > this->owner.Bounds().bodyBytes) {
     return false;
   }
+  this->lacksMemory = !this->owner.HasRoomFor(aBytes.size());
+  if (this->lacksMemory) {
+    return false;
+  }
   this->body += aBytes;
+  this->countedBody += aBytes.size();
+  this->owner.OnBodyBytes(static_cast<std::ptrdiff_t>(aBytes.size()));
   return true;
 }
 
+void
+CallerConnection::RefuseBody()
+{
+  if (this->lacksMemory) {
+    ++this->owner.MutableCounters().refusedForMemory;
+    const HeaderField wait{ "Retry-After", "1" };
+    this->Refuse(503,
+                 ErrorCode::QueueFull,
+                 "the bodies of other requests take all memory for them",
+                 { &wait, 1 });
+    return;
+  }
+  ++this->owner.MutableCounters().tooLarge;
+  this->Refuse(413, ErrorCode::TooLarge, "the body is too large");
+}
+
+void
+CallerConnection::ReleaseBody()
+{
+  const std::size_t counted = std::exchange(this->countedBody, 0);
+  this->owner.OnBodyBytes(-static_cast<std::ptrdiff_t>(counted));
+}
+
 void
 CallerConnection::DeliverRequest()
 {
@@ -238,15 +270,19 @@
 void
 CallerConnection::Refuse(int aStatus,
                          ErrorCode aCode,
-                         std::string_view aMessage)
+                         std::string_view aMessage,
+                         std::span<const HeaderField> aHeaders)
 {
   this->isHead = false;
   this->isHttp10 = false;
   this->mustClose = true;
   const std::string answer = ErrorBody(
     { aCode, Disposition::NotRun, std::string(aMessage), milliseconds(0) });
-  const HeaderField type{ "Content-Type", "application/json" };
-  this->WriteHead(aStatus, { &type, 1 }, answer.size());
+  std::vector<HeaderField> headers(aHeaders.begin(), aHeaders.end());
+  headers.push_back({ "Content-Type", "application/json" });
+  this->body = std::string();
+  this->ReleaseBody();
+  this->WriteHead(aStatus, headers, answer.size());
   this->Write(answer);
   this->StartClosing();
 }
@@ -333,6 +369,7 @@
     this->Write("0\r\n\r\n");
   }
   this->exchange = nullptr;
+  this->ReleaseBody();
   if (this->phase != Phase::Answering) {
     return;
   }
@@ -430,6 +467,7 @@
 CallerConnection::Abort()
 {
   this->exchange = nullptr;
+  this->ReleaseBody();
   // A chunked answer shows by itself that it is incomplete, so that what the
   // caller has not received yet need not be lost with the connection.
   if (this->phase == Phase::Answering && this->chunked) {
@@ -447,6 +485,7 @@
   }
   this->phase = Phase::Closed;
   this->timer.Stop();
+  this->ReleaseBody();
   if (aReset) {
     const linger now{ 1, 0 };
     setsockopt(bufferevent_getfd(this->stream),
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -23,6 +23,10 @@
   virtual CallerServerCounters& MutableCounters() = 0;
   virtual CallerHandler& Handler() = 0;
   virtual bool IsStopping() const = 0;
+  /// Whether a body may grow by that much, for all that others hold.
+  virtual bool HasRoomFor(std::size_t aBodyBytes) const = 0;
+  /// A connection holds more of a body, or less.
+  virtual void OnBodyBytes(std::ptrdiff_t aChange) = 0;
   /// Forgets the connection; it is destroyed on the loop's next turn.
   virtual void Retire(CallerConnection& aConnection) = 0;
 };
@@ -79,7 +83,14 @@
   void ParseNext();
   void DeliverRequest();
   /// Answers by itself with an error and closes.
-  void Refuse(int aStatus, ErrorCode aCode, std::string_view aMessage);
+  void Refuse(int aStatus,
+              ErrorCode aCode,
+              std::string_view aMessage,
+              std::span<const HeaderField> aHeaders = {});
+  /// The body or head was refused by OnParsedHead() or OnParsedBody().
+  void RefuseBody();
+  /// The body of the request is no longer needed.
+  void ReleaseBody();
   void StartClosing();
   /// Takes what the caller has sent and nobody will read: closing with unread
   /// bytes resets the connection and takes the end of the answer with it.
@@ -99,6 +110,9 @@
   bool chunked = false;
   bool aboveLowWater = false;
   bool finishedWriting = false;
+  bool lacksMemory = false;
+  /// Bytes of the request's body that the owner counts.
+  std::size_t countedBody = 0;
   Timer timer;
 };
 
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -99,6 +99,13 @@
     count("caller_refused_connections_total",
           "Connections over the bound.",
           this->counters.refusedConnections);
+    count("caller_refused_for_memory_total",
+          "Requests refused as the bodies of others take the memory for them.",
+          this->counters.refusedForMemory);
+    aWriter.Family("caller_body_bytes",
+                   "Bodies of requests that are received or answered.",
+                   MetricType::Gauge);
+    aWriter.Sample({}, std::uint64_t(this->bodyBytes));
     aWriter.Family("caller_connections_open",
                    "Connections of callers now.",
                    MetricType::Gauge);
@@ -176,6 +183,14 @@
   CallerServerCounters& MutableCounters() override { return this->counters; }
   CallerHandler& Handler() override { return this->handler; }
   bool IsStopping() const override { return this->stopping; }
+  bool HasRoomFor(std::size_t aBodyBytes) const override
+  {
+    return this->bodyBytes + aBodyBytes <= this->bounds.allBodyBytes;
+  }
+  void OnBodyBytes(std::ptrdiff_t aChange) override
+  {
+    this->bodyBytes += static_cast<std::size_t>(aChange);
+  }
 
   void Retire(CallerConnection& aConnection) override
   {
@@ -192,6 +207,8 @@
   CallerServerCounters counters;
   SocketAddress address;
   bool stopping = false;
+  /// Held by all connections.
+  std::size_t bodyBytes = 0;
   internal::ListenerPointer listener{ nullptr, &evconnlistener_free };
   internal::Graveyard<CallerConnection> graveyard;
   absl::flat_hash_map<CallerConnection*, std::unique_ptr<CallerConnection>>
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -60,6 +60,8 @@
 {
   std::size_t headerBytes = 32U << 10U;
   std::size_t bodyBytes = 4U << 20U;
+  /// Bodies of all requests that are being received or answered.
+  std::size_t allBodyBytes = 256U << 20U;
   std::size_t connections = 10000;
   /// Time for a whole request to arrive, against slow senders.
   Duration readTimeout = seconds(20);
@@ -76,6 +78,7 @@
   std::uint64_t malformed = 0;
   std::uint64_t readTimeouts = 0;
   std::uint64_t refusedConnections = 0;
+  std::uint64_t refusedForMemory = 0;
 };
 
 /// HTTP/1.1 server for callers, by libevhtp's parser.
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -103,6 +103,63 @@
   REQUIRE_FALSE(caller.IsClosed());
 }
 
+// Guards against bodies that together take more memory than there is, though
+// each is within its bound.
+TEST_CASE("bodies of many requests share a bound")
+{
+  CallerBounds bounds;
+  bounds.bodyBytes = 1000;
+  bounds.allBodyBytes = 2500;
+  Fixture f(bounds);
+  const bool isChunked = GENERATE(false, true);
+  const std::string body(1000, 'x');
+  const std::string post =
+    isChunked ? "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3e8\r\n" +
+                  body + "\r\n0\r\n\r\n"
+              : "POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" + body;
+  RawSocket first = f.Connect(post);
+  RawSocket second = f.Connect(post);
+  REQUIRE(f.HasRequests(2));
+  RawSocket third = f.Connect(post);
+  REQUIRE(f.Until([&] { return third.IsClosed(); }));
+  REQUIRE(third.Has("HTTP/1.1 503"));
+  REQUIRE(third.Has("Retry-After: 1\r\n"));
+  REQUIRE_FALSE(third.wasReset);
+  REQUIRE(f.server->Counters().refusedForMemory == 1);
+  // Others are served, and a body's place is free again with its answer.
+  RawSocket small = f.Connect(kGet);
+  REQUIRE(f.HasRequests(3));
+  f.keeper.Answer();
+  REQUIRE(f.Until([&] { return first.Has("</>"); }));
+  SECTION("answered") {}
+  SECTION("left")
+  {
+    second.Close();
+    REQUIRE(f.Until([&] { return f.keeper.goneAt.has_value(); }));
+  }
+  RawSocket fourth = f.Connect(post);
+  REQUIRE(f.HasRequests(3));
+}
+
+// Guards against headers of the system that a caller sends behind its body.
+TEST_CASE("trailers are no headers of a request")
+{
+  Fixture f;
+  RawSocket caller = f.Connect("POST / HTTP/1.1\r\nX-A: v\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "3\r\nabc\r\n0\r\n"
+                               "Dogwoodvale-Tenant: t\r\nX-A: w\r\n\r\n");
+  REQUIRE(f.HasRequests(1));
+  const HttpRequest& request = f.keeper.open[0]->Request();
+  CHECK(request.body == "abc");
+  CHECK(FindHeader(request.headers, "dogwoodvale-tenant").empty());
+  CHECK(FindHeader(request.headers, "x-a") == "v");
+  CHECK(std::ranges::count_if(request.headers, [](const HeaderField& aField) {
+          return aField.name == "X-A";
+        }) == 1);
+}
+
 // Guards against losing events that a caller has not received yet as its stream
 // cannot go on.
 TEST_CASE("what was sent of an aborted stream arrives")
