--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,8 @@
 # Share of streams whose connection breaks midway at the caller, and when.
 LEAVING_SHARE = 0.2
 LEAVING_S = 0.1
+# Before a stream is taken up once more, unless the answer says.
+RETRY_S = 0.2
 
 
 class Answer:
@@ -55,6 +57,8 @@
         # Of each prompt, before a last part of its own; none without.
         self.shared_parts = ""
         self.connections, self.patience_s = CONNECTIONS, PATIENCE_S
+        # How often a stream that broke off is taken up before it is given up.
+        self.tries = 1
         # The fewest and the most events that a stream is asked for; none: the engine's own.
         self.lengths = None
         # Of its own, so that a seed draws the same requests as without breaks.
@@ -120,7 +124,20 @@
             number += self.rng.random() < 0.5
 
     async def _resume(self, answer):
-        """Takes up a stream that broke off, at another gateway if there is one."""
+        """Takes up a stream that broke off, as often as the caller's time allows."""
+        until = answer.first().sent + self.patience_s
+        for _ in range(self.tries):
+            again = await self._take_up(answer)
+            if not again.can_resume():
+                return
+            if again.body:
+                answer = again
+            await asyncio.sleep(float(again.headers.get("retry-after", RETRY_S)))
+            if time.monotonic() > until - RETRY_S:
+                return
+
+    async def _take_up(self, answer):
+        """One more attempt at a stream, at another gateway if there is one."""
         others = [n for n in sorted(self.site.gateways) if n != answer.gateway]
         again = Answer(uuid.uuid4().hex[:16], answer.route,
                        self.rng.choice(others or [answer.gateway]), answer)
@@ -132,6 +149,7 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
         again.ended = time.monotonic()
+        return again
 
     async def _use(self, name, reader, writer):
         """Requests on one connection, until it closes."""
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -108,7 +108,7 @@
         them: one would take connections for an engine that has ended."""
         self.build, self.folder, self.rng = build, folder, rng
         self.grace_s, self.timeout_ms, self.slots = GRACE_S, 3000, 8
-        self.versions = SOFTWARE
+        self.versions, self.first_era = SOFTWARE, 1
         self.crash_options = list(crash_options)
         self.engines, self.gateways, self.proxies = {}, {}, {}
         self.settings, self.version, self.log = {}, 0, []
@@ -125,7 +125,8 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.store_port = free_port()
         self.store = Process(self, "store", [
-            f"{self.build}/standin_metadata", "--listen", f"127.0.0.1:{self.store_port}"])
+            f"{self.build}/standin_metadata", "--listen", f"127.0.0.1:{self.store_port}",
+            "--era", str(self.first_era)])
         await self.store.start()
         await post_soon(self.store_port, "/standin/fault", {"clear": True})
         for _ in range(self.rng.randrange(2, 5)):
--- a/standins/programs/standin_metadata.cpp
+++ b/standins/programs/standin_metadata.cpp
@@ -14,6 +14,7 @@
 
 Options:
   --listen IP:PORT  Where to listen; port 0 takes a free one [default: 127.0.0.1:0].
+  --era N           The era that answers tell at first [default: 1].
   -h --help         Show this.
   --version         Show the version.
 )";
@@ -25,6 +26,10 @@
 {
   const Options options(kUsage, aCount, aWords);
   return RunStandin("metadata", [&](EventLoop& aLoop) {
-    return MetadataStore::Create(aLoop, options.Address("--listen"));
+    auto store = MetadataStore::Create(aLoop, options.Address("--listen"));
+    if (store.ok()) {
+      (*store)->SetEra(static_cast<std::int64_t>(options.Number("--era")));
+    }
+    return store;
   });
 }
--- a/test/PlatformAdapter.cpp
+++ b/test/PlatformAdapter.cpp
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+
+#include <absl/strings/match.h>
 #include <rapidcheck.h>
 
 #include "platform/Adapters.h"
@@ -336,6 +338,56 @@
   CHECK(FindHeader(forwarded, "Dogwoodvale-Response-Seal") == "a seal");
 }
 
+// Guards against a caller that sets what only the system may, by a second
+// header or in another case.
+TEST_CASE("a caller sets no header of the system", "[dialect]")
+{
+  const auto dialect = platform::CreateBackendDialect();
+  const auto [name, expected] = GENERATE(table<std::string, std::string>({
+    { "Dogwoodvale-Tenant", "t1" },
+    { "Dogwoodvale-Credential", "" },
+    { "Dogwoodvale-Deadline-Ms", "1500" },
+    { "Dogwoodvale-Expect-Instance", "e1" },
+    { "Dogwoodvale-Request-Priority", "3" },
+    { "Dogwoodvale-Expect-Version", "" },
+    { "Dogwoodvale-Hold", "" },
+    { "Dogwoodvale-Pin-Ms", "" },
+    { "Dogwoodvale-Kv-Backup", "" },
+    { "Kv-From", "" },
+    { "Kv-Fetch", "10.0.0.9:1" },
+    { "Last-Event-Id", "7" },
+  }));
+  CAPTURE(name);
+  HttpRequest request;
+  request.method = "GET";
+  request.path = "/p";
+  std::string lower = name;
+  std::ranges::transform(lower, lower.begin(), [](unsigned char aChar) {
+    return std::tolower(aChar);
+  });
+  request.headers = { { name, "of the caller" },
+                      { lower, "again" },
+                      { name, "" },
+                      { "X-Own", "kept" } };
+  BackendRequestMetadata order;
+  order.server = InstanceName("e1");
+  order.customer = CustomerName("t1");
+  order.timeLeft = milliseconds(1500);
+  order.priority = 3;
+  order.fetchFrom = SocketAddress{ "10.0.0.9", 1 };
+  order.resumeAfter = 7;
+  const HttpRequest composed = dialect->Compose(request, order);
+  std::vector<std::string> values;
+  for (const HeaderField& field : composed.headers) {
+    if (absl::EqualsIgnoreCase(field.name, name)) {
+      values.push_back(field.value);
+    }
+  }
+  CHECK(values == (expected.empty() ? std::vector<std::string>()
+                                    : std::vector{ expected }));
+  CHECK(FindHeader(composed.headers, "x-own") == "kept");
+}
+
 // 9223372036854775807 ms are more microseconds than a Duration holds.
 TEST_CASE("a caller's time limit is bounded", "[dialect]")
 {
