Tell other gateways how long callers may resume streams

Limits over twice the route's timeout are a field of each digest now (empty in the usual case, one byte), and what a gateway has from the saved state is saved again only while a stream of then may come back, so that one long limit is not kept for ever.

--- a/dogwoodvale/src/Gateway/OriginFinder.cpp
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -59,6 +59,21 @@
   return question;
 }
 
+void
+RaiseTo(Duration& aValue, Duration aLeast)
+{
+  aValue = std::max(aValue, aLeast);
+}
+
+void
+RaiseAll(std::map<ServiceName, Duration>& aValues,
+         const std::map<ServiceName, Duration>& aLeast)
+{
+  for (const auto& [service, least] : aLeast) {
+    RaiseTo(aValues[service], least);
+  }
+}
+
 bool
 IsSplit(const HostRoute& aRoute)
 {
@@ -216,19 +231,35 @@
   // list here.
   const Duration untilLast =
     std::min(aLimit, StreamOrigins::kMaxLifetime) + this->maxOutdated;
+  if (untilLast <= kLifetimeInTimeouts * aRoute.timeout) {
+    return;
+  }
   for (const WeightedService& one : aRoute.services) {
-    Duration& lifetime = this->lifetimes[one.service];
-    lifetime = std::max(lifetime, untilLast);
+    RaiseTo(this->lifetimes[one.service], untilLast);
+    RaiseTo(this->ownLimits[one.service], untilLast);
   }
 }
 
-void
-OriginFinder::ApplyLifetimes(const std::map<ServiceName, Duration>& aLifetimes)
+std::map<ServiceName, Duration>
+OriginFinder::LifetimesToSave(TimePoint aNow) const
 {
-  for (const auto& [service, lifetime] : aLifetimes) {
-    Duration& known = this->lifetimes[service];
-    known = std::max(known, lifetime);
+  std::map<ServiceName, Duration> longest = this->ownLimits;
+  RaiseAll(longest, this->otherLimits);
+  for (const auto& [service, lifetime] : this->savedLimits) {
+    // What was saved is saved again only while a stream of then may come back.
+    if (Between(this->startedAt, aNow) < lifetime) {
+      RaiseTo(longest[service], lifetime);
+    }
   }
+  return longest;
+}
+
+void
+OriginFinder::ApplySavedLifetimes(
+  const std::map<ServiceName, Duration>& aLifetimes)
+{
+  RaiseAll(this->savedLimits, aLifetimes);
+  RaiseAll(this->lifetimes, aLifetimes);
 }
 
 std::optional<StreamOrigin>
@@ -252,8 +283,7 @@
                      Duration aLifetime,
                      TimePoint aNow)
 {
-  Duration& lifetime = this->lifetimes[aOrigin.service];
-  lifetime = std::max(lifetime, this->LifetimeOf(aRoute));
+  RaiseTo(this->lifetimes[aOrigin.service], this->LifetimeOf(aRoute));
   const auto uniform = this->UniformOriginOf(aRoute, aNow);
   const bool isImplied = uniform && *uniform == aOrigin;
   this->origins.OnSent(aKey, aOrigin, aLifetime, !isImplied, aNow);
@@ -315,12 +345,15 @@
 OriginFinder::AddToDigest(PeerDigest& aDigest, TimePoint aNow)
 {
   aDigest.origins = this->origins.TakeUpdates(aNow);
+  aDigest.streamLifetimes = this->ownLimits;
 }
 
 void
 OriginFinder::ApplyDigest(const PeerDigest& aDigest, TimePoint aNow)
 {
   this->origins.Apply(aDigest.origins, aNow);
+  RaiseAll(this->otherLimits, aDigest.streamLifetimes);
+  RaiseAll(this->lifetimes, aDigest.streamLifetimes);
 }
 
 std::optional<std::string>
--- a/dogwoodvale/src/Gateway/OriginFinder.h
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -106,13 +106,12 @@
   /// A caller of the route states how long it waits. It may resume a stream
   /// until then, whatever the route's timeout is.
   void OnTimeLimit(const HostRoute& aRoute, Duration aLimit);
-  /// How long after their begin streams of each service may be resumed.
-  const std::map<ServiceName, Duration>& Lifetimes() const
-  {
-    return this->lifetimes;
-  }
+  /// How long after their begin streams of each service may be resumed, where
+  /// callers wait for longer than the routes' timeouts imply: what a gateway
+  /// that starts after all were killed has to know.
+  std::map<ServiceName, Duration> LifetimesToSave(TimePoint aNow) const;
   /// Takes in what gateways knew before this one started.
-  void ApplyLifetimes(const std::map<ServiceName, Duration>& aLifetimes);
+  void ApplySavedLifetimes(const std::map<ServiceName, Duration>& aLifetimes);
   /// A request whose answer may be resumed is sent to a server.
   /// \param aLifetime how long its caller may resume it.
   void OnSent(StreamKey aKey,
@@ -189,6 +188,11 @@
   TimePoint outdatedSince{};
   /// Never shortened: streams that began under a longer bound may come back.
   std::map<ServiceName, Duration> lifetimes;
+  /// Those that follow from the time limits of callers: of this gateway, of
+  /// others, and as they were saved before the start.
+  std::map<ServiceName, Duration> ownLimits;
+  std::map<ServiceName, Duration> otherLimits;
+  std::map<ServiceName, Duration> savedLimits;
   /// Addresses of the other gateways by cell, the own one first.
   std::vector<std::vector<SocketAddress>> gatewaysByCell;
   std::vector<Query*> queries;
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -270,6 +270,8 @@
   std::vector<PackedShare> shares;
   std::vector<PackedOrigins> origins;
   std::vector<PackedPartEvidence> partEvidence;
+  /// In milliseconds, by service.
+  std::map<std::string, std::int64_t> streamLifetimes;
 
   MSGPACK_DEFINE_ARRAY(gateway,
                        incarnation,
@@ -294,7 +296,8 @@
                        ranks,
                        shares,
                        origins,
-                       partEvidence);
+                       partEvidence,
+                       streamLifetimes);
 };
 
 std::vector<PackedOrigins>
@@ -566,6 +569,9 @@
   PackRanks(aDigest.ranks, toPack);
   PackShares(aDigest.shares, toPack);
   toPack.origins = Pack(aDigest.origins);
+  for (const auto& [service, lifetime] : aDigest.streamLifetimes) {
+    toPack.streamLifetimes[service.Value()] = WholeMillis(lifetime);
+  }
   toPack.listSum = aDigest.list.checksum;
   toPack.listAgeMillis = aDigest.list.age.count();
   msgpack::sbuffer buffer;
@@ -627,6 +633,10 @@
   digest.ranks = UnpackRanks(std::move(read.ranks));
   digest.shares = UnpackShares(std::move(read.shares));
   digest.origins = Unpack(read.origins);
+  for (const auto& [service, millis] : read.streamLifetimes) {
+    digest.streamLifetimes[ServiceName(service)] =
+      StreamOrigins::LifetimeFromMillis(millis);
+  }
   UnpackCrashes(std::move(read), digest);
   return digest;
 }
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_GATEWAY_PEERDIGEST_H
 #define DOGWOODVALE_GATEWAY_PEERDIGEST_H
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,6 +85,9 @@
   std::vector<ShareUpdate> shares;
   /// What began the streams that callers may resume.
   std::vector<OriginUpdate> origins;
+  /// How long after their begin streams of a service may be resumed, where
+  /// callers of the sender wait for longer than its routes' timeouts imply.
+  std::map<ServiceName, Duration> streamLifetimes;
 };
 
 /// Serialises and authenticates a digest.
--- a/dogwoodvale/src/Gateway/WarmStart.cpp
+++ b/dogwoodvale/src/Gateway/WarmStart.cpp
@@ -62,7 +62,7 @@
   const std::size_t servers = std::max<std::size_t>(this->pool.Count(), 1);
   state.caches = this->pool.Caches().MostRecentlyUsed(
     std::min(WarmState::kMaxStepsPerServer, WarmState::kMaxSteps / servers));
-  state.streamLifetimes = this->origins.Lifetimes();
+  state.streamLifetimes = this->origins.LifetimesToSave(Now());
   return state;
 }
 
@@ -104,7 +104,7 @@
   this->directory.Roster().ApplyHints(state->gateways, now);
   this->directory.ApplyHints(state->instances, now);
   this->pool.Seed(state->services, now);
-  this->origins.ApplyLifetimes(state->streamLifetimes);
+  this->origins.ApplySavedLifetimes(state->streamLifetimes);
   this->caches = state->caches;
   this->SeedCaches();
 }
--- a/dogwoodvale/src/Gateway/WarmState.cpp
+++ b/dogwoodvale/src/Gateway/WarmState.cpp
@@ -197,11 +197,8 @@
     }
   }
   for (const auto& [service, millis] : aPacked.streamLifetimes) {
-    const std::int64_t longest =
-      std::chrono::duration_cast<milliseconds>(StreamOrigins::kMaxLifetime)
-        .count();
     aState.streamLifetimes[ServiceName(service)] =
-      milliseconds(std::clamp<std::int64_t>(millis, 0, longest));
+      StreamOrigins::LifetimeFromMillis(millis);
   }
   // DecodeModel checks the sums, as it does those of digests.
   for (PackedDecode& packed : aPacked.decode) {
--- a/dogwoodvale/src/Resumption/StreamOrigins.h
+++ b/dogwoodvale/src/Resumption/StreamOrigins.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODVALE_RESUMPTION_STREAMORIGINS_H
 #define DOGWOODVALE_RESUMPTION_STREAMORIGINS_H
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <span>
@@ -71,6 +72,13 @@
   static constexpr std::size_t kMaxRecords = 65'536;
   /// Bound on the lifetime of a record, whatever a caller's time limit is.
   static constexpr Duration kMaxLifetime = seconds(600);
+  /// A lifetime that another process states.
+  static Duration LifetimeFromMillis(std::int64_t aMillis)
+  {
+    constexpr std::int64_t kMost =
+      std::chrono::duration_cast<milliseconds>(kMaxLifetime).count();
+    return milliseconds(std::clamp<std::int64_t>(aMillis, 0, kMost));
+  }
 
 private:
   struct Record
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -365,6 +365,7 @@
     { 38, { ServiceName("s1"), "v1" }, milliseconds(39) },
     { 40, { ServiceName("s1"), "v2" }, milliseconds(41) },
   };
+  digest.streamLifetimes[ServiceName("s1")] = seconds(45);
   const std::string bytes = WriteDigest(digest, "secret");
   const auto read = ReadDigest(bytes, "secret");
   REQUIRE(read.ok());
@@ -388,6 +389,7 @@
   CHECK(read->ranks == digest.ranks);
   CHECK(read->shares == digest.shares);
   CHECK(read->origins == digest.origins);
+  CHECK(read->streamLifetimes == digest.streamLifetimes);
   CHECK_FALSE(ReadDigest(bytes, "another").ok());
   CHECK(rc::check([&bytes] {
     std::string changed = bytes;
@@ -476,12 +478,13 @@
   digest.shares = { { ServiceName("s"), {}, 1.5, 2 } };
   digest.origins = { { 5, { ServiceName("s"), "v1" }, milliseconds(6) } };
   digest.crashes.evidence = { { 7, 8, CrashWeight::Early, 9 } };
+  digest.streamLifetimes[ServiceName("s")] = seconds(10);
   const std::string bytes =
     WriteDigest(digest, "secret").substr(kKeyedDigestBytes);
   const auto whole = msgpack::unpack(bytes.data(), bytes.size());
   std::vector<msgpack::object> fields;
   whole.get().convert(fields);
-  constexpr std::size_t kAppended = 6;
+  constexpr std::size_t kAppended = 7;
   constexpr std::size_t kOlderFields = 18;
   REQUIRE(fields.size() == kOlderFields + kAppended);
   // From no appended field to all but one.
@@ -503,7 +506,8 @@
     CHECK(read->ranks.size() == (count > kOlderFields + 2 ? 1 : 0));
     CHECK(read->shares.size() == (count > kOlderFields + 3 ? 1 : 0));
     CHECK(read->origins.size() == (count > kOlderFields + 4 ? 1 : 0));
-    CHECK(read->crashes.IsEmpty());
+    CHECK(read->crashes.IsEmpty() == (count <= kOlderFields + 5));
+    CHECK(read->streamLifetimes.empty());
   }
 }
 
--- a/test/StreamVersions.cpp
+++ b/test/StreamVersions.cpp
@@ -348,8 +348,10 @@
     const VersionedSite::Stream other = site.Begin(gateway);
     REQUIRE(site.HasBegun(other));
   }
-  site.Run(milliseconds(2300));
-  site.timeLimit = seconds(2);
+  // With a saved state, servers that are not listed are kept for a while.
+  site.Run(milliseconds(isSaved ? 4800 : 2300));
+  // What is left of the limit tells nothing of the whole one.
+  site.timeLimit = milliseconds(500);
   for (std::size_t i = 0; i < kLongWaits; ++i) {
     REQUIRE_FALSE(streams[i].IsWhole());
     site.Resume(streams[i], (i + 1) % 2);
--- a/test/WarmStart.cpp
+++ b/test/WarmStart.cpp
@@ -86,12 +86,14 @@
 
 TEST_CASE("a warm state is read back as it was written", "[warm]")
 {
-  const WarmState state = SomeState();
+  WarmState state = SomeState();
+  state.streamLifetimes[ServiceName("s")] = seconds(45);
   const auto read = ReadWarmState(WriteWarmState(state, kSecret), kSecret);
   REQUIRE(read.ok());
   CHECK(read->instances == state.instances);
   CHECK(read->gateways == state.gateways);
   CHECK(read->caches == state.caches);
+  CHECK(read->streamLifetimes == state.streamLifetimes);
   REQUIRE(read->services.size() == 1);
   CHECK(read->services[0].reading.tokensPerMicro == 0.04);
   CHECK(read->services[0].interactivePeak == 12.0);
