--- a/soak/callers.py
+++ b/soak/callers.py
@@ -128,7 +128,7 @@
         until = answer.first().sent + self.patience_s
         for _ in range(self.tries):
             again = await self._take_up(answer)
-            if not again.can_resume():
+            if again.status == 200 and again.whole:
                 return
             if again.body:
                 answer = again
