--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace dogwoodvale::standins {
@@ -16,6 +17,7 @@
   "Dogwoodvale-Kv-Backup",  "Kv-From",
 };
 constexpr Duration kTick = milliseconds(1);
+constexpr std::uint64_t kMaxPadding = 4U << 20U;
 
 /// Whether a list of parts, "ID:TOKENS,ID:TOKENS", has the id before its last
 /// entry.
@@ -26,6 +28,20 @@
   return before.find("," + aId + ":") != std::string::npos;
 }
 
+/// The number that follows \p aName in a path's query, if any.
+std::optional<std::uint64_t>
+QueryNumber(std::string_view aPath, std::string_view aName)
+{
+  const std::size_t at = aPath.find(aName);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view text = aPath.substr(at + aName.size());
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<SealedEngine>>
@@ -181,12 +197,7 @@
 std::uint64_t
 SealedEngine::LastEventOf(const SealedRun& aRun) const
 {
-  constexpr std::string_view kEvents = "events=";
-  const std::size_t at = aRun.path.find(kEvents);
-  return at == std::string::npos
-           ? this->settings.events
-           : std::strtoull(
-               aRun.path.c_str() + at + kEvents.size(), nullptr, 10);
+  return QueryNumber(aRun.path, "events=").value_or(this->settings.events);
 }
 
 Duration
@@ -294,6 +305,9 @@
     Json::Value body;
     body["instance"] = this->settings.instance;
     body["id"] = run.id;
+    if (const auto padding = QueryNumber(run.path, "bytes=")) {
+      body["padding"] = std::string(std::min(*padding, kMaxPadding), 'x');
+    }
     aExchange.ReplyJson(this->faults.error ? 500 : 200, body);
     return true;
   }
--- a/standins/SealedEngine.h
+++ b/standins/SealedEngine.h
@@ -69,7 +69,8 @@
 /// event, and says when it has not run a request.
 ///
 /// A path that contains "/stream/" is answered by events, as many as a query
-/// "events=N" says. POST /standin/fault {"crash_after":N,"refuse":true,
+/// "events=N" says; other answers carry as many more bytes as "bytes=N" says.
+/// POST /standin/fault {"crash_after":N,"refuse":true,
 /// "error":true,"hang":true,"skip":true,"no_proof":true,"rate_limit":"2.5",
 /// "leaving":true,"retry_after":"1.5","load":"3,0,64,120","pause_ms":M,
 /// "pause_every":N,"work_ms":M,"clear":true}; GET /standin/record.
