Bound all that callers hold of a process's memory, and let holders yield

What callers saw: clients that send many chunked bodies at once and stop just short of their end end a process, as it runs out of memory; beside twelve such clients every ordinary request with a body is refused until the read timeout.

Cause: only the sizes of bodies were counted (an eighth of memory_mb). Not counted: receive buffers in the kernel (the system's own size for each socket, some 50 MiB of 200 connections), the capacity of strings that double and what is held while one is copied, heads as fields (32 KB of "a:" take half a megabyte), parsers, bytes behind a request, answers that nobody reads. What was freed stayed resident, as the allocator's thresholds grow with the largest block freed. At the limit the next request was refused, whoever held the memory.

Change: - MemoryBudget (Core, no I/O): everything that a connection holds is charged by capacity, a body's block before it is taken. At the limit those yield that hold the most bytes for the longest time without progress: requests that are being received get 503 (not run, Retry-After), unread answers are cut. The last quarter is for small holders, as requests at servers cannot yield. - BodyBuffer keeps a body in blocks and joins them once. - SocketBuffers gives each connection a receive buffer that becomes smaller as connections become more; the queue of connections not yet accepted is bounded. - LimitHeapRetention fixes the allocator's thresholds. - Shares of memory_mb stand in MemoryShares; connections have one too. The smallest memory_mb is 48 (16 before, where no body of the default size fitted and every one was refused): a finding with its place. An entry has memory_mb, default 2048. A gateway logs a configuration whose bodies can't fit. - A request that is sent is serialized without doubling its string. - Counters by reason, gauges, a log line a second at most.

The test of the bound on all bodies has larger figures, as heads and parsers count now; what it asks is the same.

--- a/daemon/dogwoodvaled.cpp
+++ b/daemon/dogwoodvaled.cpp
@@ -115,6 +115,7 @@
 int
 RunRole(const DaemonSettings& aSettings, const std::string& aPath)
 {
+  LimitHeapRetention();
   // A peer that closes while we write must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   auto loop = EventLoop::Create();
--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -87,6 +87,7 @@
   CallerBounds bounds;
   bounds.bodyBytes = this->settings.entry.maxRequestBytes;
   bounds.connections = this->settings.entry.maxConnections;
+  ApplyMemory(MemoryShares(this->settings.entry.memoryMegabytes), bounds);
   auto server = CallerServer::Create(
     this->loop, this->settings.entry.callers, bounds, *this);
   if (!server.ok()) {
--- a/dogwoodvale/src/Gateway/CallerLimits.cpp
+++ b/dogwoodvale/src/Gateway/CallerLimits.cpp
@@ -13,9 +13,6 @@
 /// Callers may use a connection up to that time; closing later avoids a race
 /// between their last request and the close.
 constexpr int kIdleTimeoutTenths = 13;
-/// Share of the process's memory for bodies of requests. A body that is sent to
-/// a server may be copied once.
-constexpr std::size_t kBodyMemoryDivisor = 8;
 constexpr Duration kMinReadTimeout = seconds(20);
 
 } // namespace
@@ -23,12 +20,11 @@
 CallerBounds
 BoundsOf(const CallerLimits& aLimits,
          std::uint32_t aDescriptors,
-         std::uint32_t aMemoryMegabytes)
+         const MemoryShares& aMemory)
 {
   CallerBounds bounds;
-  bounds.allBodyBytes =
-    (std::size_t(aMemoryMegabytes) << 20U) / kBodyMemoryDivisor;
   bounds.connections = aDescriptors / kDescriptorShareForCallers;
+  ApplyMemory(aMemory, bounds);
   if (aLimits.headerBytes > 0) {
     bounds.headerBytes = aLimits.headerBytes;
   }
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -24,14 +24,6 @@
 /// Share of the time in which a change has to be in force after which outdated
 /// routes are no longer used; the rest covers how long the news was on its way.
 constexpr double kOverdueShare = 0.75;
-/// Share of the process's memory for answers that are held until complete.
-constexpr std::size_t kAnswerMemoryDivisor = 8;
-
-std::size_t
-AnswerMemory(std::uint32_t aMegabytes)
-{
-  return (std::size_t(aMegabytes) << 20U) / kAnswerMemoryDivisor;
-}
 
 } // namespace
 
@@ -81,7 +73,7 @@
       },
       this->originArchive,
       aSettings.gateway.instanceDrain + DirectoryCache::kPeerContactTtl)
-  , answers(AnswerMemory(aSettings.gateway.memoryMegabytes))
+  , answers(MemoryShares(aSettings.gateway.memoryMegabytes).answers)
   , usage(aLoop,
           *this->ports.store,
           this->ports.usage.get(),
@@ -182,15 +174,38 @@
 CallerBounds
 Gateway::BoundsOf(const CallerLimits& aLimits) const
 {
-  return dogwoodvale::BoundsOf(aLimits,
-                               this->settings.gateway.descriptors,
-                               this->settings.gateway.memoryMegabytes);
+  return dogwoodvale::BoundsOf(
+    aLimits,
+    this->settings.gateway.descriptors,
+    MemoryShares(this->settings.gateway.memoryMegabytes));
+}
+
+void
+Gateway::ApplyCallerLimits(const CallerLimits& aLimits)
+{
+  const CallerBounds bounds = this->BoundsOf(aLimits);
+  this->callers->SetBounds(bounds);
+  const std::size_t largest =
+    MemoryShares(this->settings.gateway.memoryMegabytes).LargestBody();
+  if (bounds.bodyBytes > largest) {
+    Log(LogLevel::Error,
+        "body_limit_exceeds_memory",
+        "body_bytes",
+        bounds.bodyBytes,
+        "largest",
+        largest,
+        "memory_mb",
+        this->settings.gateway.memoryMegabytes);
+  }
 }
 
 void
 Gateway::Reload(const DaemonSettings& aSettings)
 {
   this->settings.gateway = aSettings.gateway;
+  const auto& routes = this->directory->Routes().Table();
+  this->ApplyCallerLimits(routes == nullptr ? CallerLimits{}
+                                            : routes->Limits());
   this->peers->SetSeeds(this->SeedAddresses());
   for (auto& [service, window] : this->retries) {
     window.SetSettings(
@@ -344,7 +359,7 @@
         WholeMillis(this->loopDelay.Last()));
   }
   this->catchUp.OnInForce(aRoutes->Version());
-  this->callers->SetBounds(this->BoundsOf(aRoutes->Limits()));
+  this->ApplyCallerLimits(aRoutes->Limits());
   this->pool.SetServices(aRoutes->Services());
 }
 
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -95,6 +95,8 @@
   /// Draws the interval between two reads of the list of backend servers.
   Duration InstanceReadPeriod();
   CallerBounds BoundsOf(const CallerLimits& aLimits) const;
+  /// Puts the limits in force, and logs a body that the memory can't hold.
+  void ApplyCallerLimits(const CallerLimits& aLimits);
   void RunMaintenance();
   /// Whether the list of backend servers has been read recently, and no other
   /// gateway is known to have a newer one.
--- a/dogwoodvale/src/Http/BackendClient.cpp
+++ b/dogwoodvale/src/Http/BackendClient.cpp
@@ -34,6 +34,19 @@
   });
 }
 
+/// Bytes that the headers take at most, with those that are added.
+std::size_t
+HeadSize(const HttpRequest& aRequest)
+{
+  constexpr std::size_t kAdded = 256;
+  constexpr std::size_t kBetween = 4;
+  std::size_t size = kAdded;
+  for (const HeaderField& field : aRequest.headers) {
+    size += field.name.size() + field.value.size() + kBetween;
+  }
+  return size;
+}
+
 absl::StatusOr<std::string>
 Serialize(const HttpRequest& aRequest, const std::string& aHost)
 {
@@ -42,6 +55,7 @@
   }
   std::string text =
     fmt::format("{} {} HTTP/1.1\r\n", aRequest.method, aRequest.path);
+  text.reserve(text.size() + HeadSize(aRequest) + aRequest.body.size());
   for (const HeaderField& field : WithoutHopByHop(aRequest.headers)) {
     if (!internal::IsSafeHeader(field)) {
       return absl::InvalidArgumentError("a header with control characters");
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -20,8 +20,14 @@
 
 /// How much a caller may send ahead while its request is answered.
 constexpr std::size_t kPipelineBytes = 64U << 10U;
-/// How long a closed answer waits for the caller to read it.
+/// How long a closed answer waits for the caller to read it, and how much the
+/// caller may send meanwhile.
 constexpr Duration kLinger = seconds(2);
+constexpr std::size_t kLingerBytes = 1U << 20U;
+/// A sender that stays below this, over any time, makes no progress.
+constexpr std::size_t kProgressBytes = 4096;
+/// A request's headers are copied where it is placed.
+constexpr std::size_t kHeadCopies = 2;
 
 timeval
 ToTimeval(Duration aDuration)
@@ -52,10 +58,13 @@
 
 CallerConnection::CallerConnection(EventLoop& aLoop,
                                    CallerConnectionOwner& aOwner,
-                                   int aDescriptor)
+                                   int aDescriptor,
+                                   std::size_t aSocketBytes)
   : owner(aOwner)
   , stream(
       bufferevent_socket_new(aLoop.Base(), aDescriptor, BEV_OPT_CLOSE_ON_FREE))
+  , socketBytes(aSocketBytes)
+  , receivedAt(Now())
   , timer(aLoop, [this] { this->OnTimer(); })
 {
   const int on = 1;
@@ -72,9 +81,9 @@
       static_cast<CallerConnection*>(aSelf)->OnEvent(aWhat);
     },
     this);
+  const CallerBounds& bounds = this->owner.Bounds();
   bufferevent_priority_set(this->stream,
                            static_cast<int>(EventPriority::Traffic));
-  const CallerBounds& bounds = this->owner.Bounds();
   bufferevent_setwatermark(this->stream,
                            EV_WRITE,
                            bounds.lowWaterBytes > 0 ? bounds.lowWaterBytes - 1
@@ -84,6 +93,14 @@
   // bound its answer would be held for ever.
   const timeval stall = ToTimeval(bounds.idleTimeout);
   bufferevent_set_timeouts(this->stream, nullptr, &stall);
+  this->outputWatch = evbuffer_add_cb(
+    bufferevent_get_output(this->stream),
+    [](evbuffer*, const evbuffer_cb_info* aInfo, void* aSelf) {
+      if (aInfo->n_deleted > 0) {
+        static_cast<CallerConnection*>(aSelf)->OnOutputTaken(aInfo->n_deleted);
+      }
+    },
+    this);
   bufferevent_enable(this->stream, EV_READ | EV_WRITE);
   this->timer.StartOnce(bounds.readTimeout);
 }
@@ -97,8 +114,11 @@
     if (this->phase == Phase::Closing) {
       this->DiscardInput();
     }
+    evbuffer_remove_cb_entry(bufferevent_get_output(this->stream),
+                             this->outputWatch);
     bufferevent_free(this->stream);
   }
+  this->owner.Memory().Remove(*this);
 }
 
 void
@@ -130,16 +150,23 @@
       // is not read does not show that the caller left. What comes early is
       // bounded: beyond that it is dropped and the connection closes after
       // this answer, which HTTP allows.
-      if (evbuffer_get_length(input) > kPipelineBytes) {
+      if (evbuffer_get_length(input) > kPipelineBytes ||
+          !this->UpdateBudget()) {
         this->mustClose = true;
       }
       if (this->mustClose) {
         evbuffer_drain(input, evbuffer_get_length(input));
+        this->UpdateBudget();
       }
       break;
     case Phase::Closing:
-    case Phase::Closed:
+      this->discardedBytes += evbuffer_get_length(input);
       evbuffer_drain(input, evbuffer_get_length(input));
+      if (this->discardedBytes > kLingerBytes) {
+        this->Close(true);
+      }
+      break;
+    case Phase::Closed:
       break;
   }
 }
@@ -157,15 +184,21 @@
       this->phase = Phase::Receiving;
       this->parser = std::make_unique<HttpParser>(
         HttpParser::Kind::Request, this->owner.Bounds().headerBytes, *this);
-      this->body.clear();
+      this->body.Start(0);
+      this->recentBytes = 0;
+      this->receivedAt = Now();
       this->timer.StartOnce(this->owner.Bounds().readTimeout);
     }
     const auto* bytes =
       reinterpret_cast<const char*>(evbuffer_pullup(input, ssize_t(size)));
     const std::size_t taken = this->parser->Run({ bytes, size });
     evbuffer_drain(input, taken);
+    this->OnProgress(taken);
     switch (this->parser->GetState()) {
       case HttpParser::State::Reading:
+        if (!this->UpdateBudget()) {
+          this->RefuseForMemory();
+        }
         break;
       case HttpParser::State::Complete:
         this->DeliverRequest();
@@ -192,10 +225,11 @@
   if (length && *length > this->owner.Bounds().bodyBytes) {
     return false;
   }
-  this->lacksMemory = length && !this->owner.HasRoomFor(*length);
+  this->lacksMemory = length && !this->owner.Memory().CanHold(*length);
   if (this->lacksMemory) {
     return false;
   }
+  this->body.Start(length.value_or(0));
   if (absl::EqualsIgnoreCase(
         ToAbsl(FindHeader(this->parser->Headers(), "expect")),
         "100-continue") &&
@@ -208,16 +242,15 @@
 bool
 CallerConnection::OnParsedBody(std::string_view aBytes)
 {
-  if (this->body.size() + aBytes.size() > this->owner.Bounds().bodyBytes) {
+  if (this->body.Size() + aBytes.size() > this->owner.Bounds().bodyBytes) {
     return false;
   }
-  this->lacksMemory = !this->owner.HasRoomFor(aBytes.size());
+  const std::size_t growth = this->body.GrowthFor(aBytes.size());
+  this->lacksMemory = growth > 0 && !this->UpdateBudget(growth);
   if (this->lacksMemory) {
     return false;
   }
-  this->body += aBytes;
-  this->countedBody += aBytes.size();
-  this->owner.OnBodyBytes(static_cast<std::ptrdiff_t>(aBytes.size()));
+  this->body.Append(aBytes);
   return true;
 }
 
@@ -225,12 +258,7 @@
 CallerConnection::RefuseBody()
 {
   if (this->lacksMemory) {
-    ++this->owner.MutableCounters().refusedForMemory;
-    const HeaderField wait{ "Retry-After", "1" };
-    this->Refuse(503,
-                 ErrorCode::QueueFull,
-                 "the bodies of other requests take all memory for them",
-                 { &wait, 1 });
+    this->RefuseForMemory();
     return;
   }
   ++this->owner.MutableCounters().tooLarge;
@@ -238,10 +266,87 @@
 }
 
 void
-CallerConnection::ReleaseBody()
+CallerConnection::RefuseForMemory()
+{
+  ++this->owner.MutableCounters().refusedForMemory;
+  const HeaderField wait{ "Retry-After", "1" };
+  this->Refuse(503,
+               ErrorCode::QueueFull,
+               "other requests take all memory for them",
+               { &wait, 1 });
+}
+
+void
+CallerConnection::ReleaseRequest()
+{
+  this->requestBytes = 0;
+  this->UpdateBudget();
+}
+
+std::size_t
+CallerConnection::HeldBytes() const
+{
+  if (this->stream == nullptr) {
+    return 0;
+  }
+  return this->requestBytes + this->body.Capacity() +
+         (this->parser == nullptr ? 0 : this->parser->HeldBytes()) +
+         evbuffer_get_length(bufferevent_get_input(this->stream)) +
+         this->PendingBytes();
+}
+
+bool
+CallerConnection::UpdateBudget(std::size_t aMore)
+{
+  const std::size_t bytes = this->HeldBytes() + aMore;
+  if (bytes == 0) {
+    this->owner.Memory().Remove(*this);
+    return true;
+  }
+  return this->owner.Memory().Set(*this, bytes);
+}
+
+void
+CallerConnection::OnProgress(std::size_t aBytes)
+{
+  this->recentBytes += aBytes;
+  if (this->recentBytes >= kProgressBytes) {
+    this->recentBytes = 0;
+    this->receivedAt = Now();
+  }
+}
+
+void
+CallerConnection::OnOutputTaken(std::size_t aBytes)
+{
+  if (aBytes >= kProgressBytes || this->PendingBytes() == 0) {
+    this->outputTakenAt = Now();
+  }
+  this->UpdateBudget();
+}
+
+MemoryBudget::Standing
+CallerConnection::Assess() const
+{
+  if (this->phase == Phase::Receiving) {
+    return { this->HeldBytes(), Between(this->receivedAt, Now()) };
+  }
+  const std::size_t pending = this->PendingBytes();
+  if (pending == 0) {
+    return {};
+  }
+  return { pending, Between(this->outputTakenAt, Now()) };
+}
+
+void
+CallerConnection::Yield()
 {
-  const std::size_t counted = std::exchange(this->countedBody, 0);
-  this->owner.OnBodyBytes(-static_cast<std::ptrdiff_t>(counted));
+  if (this->phase == Phase::Receiving) {
+    this->RefuseForMemory();
+    return;
+  }
+  ++this->owner.MutableCounters().unreadAnswers;
+  this->Close(true);
 }
 
 void
@@ -254,13 +359,15 @@
   this->mustClose = !this->parser->KeepsAlive();
   this->aboveLowWater = false;
   this->chunked = false;
+  this->requestBytes =
+    this->body.Capacity() + kHeadCopies * this->parser->HeadBytes();
   HttpRequest request{ this->parser->Method(),
                        this->parser->Path(),
                        std::move(this->parser->Headers()),
-                       std::move(this->body) };
+                       this->body.Take() };
   // The parser holds 8 KiB, too much for a connection that waits.
   this->parser.reset();
-  this->body = std::string();
+  this->UpdateBudget();
   ++this->owner.MutableCounters().requests;
   auto made = std::make_unique<CallerExchangeImpl>(*this, std::move(request));
   this->exchange = made.get();
@@ -280,8 +387,9 @@
     { aCode, Disposition::NotRun, std::string(aMessage), milliseconds(0) });
   std::vector<HeaderField> headers(aHeaders.begin(), aHeaders.end());
   headers.push_back({ "Content-Type", "application/json" });
-  this->body = std::string();
-  this->ReleaseBody();
+  this->body.Clear();
+  this->parser.reset();
+  this->ReleaseRequest();
   this->WriteHead(aStatus, headers, answer.size());
   this->Write(answer);
   this->StartClosing();
@@ -355,7 +463,11 @@
     rest.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
   }
   if (!rest.empty()) {
+    if (this->PendingBytes() == 0) {
+      this->outputTakenAt = Now();
+    }
     bufferevent_write(this->stream, rest.data(), rest.size());
+    this->UpdateBudget();
   }
   if (this->PendingBytes() > this->owner.Bounds().lowWaterBytes) {
     this->aboveLowWater = true;
@@ -369,7 +481,7 @@
     this->Write("0\r\n\r\n");
   }
   this->exchange = nullptr;
-  this->ReleaseBody();
+  this->ReleaseRequest();
   if (this->phase != Phase::Answering) {
     return;
   }
@@ -395,6 +507,7 @@
   this->timer.Stop();
   evbuffer* input = bufferevent_get_input(this->stream);
   evbuffer_drain(input, evbuffer_get_length(input));
+  this->UpdateBudget();
   if (this->PendingBytes() == 0) {
     this->OnWritable();
   }
@@ -467,7 +580,7 @@
 CallerConnection::Abort()
 {
   this->exchange = nullptr;
-  this->ReleaseBody();
+  this->ReleaseRequest();
   // A chunked answer shows by itself that it is incomplete, so that what the
   // caller has not received yet need not be lost with the connection.
   if (this->phase == Phase::Answering && this->chunked && !this->isHead) {
@@ -485,7 +598,6 @@
   }
   this->phase = Phase::Closed;
   this->timer.Stop();
-  this->ReleaseBody();
   if (aReset) {
     const linger now{ 1, 0 };
     setsockopt(bufferevent_getfd(this->stream),
@@ -494,8 +606,11 @@
                &now,
                sizeof(now));
   }
+  evbuffer_remove_cb_entry(bufferevent_get_output(this->stream),
+                           this->outputWatch);
   bufferevent_free(this->stream);
   this->stream = nullptr;
+  this->owner.Memory().Remove(*this);
   CallerExchangeImpl* open = std::exchange(this->exchange, nullptr);
   this->owner.Retire(*this);
   if (open != nullptr) {
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -4,10 +4,12 @@
 #include <memory>
 #include <optional>
 
+#include "BodyBuffer.h"
 #include "CallerServer.h"
 #include "HttpParser.h"
 
 struct bufferevent;
+struct evbuffer_cb_entry;
 
 namespace dogwoodvale::internal {
 
@@ -23,29 +25,36 @@
   virtual CallerServerCounters& MutableCounters() = 0;
   virtual CallerHandler& Handler() = 0;
   virtual bool IsStopping() const = 0;
-  /// Whether a body may grow by that much, for all that others hold.
-  virtual bool HasRoomFor(std::size_t aBodyBytes) const = 0;
-  /// A connection holds more of a body, or less.
-  virtual void OnBodyBytes(std::ptrdiff_t aChange) = 0;
+  /// What requests and answers of all connections hold.
+  virtual MemoryBudget& Memory() = 0;
   /// Forgets the connection; it is destroyed on the loop's next turn.
   virtual void Retire(CallerConnection& aConnection) = 0;
 };
 
 /// One caller's connection: reads requests one at a time and writes answers.
-class CallerConnection final : public HttpParserListener
+class CallerConnection final
+  : public HttpParserListener
+  , public MemoryBudget::Holder
 {
 public:
+  /// \param aSocketBytes receive buffer of its socket, for the owner.
   CallerConnection(EventLoop& aLoop,
                    CallerConnectionOwner& aOwner,
-                   int aDescriptor);
+                   int aDescriptor,
+                   std::size_t aSocketBytes);
   ~CallerConnection() override;
   CallerConnection(const CallerConnection&) = delete;
   CallerConnection& operator=(const CallerConnection&) = delete;
 
   /// Whether a request is being received or answered.
   bool IsBusy() const { return this->phase != Phase::Idle; }
+  std::size_t SocketBytes() const { return this->socketBytes; }
   /// Closes at once, telling the exchange's handler.
   void Drop();
+  /// A request that is being received may be refused, and a caller that leaves
+  /// its answer unread may lose it.
+  MemoryBudget::Standing Assess() const override;
+  void Yield() override;
   /// Whether the caller has closed its sending half or reset the connection.
   /// Asks the system, as its bytes may not all have been read.
   bool HasCallerClosed() const;
@@ -89,8 +98,17 @@
               std::span<const HeaderField> aHeaders = {});
   /// The body or head was refused by OnParsedHead() or OnParsedBody().
   void RefuseBody();
-  /// The body of the request is no longer needed.
-  void ReleaseBody();
+  void RefuseForMemory();
+  /// The request is no longer needed.
+  void ReleaseRequest();
+  /// Memory of the request, of bytes that came behind it and of its answer.
+  std::size_t HeldBytes() const;
+  /// Tells the budget what is held, and \p aMore that is about to be.
+  /// \return false if there is no room for it.
+  bool UpdateBudget(std::size_t aMore = 0);
+  /// Notes that bytes of the request came.
+  void OnProgress(std::size_t aBytes);
+  void OnOutputTaken(std::size_t aBytes);
   void StartClosing();
   /// Takes what the caller has sent and nobody will read: closing with unread
   /// bytes resets the connection and takes the end of the answer with it.
@@ -100,8 +118,10 @@
 
   CallerConnectionOwner& owner;
   bufferevent* stream;
+  evbuffer_cb_entry* outputWatch = nullptr;
+  std::size_t socketBytes;
   std::unique_ptr<HttpParser> parser;
-  std::string body;
+  BodyBuffer body;
   CallerExchangeImpl* exchange = nullptr;
   Phase phase = Phase::Idle;
   bool mustClose = false;
@@ -111,8 +131,14 @@
   bool aboveLowWater = false;
   bool finishedWriting = false;
   bool lacksMemory = false;
-  /// Bytes of the request's body that the owner counts.
-  std::size_t countedBody = 0;
+  /// Memory of the request that is being answered.
+  std::size_t requestBytes = 0;
+  /// Bytes read and thrown away since the connection began to close.
+  std::size_t discardedBytes = 0;
+  /// Received since receivedAt.
+  std::size_t recentBytes = 0;
+  TimePoint receivedAt{};
+  TimePoint outputTakenAt{};
   Timer timer;
 };
 
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -1,5 +1,7 @@
 #include "CallerServer.h"
 
+#include <algorithm>
+#include <array>
 #include <memory>
 
 #include <absl/container/flat_hash_map.h>
@@ -10,6 +12,7 @@
 
 #include "CallerConnection.h"
 #include "Graveyard.h"
+#include "SocketBuffers.h"
 #include "Sockets.h"
 
 namespace dogwoodvale {
@@ -20,6 +23,8 @@
 
 /// How long accepting pauses when the process has no descriptor left.
 constexpr Duration kAcceptPause = milliseconds(50);
+/// How often refusals for lack of memory or connections are logged.
+constexpr Duration kShortageLogPeriod = seconds(1);
 
 class CallerServerImpl final
   : public CallerServer
@@ -32,6 +37,8 @@
     : loop(aLoop)
     , bounds(aBounds)
     , handler(aHandler)
+    , memory(aBounds.memoryBytes)
+    , sockets(aBounds.socketBytes)
     , graveyard(aLoop)
     , resume(aLoop, [this] {
       if (this->listener != nullptr) {
@@ -50,11 +57,14 @@
         evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
         static_cast<CallerServerImpl*>(aSelf)->OnAccept(aSocket);
       },
-      this);
+      this,
+      this->Backlog());
     if (!made.ok()) {
       return made.status();
     }
     this->listener = std::move(*made);
+    internal::SetReceiveBuffer(evconnlistener_get_fd(this->listener.get()),
+                               internal::SocketBuffers::kLargest);
     this->address =
       internal::LocalAddress(evconnlistener_get_fd(this->listener.get()));
     // Out of descriptors: the listener stays readable, and without a pause the
@@ -100,21 +110,35 @@
           "Connections over the bound.",
           this->counters.refusedConnections);
     count("caller_refused_for_memory_total",
-          "Requests refused as the bodies of others take the memory for them.",
+          "Requests refused as others take the memory for them.",
           this->counters.refusedForMemory);
-    aWriter.Family("caller_body_bytes",
-                   "Bodies of requests that are received or answered.",
-                   MetricType::Gauge);
-    aWriter.Sample({}, std::uint64_t(this->bodyBytes));
-    aWriter.Family("caller_connections_open",
-                   "Connections of callers now.",
-                   MetricType::Gauge);
-    aWriter.Sample({}, std::uint64_t(this->connections.size()));
+    count("caller_unread_answers_total",
+          "Answers given up as their callers did not read them.",
+          this->counters.unreadAnswers);
+    const auto gauge =
+      [&](std::string_view aName, std::string_view aHelp, std::size_t aValue) {
+        aWriter.Family(aName, aHelp, MetricType::Gauge);
+        aWriter.Sample({}, std::uint64_t(aValue));
+      };
+    gauge("caller_memory_bytes",
+          "Memory of requests and of answers that callers have not taken.",
+          this->memory.Held());
+    gauge("caller_memory_limit_bytes",
+          "Limit of caller_memory_bytes.",
+          this->memory.Limit());
+    gauge("caller_socket_buffer_bytes",
+          "Receive buffers of the callers' sockets.",
+          this->sockets.Granted());
+    gauge("caller_connections_open",
+          "Connections of callers now.",
+          this->connections.size());
   }
 
   void SetBounds(const CallerBounds& aBounds) override
   {
     this->bounds = aBounds;
+    this->memory.SetLimit(aBounds.memoryBytes);
+    this->sockets.SetLimit(aBounds.socketBytes);
   }
 
   void AnnounceClosing() override { this->stopping = true; }
@@ -148,6 +172,8 @@
     return bytes;
   }
 
+  std::size_t HeldBytes() const override { return this->memory.Held(); }
+
   void CloseIdleConnections() override
   {
     std::vector<CallerConnection*> idle;
@@ -162,8 +188,19 @@
   }
 
 private:
+  /// Connections wait to be accepted with receive buffers of their own.
+  int Backlog() const
+  {
+    constexpr std::size_t kShortest = 128;
+    return static_cast<int>(
+      std::clamp(this->bounds.socketBytes / internal::SocketBuffers::kLargest,
+                 kShortest,
+                 std::size_t(internal::kLongestBacklog)));
+  }
+
   void OnAccept(int aSocket)
   {
+    this->LogShortage();
     if (this->connections.size() >= this->bounds.connections) {
       ++this->counters.refusedConnections;
       constexpr std::string_view kFull =
@@ -174,7 +211,12 @@
       return;
     }
     ++this->counters.connections;
-    auto made = std::make_unique<CallerConnection>(this->loop, *this, aSocket);
+    const std::size_t granted = this->sockets.Grant();
+    if (granted < internal::SocketBuffers::kLargest) {
+      internal::SetReceiveBuffer(aSocket, granted);
+    }
+    auto made =
+      std::make_unique<CallerConnection>(this->loop, *this, aSocket, granted);
     CallerConnection* key = made.get();
     this->connections.emplace(key, std::move(made));
   }
@@ -183,19 +225,49 @@
   CallerServerCounters& MutableCounters() override { return this->counters; }
   CallerHandler& Handler() override { return this->handler; }
   bool IsStopping() const override { return this->stopping; }
-  bool HasRoomFor(std::size_t aBodyBytes) const override
-  {
-    return this->bodyBytes + aBodyBytes <= this->bounds.allBodyBytes;
-  }
-  void OnBodyBytes(std::ptrdiff_t aChange) override
+  MemoryBudget& Memory() override { return this->memory; }
+
+  /// Logs, at most once in kShortageLogPeriod, what was refused meanwhile.
+  void LogShortage()
   {
-    this->bodyBytes += static_cast<std::size_t>(aChange);
+    const TimePoint now = Now();
+    const std::array<std::uint64_t, 3> refused{
+      this->counters.refusedForMemory,
+      this->counters.unreadAnswers,
+      this->counters.refusedConnections
+    };
+    if (refused == this->loggedRefusals ||
+        Between(this->shortageLoggedAt, now) < kShortageLogPeriod) {
+      return;
+    }
+    this->shortageLoggedAt = now;
+    const auto since = [&](std::size_t aIndex) {
+      return refused[aIndex] - this->loggedRefusals[aIndex];
+    };
+    Log(LogLevel::Warning,
+        "callers_short_of_room",
+        "address",
+        this->address.ToString(),
+        "refused_for_memory",
+        since(0),
+        "unread_answers",
+        since(1),
+        "refused_connections",
+        since(2),
+        "memory_bytes",
+        this->memory.Held(),
+        "memory_limit",
+        this->memory.Limit(),
+        "connections",
+        this->connections.size());
+    this->loggedRefusals = refused;
   }
 
   void Retire(CallerConnection& aConnection) override
   {
     const auto found = this->connections.find(&aConnection);
     if (found != this->connections.end()) {
+      this->sockets.Return(aConnection.SocketBytes());
       this->graveyard.Bury(std::move(found->second));
       this->connections.erase(found);
     }
@@ -207,8 +279,10 @@
   CallerServerCounters counters;
   SocketAddress address;
   bool stopping = false;
-  /// Held by all connections.
-  std::size_t bodyBytes = 0;
+  MemoryBudget memory;
+  internal::SocketBuffers sockets;
+  std::array<std::uint64_t, 3> loggedRefusals{};
+  TimePoint shortageLoggedAt{};
   internal::ListenerPointer listener{ nullptr, &evconnlistener_free };
   internal::Graveyard<CallerConnection> graveyard;
   absl::flat_hash_map<CallerConnection*, std::unique_ptr<CallerConnection>>
@@ -218,6 +292,15 @@
 
 } // namespace
 
+void
+ApplyMemory(const MemoryShares& aMemory, CallerBounds& aBounds)
+{
+  aBounds.memoryBytes = aMemory.requests;
+  aBounds.socketBytes = aMemory.sockets;
+  aBounds.connections = std::min(
+    aBounds.connections, aMemory.connections / MemoryShares::kConnection);
+}
+
 absl::StatusOr<std::unique_ptr<CallerServer>>
 CallerServer::Create(EventLoop& aLoop,
                      const SocketAddress& aAddress,
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -5,6 +5,7 @@
 
 #include "HttpMessage.h"
 #include "dogwoodvale/Metrics"
+#include "dogwoodvale/Settings"
 
 namespace dogwoodvale {
 
@@ -60,8 +61,13 @@
 {
   std::size_t headerBytes = 32U << 10U;
   std::size_t bodyBytes = 4U << 20U;
-  /// Bodies of all requests that are being received or answered.
-  std::size_t allBodyBytes = 256U << 20U;
+  /// Memory of all requests that are being received or answered, and of
+  /// answers that their callers have not taken. At the limit those yield that
+  /// hold the most for the longest time without progress.
+  std::size_t memoryBytes = 256U << 20U;
+  /// What may lie unread in the sockets of all connections together, beyond
+  /// SocketBuffers::kSmallest of each.
+  std::size_t socketBytes = 256U << 20U;
   std::size_t connections = 10000;
   /// Time for a whole request to arrive, against slow senders.
   Duration readTimeout = seconds(20);
@@ -69,6 +75,10 @@
   std::size_t lowWaterBytes = 64U << 10U;
 };
 
+/// Bounds what callers may take of the process's memory.
+void
+ApplyMemory(const MemoryShares& aMemory, CallerBounds& aBounds);
+
 /// What the server refused by itself.
 struct CallerServerCounters
 {
@@ -79,6 +89,8 @@
   std::uint64_t readTimeouts = 0;
   std::uint64_t refusedConnections = 0;
   std::uint64_t refusedForMemory = 0;
+  /// Answers given up as their callers did not read them.
+  std::uint64_t unreadAnswers = 0;
 };
 
 /// HTTP/1.1 server for callers, by libevhtp's parser.
@@ -110,6 +122,8 @@
   virtual std::size_t BusyConnections() const = 0;
   /// Bytes of answers that the callers' sockets have not taken.
   virtual std::size_t UnsentBytes() const = 0;
+  /// Memory of all requests and of answers that were not taken.
+  virtual std::size_t HeldBytes() const = 0;
   /// Closes the connections on which no request has begun; for the end of a
   /// planned stop.
   virtual void CloseIdleConnections() = 0;
--- a/dogwoodvale/src/Http/HttpParser.cpp
+++ b/dogwoodvale/src/Http/HttpParser.cpp
@@ -251,6 +251,7 @@
     this->state = State::TooLarge;
   } else if (whole) {
     const std::string all = std::exchange(this->head, {});
+    this->headSize = all.size();
     const std::string_view text = std::string_view(all).substr(blank);
     if (this->kind == Kind::Response && IsInterim(text)) {
       this->interimBytes += all.size();
@@ -304,6 +305,23 @@
   return std::min(count, aBytes.size());
 }
 
+std::size_t
+HttpParser::HeldBytes() const
+{
+  // Of htparser, whose size the library does not tell.
+  constexpr std::size_t kLibraryBytes = 9U << 10U;
+  return sizeof(HttpParser) + kLibraryBytes + this->head.capacity() +
+         this->HeadBytes();
+}
+
+std::size_t
+HttpParser::HeadBytes() const
+{
+  // Texts are counted as the head's own bytes: those that are short lie in the
+  // fields themselves.
+  return this->headSize + this->headers.capacity() * sizeof(HeaderField);
+}
+
 int
 HttpParser::Status() const
 {
--- a/dogwoodvale/src/Http/HttpParser.h
+++ b/dogwoodvale/src/Http/HttpParser.h
@@ -60,6 +60,10 @@
   std::size_t Run(std::string_view aBytes);
 
   State GetState() const { return this->state; }
+  /// Memory that the parser and what it has read of the head take.
+  std::size_t HeldBytes() const;
+  /// Of these, what is left with the fields that were read.
+  std::size_t HeadBytes() const;
   const std::string& Method() const { return this->method; }
   const std::string& Path() const { return this->path; }
   int Status() const;
@@ -93,6 +97,7 @@
   std::size_t interimBytes = 0;
   State state = State::Reading;
   bool headDone = false;
+  std::size_t headSize = 0;
   bool awaitsValue = false;
   bool hasTrailers = false;
   bool chunked = false;
--- a/dogwoodvale/src/Http/Sockets.cpp
+++ b/dogwoodvale/src/Http/Sockets.cpp
@@ -7,12 +7,6 @@
 
 namespace dogwoodvale::internal {
 
-namespace {
-
-constexpr int kBacklog = 1024;
-
-} // namespace
-
 absl::StatusOr<RawAddress>
 ToRawAddress(const SocketAddress& aAddress)
 {
@@ -58,7 +52,8 @@
 Listen(EventLoop& aLoop,
        const SocketAddress& aAddress,
        evconnlistener_cb aAccept,
-       void* aContext)
+       void* aContext,
+       int aBacklog)
 {
   auto raw = ToRawAddress(aAddress);
   if (!raw.ok()) {
@@ -70,7 +65,7 @@
                                                    LEV_OPT_CLOSE_ON_FREE |
                                                      LEV_OPT_REUSEABLE |
                                                      LEV_OPT_CLOSE_ON_EXEC,
-                                                   kBacklog,
+                                                   aBacklog,
                                                    raw->Get(),
                                                    static_cast<int>(raw->size)),
                            &evconnlistener_free);
@@ -83,4 +78,12 @@
   return listener;
 }
 
+void
+SetReceiveBuffer(int aSocket, std::size_t aBytes)
+{
+  // Linux doubles the value, to cover its own records of each segment.
+  const int bytes = static_cast<int>(aBytes / 2);
+  setsockopt(aSocket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 } // namespace dogwoodvale::internal
--- a/dogwoodvale/src/Http/Sockets.h
+++ b/dogwoodvale/src/Http/Sockets.h
@@ -33,12 +33,21 @@
 using ListenerPointer =
   std::unique_ptr<evconnlistener, void (*)(evconnlistener*)>;
 
+/// Longest queue of connections that are not accepted yet.
+inline constexpr int kLongestBacklog = 1024;
+
 /// Listens; accepted sockets are non-blocking and closed on exec.
 absl::StatusOr<ListenerPointer>
 Listen(EventLoop& aLoop,
        const SocketAddress& aAddress,
        evconnlistener_cb aAccept,
-       void* aContext);
+       void* aContext,
+       int aBacklog = kLongestBacklog);
+
+/// Bounds what may lie unread in a socket, or in each socket that a listening
+/// one accepts.
+void
+SetReceiveBuffer(int aSocket, std::size_t aBytes);
 
 } // namespace dogwoodvale::internal
 
--- a/dogwoodvale/src/Settings/DaemonSettings.cpp
+++ b/dogwoodvale/src/Settings/DaemonSettings.cpp
@@ -32,7 +32,7 @@
 constexpr NumberBounds kRetryExtra{ 0, 1'000'000 };
 constexpr NumberBounds kBoundMs{ 1, 3'600'000 };
 constexpr NumberBounds kDescriptors{ 64, 10'000'000 };
-constexpr NumberBounds kMemoryMb{ 16, 1'000'000 };
+constexpr NumberBounds kMemoryMb{ MemoryShares::kSmallest, 1'000'000 };
 
 constexpr NumberBounds kLeaseMs{ 1000, 600'000 };
 
@@ -107,6 +107,19 @@
   reader.Finish();
 }
 
+/// An upper limit on a count; a fraction is rounded down, which keeps it.
+void
+ReadCountLimit(ObjectReader& aReader,
+               std::string_view aKey,
+               NumberBounds aBounds,
+               std::uint32_t& aTarget)
+{
+  double value = 0;
+  if (aReader.ReadNumber(aKey, aBounds, value)) {
+    aTarget = static_cast<std::uint32_t>(value);
+  }
+}
+
 void
 ReadEntry(const ReadScope& aScope,
           const Json::Value& aValue,
@@ -124,7 +137,17 @@
   reader.ReadMilliseconds("drain_grace_ms", kDrainGraceMs, aEntry.drainGrace);
   reader.ReadInteger(
     "caller_buffer_bytes", kCallerBufferBytes, aEntry.callerBufferBytes);
+  ReadCountLimit(reader, "memory_mb", kMemoryMb, aEntry.memoryMegabytes);
   reader.Finish();
+  const MemoryShares memory(aEntry.memoryMegabytes);
+  if (aEntry.maxRequestBytes > memory.LargestBody()) {
+    aScope.Add(aValue,
+               fmt::format("\"max_request_bytes\" {} does not fit into "
+                           "\"memory_mb\" {}: at most {}",
+                           aEntry.maxRequestBytes,
+                           aEntry.memoryMegabytes,
+                           memory.LargestBody()));
+  }
 }
 
 /// A number of seconds, whole or not.
@@ -152,19 +175,6 @@
   }
 }
 
-/// An upper limit on a count; a fraction is rounded down, which keeps it.
-void
-ReadCountLimit(ObjectReader& aReader,
-               std::string_view aKey,
-               NumberBounds aBounds,
-               std::uint32_t& aTarget)
-{
-  double value = 0;
-  if (aReader.ReadNumber(aKey, aBounds, value)) {
-    aTarget = static_cast<std::uint32_t>(value);
-  }
-}
-
 void
 ReadDecisions(const ReadScope& aScope,
               const Json::Value& aValue,
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "MemoryShares.h"
 #include "dogwoodvale/Core"
 
 namespace dogwoodvale {
@@ -65,6 +66,8 @@
   int maxAttempts = 4;
   /// How long an entry that stops still accepts, so that the balancer notices.
   Duration drainGrace = seconds(2);
+  /// Memory that the process may use, in MiB.
+  std::uint32_t memoryMegabytes = 2048;
   /// Bound on answer bytes held for one slow caller.
   std::size_t callerBufferBytes = 256U << 10U;
 };
@@ -166,7 +169,7 @@
   Duration stopGrace = seconds(8);
   /// File descriptors that the process may hold.
   std::uint32_t descriptors = 4096;
-  /// Memory that the process may use.
+  /// Memory that the process may use, in MiB.
   std::uint32_t memoryMegabytes = 128;
   /// How backend servers are chosen, one of kGatewayChooserNames.
   std::string chooser = "expected_delay";
--- a/soak/crowd_clients.py
+++ b/soak/crowd_clients.py
@@ -140,6 +140,12 @@
     await asyncio.sleep(FOREVER_S)
 
 
+async def unread_metrics(c):
+    """Metrics, or refusals, that are asked for again and again and never read."""
+    while True:
+        await c.send(head("/metrics", key=False, method="GET") * 100)
+
+
 async def whole_bodies(c):
     """Whole bodies just below the bound, with a customer's key."""
     await c.send(head("/again/x", f"Content-Length: {c.limit - 1}"))
@@ -159,6 +165,9 @@
     await c.wait_for_close()
 
 
+# At the ports for operators and for other gateways.
+INNER_KINDS = {kind.__name__: kind for kind in (
+    large_chunk, tiny_chunks, declared_length, many_fields, silent, unread_metrics)}
 KINDS = {kind.__name__: kind for kind in (
     large_chunk, tiny_chunks, mixed_chunks, declared_length, slow_body, endless_lines,
     endless_heads, past_bound, early_bytes, many_fields, unread_answers, whole_bodies, resets, silent)}
@@ -169,7 +178,7 @@
 
     def __init__(self, port, kinds, count, limits, seed):
         self.port, (self.limit, self.head_limit) = port, limits
-        self.kinds = [KINDS[name] for name in kinds]
+        self.kinds = [(KINDS | INNER_KINDS)[name] for name in kinds]
         self.count, self.seed = count, seed
         self.opened = 0
         self.tasks = []
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -108,16 +108,16 @@
 TEST_CASE("bodies of many requests share a bound")
 {
   CallerBounds bounds;
-  bounds.bodyBytes = 1000;
-  bounds.allBodyBytes = 2500;
+  bounds.bodyBytes = 100'000;
+  bounds.memoryBytes = 400'000;
   Fixture f(bounds);
   const bool isChunked = GENERATE(false, true);
-  const std::string body(1000, 'x');
+  const std::string body(100'000, 'x');
   const std::string post =
     isChunked ? "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                "3e8\r\n" +
+                "186a0\r\n" +
                   body + "\r\n0\r\n\r\n"
-              : "POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" + body;
+              : "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + body;
   RawSocket first = f.Connect(post);
   RawSocket second = f.Connect(post);
   REQUIRE(f.HasRequests(2));
--- a/test/SettingsGateway.cpp
+++ b/test/SettingsGateway.cpp
@@ -279,3 +279,39 @@
     findings);
   CHECK_FALSE(findings.IsEmpty());
 }
+
+// Guards against settings under which no body as large as the default fits.
+TEST_CASE("a memory that can't hold one body is named with its place",
+          "[settings]")
+{
+  const auto findings = [](const std::string& aRole) {
+    Findings found;
+    std::string text = SettingsText(aRole);
+    if (aRole.starts_with("\"entry\"")) {
+      text.replace(text.find("\"gateway\""), 9, "\"entry\"");
+    }
+    ParseDaemonSettings(text, "s.json", found);
+    return found.Render();
+  };
+  CHECK(
+    findings(R"("gateway":{"callers":"127.0.0.1:3","memory_mb":48})").empty());
+  CHECK(MemoryShares(MemoryShares::kSmallest).LargestBody() >= 4U << 20U);
+  CHECK_THAT(findings(R"("gateway":{"callers":"127.0.0.1:3","memory_mb":47})"),
+             Catch::Contains("s.json:1:") && Catch::Contains("memory_mb"));
+  CHECK(findings(R"("entry":{"callers":"127.0.0.1:3"})").empty());
+  CHECK_THAT(findings(R"("entry":{"callers":"127.0.0.1:3","memory_mb":64,)"
+                      R"("max_request_bytes":100000000})"),
+             Catch::Contains("s.json:1:") &&
+               Catch::Contains("max_request_bytes"));
+}
+
+TEST_CASE("the shares of the memory fit into it", "[settings]")
+{
+  for (const std::uint32_t megabytes : { 48U, 88U, 110U, 512U, 1'000'000U }) {
+    const MemoryShares shares(megabytes);
+    // Requests may be copied once as they are sent.
+    const std::size_t sum = 2 * shares.requests + shares.sockets +
+                            shares.connections + shares.answers;
+    CHECK(sum <= (std::size_t(megabytes) << 20U) / 4 * 3);
+  }
+}
