Close a connection without a request for a new one

What callers saw: while a thousand connections that say nothing are open, every new connection is refused, for as long as the read timeout.

Cause: at the bound on connections the new one was refused, whoever held the others.

Change: the connection without a request to answer on which nothing has come for the longest time is closed for the new one; those that have had their last answer go first. A request that is being received gets 503 before. Only if all connections wait for answers, the new one is refused.

--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -325,6 +325,18 @@
   this->UpdateBudget();
 }
 
+std::optional<Duration>
+CallerConnection::SinceReceived() const
+{
+  if (this->phase == Phase::Answering) {
+    return std::nullopt;
+  }
+  if (this->finishedWriting) {
+    return Duration::max();
+  }
+  return Between(this->receivedAt, Now());
+}
+
 MemoryBudget::Standing
 CallerConnection::Assess() const
 {
@@ -349,6 +361,15 @@
   this->Close(true);
 }
 
+void
+CallerConnection::MakeWay()
+{
+  if (this->phase == Phase::Receiving) {
+    this->RefuseForMemory();
+  }
+  this->Drop();
+}
+
 void
 CallerConnection::DeliverRequest()
 {
@@ -490,6 +511,7 @@
     return;
   }
   this->phase = Phase::Idle;
+  this->receivedAt = Now();
   this->timer.StartOnce(this->owner.Bounds().idleTimeout);
   // A second request may lie here already, and no event of the socket's would
   // come for it. Deferred, so that no handler is called inside its own call.
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -51,6 +51,13 @@
   std::size_t SocketBytes() const { return this->socketBytes; }
   /// Closes at once, telling the exchange's handler.
   void Drop();
+  /// How long nothing has come of the request that is due: for ever, if the
+  /// last answer has been sent. Nothing while a request is answered.
+  std::optional<Duration> SinceReceived() const;
+  /// Closes a connection that has no request to answer. What has come of a
+  /// request is refused.
+  void MakeWay();
+
   /// A request that is being received may be refused, and a caller that leaves
   /// its answer unread may lose it.
   MemoryBudget::Standing Assess() const override;
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -115,6 +115,9 @@
     count("caller_unread_answers_total",
           "Answers given up as their callers did not read them.",
           this->counters.unreadAnswers);
+    count("caller_closed_for_new_total",
+          "Connections without a request that were closed for new ones.",
+          this->counters.closedForNew);
     const auto gauge =
       [&](std::string_view aName, std::string_view aHelp, std::size_t aValue) {
         aWriter.Family(aName, aHelp, MetricType::Gauge);
@@ -201,7 +204,8 @@
   void OnAccept(int aSocket)
   {
     this->LogShortage();
-    if (this->connections.size() >= this->bounds.connections) {
+    if (this->connections.size() >= this->bounds.connections &&
+        !this->CloseForNew()) {
       ++this->counters.refusedConnections;
       constexpr std::string_view kFull =
         "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -227,13 +231,35 @@
   bool IsStopping() const override { return this->stopping; }
   MemoryBudget& Memory() override { return this->memory; }
 
+  /// Closes the connection without a request to answer on which nothing has
+  /// come for the longest time. \return whether there was one.
+  bool CloseForNew()
+  {
+    CallerConnection* oldest = nullptr;
+    Duration longest{ -1 };
+    for (const auto& [key, connection] : this->connections) {
+      const std::optional<Duration> since = connection->SinceReceived();
+      if (since && *since > longest) {
+        longest = *since;
+        oldest = key;
+      }
+    }
+    if (oldest == nullptr) {
+      return false;
+    }
+    ++this->counters.closedForNew;
+    oldest->MakeWay();
+    return true;
+  }
+
   /// Logs, at most once in kShortageLogPeriod, what was refused meanwhile.
   void LogShortage()
   {
     const TimePoint now = Now();
-    const std::array<std::uint64_t, 3> refused{
+    const std::array<std::uint64_t, 4> refused{
       this->counters.refusedForMemory,
       this->counters.unreadAnswers,
+      this->counters.closedForNew,
       this->counters.refusedConnections
     };
     if (refused == this->loggedRefusals ||
@@ -252,8 +278,10 @@
         since(0),
         "unread_answers",
         since(1),
-        "refused_connections",
+        "closed_for_new",
         since(2),
+        "refused_connections",
+        since(3),
         "memory_bytes",
         this->memory.Held(),
         "memory_limit",
@@ -281,7 +309,7 @@
   bool stopping = false;
   MemoryBudget memory;
   internal::SocketBuffers sockets;
-  std::array<std::uint64_t, 3> loggedRefusals{};
+  std::array<std::uint64_t, 4> loggedRefusals{};
   TimePoint shortageLoggedAt{};
   internal::ListenerPointer listener{ nullptr, &evconnlistener_free };
   internal::Graveyard<CallerConnection> graveyard;
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -91,6 +91,8 @@
   std::uint64_t refusedForMemory = 0;
   /// Answers given up as their callers did not read them.
   std::uint64_t unreadAnswers = 0;
+  /// Connections without a request that were closed for new ones.
+  std::uint64_t closedForNew = 0;
 };
 
 /// HTTP/1.1 server for callers, by libevhtp's parser.
