Bound the ports for operators and other gateways

What callers saw: strangers at the port for operators or for other gateways that send unfinished bodies and ask for metrics that they don't read take the process to 550 MiB of 48, no ordinary request of a caller is answered, and the process does not end by SIGTERM within three graces.

Cause: evhttp's server has no bound on connections, on what they hold together or on answers that are not read; and these ports come before the traffic, so whoever keeps them busy keeps the loop from it.

Change: the operators' server is built on the server of callers, with a sixteenth of memory_mb a port, 256 connections, and a quarter of the loop's time (LoopShare): connections that have to wait are paused and go on in that order, each with one request a turn. Heads over 16 KiB get 431 in place of 400.

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -146,14 +146,15 @@
     this->origins,
     WarmStart::Options{ this->settings.gateway.decisions.warmStart,
                         this->settings.peerSecret });
-  auto operatorServer =
-    OperatorServer::Create(this->loop, this->settings.operators, *this);
+  const MemoryShares memory(this->settings.gateway.memoryMegabytes);
+  auto operatorServer = OperatorServer::Create(
+    this->loop, this->settings.operators, *this, memory.operators);
   if (!operatorServer.ok()) {
     return operatorServer.status();
   }
   this->operators = *std::move(operatorServer);
-  auto forPeers =
-    OperatorServer::Create(this->loop, this->settings.peers, *this);
+  auto forPeers = OperatorServer::Create(
+    this->loop, this->settings.peers, *this, memory.operators);
   if (!forPeers.ok()) {
     return forPeers.status();
   }
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -65,7 +65,10 @@
       bufferevent_socket_new(aLoop.Base(), aDescriptor, BEV_OPT_CLOSE_ON_FREE))
   , socketBytes(aSocketBytes)
   , receivedAt(Now())
-  , timer(aLoop, [this] { this->OnTimer(); })
+  , timer(
+      aLoop,
+      [this] { this->OnTimer(); },
+      aOwner.Bounds().priority)
 {
   const int on = 1;
   setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -82,8 +85,7 @@
     },
     this);
   const CallerBounds& bounds = this->owner.Bounds();
-  bufferevent_priority_set(this->stream,
-                           static_cast<int>(EventPriority::Traffic));
+  bufferevent_priority_set(this->stream, static_cast<int>(bounds.priority));
   bufferevent_setwatermark(this->stream,
                            EV_WRITE,
                            bounds.lowWaterBytes > 0 ? bounds.lowWaterBytes - 1
@@ -136,8 +138,44 @@
   }
 }
 
+void
+CallerConnection::PauseReading()
+{
+  this->readingPaused = true;
+  bufferevent_disable(this->stream, EV_READ);
+}
+
+void
+CallerConnection::ResumeReading()
+{
+  this->readingPaused = false;
+  bufferevent_enable(this->stream, EV_READ);
+  this->HandleLater();
+}
+
+void
+CallerConnection::HandleLater()
+{
+  // No event of the socket's comes for what lies here already. Deferred, so
+  // that no handler is called inside its own call.
+  if (evbuffer_get_length(bufferevent_get_input(this->stream)) > 0) {
+    bufferevent_trigger(this->stream,
+                        EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
 void
 CallerConnection::OnReadable()
+{
+  if (this->phase != Phase::Closed && this->owner.BeginTurn(*this)) {
+    this->HandleInput();
+    this->owner.EndTurn();
+  }
+}
+
+void
+CallerConnection::HandleInput()
 {
   evbuffer* input = bufferevent_get_input(this->stream);
   switch (this->phase) {
@@ -202,6 +240,9 @@
         break;
       case HttpParser::State::Complete:
         this->DeliverRequest();
+        if (this->owner.Bounds().loopShare < 1) {
+          return;
+        }
         break;
       case HttpParser::State::Stopped:
         this->RefuseBody();
@@ -513,13 +554,7 @@
   this->phase = Phase::Idle;
   this->receivedAt = Now();
   this->timer.StartOnce(this->owner.Bounds().idleTimeout);
-  // A second request may lie here already, and no event of the socket's would
-  // come for it. Deferred, so that no handler is called inside its own call.
-  if (evbuffer_get_length(bufferevent_get_input(this->stream)) > 0) {
-    bufferevent_trigger(this->stream,
-                        EV_READ,
-                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
-  }
+  this->HandleLater();
 }
 
 void
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -27,6 +27,10 @@
   virtual bool IsStopping() const = 0;
   /// What requests and answers of all connections hold.
   virtual MemoryBudget& Memory() = 0;
+  /// Whether the connection may read now; if not, it pauses reading until
+  /// ResumeReading().
+  virtual bool BeginTurn(CallerConnection& aConnection) = 0;
+  virtual void EndTurn() = 0;
   /// Forgets the connection; it is destroyed on the loop's next turn.
   virtual void Retire(CallerConnection& aConnection) = 0;
 };
@@ -49,6 +53,9 @@
   /// Whether a request is being received or answered.
   bool IsBusy() const { return this->phase != Phase::Idle; }
   std::size_t SocketBytes() const { return this->socketBytes; }
+  bool IsReadingPaused() const { return this->readingPaused; }
+  void PauseReading();
+  void ResumeReading();
   /// Closes at once, telling the exchange's handler.
   void Drop();
   /// How long nothing has come of the request that is due: for ever, if the
@@ -92,6 +99,9 @@
   bool OnParsedBody(std::string_view aBytes) override;
 
   void OnReadable();
+  void HandleInput();
+  /// Handles what has been read already on the loop's next turn.
+  void HandleLater();
   void OnWritable();
   void OnEvent(short aWhat);
   void OnTimer();
@@ -138,6 +148,7 @@
   bool aboveLowWater = false;
   bool finishedWriting = false;
   bool lacksMemory = false;
+  bool readingPaused = false;
   /// Memory of the request that is being answered.
   std::size_t requestBytes = 0;
   /// Bytes read and thrown away since the connection began to close.
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <memory>
 
 #include <absl/container/flat_hash_map.h>
@@ -12,6 +13,7 @@
 
 #include "CallerConnection.h"
 #include "Graveyard.h"
+#include "LoopShare.h"
 #include "SocketBuffers.h"
 #include "Sockets.h"
 
@@ -23,6 +25,9 @@
 
 /// How long accepting pauses when the process has no descriptor left.
 constexpr Duration kAcceptPause = milliseconds(50);
+/// Connections that go on together after a pause, and the time between these.
+constexpr std::size_t kResumedTogether = 16;
+constexpr Duration kResumePeriod = milliseconds(5);
 /// How often refusals for lack of memory or connections are logged.
 constexpr Duration kShortageLogPeriod = seconds(1);
 
@@ -39,12 +44,15 @@
     , handler(aHandler)
     , memory(aBounds.memoryBytes)
     , sockets(aBounds.socketBytes)
+    , share(aBounds.loopShare)
     , graveyard(aLoop)
-    , resume(aLoop, [this] {
-      if (this->listener != nullptr) {
-        evconnlistener_enable(this->listener.get());
-      }
-    })
+    , resume(aLoop,
+             [this] {
+               if (this->listener != nullptr) {
+                 evconnlistener_enable(this->listener.get());
+               }
+             })
+    , resumeReading(aLoop, [this] { this->ResumePaused(); })
   {
   }
 
@@ -203,7 +211,25 @@
 
   void OnAccept(int aSocket)
   {
+    const TimePoint begin = Now();
     this->LogShortage();
+    this->Accept(aSocket);
+    if (this->share.IsBounded()) {
+      this->share.OnTurn(begin, Now());
+      this->PauseAccepting(this->share.UntilNextTurn(Now()));
+    }
+  }
+
+  void PauseAccepting(Duration aTime)
+  {
+    if (aTime > Duration(0) && this->listener != nullptr) {
+      evconnlistener_disable(this->listener.get());
+      this->resume.StartOnce(aTime);
+    }
+  }
+
+  void Accept(int aSocket)
+  {
     if (this->connections.size() >= this->bounds.connections &&
         !this->CloseForNew()) {
       ++this->counters.refusedConnections;
@@ -231,6 +257,47 @@
   bool IsStopping() const override { return this->stopping; }
   MemoryBudget& Memory() override { return this->memory; }
 
+  bool BeginTurn(CallerConnection& aConnection) override
+  {
+    if (!this->share.IsBounded()) {
+      return true;
+    }
+    if (aConnection.IsReadingPaused()) {
+      return false;
+    }
+    this->turnBegan = Now();
+    const Duration wait = this->share.UntilNextTurn(this->turnBegan);
+    if (wait <= Duration(0)) {
+      return true;
+    }
+    aConnection.PauseReading();
+    this->paused.push_back(&aConnection);
+    if (!this->resumeReading.IsPending()) {
+      this->resumeReading.StartOnce(std::max(wait, kResumePeriod));
+    }
+    return false;
+  }
+
+  void EndTurn() override
+  {
+    if (this->share.IsBounded()) {
+      this->share.OnTurn(this->turnBegan, Now());
+    }
+  }
+
+  void ResumePaused()
+  {
+    for (std::size_t i = 0; i < kResumedTogether && !this->paused.empty();
+         ++i) {
+      CallerConnection* next = this->paused.front();
+      this->paused.pop_front();
+      next->ResumeReading();
+    }
+    if (!this->paused.empty()) {
+      this->resumeReading.StartOnce(kResumePeriod);
+    }
+  }
+
   /// Closes the connection without a request to answer on which nothing has
   /// come for the longest time. \return whether there was one.
   bool CloseForNew()
@@ -296,6 +363,7 @@
     const auto found = this->connections.find(&aConnection);
     if (found != this->connections.end()) {
       this->sockets.Return(aConnection.SocketBytes());
+      std::erase(this->paused, &aConnection);
       this->graveyard.Bury(std::move(found->second));
       this->connections.erase(found);
     }
@@ -309,6 +377,10 @@
   bool stopping = false;
   MemoryBudget memory;
   internal::SocketBuffers sockets;
+  internal::LoopShare share;
+  TimePoint turnBegan{};
+  /// Connections that wait for the server's share of the loop, oldest first.
+  std::deque<CallerConnection*> paused;
   std::array<std::uint64_t, 4> loggedRefusals{};
   TimePoint shortageLoggedAt{};
   internal::ListenerPointer listener{ nullptr, &evconnlistener_free };
@@ -316,6 +388,7 @@
   absl::flat_hash_map<CallerConnection*, std::unique_ptr<CallerConnection>>
     connections;
   Timer resume;
+  Timer resumeReading;
 };
 
 } // namespace
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -73,6 +73,11 @@
   Duration readTimeout = seconds(20);
   Duration idleTimeout = seconds(75);
   std::size_t lowWaterBytes = 64U << 10U;
+  /// Of the connections' events.
+  EventPriority priority = EventPriority::Traffic;
+  /// Share of the loop's time that they may take; below 1 each connection also
+  /// handles one request a turn.
+  double loopShare = 1;
 };
 
 /// Bounds what callers may take of the process's memory.
--- a/dogwoodvale/src/Http/OperatorServer.cpp
+++ b/dogwoodvale/src/Http/OperatorServer.cpp
@@ -1,96 +1,72 @@
 #include "OperatorServer.h"
 
-#include <event2/buffer.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-
-#include "Sockets.h"
+#include "CallerServer.h"
 
 namespace dogwoodvale {
 
 namespace {
 
-constexpr std::size_t kMaxHeaderBytes = 16U << 10U;
-constexpr std::size_t kMaxBodyBytes = 1U << 20U;
-constexpr int kTimeoutSeconds = 10;
+constexpr int kNotImplemented = 501;
 
-HttpRequest
-ToHttpRequest(evhttp_request* aRequest)
+CallerBounds
+BoundsWithin(std::size_t aMemoryBytes)
 {
-  HttpRequest request;
-  request.method =
-    evhttp_request_get_command(aRequest) == EVHTTP_REQ_POST ? "POST" : "GET";
-  request.path = evhttp_request_get_uri(aRequest);
-  evkeyvalq* headers = evhttp_request_get_input_headers(aRequest);
-  for (evkeyval* field = headers->tqh_first; field != nullptr;
-       field = field->next.tqe_next) {
-    request.headers.push_back({ field->key, field->value });
-  }
-  evbuffer* body = evhttp_request_get_input_buffer(aRequest);
-  request.body.resize(evbuffer_get_length(body));
-  evbuffer_remove(body, request.body.data(), request.body.size());
-  return request;
+  CallerBounds bounds;
+  bounds.headerBytes = 16U << 10U;
+  bounds.bodyBytes = 1U << 20U;
+  bounds.connections = 256;
+  bounds.readTimeout = seconds(10);
+  bounds.idleTimeout = seconds(10);
+  bounds.memoryBytes = aMemoryBytes;
+  bounds.socketBytes = 1U << 20U;
+  bounds.priority = EventPriority::Control;
+  // Strangers must not keep the loop from its traffic.
+  bounds.loopShare = 0.25;
+  return bounds;
 }
 
-class OperatorServerImpl final : public OperatorServer
+class OperatorServerImpl final
+  : public OperatorServer
+  , public CallerHandler
 {
 public:
-  OperatorServerImpl(EventLoop& aLoop, OperatorHandler& aHandler)
+  explicit OperatorServerImpl(OperatorHandler& aHandler)
     : handler(aHandler)
-    , server(evhttp_new(aLoop.Base()), &evhttp_free)
   {
-    evhttp_set_max_headers_size(this->server.get(), kMaxHeaderBytes);
-    evhttp_set_max_body_size(this->server.get(), kMaxBodyBytes);
-    evhttp_set_timeout(this->server.get(), kTimeoutSeconds);
-    evhttp_set_allowed_methods(this->server.get(),
-                               EVHTTP_REQ_GET | EVHTTP_REQ_POST);
-    evhttp_set_gencb(
-      this->server.get(),
-      [](evhttp_request* aRequest, void* aSelf) {
-        static_cast<OperatorServerImpl*>(aSelf)->Answer(aRequest);
-      },
-      this);
   }
 
-  absl::Status Listen(EventLoop& aLoop, const SocketAddress& aAddress)
+  absl::Status Listen(EventLoop& aLoop,
+                      const SocketAddress& aAddress,
+                      std::size_t aMemoryBytes)
   {
-    auto listener = internal::Listen(aLoop, aAddress, nullptr, nullptr);
-    if (!listener.ok()) {
-      return listener.status();
-    }
-    this->address =
-      internal::LocalAddress(evconnlistener_get_fd(listener->get()));
-    // evhttp owns the listener from here on.
-    if (evhttp_bind_listener(this->server.get(), listener->get()) == nullptr) {
-      return absl::InternalError("evhttp took no listener");
+    auto made =
+      CallerServer::Create(aLoop, aAddress, BoundsWithin(aMemoryBytes), *this);
+    if (!made.ok()) {
+      return made.status();
     }
-    static_cast<void>(listener->release());
+    this->server = *std::move(made);
     return absl::OkStatus();
   }
 
-  SocketAddress Address() const override { return this->address; }
+  SocketAddress Address() const override { return this->server->Address(); }
 
-private:
-  void Answer(evhttp_request* aRequest)
+  void OnRequest(std::unique_ptr<CallerExchange> aExchange) override
   {
-    const OperatorResponse response = this->Route(ToHttpRequest(aRequest));
-    evhttp_add_header(evhttp_request_get_output_headers(aRequest),
-                      "Content-Type",
-                      response.contentType.c_str());
+    const OperatorResponse response = this->Route(aExchange->Request());
+    std::vector<HeaderField> headers{ { "Content-Type",
+                                        response.contentType } };
     if (!response.contentEncoding.empty()) {
-      evhttp_add_header(evhttp_request_get_output_headers(aRequest),
-                        "Content-Encoding",
-                        response.contentEncoding.c_str());
+      headers.push_back({ "Content-Encoding", response.contentEncoding });
     }
-    evbuffer_add(evhttp_request_get_output_buffer(aRequest),
-                 response.body.data(),
-                 response.body.size());
-    evhttp_send_reply(aRequest, response.status, nullptr, nullptr);
+    aExchange->Respond(response.status, headers, response.body);
   }
 
+private:
   OperatorResponse Route(const HttpRequest& aRequest)
   {
+    if (aRequest.method != "GET" && aRequest.method != "POST") {
+      return { .status = kNotImplemented, .body = "method not implemented\n" };
+    }
     const std::string path = aRequest.path.substr(0, aRequest.path.find('?'));
     if (path == "/metrics") {
       return { 200,
@@ -113,8 +89,7 @@
   }
 
   OperatorHandler& handler;
-  std::unique_ptr<evhttp, void (*)(evhttp*)> server;
-  SocketAddress address;
+  std::unique_ptr<CallerServer> server;
 };
 
 } // namespace
@@ -128,10 +103,12 @@
 absl::StatusOr<std::unique_ptr<OperatorServer>>
 OperatorServer::Create(EventLoop& aLoop,
                        const SocketAddress& aAddress,
-                       OperatorHandler& aHandler)
+                       OperatorHandler& aHandler,
+                       std::size_t aMemoryBytes)
 {
-  auto server = std::make_unique<OperatorServerImpl>(aLoop, aHandler);
-  if (absl::Status status = server->Listen(aLoop, aAddress); !status.ok()) {
+  auto server = std::make_unique<OperatorServerImpl>(aHandler);
+  if (absl::Status status = server->Listen(aLoop, aAddress, aMemoryBytes);
+      !status.ok()) {
     return status;
   }
   return server;
--- a/dogwoodvale/src/Http/OperatorServer.h
+++ b/dogwoodvale/src/Http/OperatorServer.h
@@ -32,14 +32,18 @@
   virtual OperatorResponse Other(const HttpRequest& aRequest);
 };
 
-/// Serves /metrics, /healthz, /readyz and /statusz by evhttp.
+/// Serves /metrics, /healthz, /readyz and /statusz, before the traffic.
 class OperatorServer
 {
 public:
+  /// For requests, and for answers that are not read.
+  static constexpr std::size_t kMemoryBytes = 16U << 20U;
+
   static absl::StatusOr<std::unique_ptr<OperatorServer>> Create(
     EventLoop& aLoop,
     const SocketAddress& aAddress,
-    OperatorHandler& aHandler);
+    OperatorHandler& aHandler,
+    std::size_t aMemoryBytes = kMemoryBytes);
   virtual ~OperatorServer() = default;
   virtual SocketAddress Address() const = 0;
 };
--- a/dogwoodvale/src/Settings/MemoryShares.cpp
+++ b/dogwoodvale/src/Settings/MemoryShares.cpp
@@ -18,6 +18,7 @@
   , sockets(this->requests)
   , connections(this->requests)
   , answers(this->requests)
+  , operators(this->requests / 2)
 {
 }
 
--- a/dogwoodvale/src/Settings/MemoryShares.h
+++ b/dogwoodvale/src/Settings/MemoryShares.h
@@ -22,6 +22,9 @@
   std::size_t connections;
   /// Answers that are held until they are complete.
   std::size_t answers;
+  /// Requests and answers at the port for operators, and as much again at the
+  /// port for other gateways.
+  std::size_t operators;
 
   /// The largest body that fits while nothing else is held.
   std::size_t LargestBody() const;
