--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -24,7 +24,7 @@
 /// caller may send meanwhile.
 constexpr Duration kLinger = seconds(2);
 constexpr std::size_t kLingerBytes = 1U << 20U;
-/// A sender that stays below this, over any time, makes no progress.
+/// A caller makes progress each time that it has sent, or taken, this much.
 constexpr std::size_t kProgressBytes = 4096;
 /// A request's headers are copied where it is placed.
 constexpr std::size_t kHeadCopies = 2;
@@ -324,22 +324,24 @@
   this->UpdateBudget();
 }
 
-std::size_t
-CallerConnection::HeldBytes() const
+CallerMemory
+CallerConnection::Memory() const
 {
-  if (this->stream == nullptr) {
-    return 0;
+  CallerMemory memory;
+  if (this->stream != nullptr) {
+    memory.heads = this->parser == nullptr ? 0 : this->parser->HeldBytes();
+    memory.bodies = this->body.Capacity();
+    memory.requests = this->requestBytes;
+    memory.input = evbuffer_get_length(bufferevent_get_input(this->stream));
+    memory.answers = this->PendingBytes();
   }
-  return this->requestBytes + this->body.Capacity() +
-         (this->parser == nullptr ? 0 : this->parser->HeldBytes()) +
-         evbuffer_get_length(bufferevent_get_input(this->stream)) +
-         this->PendingBytes();
+  return memory;
 }
 
 bool
 CallerConnection::UpdateBudget(std::size_t aMore)
 {
-  const std::size_t bytes = this->HeldBytes() + aMore;
+  const std::size_t bytes = this->Memory().Sum() + aMore;
   if (bytes == 0) {
     this->owner.Memory().Remove(*this);
     return true;
@@ -360,7 +362,9 @@
 void
 CallerConnection::OnOutputTaken(std::size_t aBytes)
 {
-  if (aBytes >= kProgressBytes || this->PendingBytes() == 0) {
+  this->recentOutput += aBytes;
+  if (this->recentOutput >= kProgressBytes) {
+    this->recentOutput = 0;
     this->outputTakenAt = Now();
   }
   this->UpdateBudget();
@@ -382,7 +386,7 @@
 CallerConnection::Assess() const
 {
   if (this->phase == Phase::Receiving) {
-    return { this->HeldBytes(), Between(this->receivedAt, Now()) };
+    return { this->Memory().Sum(), Between(this->receivedAt, Now()) };
   }
   const std::size_t pending = this->PendingBytes();
   if (pending == 0) {
@@ -526,6 +530,7 @@
   }
   if (!rest.empty()) {
     if (this->PendingBytes() == 0) {
+      this->recentOutput = 0;
       this->outputTakenAt = Now();
     }
     bufferevent_write(this->stream, rest.data(), rest.size());
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -35,6 +35,35 @@
   virtual void Retire(CallerConnection& aConnection) = 0;
 };
 
+/// Memory of one connection by what it is for, or the sum of many.
+struct CallerMemory
+{
+  /// Heads that are being read, with their parsers.
+  std::size_t heads = 0;
+  std::size_t bodies = 0;
+  /// Requests that are being answered.
+  std::size_t requests = 0;
+  /// Bytes that came and are not parsed yet.
+  std::size_t input = 0;
+  /// Answers that the caller has not taken.
+  std::size_t answers = 0;
+
+  std::size_t Sum() const
+  {
+    return this->heads + this->bodies + this->requests + this->input +
+           this->answers;
+  }
+  CallerMemory& operator+=(const CallerMemory& aOther)
+  {
+    this->heads += aOther.heads;
+    this->bodies += aOther.bodies;
+    this->requests += aOther.requests;
+    this->input += aOther.input;
+    this->answers += aOther.answers;
+    return *this;
+  }
+};
+
 /// One caller's connection: reads requests one at a time and writes answers.
 class CallerConnection final
   : public HttpParserListener
@@ -53,6 +82,7 @@
   /// Whether a request is being received or answered.
   bool IsBusy() const { return this->phase != Phase::Idle; }
   std::size_t SocketBytes() const { return this->socketBytes; }
+  CallerMemory Memory() const;
   bool IsReadingPaused() const { return this->readingPaused; }
   void PauseReading();
   void ResumeReading();
@@ -118,8 +148,6 @@
   void RefuseForMemory();
   /// The request is no longer needed.
   void ReleaseRequest();
-  /// Memory of the request, of bytes that came behind it and of its answer.
-  std::size_t HeldBytes() const;
   /// Tells the budget what is held, and \p aMore that is about to be.
   /// \return false if there is no room for it.
   bool UpdateBudget(std::size_t aMore = 0);
@@ -156,6 +184,8 @@
   /// Received since receivedAt.
   std::size_t recentBytes = 0;
   TimePoint receivedAt{};
+  /// Taken by the caller's socket since outputTakenAt.
+  std::size_t recentOutput = 0;
   TimePoint outputTakenAt{};
   Timer timer;
 };
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -131,9 +131,7 @@
         aWriter.Family(aName, aHelp, MetricType::Gauge);
         aWriter.Sample({}, std::uint64_t(aValue));
       };
-    gauge("caller_memory_bytes",
-          "Memory of requests and of answers that callers have not taken.",
-          this->memory.Held());
+    this->WriteMemory(aWriter);
     gauge("caller_memory_limit_bytes",
           "Limit of caller_memory_bytes.",
           this->memory.Limit());
@@ -145,6 +143,29 @@
           this->connections.size());
   }
 
+  void WriteMemory(PrometheusWriter& aWriter) const
+  {
+    internal::CallerMemory sum;
+    for (const auto& [key, connection] : this->connections) {
+      sum += connection->Memory();
+    }
+    aWriter.Family("caller_memory_bytes",
+                   "Memory of requests and of answers that callers have not "
+                   "taken, by what it is for.",
+                   MetricType::Gauge);
+    const std::array<std::pair<std::string_view, std::size_t>, 5> parts{
+      { { "heads", sum.heads },
+        { "bodies", sum.bodies },
+        { "requests", sum.requests },
+        { "input", sum.input },
+        { "answers", sum.answers } }
+    };
+    for (const auto& [part, bytes] : parts) {
+      const Label label{ "reason", part };
+      aWriter.Sample({ &label, 1 }, std::uint64_t(bytes));
+    }
+  }
+
   void SetBounds(const CallerBounds& aBounds) override
   {
     this->bounds = aBounds;
--- a/dogwoodvale/src/Settings/DaemonSettings.h
+++ b/dogwoodvale/src/Settings/DaemonSettings.h
@@ -51,6 +51,8 @@
   Duration storeTimeout = milliseconds(1000);
   /// Bound on this process's own calls to the store.
   double storeCallsPerSecond = 20;
+
+  bool operator==(const PlatformSettings&) const = default;
 };
 
 /// Settings of an entry.
@@ -70,6 +72,8 @@
   std::uint32_t memoryMegabytes = 2048;
   /// Bound on answer bytes held for one slow caller.
   std::size_t callerBufferBytes = 256U << 10U;
+
+  bool operator==(const EntrySettings&) const = default;
 };
 
 /// Settings of a sidecar.
@@ -90,6 +94,8 @@
   Duration backendIdleTimeout = seconds(30);
   /// Share of starts that may go to overdue lower tiers.
   double overdueShare = 0.1;
+
+  bool operator==(const SidecarSettings&) const = default;
 };
 
 /// Mechanisms of a gateway's choice that can be switched off, to measure what
@@ -132,6 +138,8 @@
   /// A server gets no more requests than its memory holds, see LacksMemory().
   /// Off unless a deployment asks for it.
   bool memoryAdmission = false;
+
+  bool operator==(const GatewayDecisions&) const = default;
 };
 
 /// What one process at a time does for all, see Duties.
@@ -146,6 +154,8 @@
   Duration usageWindow = seconds(5);
   /// From a window's end until its report is due.
   Duration usageDue = seconds(10);
+
+  bool operator==(const DutySettings&) const = default;
 };
 
 /// Settings of a gateway.
@@ -175,6 +185,8 @@
   std::string chooser = "expected_delay";
   GatewayDecisions decisions;
   DutySettings duties;
+
+  bool operator==(const GatewaySettings&) const = default;
 };
 
 /// A sidecar that the settings name.
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -210,7 +210,8 @@
             "peer_secret": SECRET, "platform": {"store": [f"127.0.0.1:{proxy.port}"]},
             "gateway": {"callers": f"127.0.0.1:{callers}", "retry_ratio": 0.5,
                         "instance_drain_ms": DRAIN_MS,
-                        "stop_grace_s": self.grace_s, "descriptors": 1024}}
+                        "stop_grace_s": self.grace_s, "descriptors": 1024,
+                        "memory_mb": 128}}
         self.settings[name] = settings
         self.write_settings(name)
         process = Process(self, name, [
--- a/test/CallerMemory.cpp
+++ b/test/CallerMemory.cpp
@@ -118,6 +118,10 @@
     holders.push_back(f.Connect(Unfinished(70'000)));
   }
   REQUIRE(f.Until([&] { return f.server->HeldBytes() > 210'000; }));
+  PrometheusWriter metrics;
+  f.server->WriteMetrics(metrics);
+  CHECK_THAT(metrics.Take(),
+             !Catch::Contains("caller_memory_bytes{reason=\"bodies\"} 0\n"));
   f.RunFor(milliseconds(20));
   RawSocket ordinary = f.Connect(Whole(90'000));
   REQUIRE(f.Until([&] { return f.keeper.open.size() == 1; }));
--- a/test/CustomerShares.cpp
+++ b/test/CustomerShares.cpp
@@ -119,7 +119,7 @@
 
 TEST_CASE("the max-min level divides exactly the capacity")
 {
-  rc::check("sum of the shares", [] {
+  REQUIRE(rc::check("sum of the shares", [] {
     const auto raw = *rc::gen::nonEmpty<std::vector<std::pair<int, int>>>();
     std::vector<WeightedUse> uses;
     double total = 0;
@@ -135,7 +135,7 @@
       sum += std::min(one.use, one.weight * level);
     }
     RC_ASSERT(std::abs(sum - std::min(total, capacity)) <= 1e-6 * (total + 1));
-  });
+  }));
 }
 
 TEST_CASE("the customer with the largest use is over its share")
