Give a new connection time for its request before it is closed for another

Cause: at the bound, the connection that had been silent for the longest time was closed for each new one, however short that was. At some 5,300 new connections a second and a bound of 512 each lived for 100 ms, and a request that took longer to come met a closed connection. The play made that worse: its ordinary requests shared a loop with a thousand clients.

Change: a connection is closed for a new one only after 250 ms of silence; otherwise the new one gets 503 with Retry-After.

--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -28,6 +28,10 @@
 /// Connections that go on together after a pause, and the time between these.
 constexpr std::size_t kResumedTogether = 16;
 constexpr Duration kResumePeriod = milliseconds(5);
+/// A connection has this long to send a request, or more of one, before it may
+/// be closed for a new one. Without it a flood of connections would close each
+/// before its request can come.
+constexpr Duration kLeastSilence = milliseconds(250);
 /// How often refusals for lack of memory or connections are logged.
 constexpr Duration kShortageLogPeriod = seconds(1);
 
@@ -320,11 +324,12 @@
   }
 
   /// Closes the connection without a request to answer on which nothing has
-  /// come for the longest time. \return whether there was one.
+  /// come for the longest time, kLeastSilence at least.
+  /// \return whether there was one.
   bool CloseForNew()
   {
     CallerConnection* oldest = nullptr;
-    Duration longest{ -1 };
+    Duration longest = kLeastSilence;
     for (const auto& [key, connection] : this->connections) {
       const std::optional<Duration> since = connection->SinceReceived();
       if (since && *since > longest) {
--- a/soak/crowd_clients.py
+++ b/soak/crowd_clients.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import socket
+import sys
 import uuid
 
 from site_processes import KEYS
@@ -209,3 +210,33 @@
                     pass
             # A refused connection must not make the client spin.
             await asyncio.sleep(0.01)
+
+
+class CrowdProcess:
+    """A crowd in a process of its own, so that it doesn't slow its starter's requests."""
+
+    def __init__(self, port, kinds, count, limits, seed):
+        self.words = [str(word) for word in (port, count, *limits, seed, *kinds)]
+        self.process, self.opened = None, 0
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, __file__, *self.words, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE)
+
+    async def stop(self):
+        """Ends the crowd, which leaves as its standard input closes."""
+        out, _ = await self.process.communicate(b"")
+        self.opened += int(out)
+
+
+async def main(port, count, body_limit, head_limit, seed, *kinds):
+    crowd = Crowd(int(port), kinds, int(count), (int(body_limit), int(head_limit)), seed)
+    crowd.start()
+    await asyncio.to_thread(sys.stdin.read)
+    await crowd.stop()
+    print(crowd.opened)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -438,6 +438,15 @@
   REQUIRE(f.HasRequests(1));
   RawSocket quiet = f.Connect(GENERATE("", "POST / HTTP/1.1\r\n"));
   REQUIRE(f.Until([&] { return f.server->OpenConnections() == 2; }));
+  SECTION("not at once, so that its request can come")
+  {
+    RawSocket early = f.Connect(kGet);
+    REQUIRE(f.Until([&] { return early.IsClosed(); }));
+    REQUIRE(early.Has("HTTP/1.1 503 "));
+    REQUIRE(f.server->Counters().closedForNew == 0);
+    return;
+  }
+  f.Until([] { return false; }, milliseconds(300));
   RawSocket next = f.Connect(kGet);
   REQUIRE(f.HasRequests(2));
   REQUIRE(f.Until([&] { return quiet.IsClosed(); }));
