--- a/bench/Http.cpp
+++ b/bench/Http.cpp
@@ -47,7 +47,7 @@
   {
     this->bytes += aBytes.size();
   }
-  void OnComplete() override { this->ended = true; }
+  void OnComplete(AnswerEnd /*aEnd*/) override { this->ended = true; }
   void OnFailed(const absl::Status& /*aReason*/, bool /*aWritten*/) override
   {
     this->ended = true;
--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -171,8 +171,9 @@
 }
 
 void
-DirectAttempt::OnComplete()
+DirectAttempt::OnComplete(AnswerEnd aEnd)
 {
+  this->end = aEnd;
   this->silenceTimer.Stop();
   if (this->answer.notRun) {
     this->Fail(this->answer.wrongInstance ? AttemptFailure::WrongInstance
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -99,6 +99,8 @@
   }
   /// Number of whole events with an id that have arrived.
   std::uint64_t EventCount() const { return this->splitter.EventCount(); }
+  /// By what sign the answer was complete; nothing before that.
+  const std::optional<AnswerEnd>& End() const { return this->end; }
   /// While reading is paused no silence is reported.
   void SetReadingPaused(bool aPaused);
   /// See BackendCall::HasUnread().
@@ -111,7 +113,7 @@
   bool IsOwnAnswer(std::span<const HeaderField> aHeaders) override;
   void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
   void OnBody(std::string_view aBytes) override;
-  void OnComplete() override;
+  void OnComplete(AnswerEnd aEnd) override;
   void OnFailed(const absl::Status& aReason, bool aWritten) override;
   void OnEvicted() override;
 
@@ -135,6 +137,7 @@
   std::vector<HeaderField> headers;
   std::string body;
   bool isStream = false;
+  std::optional<AnswerEnd> end;
   TimePoint startedAt{};
   /// Why the connection broke after the request was sent, or the stream ended
   /// inside an event; OK if neither.
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -122,6 +122,10 @@
       "quarantined_part",
       outcome.quarantinedPart == 0 ? ""
                                    : FingerprintText(outcome.quarantinedPart),
+      "ended_by",
+      outcome.answerEnd ? AnswerEndName(*outcome.answerEnd) : "",
+      "bytes",
+      outcome.answerBytes,
       "run",
       outcome.error ? DispositionName(outcome.error->disposition) : "ran",
       "attempts",
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -14,6 +14,10 @@
       "gateway_resumptions_total",
       "Streams that callers resume, by how what began them was found, and "
       "those refused, by why."))
+  , answers(this->registry.AddCounter<ReasonLabels>(
+      "gateway_answers_total",
+      "Answers of backend servers that were forwarded, by the sign by which "
+      "they were complete."))
   , gauges(this->registry.AddGauge<ReasonLabels>("gateway_state",
                                                  "The gateway's state now."))
   , droppedLines(
@@ -60,6 +64,9 @@
     ++this->resumptions.At(
       { std::string(ResumptionRefusalName(outcome.refusedResumption)) });
   }
+  if (outcome.answerEnd) {
+    ++this->answers.At({ std::string(AnswerEndName(*outcome.answerEnd)) });
+  }
   metrics.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
   metrics.resumes += outcome.resumes;
   metrics.cancels += outcome.abandoned ? 1 : 0;
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -91,6 +91,8 @@
   /// Streams that callers resume, by how their origin was found or why they
   /// were refused.
   CounterFamily<ReasonLabels>& resumptions;
+  /// Answers of backend servers by AnswerEnd.
+  CounterFamily<ReasonLabels>& answers;
   GaugeFamily<ReasonLabels>& gauges;
   CounterFamily<NoLabels>& droppedLines;
 };
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -735,6 +735,7 @@
       this->host.Backends().ActivityOf(this->sent->instance, now));
   }
   this->lastDeliveredEvent = this->attempt->LastEvent();
+  this->outcome.answerBytes += aBytes.size();
   this->exchange->SendPart(aBytes);
   if (this->exchange != nullptr && this->attempt != nullptr &&
       this->exchange->PendingBytes() > kCallerBufferBytes) {
@@ -755,6 +756,7 @@
 GatewayRequest::OnAttemptStreamEnd()
 {
   this->outcome.complete = true;
+  this->outcome.answerEnd = this->attempt->End();
   this->host.Crashes().OnAnswered(this->admitted.subjects);
   this->RecordPassed();
   this->exchange->EndStream();
@@ -814,6 +816,8 @@
 {
   this->outcome.status = this->attempt->Answer().status;
   this->outcome.complete = IsSuccess(this->outcome.status);
+  this->outcome.answerEnd = this->attempt->End();
+  this->outcome.answerBytes = aBody.size();
   this->EndWait(this->outcome.complete);
   if (!this->outcome.complete) {
     this->outcome.error = RequestError{ ErrorCode::BackendFailed,
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -83,6 +83,10 @@
   /// The part of the prompt for which the request was refused; 0 if it was not
   /// refused for one.
   Fingerprint quarantinedPart = 0;
+  /// By what sign the server's answer was complete; nothing before that.
+  std::optional<AnswerEnd> answerEnd;
+  /// Bytes of its body that were passed on to the caller.
+  std::uint64_t answerBytes = 0;
   /// Chunks of one or more whole events passed on to the caller.
   std::uint64_t events = 0;
 };
--- a/dogwoodvale/src/Http/BackendClient.cpp
+++ b/dogwoodvale/src/Http/BackendClient.cpp
@@ -208,6 +208,22 @@
 
 } // namespace
 
+std::string_view
+AnswerEndName(AnswerEnd aEnd)
+{
+  switch (aEnd) {
+    case AnswerEnd::Head:
+      return "head";
+    case AnswerEnd::Length:
+      return "length";
+    case AnswerEnd::LastChunk:
+      return "last_chunk";
+    case AnswerEnd::Close:
+      return "close";
+  }
+  return "close";
+}
+
 absl::StatusOr<std::unique_ptr<BackendClient>>
 BackendClient::Create(EventLoop& aLoop,
                       const SocketAddress& aAddress,
--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -8,6 +8,22 @@
 
 namespace dogwoodvale {
 
+/// The sign by which an answer was complete.
+enum class AnswerEnd : std::uint8_t
+{
+  /// Its status, or the request's method, allows no body.
+  Head,
+  /// The bytes of its stated length.
+  Length,
+  LastChunk,
+  /// The server closed the connection: an answer that states no length.
+  Close,
+};
+
+/// Name of the sign in log lines.
+std::string_view
+AnswerEndName(AnswerEnd aEnd);
+
 /// Is told what a backend server answers. Callbacks may destroy the call.
 class BackendCallHandler
 {
@@ -25,8 +41,8 @@
   }
   virtual void OnHead(int aStatus, std::span<const HeaderField> aHeaders) = 0;
   virtual void OnBody(std::string_view aBytes) = 0;
-  /// The answer is whole by HTTP's own rules (length or last chunk).
-  virtual void OnComplete() = 0;
+  /// The answer is whole by HTTP's own rules.
+  virtual void OnComplete(AnswerEnd aEnd) = 0;
   /// \param aWritten whether any byte of the request may have reached the
   /// server; false means that it was surely not run.
   virtual void OnFailed(const absl::Status& aReason, bool aWritten) = 0;
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -377,9 +377,22 @@
   this->expires = this->idleSince + seconds(whole) * kKeptFifths / 5;
 }
 
+AnswerEnd
+BackendConnection::EndOfAnswer() const
+{
+  if (this->headOnly) {
+    return AnswerEnd::Head;
+  }
+  if (this->untilClose) {
+    return AnswerEnd::Close;
+  }
+  return this->parser->IsChunked() ? AnswerEnd::LastChunk : AnswerEnd::Length;
+}
+
 void
 BackendConnection::Complete(bool aKeep)
 {
+  const AnswerEnd end = this->EndOfAnswer();
   BackendCallImpl& done = *std::exchange(this->call, nullptr);
   done.connection = nullptr;
   const bool sent =
@@ -394,7 +407,7 @@
     this->Close();
     this->owner.Retire(*this);
   }
-  done.handler.OnComplete();
+  done.handler.OnComplete(end);
 }
 
 void
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -69,6 +69,7 @@
   void WriteRequest();
   void SetLinkTimeout();
   void NoteKeepAlive();
+  AnswerEnd EndOfAnswer() const;
   void Complete(bool aKeep);
   void Fail(const absl::Status& aReason);
 
--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -404,7 +404,7 @@
 }
 
 void
-Sidecar::OnComplete()
+Sidecar::OnComplete(AnswerEnd /*aEnd*/)
 {
   this->trial.reset();
 }
--- a/dogwoodvale/src/Sidecar/Sidecar.h
+++ b/dogwoodvale/src/Sidecar/Sidecar.h
@@ -72,7 +72,7 @@
   /// The trial call that finds out whether the backend server is back.
   void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
   void OnBody(std::string_view /*aBytes*/) override {}
-  void OnComplete() override;
+  void OnComplete(AnswerEnd aEnd) override;
   void OnFailed(const absl::Status& aReason, bool aWritten) override;
 
 private:
--- a/dogwoodvale/src/Sidecar/SidecarAttempt.cpp
+++ b/dogwoodvale/src/Sidecar/SidecarAttempt.cpp
@@ -231,7 +231,7 @@
 }
 
 void
-SidecarAttempt::OnComplete()
+SidecarAttempt::OnComplete(AnswerEnd /*aEnd*/)
 {
   // HTTP may end an answer cleanly that the engine itself did not finish.
   if (this->IsTokenAnswer() && !this->tokenStream.IsWhole()) {
--- a/dogwoodvale/src/Sidecar/SidecarAttempt.h
+++ b/dogwoodvale/src/Sidecar/SidecarAttempt.h
@@ -95,7 +95,7 @@
 
   void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
   void OnBody(std::string_view aBytes) override;
-  void OnComplete() override;
+  void OnComplete(AnswerEnd aEnd) override;
   void OnFailed(const absl::Status& aReason, bool aWritten) override;
 
 private:
--- a/test/BackendClient.cpp
+++ b/test/BackendClient.cpp
@@ -24,7 +24,11 @@
       this->call.reset();
     }
   }
-  void OnComplete() override { this->complete = true; }
+  void OnComplete(AnswerEnd aEnd) override
+  {
+    this->complete = true;
+    this->end = aEnd;
+  }
   void OnFailed(const absl::Status& aReason, bool aWritten) override
   {
     this->failed = true;
@@ -39,6 +43,7 @@
   std::vector<HeaderField> headers;
   std::string body;
   bool complete = false;
+  std::optional<AnswerEnd> end;
   bool failed = false;
   bool written = false;
   bool cancelsInBody = false;
@@ -377,7 +382,7 @@
     this->status = aStatus;
   }
   void OnBody(std::string_view aBytes) override { this->body += aBytes; }
-  void OnComplete() override { this->complete = true; }
+  void OnComplete(AnswerEnd /*aEnd*/) override { this->complete = true; }
   void OnFailed(const absl::Status&, bool) override { this->failed = true; }
 
   std::unique_ptr<BackendCall> call;
