--- a/test/AnswersWithoutLength.cpp
+++ b/test/AnswersWithoutLength.cpp
@@ -1,3 +1,6 @@
+#include <csignal>
+#include <thread>
+
 #include <catch2/catch.hpp>
 
 #include "support/PlatformSite.h"
@@ -56,6 +59,33 @@
     return this->Take();
   }
 
+  /// Puts a configuration in force whose limit of bodies is \p aBytes.
+  void AllowBodies(std::size_t aBytes)
+  {
+    this->maxBodyBytes = aBytes;
+    this->PutConfiguration(2);
+    REQUIRE(this->Until([&] {
+      return this->gateway->Statusz().find("\"routes_version\" : 2") !=
+             std::string::npos;
+    }));
+  }
+
+  /// Sends a request whose body no server reads to its end.
+  void BeginUpload(const std::string& aPath, const std::string& aBody)
+  {
+    this->caller = RawSocket::Connect(this->gateway->CallerAddress());
+    std::string left =
+      RequestText(aPath, "a-1", "Connection: close\r\n", aBody);
+    const bool isPassedOn = this->Until([&] {
+      const ssize_t count = this->caller.Send(left);
+      left.erase(0, std::size_t(std::max<ssize_t>(count, 0)));
+      return this->listeners[0].Accept(this->server);
+    });
+    INFO(this->caller.Read());
+    REQUIRE(isPassedOn);
+    REQUIRE(this->Until([&] { return this->server.Peek() > 0; }));
+  }
+
   /// Takes the next request at any server.
   std::size_t Take()
   {
@@ -193,6 +223,57 @@
   }
 }
 
+// The write of the request's rest takes the error of the reset, after which the
+// connection reads as closed.
+TEST_CASE("an early answer that is reset during the upload does not look whole",
+          "[close]")
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  BareSite site;
+  site.AllowBodies(8U << 20U);
+  const std::string upload(7U << 20U, 'x');
+  const bool isStream = GENERATE(false, true);
+  CAPTURE(isStream);
+  site.BeginUpload(isStream ? "/note/stream/x" : "/once/x", upload);
+  site.server.Send(isStream ? kStreamHead + kFirst : kPlainHead + "half");
+  site.Until([] { return false; }, milliseconds(30));
+  site.server.Reset();
+  const std::string& received = site.Received();
+  CHECK(Has(received, kFirst) == isStream);
+  CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+  CHECK(received.starts_with(isStream ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+}
+
+// On a busy gateway the look at what a silent server has sent comes before the
+// read, and takes the error of the reset.
+TEST_CASE("an answer that is reset while its server is silent does not look "
+          "whole",
+          "[close]")
+{
+  BareSite site;
+  const bool isStream = GENERATE(false, true);
+  CAPTURE(isStream);
+  const TimePoint begun = Now();
+  site.Begin(isStream ? "/stream/x" : "/again/x");
+  site.server.Send(isStream ? kStreamHead + kFirst : kPlainHead + "half");
+  const TimePoint sent = Now();
+  // The gateway looks 750 ms after the request (half the caller's time) or
+  // 900 ms after the last event, and each 100 ms from then on.
+  const TimePoint look =
+    isStream ? sent + milliseconds(905) : begun + milliseconds(755);
+  site.Until([&] { return Now() >= look - milliseconds(40); });
+  Timer busy(*site.loop, [&] {
+    site.server.Reset();
+    std::this_thread::sleep_for(milliseconds(20));
+  });
+  busy.StartOnce(milliseconds(1));
+  std::this_thread::sleep_until(look + milliseconds(20));
+  const std::string& received = site.Received();
+  CHECK(Has(received, kFirst) == isStream);
+  CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+  CHECK_FALSE(Has(received, "half"));
+}
+
 TEST_CASE("a stream that ends inside an event is resumed after it", "[close]")
 {
   BareSite site(2);
--- a/test/RawSockets.h
+++ b/test/RawSockets.h
@@ -124,6 +124,13 @@
     return this->received;
   }
 
+  /// \return how many bytes have come, one at most, and leaves them there.
+  ssize_t Peek() const
+  {
+    char byte = 0;
+    return recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  }
+
   bool Has(std::string_view aText)
   {
     return this->Read().find(aText) != std::string::npos;
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -100,7 +100,7 @@
     this->PutConfigurationText(fmt::format(
       R"({{"version":{},"routes":[{},{},{},{},{},{}{}],"services":[{{"name":"s",)"
       R"("healthPath":"/health","maxConnections":16}}],)"
-      R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":65536,)"
+      R"("limits":{{"maxHeaderBytes":4096,"maxBodyBytes":{},)"
       R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}},)"
       R"("tenants":[{{"name":"t1","apiKeys":["key1"],"priority":1}}{}]}})",
       aVersion,
@@ -111,6 +111,7 @@
       route("/read/stream/", "streaming", 1, false, true),
       route("/scan/stream/", "streaming", 2, true, true),
       more,
+      this->maxBodyBytes,
       aMoreTenants));
   }
 
@@ -235,6 +236,8 @@
     return caller.received;
   }
 
+  /// Limit of a request's body in configurations that are stored later.
+  std::size_t maxBodyBytes = 65536;
   /// Duration of a quarantine at gateways that are added later.
   Duration quarantine = seconds(600);
   /// Address at which gateways reach the store, if not the store's own.
