Refuse a close as the end of an answer to a request not taken

A server that ends before it has taken a long request closes in order if it had read all that had come; its answer without a length then looked whole. By the time of the close the last segment acknowledges all that the other system had received, so what is unacknowledged was never taken, and such an answer fails.

A server that rightly rejects an upload unread by an answer without a length now gives its caller an error: that answer can't be told from one that was cut. Answers with a length or in chunks arrive as before.

--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -331,7 +331,9 @@
 bool
 BackendConnection::IsClosedInOrder() const
 {
-  return this->link.Status().ok();
+  return this->link.Status().ok() &&
+         evbuffer_get_length(bufferevent_get_output(this->stream)) == 0 &&
+         IsAllAcknowledged(bufferevent_getfd(this->stream));
 }
 
 void
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -73,7 +73,8 @@
   void NoteKeepAlive();
   /// The server sends nothing more, or what it sent can't be read.
   void OnInputEnd();
-  /// Whether no error was reported. Only then does a close end an answer.
+  /// Whether the server closed after it had taken the whole request, and no
+  /// error was reported. Only then does a close end an answer.
   bool IsClosedInOrder() const;
   AnswerEnd EndOfAnswer() const;
   void Complete(bool aKeep);
--- a/dogwoodvale/src/Http/LinkState.cpp
+++ b/dogwoodvale/src/Http/LinkState.cpp
@@ -3,7 +3,9 @@
 #include <cerrno>
 #include <cstring>
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace dogwoodvale::internal {
 
@@ -36,4 +38,11 @@
   return poll(&state, 1, 0) != 0;
 }
 
+bool
+IsAllAcknowledged(int aSocket)
+{
+  int bytes = 0;
+  return ioctl(aSocket, SIOCOUTQ, &bytes) != 0 || bytes == 0;
+}
+
 } // namespace dogwoodvale::internal
--- a/dogwoodvale/src/Http/LinkState.h
+++ b/dogwoodvale/src/Http/LinkState.h
@@ -26,6 +26,11 @@
 bool
 HasInput(int aSocket);
 
+/// Whether the other end has acknowledged all that was written. What it sent
+/// last acknowledges all that it had received by then.
+bool
+IsAllAcknowledged(int aSocket);
+
 } // namespace dogwoodvale::internal
 
 #endif
--- a/test/AnswerEnds.cpp
+++ b/test/AnswerEnds.cpp
@@ -270,6 +270,31 @@
   CHECK(exchange.recorder.body == kBody);
 }
 
+// What a server says of a request that it has not taken can't be told from the
+// end of a process.
+TEST_CASE("a close does not end an answer while the request is not taken",
+          "[ends]")
+{
+  const std::size_t upload = GENERATE(std::size_t{ 600'000 }, kLongUpload);
+  const auto before =
+    GENERATE(Before::Nothing, Before::LookAtUnread, Before::PauseAndResume);
+  const bool isReset = GENERATE(false, true);
+  CAPTURE(upload, before, isReset);
+  Exchange exchange(upload);
+  exchange.Accept();
+  exchange.server.Send(AnswerText(Framing::Close).substr(0, 25));
+  REQUIRE(exchange.Until([&] { return exchange.recorder.status != 0; }));
+  exchange.server.EndSending();
+  if (isReset) {
+    std::this_thread::sleep_for(milliseconds(5));
+    exchange.server.Reset();
+  }
+  exchange.Do(before);
+  REQUIRE(exchange.Until([&] { return exchange.recorder.Ended(); }));
+  CHECK_FALSE(exchange.recorder.end);
+  CHECK(exchange.recorder.written);
+}
+
 // A server that rejects a long upload closes without reading it, which resets
 // the connection behind its whole answer.
 TEST_CASE("a whole answer to a request that is still being written arrives",
--- a/test/RawSockets.h
+++ b/test/RawSockets.h
@@ -142,6 +142,9 @@
     return this->closed;
   }
 
+  /// Ends what this end sends, in order.
+  void EndSending() const { shutdown(this->descriptor, SHUT_WR); }
+
   /// Closes in such a way that the other end sees a reset.
   void Reset()
   {
