Hold heads, interim heads and trailers of answers to the grammar

What callers got: a status above 599, a status line with two blanks, an answer behind an interim head of any shape ("HTTP/1.1 1xx No"), trailers of any bytes.

Cause: libevhtp reads a status line as it likes, and what was read over, interim heads and trailers, was not looked at.

--- a/dogwoodvale/src/Http/ChunkFraming.cpp
+++ b/dogwoodvale/src/Http/ChunkFraming.cpp
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <charconv>
 
+#include "HttpGrammar.h"
+
 namespace dogwoodvale::internal {
 
 ChunkFraming::Result
@@ -37,12 +39,15 @@
       return this->CheckSize(aByte);
     case Part::SizeLineFeed:
       return this->Expect(
-        aByte, '\n', this->size == 0 ? Part::Trailers : Part::Data);
+        aByte, '\n', this->size == 0 ? Part::TrailerName : Part::Data);
     case Part::DataReturn:
       return this->Expect(aByte, '\r', Part::DataLineFeed);
     case Part::DataLineFeed:
       return this->Expect(aByte, '\n', Part::Size);
-    case Part::Trailers:
+    case Part::TrailerName:
+    case Part::TrailerValue:
+    case Part::TrailerLineFeed:
+    case Part::LastLineFeed:
       return this->CheckTrailer(aByte);
     case Part::Data:
     case Part::Done:
@@ -79,13 +84,42 @@
     return Verdict::TooLong;
   }
   --this->trailerBytes;
-  if (aByte == '\n') {
-    this->part = this->lineBytes == 0 ? Part::Done : Part::Trailers;
-    this->lineBytes = 0;
-  } else if (aByte != '\r') {
-    ++this->lineBytes;
+  switch (this->part) {
+    case Part::TrailerName:
+      return this->CheckTrailerName(aByte);
+    case Part::TrailerValue:
+      return this->CheckTrailerValue(aByte);
+    case Part::TrailerLineFeed:
+      return this->Expect(aByte, '\n', Part::TrailerName);
+    default:
+      return this->Expect(aByte, '\n', Part::Done);
   }
-  return Verdict::Valid;
+}
+
+ChunkFraming::Verdict
+ChunkFraming::CheckTrailerName(char aByte)
+{
+  if (this->nameBytes == 0 && aByte == '\r') {
+    this->part = Part::LastLineFeed;
+    return Verdict::Valid;
+  }
+  if (this->nameBytes > 0 && aByte == ':') {
+    this->nameBytes = 0;
+    this->part = Part::TrailerValue;
+    return Verdict::Valid;
+  }
+  ++this->nameBytes;
+  return IsTokenByte(aByte) ? Verdict::Valid : Verdict::Malformed;
+}
+
+ChunkFraming::Verdict
+ChunkFraming::CheckTrailerValue(char aByte)
+{
+  if (aByte == '\r') {
+    this->part = Part::TrailerLineFeed;
+    return Verdict::Valid;
+  }
+  return IsFieldByte(aByte) ? Verdict::Valid : Verdict::Malformed;
 }
 
 ChunkFraming::Verdict
--- a/dogwoodvale/src/Http/ChunkFraming.h
+++ b/dogwoodvale/src/Http/ChunkFraming.h
@@ -48,13 +48,18 @@
     Data,
     DataReturn,
     DataLineFeed,
-    Trailers,
+    TrailerName,
+    TrailerValue,
+    TrailerLineFeed,
+    LastLineFeed,
     Done,
   };
 
   Verdict CheckByte(char aByte);
   Verdict CheckSize(char aByte);
   Verdict CheckTrailer(char aByte);
+  Verdict CheckTrailerName(char aByte);
+  Verdict CheckTrailerValue(char aByte);
   /// Takes \p aWanted alone, and goes on with \p aNext.
   Verdict Expect(char aByte, char aWanted, Part aNext);
 
@@ -63,8 +68,8 @@
   std::size_t digits = 0;
   /// Of the chunk that is being read; bytes of it that are still to come.
   std::uint64_t size = 0;
-  /// Bytes of the trailer line so far, without its end.
-  std::size_t lineBytes = 0;
+  /// Bytes of the trailer's name so far.
+  std::size_t nameBytes = 0;
 };
 
 } // namespace dogwoodvale::internal
--- a/dogwoodvale/src/Http/HttpParser.cpp
+++ b/dogwoodvale/src/Http/HttpParser.cpp
@@ -11,10 +11,14 @@
 
 #include <evhtp/parser.h>
 
+#include "HttpGrammar.h"
+
 namespace dogwoodvale::internal {
 
 namespace {
 
+constexpr std::string_view kLineEnd = "\r\n";
+
 std::string_view
 Trim(std::string_view aText)
 {
@@ -26,24 +30,6 @@
   return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
 }
 
-bool
-IsToken(std::string_view aText)
-{
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return !aText.empty() && std::ranges::all_of(aText, [&](unsigned char aByte) {
-    return absl::ascii_isalnum(aByte) ||
-           kMarks.find(char(aByte)) != kMarks.npos;
-  });
-}
-
-bool
-IsFieldValue(std::string_view aText)
-{
-  return std::ranges::none_of(aText, [](unsigned char aByte) {
-    return aByte != '\t' && absl::ascii_iscntrl(aByte);
-  });
-}
-
 bool
 SameName(std::string_view aLeft, std::string_view aRight)
 {
@@ -66,17 +52,14 @@
   return true;
 }
 
-/// Whether a head is an interim one, which an answer's own head follows. Not
-/// 101: nobody here asks for another protocol.
+/// Whether a head whose status line is sound is an interim one, which an
+/// answer's own head follows. Not 101: nobody here asks for another protocol.
 bool
 IsInterim(std::string_view aHead)
 {
-  constexpr std::string_view kVersions[] = { "HTTP/1.1 ", "HTTP/1.0 " };
-  return std::ranges::any_of(kVersions, [&](std::string_view aVersion) {
-    return aHead.starts_with(aVersion) &&
-           aHead.substr(aVersion.size()).starts_with('1') &&
-           !aHead.substr(aVersion.size()).starts_with("101");
-  });
+  constexpr std::string_view kVersion = "HTTP/1.1 ";
+  const std::string_view status = aHead.substr(kVersion.size());
+  return status.starts_with('1') && !status.starts_with("101");
 }
 
 bool
@@ -253,21 +236,42 @@
     const std::string all = std::exchange(this->head, {});
     this->headSize = all.size();
     const std::string_view text = std::string_view(all).substr(blank);
-    if (this->kind == Kind::Response && IsInterim(text)) {
-      this->interimBytes += all.size();
-      if (this->interimBytes > this->headerBytes) {
-        this->state = State::TooLarge;
-      }
-      return taken;
-    }
-    this->Parse(text);
-    if (!this->headDone && this->state == State::Reading) {
-      this->state = State::Malformed;
-    }
+    this->ReadHead(text);
   }
   return taken;
 }
 
+void
+HttpParser::ReadHead(std::string_view aHead)
+{
+  const std::size_t lineEnd = aHead.find(kLineEnd);
+  if (this->kind == Kind::Response && !IsStatusLine(aHead.substr(0, lineEnd))) {
+    this->state = State::Malformed;
+    return;
+  }
+  if (this->kind == Kind::Response && IsInterim(aHead)) {
+    this->PassInterimHead(
+      aHead.substr(lineEnd + kLineEnd.size(),
+                   aHead.size() - lineEnd - kLineEnd.size() - kLineEnd.size()));
+    return;
+  }
+  this->Parse(aHead);
+  if (!this->headDone && this->state == State::Reading) {
+    this->state = State::Malformed;
+  }
+}
+
+void
+HttpParser::PassInterimHead(std::string_view aFields)
+{
+  this->interimBytes += this->headSize;
+  if (this->interimBytes > this->headerBytes) {
+    this->state = State::TooLarge;
+  } else if (!AreFieldLines(aFields)) {
+    this->state = State::Malformed;
+  }
+}
+
 std::size_t
 HttpParser::ParseBody(std::string_view aBytes)
 {
--- a/dogwoodvale/src/Http/HttpParser.h
+++ b/dogwoodvale/src/Http/HttpParser.h
@@ -83,6 +83,9 @@
   friend struct Hooks;
   int Fail();
   std::size_t GatherHead(std::string_view aBytes);
+  /// Reads a whole head, with the empty line that ends it.
+  void ReadHead(std::string_view aHead);
+  void PassInterimHead(std::string_view aFields);
   std::size_t Parse(std::string_view aBytes);
   std::size_t ParseBody(std::string_view aBytes);
   bool CheckHead();
--- a/test/HttpParser.cpp
+++ b/test/HttpParser.cpp
@@ -157,3 +157,100 @@
           expected);
   }
 }
+
+// A proxy that reads a head as it likes passes on a status that is none, or
+// frames a body by a field that is none.
+TEST_CASE("a head that is no answer's is refused", "[http]")
+{
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 2\r\n\r\nok";
+  const std::string head =
+    GENERATE_REF(as<std::string>{},
+                 "HTTP/1.1 000 OK\r\n" + length,
+                 "HTTP/1.1 007 OK\r\n" + length,
+                 "HTTP/1.1 0200 OK\r\n" + length,
+                 "HTTP/1.1 2000 OK\r\n" + length,
+                 "HTTP/1.1 20 OK\r\n" + length,
+                 "HTTP/1.1 600 OK\r\n" + length,
+                 "HTTP/1.1 999 OK\r\n" + length,
+                 "HTTP/1.1 2x0 OK\r\n" + length,
+                 "HTTP/1.1 -200 OK\r\n" + length,
+                 "HTTP/1.1 200OK\r\n" + length,
+                 "HTTP/1.1  200 OK\r\n" + length,
+                 "HTTP/1.1\t200 OK\r\n" + length,
+                 " HTTP/1.1 200 OK\r\n" + length,
+                 "HTTP/2.7 200 OK\r\n" + length,
+                 "HTTP/1.10 200 OK\r\n" + length,
+                 "http/1.1 200 OK\r\n" + length,
+                 "HTTP/1.1 200 O\x01K\r\n" + length,
+                 // Interim heads, then one's own.
+                 "HTTP/1.1 1xx No\r\n\r\n" + line + length,
+                 "HTTP/1.1 1000 No\r\n\r\n" + line + length,
+                 "HTTP/1.1 10 No\r\n\r\n" + line + length,
+                 "HTTP/1.1 101 No\r\n\r\n" + line + length,
+                 "HTTP/1.1 100 Continue\r\nA B: 1\r\n\r\n" + line + length,
+                 line + "Content-Length : 2\r\n\r\nok",
+                 line + "Content-Length\t: 2\r\n\r\nok",
+                 line + "Content Length: 2\r\n" + length,
+                 line + "X A: 1\r\n" + length,
+                 line + " X: 1\r\n" + length,
+                 line + "X: 1\r\n Y: 2\r\n" + length,
+                 line + ": 1\r\n" + length,
+                 line + "X\r\n" + length,
+                 line + "X\x7f: 1\r\n" + length,
+                 line + "X\x01: 1\r\n" + length,
+                 line + "X\x80: 1\r\n" + length,
+                 line + std::string("X\0: 1\r\n", 7) + length,
+                 line + "X(: 1\r\n" + length,
+                 line + "X: a\x01z\r\n" + length,
+                 line + "X: a\nY: 1\r\n" + length,
+                 line + "X: a\rY: 1\r\n" + length,
+                 line + "Transfer-Encoding\x01: chunked\r\n" + length,
+                 line + "Transfer-Encoding: chunked, gzip\r\n"
+                        "\r\n2\r\nok\r\n0\r\n\r\n",
+                 line + "Transfer-Encoding:\x0b"
+                        "chunked\r\n"
+                        "\r\n2\r\nok\r\n0\r\n\r\n",
+                 line + "Content-Length: +2\r\n\r\nok",
+                 line + "Content-Length: 2,2\r\n\r\nok",
+                 line + "Content-Length: 0x2\r\n\r\nok",
+                 line + "Content-Length:\r\n\r\nok",
+                 line + "Transfer-Encoding: chunked\r\n\r\n"
+                        "2\r\nok\r\n0\r\nX A: 1\r\n\r\n",
+                 line + "Transfer-Encoding: chunked\r\n\r\n"
+                        "2\r\nok\r\n0\r\n: 1\r\n\r\n",
+                 line + "Transfer-Encoding: chunked\r\n\r\n"
+                        "2\r\nok\r\n0\r\nX\x01: 1\r\n\r\n",
+                 line + "Transfer-Encoding: chunked\r\n\r\n"
+                        "2\r\nok\r\n0\r\nX: a\x01z\r\n\r\n",
+                 line + "Transfer-Encoding: chunked\r\n\r\n"
+                        "2\r\nok\r\n0\r\nno field\r\n\r\n");
+  INFO(head);
+  for (const std::size_t size : { 1, 7, 4096 }) {
+    CHECK(Parse(HttpParser::Kind::Response, head, { size }).state ==
+          HttpParser::State::Malformed);
+  }
+}
+
+TEST_CASE("a head that is an answer's is taken", "[http]")
+{
+  const std::string text = GENERATE(
+    as<std::string>{},
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.0 200 OK\r\nContent-Length:2\r\n\r\nok",
+    "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 \r\nContent-Length: 2 \r\n\r\nok",
+    "HTTP/1.1 404 Not  Found\r\nx!#$%&'*+-.^_`|~1: a \t b\r\n"
+    "Content-Length: 2\r\n\r\nok",
+    "HTTP/1.1 599 \xc3\xa9t\xc3\xa9\r\nX: \xff\r\nContent-Length: 2\r\n\r\nok",
+    "\r\nHTTP/1.1 100 Continue\r\nA: 1\r\n\r\nHTTP/1.1 199\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nX:\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nok\r\n0\r\nX: a b\r\nY:\r\n\r\n");
+  INFO(text);
+  for (const std::size_t size : { 1, 7, 4096 }) {
+    const Result result = Parse(HttpParser::Kind::Response, text, { size });
+    CHECK(result.state == HttpParser::State::Complete);
+    CHECK(result.body == "ok");
+  }
+}
