Read over what a server sends without an id on a kept connection

What callers saw: another caller's answer. A server may answer twice, the second time late; if that one states no attempt id it came where the next request's answer on the connection was expected, and was taken for it.

Cause: an answer without an id counted as one's own on any connection.

Change: on a connection that has carried other requests, what a run has produced is one's own by its id alone; else it is read over. Refusals and answers without a proof reach no caller as they are, so they still count: the stand-in engine refuses without an id, and a wait for a second answer would last to the time limit.

--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -124,10 +124,15 @@
 }
 
 bool
-DirectAttempt::IsOwnAnswer(std::span<const HeaderField> aHeaders)
+DirectAttempt::IsOwnAnswer(std::span<const HeaderField> aHeaders, bool aIsFirst)
 {
   const BackendAnswer head = this->protocol.ReadHead(0, aHeaders);
-  return head.attemptId.empty() || head.attemptId == this->plan.attemptId;
+  if (!head.attemptId.empty() || aIsFirst) {
+    return head.attemptId.empty() || head.attemptId == this->plan.attemptId;
+  }
+  // Without an id, what a run has produced may be of any request that the
+  // connection has carried. A refusal reaches no caller as it is.
+  return !head.isGenuine || head.notRun;
 }
 
 void
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -110,7 +110,8 @@
   std::optional<BrokenAttempt> ConnectionBreak(TimePoint aNow) const;
 
   void OnConnected() override { this->listener.OnAttemptConnected(); }
-  bool IsOwnAnswer(std::span<const HeaderField> aHeaders) override;
+  bool IsOwnAnswer(std::span<const HeaderField> aHeaders,
+                   bool aIsFirst) override;
   void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
   void OnBody(std::string_view aBytes) override;
   void OnComplete(AnswerEnd aEnd) override;
--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -35,7 +35,9 @@
   /// Whether the answer that begins is this call's own. A server may send a
   /// second answer to an earlier request, late, where the next is expected;
   /// what is not one's own is read over, and the call waits on.
-  virtual bool IsOwnAnswer(std::span<const HeaderField> /*aHeaders*/)
+  /// \param aIsFirst whether the connection has carried no other request.
+  virtual bool IsOwnAnswer(std::span<const HeaderField> /*aHeaders*/,
+                           bool /*aIsFirst*/)
   {
     return true;
   }
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -86,6 +86,7 @@
   this->call = &aCall;
   aCall.connection = this;
   this->isHead = aIsHead;
+  ++this->requests;
   this->isWritten = false;
   this->foreignBytes = 0;
   this->ResetParser();
@@ -167,7 +168,8 @@
   this->headOnly = this->isHead || status == 204 || status == 304;
   this->untilClose = !this->headOnly && !this->parser->IsChunked() &&
                      !this->parser->ContentLength();
-  this->isForeign = !this->call->handler.IsOwnAnswer(this->parser->Headers());
+  this->isForeign = !this->call->handler.IsOwnAnswer(this->parser->Headers(),
+                                                     this->requests == 1);
   if (!this->isForeign) {
     this->call->handler.OnHead(status, this->parser->Headers());
   }
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -89,6 +89,8 @@
   bool isWritten = false;
   /// Bytes of the request that it had not taken at once.
   std::size_t requestBytes = 0;
+  /// Requests that it has carried, with that of the call under way.
+  std::size_t requests = 0;
   /// A request that waits for the connection.
   std::string unwritten;
   LinkState link;
--- a/test/AnswerHeads.cpp
+++ b/test/AnswerHeads.cpp
@@ -42,3 +42,47 @@
   CHECK_FALSE(Has(site.Received(), "whole"));
   CHECK_FALSE(Has(site.Received(), "X"));
 }
+
+// A server may answer twice, the second time late, where the next answer on the
+// connection is expected; only an id tells whose it is.
+TEST_CASE("a late second answer without an id reaches nobody", "[heads]")
+{
+  const std::string path = GENERATE("/again/x", "/once/x");
+  const bool isWhole = GENERATE(true, false);
+  CAPTURE(path, isWhole);
+  BareSite site;
+  site.Begin(path);
+  site.server.Send(kLine + kIds + kBody);
+  CHECK(site.Received().ends_with("whole"));
+  site.BeginOnSameConnection(path, "a-2");
+  const std::string late =
+    "HTTP/1.1 200 OK\r\nDogwoodvale-Response-Seal: a seal\r\n"
+    "Content-Length: 5\r\n\r\nlate!";
+  site.server.Send(isWhole ? late : late.substr(0, late.size() - 2));
+  site.Until([] { return false; }, milliseconds(30));
+  if (isWhole) {
+    site.server.Send(PlatformSite::AnswerHead("a-2") +
+                     "Content-Length: 5\r\n\r\nright");
+    CHECK(site.Received().starts_with("HTTP/1.1 200"));
+    CHECK(site.Received().ends_with("right"));
+  } else {
+    site.server.Close();
+    CHECK(site.Received().starts_with("HTTP/1.1 50"));
+  }
+  CHECK_FALSE(Has(site.Received(), "lat"));
+}
+
+// A server that does not state ids still serves on a connection of its own.
+TEST_CASE("an answer without an id on a new connection reaches its caller",
+          "[heads]")
+{
+  BareSite site;
+  for (int i = 0; i < 2; ++i) {
+    site.Begin("/once/x");
+    site.Answer("HTTP/1.1 200 OK\r\nDogwoodvale-Response-Seal: a seal\r\n"
+                "Connection: close\r\n" +
+                  kBody,
+                Ending::Close);
+    CHECK(site.Received().ends_with("whole"));
+  }
+}
--- a/test/BackendClient.cpp
+++ b/test/BackendClient.cpp
@@ -373,7 +373,8 @@
 class Owner final : public BackendCallHandler
 {
 public:
-  bool IsOwnAnswer(std::span<const HeaderField> aHeaders) override
+  bool IsOwnAnswer(std::span<const HeaderField> aHeaders,
+                   bool /*aIsFirst*/) override
   {
     return FindHeader(aHeaders, "x-id") == "own";
   }
--- a/test/support/BareSite.h
+++ b/test/support/BareSite.h
@@ -73,6 +73,16 @@
     REQUIRE(this->Until([&] { return this->server.Peek() > 0; }));
   }
 
+  /// Sends another caller's request, which goes to the server on the connection
+  /// of the one before.
+  void BeginOnSameConnection(const std::string& aPath, const std::string& aId)
+  {
+    this->server.received.clear();
+    this->caller = RawSocket::Connect(this->gateway->CallerAddress());
+    this->caller.Send(RequestText(aPath, aId, "Connection: close\r\n"));
+    REQUIRE(this->Until([&] { return this->server.Has("\r\n\r\nbody"); }));
+  }
+
   /// Takes the next request at any server.
   std::size_t Take()
   {
