Recognise a second answer inside the body of the first

What callers saw: a body filled up with the head of the server's second answer (a first one short of its length, then a whole one), or both answers and the head between them as one body (no length, the second before the close); in a stream the second head among the events.

Cause: a body is taken by its framing alone, whatever stands in it.

Change: a whole answer whose body holds the beginning of another answer's head, one that states an attempt's id, fails; the head may go on in what came behind the body. A stream fails at a status line. Bodies that tell of other answers pass.

Evidence: AnswerHeads "a second answer does not fill up a body that was cut" was red before; taken out alone: what came behind the body, 18 red; a head that begins with the body's last bytes, 12; the status line in a stream, 1 ("... does not become a part of it", which the order of event ids also catches where head and events come together). Not told apart: a second answer whose head comes after the first body was filled up.

--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -191,6 +191,10 @@
     return;
   }
   if (!this->isStream) {
+    if (this->HasOtherAnswer()) {
+      this->Fail(AttemptFailure::Garbled, "another answer inside the body");
+      return;
+    }
     this->listener.OnAttemptAnswer(this->body);
     return;
   }
@@ -203,6 +207,21 @@
   this->listener.OnAttemptStreamEnd();
 }
 
+void
+DirectAttempt::OnBytesBehind(std::string_view aBytes)
+{
+  this->behind = aBytes;
+}
+
+bool
+DirectAttempt::HasOtherAnswer() const
+{
+  return HasEmbeddedAnswer(
+    this->body, this->behind, [this](std::span<const HeaderField> aFields) {
+      return !this->protocol.ReadHead(0, aFields).attemptId.empty();
+    });
+}
+
 void
 DirectAttempt::OnFailed(const absl::Status& aReason, bool aWritten)
 {
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -115,6 +115,7 @@
   void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
   void OnBody(std::string_view aBytes) override;
   void OnComplete(AnswerEnd aEnd) override;
+  void OnBytesBehind(std::string_view aBytes) override;
   void OnFailed(const absl::Status& aReason, bool aWritten) override;
   void OnEvicted() override;
 
@@ -122,6 +123,8 @@
   static constexpr std::size_t kMaxBufferedBytes = 8U << 20U;
 
 private:
+  /// Whether another answer begins inside the body.
+  bool HasOtherAnswer() const;
   void Fail(AttemptFailure aFailure, std::string_view aReason);
   /// Restarts the time-out for the next part of the answer; 0 disables it.
   void RestartTimeout(Duration aTimeout);
@@ -137,6 +140,8 @@
   BackendAnswer answer;
   std::vector<HeaderField> headers;
   std::string body;
+  /// What came behind the answer on its connection.
+  std::string behind;
   bool isStream = false;
   std::optional<AnswerEnd> end;
   TimePoint startedAt{};
--- a/dogwoodvale/src/Gateway/EventSplitter.cpp
+++ b/dogwoodvale/src/Gateway/EventSplitter.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "dogwoodvale/Http"
+
 namespace dogwoodvale {
 
 namespace {
@@ -75,6 +77,9 @@
     const std::string_view line = aEvent.substr(0, end);
     aEvent.remove_prefix(end == std::string_view::npos ? aEvent.size()
                                                        : end + 1);
+    if (IsFirstLineOfAnswer(line)) {
+      return absl::DataLossError("another answer inside the stream");
+    }
     const std::optional<std::uint64_t> id = IdOf(line);
     if (!id) {
       continue;
--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -45,6 +45,8 @@
   virtual void OnBody(std::string_view aBytes) = 0;
   /// The answer is whole by HTTP's own rules.
   virtual void OnComplete(AnswerEnd aEnd) = 0;
+  /// Bytes came behind the answer, which is whole after this.
+  virtual void OnBytesBehind(std::string_view /*aBytes*/) {}
   /// \param aWritten whether any byte of the request may have reached the
   /// server; false means that it was surely not run.
   virtual void OnFailed(const absl::Status& aReason, bool aWritten) = 0;
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -228,9 +228,6 @@
   if (this->call == nullptr) {
     return aBytes.size();
   }
-  const bool hasMore =
-    taken < aBytes.size() ||
-    evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
   const bool isWhole =
     this->parser->GetState() == HttpParser::State::Complete ||
     (this->parser->GetState() == HttpParser::State::Stopped && this->headOnly);
@@ -242,11 +239,11 @@
     case HttpParser::State::Reading:
       break;
     case HttpParser::State::Complete:
-      this->Complete(this->parser->KeepsAlive() && !hasMore);
+      this->CompleteBefore(aBytes.substr(taken));
       return aBytes.size();
     case HttpParser::State::Stopped:
       if (this->headOnly) {
-        this->Complete(this->parser->KeepsAlive() && !hasMore);
+        this->CompleteBefore(aBytes.substr(taken));
         return aBytes.size();
       }
       break;
@@ -258,6 +255,20 @@
   return taken;
 }
 
+void
+BackendConnection::CompleteBefore(std::string_view aBehind)
+{
+  evbuffer* input = bufferevent_get_input(this->stream);
+  std::string behind(aBehind);
+  std::string unread(evbuffer_get_length(input), '\0');
+  evbuffer_copyout(input, unread.data(), unread.size());
+  behind += unread;
+  if (!behind.empty()) {
+    this->call->handler.OnBytesBehind(behind);
+  }
+  this->Complete(this->parser->KeepsAlive() && behind.empty());
+}
+
 void
 BackendConnection::SkipForeign(std::size_t aBytes)
 {
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -76,6 +76,8 @@
   /// Whether the server closed after it had taken the whole request, and no
   /// error was reported. Only then does a close end an answer.
   bool IsClosedInOrder() const;
+  /// Ends the call with a whole answer. \param aBehind what was read behind it.
+  void CompleteBefore(std::string_view aBehind);
   AnswerEnd EndOfAnswer() const;
   void Complete(bool aKeep);
   void Fail(const absl::Status& aReason);
--- a/test/AnswerHeads.cpp
+++ b/test/AnswerHeads.cpp
@@ -86,3 +86,71 @@
     CHECK(site.Received().ends_with("whole"));
   }
 }
+
+// A server that cuts an answer and answers again would have its second head and
+// body taken for the rest of the first body.
+TEST_CASE("a second answer does not fill up a body that was cut", "[heads]")
+{
+  const std::size_t bodySize = GENERATE(12U, 300U, 20'000U);
+  const std::size_t missing = GENERATE(1U, 6U, 10U);
+  const bool isByLength = GENERATE(true, false);
+  CAPTURE(bodySize, missing, isByLength);
+  const std::string body(bodySize, 'w');
+  const std::string head =
+    kLine + kIds +
+    (isByLength ? fmt::format("Content-Length: {}\r\n\r\n", bodySize) : "\r\n");
+  BareSite site;
+  site.Begin("/once/x");
+  site.server.Send(head + body.substr(0, bodySize - missing));
+  site.Until([] { return false; }, milliseconds(30));
+  site.Answer(head + body, Ending::Close);
+  CHECK(site.Received().starts_with("HTTP/1.1 502"));
+  CHECK_FALSE(Has(site.Received(), "ww"));
+}
+
+TEST_CASE("a second answer behind a whole one does not harm it", "[heads]")
+{
+  BareSite site;
+  site.Begin("/once/x");
+  site.Answer(kLine + kIds + kBody + kLine + kIds + kBody, Ending::Close);
+  CHECK(site.Received().starts_with("HTTP/1.1 200"));
+  CHECK(site.Received().ends_with("whole"));
+}
+
+TEST_CASE("a body that tells of answers is passed on", "[heads]")
+{
+  const std::string body =
+    GENERATE(as<std::string>{},
+             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+             "HTTP/1.1 ",
+             "seen: HTTP/1.1 200 OK\r\n",
+             "Dogwoodvale-Attempt-Id: a-1\r\n\r\n");
+  BareSite site;
+  site.Begin("/once/x");
+  site.Answer(kLine + kIds +
+                fmt::format("Content-Length: {}\r\n\r\n", body.size()) + body +
+                "extra",
+              Ending::Close);
+  CHECK(site.Received().starts_with("HTTP/1.1 200"));
+  CHECK(site.Received().ends_with(body));
+}
+
+// The head of the second answer would stand among the events.
+TEST_CASE("a second answer behind a stream does not become a part of it",
+          "[heads]")
+{
+  const std::string head =
+    kLine + kIds + "Content-Type: text/event-stream\r\n\r\n";
+  const std::string event = "id: 1\ndata: first\n\n";
+  BareSite site;
+  site.Begin("/note/stream/x");
+  site.server.Send(head + event);
+  site.Until([] { return false; }, milliseconds(30));
+  site.server.Send(head);
+  site.Until([] { return false; }, milliseconds(30));
+  site.Answer(event, Ending::Close);
+  const std::string& received = site.Received();
+  CHECK(Has(received, event));
+  CHECK(received.find("HTTP/1.1") == received.rfind("HTTP/1.1"));
+  CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+}
