Search an event's end in new bytes only

Callers of other requests: an event of up to 1 MB was searched from its beginning with each piece of 4 to 16 kB, which took the loop's time.

The search starts at the last bytes that may begin a break. The property test plays breaks of both kinds in any pieces; red at once if the overlap is one byte.

--- a/dogwoodvale/src/Gateway/EventSplitter.cpp
+++ b/dogwoodvale/src/Gateway/EventSplitter.cpp
@@ -1,5 +1,6 @@
 #include "EventSplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "dogwoodvale/Http"
@@ -8,6 +9,9 @@
 
 namespace {
 
+/// Bytes of the longest line break between two events.
+constexpr std::size_t kLongestBreak = 4;
+
 /// Offset past the last whole event in \p aBytes; 0 if there is none.
 std::size_t
 EndOfEvents(std::string_view aBytes)
@@ -53,8 +57,13 @@
 EventSplitter::Feed(std::string_view aBytes)
 {
   this->complete.clear();
+  // No event ends in what is pending, but its last bytes may begin a break.
+  const std::size_t searched =
+    std::max(this->pending.size(), kLongestBreak) - kLongestBreak;
   this->pending += aBytes;
-  const std::size_t end = EndOfEvents(this->pending);
+  const std::size_t found =
+    EndOfEvents(std::string_view(this->pending).substr(searched));
+  const std::size_t end = found == 0 ? 0 : searched + found;
   if (end == 0) {
     if (this->pending.size() > kMaxEventBytes) {
       return absl::ResourceExhaustedError("an event is too long");
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -1,3 +1,4 @@
+#include <absl/strings/str_replace.h>
 #include <catch2/catch.hpp>
 #include <msgpack.hpp>
 #include <rapidcheck.h>
@@ -35,13 +36,18 @@
     for (int i = 1; i <= count; ++i) {
       all += Event(static_cast<std::uint64_t>(i));
     }
+    const bool isWindows = *rc::gen::arbitrary<bool>();
+    if (isWindows) {
+      all = absl::StrReplaceAll(all, { { "\n", "\r\n" } });
+    }
     EventSplitter splitter(std::nullopt);
     std::string given;
     for (std::size_t at = 0; at < all.size();) {
       const auto size = *rc::gen::inRange<std::size_t>(1, 20);
       const auto part = splitter.Feed(std::string_view(all).substr(at, size));
       RC_ASSERT(part.ok());
-      RC_ASSERT(part->empty() || part->ends_with("\n\n"));
+      RC_ASSERT(part->empty() ||
+                part->ends_with(isWindows ? "\r\n\r\n" : "\n\n"));
       given += *part;
       at += size;
     }
