Search a long body for another answer's head in time that grows with the body

What callers saw: nothing from this gateway for up to a minute. A server's faulty body of 8 MB full of "HTTP/1.1 200" stopped the event loop while it was searched: requests of all callers, heartbeats, time limits.

Cause: for each "HTTP/1." of the body, 32 kB behind it were copied and their fields read.

Change: one pass over the lines. All heads that begin in one line, or in a field of another head, share the fields behind it, so each field is asked about once. Heads of any size are now found, not only those of 32 kB.

--- a/dogwoodvale/src/Http/EmbeddedAnswer.cpp
+++ b/dogwoodvale/src/Http/EmbeddedAnswer.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include <absl/strings/ascii.h>
 
@@ -15,59 +14,73 @@
 
 constexpr std::string_view kStart = "HTTP/1.";
 constexpr std::string_view kLineEnd = "\r\n";
-/// Longest head that is looked at.
-constexpr std::size_t kMaxHeadBytes = 32U << 10U;
 
-/// Takes the next whole line; nothing if \p aText has none.
-std::optional<std::string_view>
-TakeLine(std::string_view& aText)
+/// The field of a whole line; nothing if it is none.
+std::optional<HeaderField>
+ReadField(std::string_view aLine)
 {
-  const std::size_t end = aText.find(kLineEnd);
-  if (end == std::string_view::npos) {
+  const std::size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos ||
+      !internal::IsToken(aLine.substr(0, colon))) {
     return std::nullopt;
   }
-  const std::string_view line = aText.substr(0, end);
-  aText.remove_prefix(end + kLineEnd.size());
-  return line;
+  const absl::string_view value =
+    absl::StripAsciiWhitespace(ToAbsl(aLine.substr(colon + 1)));
+  return HeaderField{ std::string(aLine.substr(0, colon)),
+                      std::string(FromAbsl(value)) };
 }
 
-/// The fields of the head that \p aText begins with, as far as they are whole;
-/// none if it begins with no head.
-std::vector<HeaderField>
-ReadFields(std::string_view aText)
+/// Whether a status line that begins before \p aLimit ends with the line.
+bool
+HasStatusLine(std::string_view aLine, std::size_t aLimit)
 {
-  std::vector<HeaderField> fields;
-  const std::optional<std::string_view> first = TakeLine(aText);
-  if (!first || !internal::IsStatusLine(*first)) {
-    return fields;
-  }
-  for (auto line = TakeLine(aText); line && !line->empty();
-       line = TakeLine(aText)) {
-    const std::size_t colon = line->find(':');
-    if (colon == std::string_view::npos ||
-        !internal::IsToken(line->substr(0, colon))) {
-      break;
+  // Behind the last byte that no status line holds, the first bytes of one
+  // decide, so that no byte is looked at for each of many.
+  const auto control =
+    std::find_if_not(aLine.rbegin(), aLine.rend(), [](char aByte) {
+      return internal::IsFieldByte(aByte);
+    });
+  const std::size_t from = std::size_t(std::distance(control, aLine.rend()));
+  std::size_t at = aLimit;
+  while (at > from) {
+    at = aLine.rfind(kStart, at - 1);
+    if (at == std::string_view::npos || at < from) {
+      return false;
+    }
+    if (internal::IsStatusLine(aLine.substr(at))) {
+      return true;
     }
-    const absl::string_view value =
-      absl::StripAsciiWhitespace(ToAbsl(line->substr(colon + 1)));
-    fields.push_back(
-      { std::string(line->substr(0, colon)), std::string(FromAbsl(value)) });
   }
-  return fields;
+  return false;
 }
 
-/// Where a head may begin that goes on behind the body: at a part of its first
-/// bytes, too.
-std::size_t
-LastStart(std::string_view aBody)
+/// Whether a head begins before \p aLimit and has a field of an answer. Takes
+/// time in proportion to the text: all heads that begin in one line, or in a
+/// field of another, share the fields behind it.
+bool
+HasHead(std::string_view aText,
+        std::size_t aLimit,
+        const std::function<bool(std::span<const HeaderField>)>& aIsAnswer)
 {
-  for (std::size_t size = std::min(kStart.size() - 1, aBody.size()); size > 0;
-       --size) {
-    if (kStart.starts_with(aBody.substr(aBody.size() - size))) {
-      return aBody.size() - size;
+  bool isInHead = false;
+  std::size_t at = 0;
+  while (true) {
+    at = isInHead ? at : aText.find(kStart, at);
+    const std::size_t end = aText.find(kLineEnd, at);
+    if (end == std::string_view::npos || (!isInHead && at >= aLimit)) {
+      return false;
+    }
+    const std::string_view line = aText.substr(at, end - at);
+    if (isInHead) {
+      const std::optional<HeaderField> field = ReadField(line);
+      if (field && aIsAnswer({ &*field, 1 })) {
+        return true;
+      }
+      isInHead = field.has_value();
     }
+    isInHead = isInHead || HasStatusLine(line, std::max(aLimit, at) - at);
+    at = end + kLineEnd.size();
   }
-  return std::string_view::npos;
 }
 
 } // namespace
@@ -85,20 +98,10 @@
   std::string_view aBehind,
   const std::function<bool(std::span<const HeaderField>)>& aIsAnswer)
 {
-  const auto isHeadAt = [&](std::size_t aAt) {
-    std::string text(aBody.substr(aAt, kMaxHeadBytes));
-    text += aBehind.substr(0, kMaxHeadBytes);
-    return aIsAnswer(ReadFields(text));
-  };
-  for (std::size_t at = aBody.find(kStart); at != std::string_view::npos;
-       at = aBody.find(kStart, at + 1)) {
-    if (isHeadAt(at)) {
-      return true;
-    }
+  if (aBehind.empty()) {
+    return HasHead(aBody, aBody.size(), aIsAnswer);
   }
-  const std::size_t last =
-    aBehind.empty() ? std::string_view::npos : LastStart(aBody);
-  return last != std::string_view::npos && isHeadAt(last);
+  return HasHead(fmt::format("{}{}", aBody, aBehind), aBody.size(), aIsAnswer);
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Http/EmbeddedAnswer.h
+++ b/dogwoodvale/src/Http/EmbeddedAnswer.h
@@ -16,8 +16,8 @@
 /// Whether the head of another answer begins inside a body: the server cut the
 /// answer, or sent two where the first ends with the connection.
 /// \param aBehind bytes that came behind the body, where the head may go on.
-/// \param aIsAnswer whether the fields of a head, perhaps not all of them, are
-/// those of an answer; a body may well tell of other ones.
+/// \param aIsAnswer whether a field of a head, asked one by one, marks that of
+/// an answer; a body may well tell of other heads.
 bool
 HasEmbeddedAnswer(
   std::string_view aBody,
