Read a probe's refusal from an error of its own connection

What callers saw: possibly the refusal of a sound prompt. A probe that nobody had answered in time could count as refused, which says that the server's process has ended; the request that the server had broken off then counts as what crashed it.

Cause: the error number was read for events that carry none. After a time-out it is that of the last call that failed, such as another probe.

Change: only an event with an error has a number.

--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -304,9 +304,10 @@
     }
     return;
   }
-  const int error = EVUTIL_SOCKET_ERROR();
-  // One event tells of all that happened in a turn of the loop.
-  if ((aWhat & BEV_EVENT_ERROR) != 0) {
+  // One event tells of all that happened in a turn of the loop. Without an
+  // error in it, the number is that of another call.
+  const int error = (aWhat & BEV_EVENT_ERROR) != 0 ? EVUTIL_SOCKET_ERROR() : 0;
+  if (error != 0) {
     this->link.Record(error);
   }
   if (this->probe) {
--- a/test/BackendClient.cpp
+++ b/test/BackendClient.cpp
@@ -476,3 +476,26 @@
     CHECK(results[1] == ProbeResult::Refused);
   }
 }
+
+// A server that was slow to accept would count as crashed, and the request that
+// it had broken off as what crashed it.
+TEST_CASE("a probe that takes too long is not refused by another's error",
+          "[backend]")
+{
+  BackendClientOptions options;
+  options.connectTimeout = milliseconds(200);
+  Fixture fixture(options);
+  RawSocket busy = RawSocket::Listen(0);
+  const RawSocket waiting = RawSocket::Connect(busy.Address());
+  const auto slow =
+    std::move(*BackendClient::Create(*fixture.loop, busy.Address(), options));
+  std::optional<ProbeResult> result;
+  slow->Probe([&](ProbeResult aResult) { result = aResult; });
+  std::vector<ProbeResult> refused;
+  fixture.listener.Close();
+  fixture.client->Probe(
+    [&](ProbeResult aResult) { refused.push_back(aResult); });
+  REQUIRE(fixture.Until([&] { return result.has_value(); }));
+  CHECK(refused == std::vector{ ProbeResult::Refused });
+  CHECK(result == ProbeResult::Unclear);
+}
