Recognise a second answer that begins inside an event

What callers saw: an event that ends with the head of the server's second answer, where the server had cut its stream inside a line and answered again; if the event had no id yet, the second answer's events behind it, too.

Cause: only a line that is a status line was recognised, but a stream may be cut anywhere.

Change: whole events are searched for the head of another answer as whole bodies are; such a stream fails as garbled, with the events before it delivered. Events that tell of answers without the field of an attempt pass.

Evidence: DirectAttempt "a second answer inside an event does not become a part of it" had 5 red checks in three of its four cuts before, none with the change.

--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -169,6 +169,10 @@
     this->Fail(AttemptFailure::Garbled, MessageOf(events.status()));
     return;
   }
+  if (this->HasOtherAnswer(*events, {})) {
+    this->Fail(AttemptFailure::Garbled, "another answer inside an event");
+    return;
+  }
   if (!events->empty()) {
     this->RestartTimeout(this->plan.timeouts.betweenEvents);
     this->listener.OnAttemptEvents(*events);
@@ -191,7 +195,7 @@
     return;
   }
   if (!this->isStream) {
-    if (this->HasOtherAnswer()) {
+    if (this->HasOtherAnswer(this->body, this->behind)) {
       this->Fail(AttemptFailure::Garbled, "another answer inside the body");
       return;
     }
@@ -214,10 +218,11 @@
 }
 
 bool
-DirectAttempt::HasOtherAnswer() const
+DirectAttempt::HasOtherAnswer(std::string_view aBytes,
+                              std::string_view aBehind) const
 {
   return HasEmbeddedAnswer(
-    this->body, this->behind, [this](std::span<const HeaderField> aFields) {
+    aBytes, aBehind, [this](std::span<const HeaderField> aFields) {
       return !this->protocol.ReadHead(0, aFields).attemptId.empty();
     });
 }
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -123,8 +123,9 @@
   static constexpr std::size_t kMaxBufferedBytes = 8U << 20U;
 
 private:
-  /// Whether another answer begins inside the body.
-  bool HasOtherAnswer() const;
+  /// Whether another answer begins inside \p aBytes of the body. \param aBehind
+  /// what came behind them.
+  bool HasOtherAnswer(std::string_view aBytes, std::string_view aBehind) const;
   void Fail(AttemptFailure aFailure, std::string_view aReason);
   /// Restarts the time-out for the next part of the answer; 0 disables it.
   void RestartTimeout(Duration aTimeout);
