Send a request without an id on a connection of its own

What callers saw: no answer until the time limit. A server answers a request without an attempt id without one; on a kept connection such an answer was read over as that of another request.

Cause: since answers without an id on kept connections belong to nobody, a request without one could get its answer on a new connection only.

Change: it always gets a new one, where the first answer is its own.

Evidence: DirectAttempt "a request without an id gets its answer on a second connection" was red before: the second request had no answer after a second.

--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -71,8 +71,13 @@
 {
   this->startedAt = Now();
   this->RestartTimeout(this->plan.timeouts.firstResponse);
-  this->call =
-    aClient.StartFresh(aRequest, *this, this->plan.maxConnectionIdle);
+  // On a kept connection an answer to a request without an id can't be told
+  // from a late one to another request.
+  this->call = aClient.StartFresh(aRequest,
+                                  *this,
+                                  this->plan.attemptId.empty()
+                                    ? Duration::min()
+                                    : this->plan.maxConnectionIdle);
 }
 
 std::optional<BrokenAttempt>
--- a/test/DirectAttempt.cpp
+++ b/test/DirectAttempt.cpp
@@ -144,3 +144,18 @@
   CHECK(server.recorder.events == event);
   CHECK(server.recorder.complete);
 }
+
+// Its answer would be read over, and the request last to its time limit.
+TEST_CASE("a request without an id gets its answer on a second connection",
+          "[attempt]")
+{
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nseal: s\r\nContent-Length: 5\r\n\r\n";
+  Server server;
+  for (const std::string body : { "first", "other" }) {
+    server.Begin("");
+    server.socket.Send(answer + body);
+    CHECK(server.Until([&] { return server.recorder.Ended(); }, seconds(1)));
+    CHECK(server.recorder.body == body);
+  }
+}
