--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -71,8 +71,13 @@
 {
   this->startedAt = Now();
   this->RestartTimeout(this->plan.timeouts.firstResponse);
-  this->call =
-    aClient.StartFresh(aRequest, *this, this->plan.maxConnectionIdle);
+  // On a kept connection an answer to a request without an id can't be told
+  // from a late one to another request.
+  this->call = aClient.StartFresh(aRequest,
+                                  *this,
+                                  this->plan.attemptId.empty()
+                                    ? Duration::min()
+                                    : this->plan.maxConnectionIdle);
 }
 
 std::optional<BrokenAttempt>
@@ -169,6 +174,10 @@
     this->Fail(AttemptFailure::Garbled, MessageOf(events.status()));
     return;
   }
+  if (this->HasOtherAnswer(*events, {})) {
+    this->Fail(AttemptFailure::Garbled, "another answer inside an event");
+    return;
+  }
   if (!events->empty()) {
     this->RestartTimeout(this->plan.timeouts.betweenEvents);
     this->listener.OnAttemptEvents(*events);
@@ -191,7 +200,7 @@
     return;
   }
   if (!this->isStream) {
-    if (this->HasOtherAnswer()) {
+    if (this->HasOtherAnswer(this->body, this->behind)) {
       this->Fail(AttemptFailure::Garbled, "another answer inside the body");
       return;
     }
@@ -214,10 +223,11 @@
 }
 
 bool
-DirectAttempt::HasOtherAnswer() const
+DirectAttempt::HasOtherAnswer(std::string_view aBytes,
+                              std::string_view aBehind) const
 {
   return HasEmbeddedAnswer(
-    this->body, this->behind, [this](std::span<const HeaderField> aFields) {
+    aBytes, aBehind, [this](std::span<const HeaderField> aFields) {
       return !this->protocol.ReadHead(0, aFields).attemptId.empty();
     });
 }
