Show that a late refusal without an id lets a request run twice, red

A server's second refusal of an earlier request, late and without an id, comes where the answer to the next request on the connection is expected. DirectAttempt::IsOwnAnswer takes refusals without an id on kept connections as its own, so a request that may run once is sent to a second server while the first one may run it.

Not fixed here: the stand-in engine refuses without an id.

--- a/test/AnswerHeads.cpp
+++ b/test/AnswerHeads.cpp
@@ -154,3 +154,42 @@
   CHECK(received.find("HTTP/1.1") == received.rfind("HTTP/1.1"));
   CHECK_FALSE(received.ends_with("0\r\n\r\n"));
 }
+
+// A request that may run once would run at a second server while the first one
+// runs it, if it took another request's refusal for its own.
+TEST_CASE("a late refusal without an id does not free a request to run again",
+          "[heads]")
+{
+  BareSite site(2);
+  const std::size_t first = site.Begin("/once/x");
+  site.server.Send(kLine + kIds + kBody);
+  CHECK(site.Received().ends_with("whole"));
+  // The next request may go to either server.
+  test::RawSocket other;
+  std::string id;
+  site.server.received.clear();
+  for (int i = 2; !site.server.Has(" HTTP/1.1") && i < 50; ++i) {
+    id = fmt::format("a-{}", i);
+    other.received.clear();
+    site.caller = test::RawSocket::Connect(site.gateway->CallerAddress());
+    site.caller.Send(
+      PlatformSite::RequestText("/once/x", id, "Connection: close\r\n"));
+    REQUIRE(site.Until([&] {
+      site.listeners[1 - first].Accept(other);
+      return site.server.Has("\r\n\r\nbody") || other.Has("\r\n\r\nbody");
+    }));
+    if (!site.server.Has("body")) {
+      other.Send(PlatformSite::AnswerHead(id) + kBody);
+      site.Received();
+    }
+  }
+  REQUIRE(site.server.Has("Attempt-Id: " + id));
+  site.server.Send("HTTP/1.1 503 Busy\r\nDogwoodvale-Not-Executed: 1\r\n"
+                   "Content-Length: 0\r\n\r\n");
+  CHECK_FALSE(site.Until(
+    [&] {
+      site.listeners[1 - first].Accept(other);
+      return other.Has("Attempt-Id: " + id);
+    },
+    seconds(1)));
+}
