Believe no refusal without an id on a kept connection

What callers saw: a request that may run once could run twice.

Cause: without an id, only what a run had produced was doubted.

Change: what can't be attributed fails the attempt as one that may have run. The stand-in engine states the id with refusals too, as the users' pages say engines do; before, tests relied on its leaving it out.

--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -132,11 +132,12 @@
 DirectAttempt::IsOwnAnswer(std::span<const HeaderField> aHeaders, bool aIsFirst)
 {
   const BackendAnswer head = this->protocol.ReadHead(0, aHeaders);
-  if (!head.attemptId.empty() || aIsFirst) {
+  this->isAttributed = !head.attemptId.empty() || aIsFirst;
+  if (this->isAttributed) {
     return head.attemptId.empty() || head.attemptId == this->plan.attemptId;
   }
-  // Without an id, what a run has produced may be of any request that the
-  // connection has carried. A refusal reaches no caller as it is.
+  // Without an id it may be of any request that the connection has carried.
+  // Only what a run has produced is worth waiting for another answer.
   return !head.isGenuine || head.notRun;
 }
 
@@ -189,6 +190,11 @@
 {
   this->end = aEnd;
   this->silenceTimer.Stop();
+  if (!this->isAttributed) {
+    this->Fail(AttemptFailure::Garbled,
+               "an answer without an id on a kept connection");
+    return;
+  }
   if (this->answer.notRun) {
     this->Fail(this->answer.wrongInstance ? AttemptFailure::WrongInstance
                                           : AttemptFailure::Refused,
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -144,6 +144,8 @@
   /// What came behind the answer on its connection.
   std::string behind;
   bool isStream = false;
+  /// Whether the answer is known to be of this request.
+  bool isAttributed = true;
   std::optional<AnswerEnd> end;
   TimePoint startedAt{};
   /// Why the connection broke after the request was sent, or the stream ended
--- a/standins/SealedEngine.cpp
+++ b/standins/SealedEngine.cpp
@@ -143,6 +143,7 @@
   this->arrivals.push_back({ aExchange.Header(kId), Now() });
   const std::string expected = aExchange.Header(kExpect);
   if (!expected.empty() && expected != this->settings.instance) {
+    aExchange.AddHeader(kId, this->arrivals.back().id);
     aExchange.AddHeader("Dogwoodvale-Instance-Id", this->settings.instance);
     this->AddLoad(aExchange);
     aExchange.ReplyJson(421, Json::Value(Json::objectValue));
@@ -152,6 +153,7 @@
     this->arrivals.back().turnedAway = true;
     // For checkers, as the line of a run.
     Log(LogLevel::Info, "turned_away", "id", this->arrivals.back().id);
+    aExchange.AddHeader(kId, this->arrivals.back().id);
     aExchange.AddHeader("Dogwoodvale-Not-Executed", "1");
     if (!this->faults.retryAfter.empty()) {
       aExchange.AddHeader("Retry-After", this->faults.retryAfter);
