--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,8 @@
         self.id, self.route, self.gateway = ident, route, gateway
         # The attempt whose stream it resumes.
         self.earlier = earlier
+        # Asked for beside a plain answer's own.
+        self.bytes = 0
         # Of its whole stream.
         self.length = earlier.length if earlier else EVENTS
         self.sent = time.monotonic()
@@ -61,6 +63,10 @@
         self.tries = 1
         # The fewest and the most events that a stream is asked for; none: the engine's own.
         self.lengths = None
+        # The fewest and the most bytes that are added to a plain answer; none: no bytes.
+        self.answer_bytes = None
+        # Sizes of long bodies, and the share of requests with one.
+        self.upload_sizes, self.upload_share = (), 0
         # Of its own, so that a seed draws the same requests as without breaks.
         self.breaks = random.Random(0)
 
@@ -157,9 +163,13 @@
             answer = Answer(uuid.uuid4().hex[:16], self.rng.choice(ROUTES), name)
             if self.lengths and "stream" in answer.route:
                 answer.length = self.rng.randint(*self.lengths)
+            elif self.answer_bytes:
+                answer.bytes = self.rng.randint(*self.answer_bytes)
             self.answers.append(answer)
             try:
                 body = answer.id.encode() if self.own_bodies else b"body"
+                if self.upload_share and self.rng.random() < self.upload_share:
+                    body = body.ljust(self.rng.choice(self.upload_sizes), b"x")
                 await asyncio.wait_for(self._ask(reader, writer, answer, body), self.patience_s)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
                 return
@@ -186,8 +196,9 @@
         elif (self.breaks_streams and answer.route == "/stream/"
               and self.breaks.random() < LEAVING_SHARE):
             asyncio.get_running_loop().call_later(LEAVING_S, writer.transport.abort)
+        more = f"&bytes={answer.bytes}" if answer.bytes else ""
         writer.write(
-            f"POST {answer.route}x?events={answer.length} HTTP/1.1\r\nHost: soak.example\r\n"
+            f"POST {answer.route}x?events={answer.length}{more} HTTP/1.1\r\nHost: soak.example\r\n"
             f"Dogwoodvale-Attempt-Id: {answer.id}\r\n"
             f"Dogwoodvale-Credential: {self.rng.choice(KEYS)}\r\n"
             f"Dogwoodvale-Deadline-Ms: {self.patience_s * 1000}\r\n{resumes}"
--- a/soak/site_processes.py
+++ b/soak/site_processes.py
@@ -108,6 +108,9 @@
         them: one would take connections for an engine that has ended."""
         self.build, self.folder, self.rng = build, folder, rng
         self.grace_s, self.timeout_ms, self.slots = GRACE_S, 3000, 8
+        self.max_body, self.memory_mb = 65536, 128
+        # Makes the proxy before an engine's port.
+        self.engine_proxy = Proxy
         self.versions, self.first_era = SOFTWARE, 1
         self.crash_options = list(crash_options)
         self.engines, self.gateways, self.proxies = {}, {}, {}
@@ -154,7 +157,7 @@
                        route("/again/", "idempotent", 3, False),
                        route(f"/v{self.version}/", "idempotent", 1, False)],
             "services": [{"name": "s", "maxConnections": 64}],
-            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 65536,
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": self.max_body,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "t1", "apiKeys": KEYS, "priority": 0}]}
         await self.put("op/config", config)
@@ -176,7 +179,7 @@
         await process.start()
         self.engines[name] = (process, port)
         if not self.crash_options:
-            self.proxies[name] = Proxy(port)
+            self.proxies[name] = self.engine_proxy(port)
             await self.proxies[name].start()
         await post_soon(port, "/standin/fault", {"clear": True})
         await self.register(name, "ready")
@@ -211,7 +214,7 @@
             "gateway": {"callers": f"127.0.0.1:{callers}", "retry_ratio": 0.5,
                         "instance_drain_ms": DRAIN_MS,
                         "stop_grace_s": self.grace_s, "descriptors": 1024,
-                        "memory_mb": 128}}
+                        "memory_mb": self.memory_mb}}
         self.settings[name] = settings
         self.write_settings(name)
         process = Process(self, name, [
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -22,6 +22,15 @@
 LINE = re.compile(r"^(\S+)Z .* event=(?:run|run_ended) id=(\w+) (?:path=\S+|end=(\w+))", re.M)
 
 
+async def weaken(process, weakness):
+    """Gives a process one slice of its processor in so many."""
+    while weakness > 1:
+        await asyncio.sleep(SLICE_S)
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(SLICE_S * (weakness - 1))
+        process.signal(signal.SIGCONT)
+
+
 class Run:
     """What an engine did for one attempt; the last run of it."""
 
@@ -50,7 +59,8 @@
         for _, port in self.site.engines.values():
             await post(port, "/standin/fault", {
                 "pause_ms": self.rng.choice([0, 1500]), "pause_every": 5})
-        weak = [asyncio.create_task(self._weaken(p)) for p, _ in self.site.gateways.values()]
+        weak = [asyncio.create_task(weaken(process, self.weakness))
+                for process, _ in self.site.gateways.values()]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             names = self.rng.sample(sorted(self.site.gateways), self.rng.randrange(1, 3))
@@ -60,13 +70,6 @@
             task.cancel()
         await self.site.heal()
 
-    async def _weaken(self, process):
-        while self.weakness > 1:
-            await asyncio.sleep(SLICE_S)
-            process.signal(signal.SIGSTOP)
-            await asyncio.sleep(SLICE_S * (self.weakness - 1))
-            process.signal(signal.SIGCONT)
-
     async def _stop(self, name):
         process, _ = self.site.gateways[name]
         self.site.note(f"SIGTERM {name}")
