Count the grace period of a gateway's stop from the signal

Callers of a gateway that is stopped: with no answer, if the loop was busy when SIGTERM came. Accepting, draining and the end counted from the turn in which the loop noticed the order, while the process is killed by the time of the order; more than a quarter of a second later nobody was told anything.

SignalWatch records in the handler when the signal came and tells it; the gateway's schedule starts there. "draining" logs how late it was noticed.

PlannedStop "the grace period counts from the order, not from its notice" and Core "a signal is told with the time at which it came" are red with the schedule, and the time, taken at the notice as before.

--- a/daemon/dogwoodvaled.cpp
+++ b/daemon/dogwoodvaled.cpp
@@ -64,7 +64,7 @@
   if (!daemon.ok()) {
     return FailToStart(daemon.status());
   }
-  const auto stop = [&] { (*daemon)->BeginStop(); };
+  const auto stop = [&](TimePoint) { (*daemon)->BeginStop(); };
   const SignalWatch onTerminate(aLoop, SIGTERM, stop);
   const SignalWatch onInterrupt(aLoop, SIGINT, stop);
   LogStart(aSettings);
@@ -100,11 +100,13 @@
   if (!gateway.ok()) {
     return FailToStart(gateway.status());
   }
-  const auto stop = [&] { (*gateway)->BeginStop(); };
+  const auto stop = [&](TimePoint aOrdered) {
+    (*gateway)->BeginStop(aOrdered);
+  };
   const auto reload = [&] { ReloadGateway(**gateway, aPath); };
   const SignalWatch onTerminate(aLoop, SIGTERM, stop);
   const SignalWatch onInterrupt(aLoop, SIGINT, stop);
-  const SignalWatch onHangUp(aLoop, SIGHUP, reload);
+  const SignalWatch onHangUp(aLoop, SIGHUP, [&](TimePoint) { reload(); });
   const SettingsFileWatch onChange(aLoop, aPath, reload);
   LogStart(aSettings);
   aLoop.Run();
--- a/dogwoodvale/src/Core/EventLoop.cpp
+++ b/dogwoodvale/src/Core/EventLoop.cpp
@@ -2,6 +2,10 @@
 
 #include <event2/event.h>
 
+#include <array>
+#include <atomic>
+#include <csignal>
+
 namespace dogwoodvale {
 
 namespace {
@@ -17,6 +21,40 @@
   return { micros / kMicrosecondsPerSecond, micros % kMicrosecondsPerSecond };
 }
 
+/// Of one signal.
+struct SignalState
+{
+  /// When it came, in ticks of the clock; 0 if no callback is due.
+  std::atomic<TimePoint::rep> cameAt{ 0 };
+  /// Wakes the loop.
+  std::atomic<void (*)(int)> loopHandler{ nullptr };
+};
+
+std::array<SignalState, NSIG> signalStates;
+
+extern "C" void
+OnSignal(int aSignal)
+{
+  SignalState& state = signalStates.at(static_cast<std::size_t>(aSignal));
+  TimePoint::rep none = 0;
+  state.cameAt.compare_exchange_strong(none, Now().time_since_epoch().count());
+  state.loopHandler.load()(aSignal);
+}
+
+/// Puts OnSignal() before the handler of the loop.
+void
+RecordArrivals(int aSignal)
+{
+  struct sigaction action = {};
+  sigaction(aSignal, nullptr, &action);
+  if (action.sa_handler != &OnSignal) {
+    signalStates.at(static_cast<std::size_t>(aSignal))
+      .loopHandler.store(action.sa_handler);
+    action.sa_handler = &OnSignal;
+    sigaction(aSignal, &action, nullptr);
+  }
+}
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<EventLoop>>
@@ -135,18 +173,26 @@
 
 SignalWatch::SignalWatch(EventLoop& aLoop,
                          int aSignal,
-                         std::function<void()> aCallback)
+                         std::function<void(TimePoint)> aCallback)
   : callback(std::move(aCallback))
+  , number(aSignal)
   , watch(event_new(
       aLoop.Base(),
       aSignal,
       EV_SIGNAL | EV_PERSIST,
       [](evutil_socket_t, short, void* aSelf) {
-        static_cast<SignalWatch*>(aSelf)->callback();
+        auto& self = *static_cast<SignalWatch*>(aSelf);
+        const TimePoint::rep cameAt =
+          signalStates.at(static_cast<std::size_t>(self.number))
+            .cameAt.exchange(0);
+        if (cameAt != 0) {
+          self.callback(TimePoint(TimePoint::duration(cameAt)));
+        }
       },
       this))
 {
   event_add(this->watch, nullptr);
+  RecordArrivals(aSignal);
 }
 
 SignalWatch::~SignalWatch()
--- a/dogwoodvale/src/Core/EventLoop.h
+++ b/dogwoodvale/src/Core/EventLoop.h
@@ -80,17 +80,22 @@
   Duration period{ 0 };
 };
 
-/// Calls back when the process gets a signal.
+/// Calls back when the process gets a signal. At most one for each signal.
 class SignalWatch
 {
 public:
-  SignalWatch(EventLoop& aLoop, int aSignal, std::function<void()> aCallback);
+  /// \param aCallback gets the time at which the signal came, which on a busy
+  /// loop is well before the call; signals that come before it count as one.
+  SignalWatch(EventLoop& aLoop,
+              int aSignal,
+              std::function<void(TimePoint)> aCallback);
   ~SignalWatch();
   SignalWatch(const SignalWatch&) = delete;
   SignalWatch& operator=(const SignalWatch&) = delete;
 
 private:
-  std::function<void()> callback;
+  std::function<void(TimePoint)> callback;
+  int number;
   event* watch;
 };
 
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -609,16 +609,21 @@
 // Planned stop.
 
 void
-Gateway::BeginStop()
+Gateway::BeginStop(TimePoint aOrdered)
 {
   if (this->stopping) {
     return;
   }
   this->stopping = true;
-  this->stopOrdered = Now();
-  this->stopSchedule =
-    StopSchedule(this->stopOrdered, this->settings.gateway.stopGrace);
-  Log(LogLevel::Info, "draining", "requests", this->requests.size());
+  const TimePoint now = Now();
+  this->stopOrdered = aOrdered;
+  this->stopSchedule = StopSchedule(aOrdered, this->settings.gateway.stopGrace);
+  Log(LogLevel::Info,
+      "draining",
+      "requests",
+      this->requests.size(),
+      "noticed_after_ms",
+      WholeMillis(Between(aOrdered, now)));
   this->callers->AnnounceClosing();
   this->usage.Stop();
   this->directory->Leave();
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -41,7 +41,8 @@
   /// Starts a planned stop: reports unready at once, accepts connections until
   /// the balancer has removed the gateway, drains the requests in flight, then
   /// stops the loop. See StopSchedule for the times.
-  void BeginStop();
+  /// \param aOrdered when the order came, from which the grace period counts.
+  void BeginStop(TimePoint aOrdered = Now());
   /// Applies the settings that may change at run time: the retry budget and the
   /// seed addresses.
   void Reload(const DaemonSettings& aSettings);
--- a/standins/Program.h
+++ b/standins/Program.h
@@ -51,8 +51,10 @@
     Log(LogLevel::Error, "start_failed", "why", MessageOf(standin.status()));
     return 1;
   }
-  const SignalWatch terminated(**loop, SIGTERM, [&] { (*loop)->Stop(); });
-  const SignalWatch interrupted(**loop, SIGINT, [&] { (*loop)->Stop(); });
+  const SignalWatch terminated(
+    **loop, SIGTERM, [&](TimePoint) { (*loop)->Stop(); });
+  const SignalWatch interrupted(
+    **loop, SIGINT, [&](TimePoint) { (*loop)->Stop(); });
   Log(LogLevel::Info,
       "ready",
       "standin",
--- a/test/Core.cpp
+++ b/test/Core.cpp
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <csignal>
+#include <thread>
+
 #include "dogwoodvale/Core"
 
 using namespace dogwoodvale;
@@ -47,3 +50,25 @@
   REQUIRE((*loop)->RunUntil([&] { return calls == 1; }, seconds(1)));
   REQUIRE_FALSE((*loop)->RunUntil([&] { return calls > 1; }, milliseconds(10)));
 }
+
+// Guards against taking the moment at which a slow loop notices a signal for
+// the moment of the signal.
+TEST_CASE("a signal is told with the time at which it came")
+{
+  auto loop = EventLoop::Create();
+  REQUIRE(loop.ok());
+  std::vector<TimePoint> came;
+  const SignalWatch watch(
+    **loop, SIGUSR1, [&](TimePoint aReceived) { came.push_back(aReceived); });
+  for (std::size_t i = 1; i <= 2; ++i) {
+    const TimePoint sent = Now();
+    std::raise(SIGUSR1);
+    const TimePoint received = Now();
+    std::this_thread::sleep_for(milliseconds(20));
+    // The first of several counts.
+    std::raise(SIGUSR1);
+    REQUIRE((*loop)->RunUntil([&] { return came.size() == i; }, seconds(1)));
+    REQUIRE(came.back() >= sent);
+    REQUIRE(came.back() <= received);
+  }
+}
--- a/test/PlannedStop.cpp
+++ b/test/PlannedStop.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 #include "support/PlatformSite.h"
 
 using namespace dogwoodvale;
@@ -58,6 +60,13 @@
   TimePoint stopped{};
 };
 
+/// Nothing on the loop is handled meanwhile.
+void
+BlockLoop(Duration aTime)
+{
+  std::this_thread::sleep_for(aTime);
+}
+
 } // namespace
 
 // Guards against passing on, late in a planned stop, what its end then cuts:
@@ -145,3 +154,21 @@
   CHECK_FALSE(caller.wasReset);
   CHECK(site.engines[0]->Runs().size() == 1);
 }
+
+// Guards against a grace period that is counted from when the loop came to
+// notice the order: the process is killed by the time of the order.
+TEST_CASE("the grace period counts from the order, not from its notice",
+          "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  Json::Value hangs(Json::objectValue);
+  hangs["hang"] = true;
+  site.engines[0]->SetFault(hangs);
+  RawSocket caller = site.Begin("/once/x", "id-1");
+  site.stopped = Now();
+  BlockLoop(milliseconds(400));
+  site.gateway->BeginStop(site.stopped);
+  site.RunToExit();
+  CHECK(Between(site.stopped, Now()) < kGrace);
+  CHECK(caller.Has("HTTP/1.1 502"));
+}
--- a/tools/load/LoadTool.cpp
+++ b/tools/load/LoadTool.cpp
@@ -173,8 +173,10 @@
     recorder.Open(*std::move(writer));
   }
   LoadRun run(**loop, aPlan, aArguments.run, recorder);
-  const SignalWatch onInterrupt(**loop, SIGINT, [&] { run.StopArrivals(); });
-  const SignalWatch onTerminate(**loop, SIGTERM, [&] { run.StopArrivals(); });
+  const SignalWatch onInterrupt(
+    **loop, SIGINT, [&](TimePoint) { run.StopArrivals(); });
+  const SignalWatch onTerminate(
+    **loop, SIGTERM, [&](TimePoint) { run.StopArrivals(); });
   const double startMs = ToMs(Now());
   run.Start();
   while (!run.IsDone()) {
