End draining early enough on a slow loop to answer before the kill

The end of draining was noticed up to a turn of the loop late and waited for one more turn, with 250 ms for both (a twentieth of a short grace). With longer turns the process was killed before its callers were answered.

The schedule measures how late its checks are and ends draining two such turns earlier, at most a sixth of the grace before its end. On a loop that is in time nothing changes.

PlannedStop "all callers are answered within the grace though the loop is slow" (turns of 110 ms, grace of 2 s) ends after the grace without OnCheck().

--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Duration kMaintenancePeriod = CrashLedger::kEvaluationPeriod;
-constexpr Duration kStopCheckPeriod = milliseconds(20);
 /// Reads of the list of backend servers within the time (instanceDrain) after
 /// which a leaving server must get no more work: if one read fails, the next is
 /// still in time.
@@ -627,13 +626,14 @@
   this->callers->AnnounceClosing();
   this->usage.Stop();
   this->directory->Leave();
-  this->stopTimer.StartRepeating(kStopCheckPeriod);
+  this->stopTimer.StartRepeating(StopSchedule::kCheckPeriod);
 }
 
 void
 Gateway::CheckStopped()
 {
   const TimePoint now = Now();
+  this->stopSchedule.OnCheck(now);
   if (!this->stopSchedule.IsOutOfBalancer(now)) {
     return;
   }
--- a/test/PlannedStop.cpp
+++ b/test/PlannedStop.cpp
@@ -155,6 +155,25 @@
   CHECK(site.engines[0]->Runs().size() == 1);
 }
 
+// Guards against an end of the stop that comes after the process is killed, so
+// that nobody is told anything.
+TEST_CASE("all callers are answered within the grace though the loop is slow",
+          "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  Json::Value hangs(Json::objectValue);
+  hangs["hang"] = true;
+  site.engines[0]->SetFault(hangs);
+  RawSocket caller = site.Begin("/once/x", "id-1");
+  site.Stop();
+  Timer slow(*site.loop, [] { BlockLoop(milliseconds(110)); });
+  slow.StartRepeating(milliseconds(1));
+  site.RunToExit();
+  CHECK(Between(site.stopped, Now()) < kGrace);
+  CHECK(caller.Has("HTTP/1.1 502"));
+  CHECK_FALSE(caller.wasReset);
+}
+
 // Guards against a grace period that is counted from when the loop came to
 // notice the order: the process is killed by the time of the order.
 TEST_CASE("the grace period counts from the order, not from its notice",
