Close no connection of a stopping server that has something to read or send

Callers saw a reset, or a part of a whole answer.

Answers are sent to their end, what waits is accepted, unread requests are read and get their refusal (503, not run), and a connection that has just been made or become free has 250 ms.

Red without the change: PlannedStop "requests that lie unread when accepting ends are refused unrun", "a request on a connection made just before accepting ends is refused unrun", "a long answer that its caller takes slowly is whole"; CallerServer "what has come before accepting ends is read".

--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -501,9 +501,42 @@
     this->Refuse(408, ErrorCode::BadRequest, "the request came too slowly");
     return;
   }
+  if (this->phase == Phase::Idle && this->owner.IsStopping()) {
+    this->CloseIdle();
+    return;
+  }
   this->Drop();
 }
 
+void
+CallerConnection::CloseIdle()
+{
+  if (this->phase != Phase::Idle || this->HasUnread()) {
+    return;
+  }
+  const Duration since = Between(this->receivedAt, Now());
+  if (since < kLeastSilence) {
+    this->timer.StartOnce(kLeastSilence - since);
+  } else if (this->PendingBytes() > 0) {
+    this->StartClosing();
+  } else {
+    this->Drop();
+  }
+}
+
+bool
+CallerConnection::HasUnread() const
+{
+  if (this->stream == nullptr) {
+    return false;
+  }
+  char byte = 0;
+  return evbuffer_get_length(bufferevent_get_input(this->stream)) > 0 ||
+         recv(
+           bufferevent_getfd(this->stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >
+           0;
+}
+
 bool
 CallerConnection::HasCallerClosed() const
 {
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -88,6 +88,11 @@
   void ResumeReading();
   /// Closes at once, telling the exchange's handler.
   void Drop();
+  /// Closes a connection without a request, once its last answer is sent and
+  /// none has been on its way for kLeastSilence.
+  void CloseIdle();
+  /// Whether bytes have come that are not parsed.
+  bool HasUnread() const;
   /// How long nothing has come of the request that is due: for ever, if the
   /// last answer has been sent. Nothing while a request is answered.
   std::optional<Duration> SinceReceived() const;
@@ -103,6 +108,10 @@
   /// Asks the system, as its bytes may not all have been read.
   bool HasCallerClosed() const;
 
+  /// A request may be on its way for so long after the connection was made or
+  /// has become free.
+  static constexpr Duration kLeastSilence = milliseconds(250);
+
   // For the exchange.
   void WriteHead(int aStatus,
                  std::span<const HeaderField> aHeaders,
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -31,7 +31,7 @@
 /// A connection has this long to send a request, or more of one, before it may
 /// be closed for a new one. Without it a flood of connections would close each
 /// before its request can come.
-constexpr Duration kLeastSilence = milliseconds(250);
+constexpr Duration kLeastSilence = CallerConnection::kLeastSilence;
 /// How often refusals for lack of memory or connections are logged.
 constexpr Duration kShortageLogPeriod = seconds(1);
 
@@ -182,6 +182,7 @@
   void StopAccepting() override
   {
     this->stopping = true;
+    this->AcceptWaiting();
     this->listener.reset();
   }
 
@@ -219,7 +220,7 @@
       }
     }
     for (CallerConnection* connection : idle) {
-      connection->Drop();
+      connection->CloseIdle();
     }
   }
 
@@ -245,6 +246,20 @@
     }
   }
 
+  /// Connections that are not accepted are reset with the listening socket.
+  void AcceptWaiting()
+  {
+    if (this->listener == nullptr) {
+      return;
+    }
+    const int from = evconnlistener_get_fd(this->listener.get());
+    int accepted = 0;
+    while ((accepted = accept4(
+              from, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+      this->Accept(accepted);
+    }
+  }
+
   void PauseAccepting(Duration aTime)
   {
     if (aTime > Duration(0) && this->listener != nullptr) {
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -121,8 +121,9 @@
   virtual void SetBounds(const CallerBounds& aBounds) = 0;
   /// From now on each connection closes after its next answer, which says so.
   virtual void AnnounceClosing() = 0;
-  /// Closes the listening socket; open connections go on, and each closes
-  /// after the answer to its current request.
+  /// Accepts what waits for it and closes the listening socket; open
+  /// connections go on, and each closes after the answer to its current
+  /// request.
   virtual void StopAccepting() = 0;
   virtual std::size_t OpenConnections() const = 0;
   /// Connections on which a request is being received or answered.
@@ -131,8 +132,9 @@
   virtual std::size_t UnsentBytes() const = 0;
   /// Memory of all requests and of answers that were not taken.
   virtual std::size_t HeldBytes() const = 0;
-  /// Closes the connections on which no request has begun; for the end of a
-  /// planned stop.
+  /// Closes the connections on which no request has begun and nothing is to be
+  /// read or sent, but for those on which a request may be on its way; for the
+  /// end of a planned stop.
   virtual void CloseIdleConnections() = 0;
 };
 
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -510,6 +510,28 @@
   REQUIRE(f.Until([&] { return f.server->OpenConnections() == 0; }));
 }
 
+// Guards against a reset of connections whose requests have come, be they not
+// accepted yet or kept and unread.
+TEST_CASE("what has come before accepting ends is read")
+{
+  Fixture f;
+  RawSocket kept = f.Connect(kGet);
+  REQUIRE(f.HasRequests(1));
+  f.keeper.Answer();
+  REQUIRE(f.Until([&] { return kept.Has("</a?b=1>"); }));
+  // Longer than a request may be on its way.
+  f.Until([] { return false; }, milliseconds(300));
+  kept.Send("GET /kept HTTP/1.1\r\n\r\n");
+  RawSocket waits = f.Connect("GET /waits HTTP/1.1\r\n\r\n");
+  f.server->StopAccepting();
+  f.server->CloseIdleConnections();
+  REQUIRE(f.HasRequests(2));
+  f.keeper.Answer();
+  f.keeper.Answer();
+  REQUIRE(f.Until([&] { return kept.Has("</kept>"); }));
+  REQUIRE(f.Until([&] { return waits.Has("</waits>"); }));
+}
+
 TEST_CASE("HEAD, HTTP/1.0 and Expect get what they ask for")
 {
   Fixture f;
--- a/test/PlannedStop.cpp
+++ b/test/PlannedStop.cpp
@@ -53,6 +53,16 @@
   /// Runs the loop to its end, as the daemon does.
   void RunToExit() const { this->loop->Run(); }
 
+  /// A caller on a new connection that has sent a whole request and waits for
+  /// its answer.
+  RawSocket Send(const std::string& aPath, const std::string& aId) const
+  {
+    RawSocket caller = RawSocket::Connect(this->gateway->CallerAddress());
+    caller.Send(
+      WithTimeLimit(RequestText(aPath, aId), milliseconds(kTimeLimitMillis)));
+    return caller;
+  }
+
   static constexpr std::uint64_t kEvents = 20;
   /// Longer than the grace period.
   static constexpr int kTimeLimitMillis = 5000;
@@ -67,6 +77,14 @@
   std::this_thread::sleep_for(aTime);
 }
 
+/// Whether it has got a refusal that allows the request to be sent again.
+bool
+IsRefusedUnrun(RawSocket& aCaller)
+{
+  return aCaller.Has("HTTP/1.1 503") && aCaller.Has("Retry-After") &&
+         aCaller.Has("Connection: close");
+}
+
 } // namespace
 
 // Guards against passing on, late in a planned stop, what its end then cuts:
@@ -155,6 +173,64 @@
   CHECK(site.engines[0]->Runs().size() == 1);
 }
 
+// Guards against a reset of connections whose requests have come and are not
+// read: on a slow loop they lie there when accepting ends.
+TEST_CASE("requests that lie unread when accepting ends are refused unrun",
+          "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  RawSocket kept = site.Begin("/again/x", "id-1");
+  REQUIRE(site.Until([&] { return kept.Has("HTTP/1.1 200"); }));
+  site.Stop();
+  site.RunUntilAfterStop(milliseconds(950));
+  RawSocket fresh = site.Send("/once/x", "id-2");
+  kept.Send(PlatformSite::RequestText("/once/x", "id-3"));
+  BlockLoop(milliseconds(150));
+  CHECK(site.Until([&] { return IsRefusedUnrun(fresh); }, milliseconds(500)));
+  CHECK(site.Until([&] { return IsRefusedUnrun(kept); }, milliseconds(500)));
+  CHECK_FALSE(fresh.wasReset);
+  CHECK_FALSE(kept.wasReset);
+  CHECK(site.engines[0]->Runs().size() == 1);
+}
+
+// Guards against closing a connection while its first request is on its way.
+TEST_CASE("a request on a connection made just before accepting ends is "
+          "refused unrun",
+          "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  site.Stop();
+  site.RunUntilAfterStop(milliseconds(960));
+  RawSocket caller = RawSocket::Connect(site.gateway->CallerAddress());
+  site.RunUntilAfterStop(milliseconds(1080));
+  caller.Send(PlatformSite::RequestText("/once/x", "id-1"));
+  CHECK(site.Until([&] { return IsRefusedUnrun(caller); }, milliseconds(500)));
+  CHECK(site.engines[0]->Runs().empty());
+}
+
+// Guards against a whole answer that is cut when idle connections are closed:
+// its caller has not taken it yet.
+TEST_CASE("a long answer that its caller takes slowly is whole", "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  constexpr std::size_t kBytes = 4'000'000;
+  RawSocket caller =
+    site.Begin(fmt::format("/once/x?bytes={}", kBytes), "id-1");
+  REQUIRE(site.Until(
+    [&] { return caller.Peek() > 0 && site.engines[0]->Runs().size() == 1; }));
+  site.Until([] { return false; }, milliseconds(100));
+  site.Stop();
+  site.RunUntilAfterStop(milliseconds(1300));
+  Timer takes(*site.loop, [&] { caller.Read(); });
+  takes.StartRepeating(milliseconds(1));
+  site.RunToExit();
+  site.gateways.clear();
+  caller.Read();
+  CHECK(caller.Has("HTTP/1.1 200"));
+  CHECK(caller.received.size() > kBytes);
+  CHECK_FALSE(caller.wasReset);
+}
+
 // Guards against an end of the stop that comes after the process is killed, so
 // that nobody is told anything.
 TEST_CASE("all callers are answered within the grace though the loop is slow",
