Answer a request sent behind an answer that announced no close

A stream whose head was written before a stop does not say "Connection: close". As it ended during the stop the connection closed, and a request that had been read behind it was dropped with no answer.

PlannedStop "a request sent behind a stream during a stop is answered" is red without the change, before and after accepting has ended.

--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -441,13 +441,17 @@
   if (this->phase != Phase::Answering) {
     return;
   }
-  if (this->mustClose || this->owner.IsStopping()) {
+  if (this->mustClose) {
     this->StartClosing();
     return;
   }
   this->phase = Phase::Idle;
   this->receivedAt = Now();
-  this->timer.StartOnce(this->owner.Bounds().idleTimeout);
+  // An answer that has begun before a stop has not announced a close, so that
+  // the next request may be here or on its way.
+  this->timer.StartOnce(this->owner.IsStopping()
+                          ? kLeastSilence
+                          : this->owner.Bounds().idleTimeout);
   this->HandleLater();
 }
 
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -123,7 +123,7 @@
   virtual void AnnounceClosing() = 0;
   /// Accepts what waits for it and closes the listening socket; open
   /// connections go on, and each closes after the answer to its current
-  /// request.
+  /// request, or to the next one if that answer has not announced it.
   virtual void StopAccepting() = 0;
   virtual std::size_t OpenConnections() const = 0;
   /// Connections on which a request is being received or answered.
--- a/test/PlannedStop.cpp
+++ b/test/PlannedStop.cpp
@@ -231,6 +231,26 @@
   CHECK_FALSE(caller.wasReset);
 }
 
+// Guards against a request that was read behind an answer without an announced
+// close and then dropped.
+TEST_CASE("a request sent behind a stream during a stop is answered", "[stop]")
+{
+  const bool isLate = GENERATE(false, true);
+  StoppingSite site(milliseconds(isLate ? 1400 : 500));
+  RawSocket caller = site.Begin("/note/stream/x", "id-1");
+  REQUIRE(site.Until([&] { return caller.Has("piece 1\n"); }));
+  site.Stop();
+  caller.Send(PlatformSite::RequestText("/once/x", "id-2"));
+  site.RunToExit();
+  const std::size_t end = caller.Read().find("\r\n0\r\n\r\n");
+  REQUIRE(end != std::string::npos);
+  const std::string second = caller.received.substr(end + 7);
+  CHECK(second.starts_with(isLate ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+  CHECK(second.find("Connection: close") != std::string::npos);
+  CHECK(site.engines[0]->Runs().size() == (isLate ? 1 : 2));
+  CHECK_FALSE(caller.wasReset);
+}
+
 // Guards against an end of the stop that comes after the process is killed, so
 // that nobody is told anything.
 TEST_CASE("all callers are answered within the grace though the loop is slow",
