Refuse what has not been read whole at the end of a stop

A caller whose request had come in part as the process ended saw a closed connection. It gets 503, not run, with Retry-After, from a gateway and from an entry.

Red without the change: PlannedStop "a request that has not come whole at the end is refused unrun", EntryStop "an entry refuses unrun what it has not read at its end".

--- a/dogwoodvale/src/Entry/AnswerWriter.cpp
+++ b/dogwoodvale/src/Entry/AnswerWriter.cpp
@@ -329,20 +329,25 @@
   return std::make_unique<OpaqueWriter>(aExchange, std::move(aId));
 }
 
-void
-RespondError(CallerExchange& aExchange,
-             const RequestError& aError,
-             std::string_view aId)
+std::vector<HeaderField>
+ErrorHeaders(const RequestError& aError)
 {
-  std::vector<HeaderField> headers = {
-    ContentType("application/json"),
-    IdField(aId),
-  };
+  std::vector<HeaderField> headers = { ContentType("application/json") };
   if (aError.retryAfter.count() > 0) {
     // The header counts whole seconds; the body has the milliseconds.
     const auto whole = std::chrono::ceil<seconds>(aError.retryAfter).count();
     headers.push_back({ "Retry-After", fmt::format("{}", whole) });
   }
+  return headers;
+}
+
+void
+RespondError(CallerExchange& aExchange,
+             const RequestError& aError,
+             std::string_view aId)
+{
+  std::vector<HeaderField> headers = ErrorHeaders(aError);
+  headers.push_back(IdField(aId));
   aExchange.Respond(HttpStatusOf(aError), headers, ErrorBody(aError));
 }
 
--- a/dogwoodvale/src/Entry/AnswerWriter.h
+++ b/dogwoodvale/src/Entry/AnswerWriter.h
@@ -49,6 +49,10 @@
 std::unique_ptr<AnswerWriter>
 CreateOpaqueWriter(CallerExchange& aExchange, std::string aId);
 
+/// Without the request's id.
+std::vector<HeaderField>
+ErrorHeaders(const RequestError& aError);
+
 /// Answers a request that never got as far as a writer.
 void
 RespondError(CallerExchange& aExchange,
--- a/dogwoodvale/src/Entry/Entry.cpp
+++ b/dogwoodvale/src/Entry/Entry.cpp
@@ -386,6 +386,9 @@
       request->OnStopEnds();
     }
   }
+  const RequestError refusal = StoppingEntryError();
+  this->callers->RefuseIncomplete(
+    HttpStatusOf(refusal), ErrorHeaders(refusal), ErrorBody(refusal));
   const std::size_t unsent = this->callers->UnsentBytes();
   Log(cut == 0 && unsent == 0 ? LogLevel::Info : LogLevel::Warning,
       "stopped",
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -675,6 +675,10 @@
       request->OnStopEnds();
     }
   }
+  const RequestError refusal = StoppingError();
+  this->callers->RefuseIncomplete(HttpStatusOf(refusal),
+                                  this->ports.callers->ErrorHeaders(refusal),
+                                  ErrorBody(refusal));
   const std::size_t unsent = this->callers->UnsentBytes();
   Log(cut == 0 && unsent == 0 ? LogLevel::Info : LogLevel::Warning,
       "stopped",
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -334,22 +334,43 @@
                          ErrorCode aCode,
                          std::string_view aMessage,
                          std::span<const HeaderField> aHeaders)
+{
+  std::vector<HeaderField> headers(aHeaders.begin(), aHeaders.end());
+  headers.push_back({ "Content-Type", "application/json" });
+  this->RefuseWith(
+    aStatus,
+    headers,
+    ErrorBody(
+      { aCode, Disposition::NotRun, std::string(aMessage), milliseconds(0) }));
+}
+
+void
+CallerConnection::RefuseWith(int aStatus,
+                             std::span<const HeaderField> aHeaders,
+                             std::string_view aBody)
 {
   this->isHead = false;
   this->isHttp10 = false;
   this->mustClose = true;
-  const std::string answer = ErrorBody(
-    { aCode, Disposition::NotRun, std::string(aMessage), milliseconds(0) });
-  std::vector<HeaderField> headers(aHeaders.begin(), aHeaders.end());
-  headers.push_back({ "Content-Type", "application/json" });
   this->body.Clear();
   this->parser.reset();
   this->ReleaseRequest();
-  this->WriteHead(aStatus, headers, answer.size());
-  this->Write(answer);
+  this->WriteHead(aStatus, aHeaders, aBody.size());
+  this->Write(aBody);
   this->StartClosing();
 }
 
+void
+CallerConnection::RefuseIncomplete(int aStatus,
+                                   std::span<const HeaderField> aHeaders,
+                                   std::string_view aBody)
+{
+  if (this->phase == Phase::Receiving ||
+      (this->phase == Phase::Idle && this->HasUnread())) {
+    this->RefuseWith(aStatus, aHeaders, aBody);
+  }
+}
+
 void
 CallerConnection::WriteHead(int aStatus,
                             std::span<const HeaderField> aHeaders,
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -93,6 +93,10 @@
   void CloseIdle();
   /// Whether bytes have come that are not parsed.
   bool HasUnread() const;
+  /// Answers a request that has come in part and closes.
+  void RefuseIncomplete(int aStatus,
+                        std::span<const HeaderField> aHeaders,
+                        std::string_view aBody);
   /// How long nothing has come of the request that is due: for ever, if the
   /// last answer has been sent. Nothing while a request is answered.
   std::optional<Duration> SinceReceived() const;
@@ -152,6 +156,9 @@
               ErrorCode aCode,
               std::string_view aMessage,
               std::span<const HeaderField> aHeaders = {});
+  void RefuseWith(int aStatus,
+                  std::span<const HeaderField> aHeaders,
+                  std::string_view aBody);
   /// The body or head was refused by OnParsedHead() or OnParsedBody().
   void RefuseBody();
   void RefuseForMemory();
--- a/dogwoodvale/src/Http/CallerServer.cpp
+++ b/dogwoodvale/src/Http/CallerServer.cpp
@@ -224,6 +224,20 @@
     }
   }
 
+  void RefuseIncomplete(int aStatus,
+                        std::span<const HeaderField> aHeaders,
+                        std::string_view aBody) override
+  {
+    // One answer may make another connection yield its memory.
+    std::vector<CallerConnection*> open;
+    for (const auto& [key, connection] : this->connections) {
+      open.push_back(connection.get());
+    }
+    for (CallerConnection* connection : open) {
+      connection->RefuseIncomplete(aStatus, aHeaders, aBody);
+    }
+  }
+
 private:
   /// Connections wait to be accepted with receive buffers of their own.
   int Backlog() const
--- a/dogwoodvale/src/Http/CallerServer.h
+++ b/dogwoodvale/src/Http/CallerServer.h
@@ -136,6 +136,11 @@
   /// read or sent, but for those on which a request may be on its way; for the
   /// end of a planned stop.
   virtual void CloseIdleConnections() = 0;
+  /// Answers requests that have not been read whole, for the end of the
+  /// process.
+  virtual void RefuseIncomplete(int aStatus,
+                                std::span<const HeaderField> aHeaders,
+                                std::string_view aBody) = 0;
 };
 
 } // namespace dogwoodvale
--- a/test/EntryStop.cpp
+++ b/test/EntryStop.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 #include "RawSockets.h"
 #include "dogwoodvale/Entry"
 #include "dogwoodvale/Sidecar"
@@ -96,6 +98,26 @@
   CHECK(site.Executions() == 0);
 }
 
+// Guards against closed connections where a true refusal can be given: what
+// has come in part, or lies unread when accepting ends, is never passed on.
+TEST_CASE("an entry refuses unrun what it has not read at its end", "[stop]")
+{
+  StoppingSite site;
+  const std::string request = ChatRequest("nonce=one len=5", true);
+  RawSocket part = site.Call(request.substr(0, request.size() - 2));
+  site.Until([] { return false; }, milliseconds(20));
+  site.entry->BeginStop();
+  site.Until([] { return false; }, kDrainGrace - milliseconds(30));
+  RawSocket unread = site.Call(request);
+  std::this_thread::sleep_for(milliseconds(60));
+  site.loop->Run();
+  CHECK(part.Has("HTTP/1.1 503"));
+  CHECK_FALSE(part.wasReset);
+  CHECK(unread.Has("HTTP/1.1 503"));
+  CHECK_FALSE(unread.wasReset);
+  CHECK(site.Executions() == 0);
+}
+
 // Guards against a stop that waits for connections without a request.
 TEST_CASE("an entry's stop ends when only idle connections are left", "[stop]")
 {
--- a/test/PlannedStop.cpp
+++ b/test/PlannedStop.cpp
@@ -287,3 +287,19 @@
   CHECK(Between(site.stopped, Now()) < kGrace);
   CHECK(caller.Has("HTTP/1.1 502"));
 }
+
+// Guards against a closed connection where a true refusal can be given: what
+// has not been read whole is never passed on.
+TEST_CASE("a request that has not come whole at the end is refused unrun",
+          "[stop]")
+{
+  StoppingSite site(milliseconds(20));
+  RawSocket caller = RawSocket::Connect(site.gateway->CallerAddress());
+  const std::string request = PlatformSite::RequestText("/once/x", "id-1");
+  caller.Send(request.substr(0, request.size() - 2));
+  site.Stop();
+  site.RunToExit();
+  CHECK(IsRefusedUnrun(caller));
+  CHECK_FALSE(caller.wasReset);
+  CHECK(site.engines[0]->Runs().empty());
+}
