--- a/test/PlannedStop.cpp
+++ b/test/PlannedStop.cpp
@@ -303,3 +303,43 @@
   CHECK_FALSE(caller.wasReset);
   CHECK(site.engines[0]->Runs().empty());
 }
+
+// Guards against an answer that ends early and looks whole: HTTP/1.0 has no
+// chunks to tell the two apart.
+TEST_CASE("a stream to an HTTP/1.0 caller that a stop cuts ends by a reset",
+          "[stop]")
+{
+  StoppingSite site(seconds(4));
+  std::string request = PlatformSite::WithTimeLimit(
+    PlatformSite::RequestText("/note/stream/x", "id-1"), seconds(5));
+  request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  RawSocket caller = RawSocket::Connect(site.gateway->CallerAddress());
+  caller.Send(request);
+  REQUIRE(site.Until([&] { return caller.Has("piece 1\n"); }));
+  site.Stop();
+  site.RunToExit();
+  site.gateways.clear();
+  CHECK(site.Until([&] { return caller.IsClosed(); }, milliseconds(500)));
+  CHECK(caller.wasReset);
+}
+
+// Guards against requests that may not be repeated and get nothing: those that
+// the last moment still lets in are answered whole, or told that they may have
+// run.
+TEST_CASE("a request taken at the last moment is answered by the end", "[stop]")
+{
+  const bool fits = GENERATE(true, false);
+  StoppingSite site(milliseconds(20));
+  Json::Value slow(Json::objectValue);
+  slow["work_ms"] = fits ? 700 : 3000;
+  site.engines[0]->SetFault(slow);
+  site.Stop();
+  site.RunUntilAfterStop(milliseconds(930));
+  RawSocket caller = site.Send("/once/x?bytes=100000", "id-1");
+  site.RunToExit();
+  site.gateways.clear();
+  CHECK(Between(site.stopped, Now()) < kGrace);
+  CHECK(caller.Has(fits ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+  CHECK((caller.received.size() > 100000) == fits);
+  CHECK_FALSE(caller.wasReset);
+}
