--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Duration kMaintenancePeriod = CrashLedger::kEvaluationPeriod;
-constexpr Duration kStopCheckPeriod = milliseconds(20);
 /// Reads of the list of backend servers within the time (instanceDrain) after
 /// which a leaving server must get no more work: if one read fails, the next is
 /// still in time.
@@ -609,26 +608,32 @@
 // Planned stop.
 
 void
-Gateway::BeginStop()
+Gateway::BeginStop(TimePoint aOrdered)
 {
   if (this->stopping) {
     return;
   }
   this->stopping = true;
-  this->stopOrdered = Now();
-  this->stopSchedule =
-    StopSchedule(this->stopOrdered, this->settings.gateway.stopGrace);
-  Log(LogLevel::Info, "draining", "requests", this->requests.size());
+  const TimePoint now = Now();
+  this->stopOrdered = aOrdered;
+  this->stopSchedule = StopSchedule(aOrdered, this->settings.gateway.stopGrace);
+  Log(LogLevel::Info,
+      "draining",
+      "requests",
+      this->requests.size(),
+      "noticed_after_ms",
+      WholeMillis(Between(aOrdered, now)));
   this->callers->AnnounceClosing();
   this->usage.Stop();
   this->directory->Leave();
-  this->stopTimer.StartRepeating(kStopCheckPeriod);
+  this->stopTimer.StartRepeating(StopSchedule::kCheckPeriod);
 }
 
 void
 Gateway::CheckStopped()
 {
   const TimePoint now = Now();
+  this->stopSchedule.OnCheck(now);
   if (!this->stopSchedule.IsOutOfBalancer(now)) {
     return;
   }
@@ -670,6 +675,10 @@
       request->OnStopEnds();
     }
   }
+  const RequestError refusal = StoppingError();
+  this->callers->RefuseIncomplete(HttpStatusOf(refusal),
+                                  this->ports.callers->ErrorHeaders(refusal),
+                                  ErrorBody(refusal));
   const std::size_t unsent = this->callers->UnsentBytes();
   Log(cut == 0 && unsent == 0 ? LogLevel::Info : LogLevel::Warning,
       "stopped",
--- a/dogwoodvale/src/Http/CallerConnection.cpp
+++ b/dogwoodvale/src/Http/CallerConnection.cpp
@@ -334,22 +334,43 @@
                          ErrorCode aCode,
                          std::string_view aMessage,
                          std::span<const HeaderField> aHeaders)
+{
+  std::vector<HeaderField> headers(aHeaders.begin(), aHeaders.end());
+  headers.push_back({ "Content-Type", "application/json" });
+  this->RefuseWith(
+    aStatus,
+    headers,
+    ErrorBody(
+      { aCode, Disposition::NotRun, std::string(aMessage), milliseconds(0) }));
+}
+
+void
+CallerConnection::RefuseWith(int aStatus,
+                             std::span<const HeaderField> aHeaders,
+                             std::string_view aBody)
 {
   this->isHead = false;
   this->isHttp10 = false;
   this->mustClose = true;
-  const std::string answer = ErrorBody(
-    { aCode, Disposition::NotRun, std::string(aMessage), milliseconds(0) });
-  std::vector<HeaderField> headers(aHeaders.begin(), aHeaders.end());
-  headers.push_back({ "Content-Type", "application/json" });
   this->body.Clear();
   this->parser.reset();
   this->ReleaseRequest();
-  this->WriteHead(aStatus, headers, answer.size());
-  this->Write(answer);
+  this->WriteHead(aStatus, aHeaders, aBody.size());
+  this->Write(aBody);
   this->StartClosing();
 }
 
+void
+CallerConnection::RefuseIncomplete(int aStatus,
+                                   std::span<const HeaderField> aHeaders,
+                                   std::string_view aBody)
+{
+  if (this->phase == Phase::Receiving ||
+      (this->phase == Phase::Idle && this->HasUnread())) {
+    this->RefuseWith(aStatus, aHeaders, aBody);
+  }
+}
+
 void
 CallerConnection::WriteHead(int aStatus,
                             std::span<const HeaderField> aHeaders,
@@ -441,13 +462,17 @@
   if (this->phase != Phase::Answering) {
     return;
   }
-  if (this->mustClose || this->owner.IsStopping()) {
+  if (this->mustClose) {
     this->StartClosing();
     return;
   }
   this->phase = Phase::Idle;
   this->receivedAt = Now();
-  this->timer.StartOnce(this->owner.Bounds().idleTimeout);
+  // An answer that has begun before a stop has not announced a close, so that
+  // the next request may be here or on its way.
+  this->timer.StartOnce(this->owner.IsStopping()
+                          ? kLeastSilence
+                          : this->owner.Bounds().idleTimeout);
   this->HandleLater();
 }
 
@@ -501,9 +526,42 @@
     this->Refuse(408, ErrorCode::BadRequest, "the request came too slowly");
     return;
   }
+  if (this->phase == Phase::Idle && this->owner.IsStopping()) {
+    this->CloseIdle();
+    return;
+  }
   this->Drop();
 }
 
+void
+CallerConnection::CloseIdle()
+{
+  if (this->phase != Phase::Idle || this->HasUnread()) {
+    return;
+  }
+  const Duration since = Between(this->receivedAt, Now());
+  if (since < kLeastSilence) {
+    this->timer.StartOnce(kLeastSilence - since);
+  } else if (this->PendingBytes() > 0) {
+    this->StartClosing();
+  } else {
+    this->Drop();
+  }
+}
+
+bool
+CallerConnection::HasUnread() const
+{
+  if (this->stream == nullptr) {
+    return false;
+  }
+  char byte = 0;
+  return evbuffer_get_length(bufferevent_get_input(this->stream)) > 0 ||
+         recv(
+           bufferevent_getfd(this->stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >
+           0;
+}
+
 bool
 CallerConnection::HasCallerClosed() const
 {
--- a/dogwoodvale/src/Http/CallerConnection.h
+++ b/dogwoodvale/src/Http/CallerConnection.h
@@ -88,6 +88,15 @@
   void ResumeReading();
   /// Closes at once, telling the exchange's handler.
   void Drop();
+  /// Closes a connection without a request, once its last answer is sent and
+  /// none has been on its way for kLeastSilence.
+  void CloseIdle();
+  /// Whether bytes have come that are not parsed.
+  bool HasUnread() const;
+  /// Answers a request that has come in part and closes.
+  void RefuseIncomplete(int aStatus,
+                        std::span<const HeaderField> aHeaders,
+                        std::string_view aBody);
   /// How long nothing has come of the request that is due: for ever, if the
   /// last answer has been sent. Nothing while a request is answered.
   std::optional<Duration> SinceReceived() const;
@@ -103,6 +112,10 @@
   /// Asks the system, as its bytes may not all have been read.
   bool HasCallerClosed() const;
 
+  /// A request may be on its way for so long after the connection was made or
+  /// has become free.
+  static constexpr Duration kLeastSilence = milliseconds(250);
+
   // For the exchange.
   void WriteHead(int aStatus,
                  std::span<const HeaderField> aHeaders,
@@ -143,6 +156,9 @@
               ErrorCode aCode,
               std::string_view aMessage,
               std::span<const HeaderField> aHeaders = {});
+  void RefuseWith(int aStatus,
+                  std::span<const HeaderField> aHeaders,
+                  std::string_view aBody);
   /// The body or head was refused by OnParsedHead() or OnParsedBody().
   void RefuseBody();
   void RefuseForMemory();
