Read the store's answers by the one HTTP client, in place of evhttp's

HttpExchange (store, watch, instance list, engine orders, documents of other gateways, dogwoodvalectl) read answers by evhttp, which passed as whole: statuses of two and four digits and below 0, an interim head as the answer (an engine's order counted as obeyed by "103 Early Hints"), names of fields with blanks or none, "Content-Length : 5", two lengths, a length beside chunks, other codings, sizes of chunks such as "0x5", and an empty body where "Connection: keep-alive" stands without a length. A length in an interim head cut the body of the answer behind it. Heads, interim heads and lines of a chunk's size had no bound.

HttpExchange is now a call of BackendClient on a connection of its own. The client counts the bytes of a call in both directions, by which a slow transfer is told from one that stands still. Store stands above Http in the order of modules, so ConfigurationMessages moves from Peer to Store; the check itself is unchanged.

--- a/dogwoodvale/src/Http/BackendClient.h
+++ b/dogwoodvale/src/Http/BackendClient.h
@@ -59,6 +59,10 @@
   /// Whether bytes from the server, or the end of its connection, have arrived
   /// and are not handled yet, as on a busy machine.
   virtual bool HasUnread() const = 0;
+  /// Bytes of the request that the system has taken; 0 once the call has ended.
+  virtual std::size_t BytesSent() const = 0;
+  /// Bytes that the server has sent, heads included, also after the end.
+  virtual std::size_t BytesReceived() const = 0;
 };
 
 struct BackendClientOptions
--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -87,7 +87,8 @@
   aCall.connection = this;
   this->isHead = aIsHead;
   ++this->requests;
-  this->isWritten = false;
+  this->bytesAtOnce = 0;
+  this->requestBytes = 0;
   this->foreignBytes = 0;
   this->ResetParser();
   if (!this->connected) {
@@ -111,9 +112,8 @@
   if (sent < 0) {
     this->link.Record(errno);
   }
-  std::string_view rest = aBytes;
-  rest.remove_prefix(sent > 0 ? static_cast<std::size_t>(sent) : 0);
-  this->isWritten = rest.size() < aBytes.size();
+  this->bytesAtOnce = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  const std::string_view rest = aBytes.substr(this->bytesAtOnce);
   this->requestBytes = rest.size();
   if (!rest.empty()) {
     bufferevent_write(this->stream, rest.data(), rest.size());
@@ -161,6 +161,13 @@
          !HasInput(bufferevent_getfd(this->stream));
 }
 
+std::size_t
+BackendConnection::BytesSent() const
+{
+  return this->bytesAtOnce + this->requestBytes -
+         evbuffer_get_length(bufferevent_get_output(this->stream));
+}
+
 bool
 BackendConnection::OnParsedHead()
 {
@@ -203,6 +210,7 @@
     // A copy, since a handler may cancel, which frees the buffer.
     std::string bytes(size, '\0');
     evbuffer_remove(input, bytes.data(), size);
+    this->call->bytesReceived += size;
     std::string_view rest = bytes;
     while (!rest.empty() && this->call != nullptr) {
       rest.remove_prefix(this->ReadAnswer(rest));
@@ -433,10 +441,7 @@
 {
   BackendCallImpl& failed = *std::exchange(this->call, nullptr);
   failed.connection = nullptr;
-  const bool untouched =
-    !this->unwritten.empty() ||
-    (!this->isWritten && evbuffer_get_length(bufferevent_get_output(
-                           this->stream)) == this->requestBytes);
+  const bool untouched = this->BytesSent() == 0;
   this->Close();
   this->owner.Retire(*this);
   failed.handler.OnFailed(aReason, !untouched);
@@ -457,6 +462,12 @@
   }
 }
 
+std::size_t
+BackendCallImpl::BytesSent() const
+{
+  return this->connection == nullptr ? 0 : this->connection->BytesSent();
+}
+
 bool
 BackendCallImpl::HasUnread() const
 {
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -44,6 +44,8 @@
   void Cancel();
   void SetReadingPaused(bool aPaused);
   bool HasUnread() const { return this->connected && !this->IsCleanNow(); }
+  /// Of the call's request.
+  std::size_t BytesSent() const;
   /// Looks at the socket whether the server closed or sent anything since;
   /// takes nothing from it.
   bool IsCleanNow() const;
@@ -85,8 +87,8 @@
   BackendCallImpl* call = nullptr;
   std::function<void(ProbeResult)> probe;
   std::unique_ptr<HttpParser> parser;
-  /// The system has taken the first bytes of the request.
-  bool isWritten = false;
+  /// Bytes of the request that the system took at once.
+  std::size_t bytesAtOnce = 0;
   /// Bytes of the request that it had not taken at once.
   std::size_t requestBytes = 0;
   /// Requests that it has carried, with that of the call under way.
@@ -119,9 +121,12 @@
   ~BackendCallImpl() override;
   void SetReadingPaused(bool aPaused) override;
   bool HasUnread() const override;
+  std::size_t BytesSent() const override;
+  std::size_t BytesReceived() const override { return this->bytesReceived; }
 
   BackendCallHandler& handler;
   BackendConnection* connection = nullptr;
+  std::size_t bytesReceived = 0;
   /// Fails a call that cannot even be begun, on the loop's next turn.
   std::unique_ptr<Timer> failure;
 };
--- a/dogwoodvale/src/Peer/ConfigurationMessages.cpp
+++ b/dogwoodvale/src/Store/ConfigurationMessages.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodvale/Peer"
+#include "dogwoodvale/Store"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Peer/ConfigurationMessages.h
+++ b/dogwoodvale/src/Store/ConfigurationMessages.h
@@ -1,8 +1,8 @@
-#ifndef DOGWOODVALE_PEER_CONFIGURATIONMESSAGES_H
-#define DOGWOODVALE_PEER_CONFIGURATIONMESSAGES_H
+#ifndef DOGWOODVALE_STORE_CONFIGURATIONMESSAGES_H
+#define DOGWOODVALE_STORE_CONFIGURATIONMESSAGES_H
 
-#include "Message.h"
-#include "dogwoodvale/Store"
+#include "ConfigurationState.h"
+#include "dogwoodvale/Peer"
 
 namespace dogwoodvale {
 
--- a/dogwoodvale/src/Store/HttpExchange.cpp
+++ b/dogwoodvale/src/Store/HttpExchange.cpp
@@ -1,23 +1,52 @@
 #include "dogwoodvale/Store"
 
+#include <charconv>
 #include <utility>
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
+#include "dogwoodvale/Http"
 
 namespace dogwoodvale {
 
 namespace {
 
-/// Disables evhttp's time-outs, which apply per read or write; the exchange has
-/// its own.
-constexpr int kNoTimeoutSeconds = 24 * 3600;
+/// Disables the client's own time-outs; the exchange has its own.
+constexpr Duration kNoTimeout = std::chrono::hours(24);
+constexpr int kHttpOk = 200;
 
-class EvhttpExchange : public HttpExchange
+BackendClientOptions
+ClientOptions()
+{
+  BackendClientOptions options;
+  options.idleConnections = 0;
+  options.connectTimeout = kNoTimeout;
+  options.idleTimeout = kNoTimeout;
+  options.priority = EventPriority::Control;
+  return options;
+}
+
+HttpRequest
+MakeRequest(const HttpCall& aCall)
+{
+  HttpRequest request;
+  request.method = aCall.method;
+  request.path = aCall.path;
+  request.body = aCall.body;
+  if (aCall.acceptsCompressed) {
+    request.headers.push_back(
+      { "Accept-Encoding", std::string(kCompressionName) });
+  }
+  if (aCall.method == "POST") {
+    request.headers.push_back({ "Content-Type", "application/json" });
+  }
+  return request;
+}
+
+class ClientExchange final
+  : public HttpExchange
+  , public BackendCallHandler
 {
 public:
-  EvhttpExchange(EventLoop& aLoop,
+  ClientExchange(EventLoop& aLoop,
                  const HttpCall& aCall,
                  PartHandler aOnPart,
                  DoneHandler aOnDone)
@@ -32,118 +61,76 @@
     , timeoutTimer(aLoop, [this] { this->OnTimeout(); })
   {
     this->timeoutTimer.StartOnce(this->timeout);
-    this->Send(aLoop, aCall);
-  }
-
-  ~EvhttpExchange() override { this->Close(); }
-
-private:
-  void Send(EventLoop& aLoop, const HttpCall& aCall)
-  {
-    this->connection = evhttp_connection_base_new(
-      aLoop.Base(), nullptr, aCall.address.ip.c_str(), aCall.address.port);
-    if (this->connection == nullptr) {
-      this->Fail("out of memory for a connection");
+    auto made = BackendClient::Create(aLoop, aCall.address, ClientOptions());
+    if (!made.ok()) {
+      this->Fail(made.status());
       return;
     }
-    evhttp_connection_set_retries(this->connection, 0);
-    evhttp_connection_set_timeout(this->connection, kNoTimeoutSeconds);
-    evhttp_connection_set_max_body_size(
-      this->connection, static_cast<ev_ssize_t>(aCall.maxBodyBytes));
-    bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
-    evbuffer_add_cb(
-      bufferevent_get_output(stream), &EvhttpExchange::OnOutput, this);
-    evbuffer_add_cb(
-      bufferevent_get_input(stream), &EvhttpExchange::OnInput, this);
-    evhttp_request* request = this->MakeRequest(aCall);
-    const evhttp_cmd_type method =
-      aCall.method == "POST" ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
-    if (evhttp_make_request(
-          this->connection, request, method, aCall.path.c_str()) != 0) {
-      this->Fail("the connection could not be opened");
-    }
+    this->client = *std::move(made);
+    this->call = this->client->Start(MakeRequest(aCall), *this);
   }
 
-  evhttp_request* MakeRequest(const HttpCall& aCall)
+  void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override
   {
-    evhttp_request* request = evhttp_request_new(&EvhttpExchange::OnEnd, this);
-    if (this->onPart) {
-      evhttp_request_set_chunked_cb(request, &EvhttpExchange::OnChunk);
-    }
-    evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", aCall.address.ToString().c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    if (aCall.acceptsCompressed) {
-      evhttp_add_header(
-        headers, "Accept-Encoding", std::string(kCompressionName).c_str());
-    }
-    if (aCall.method == "POST") {
-      evhttp_add_header(headers, "Content-Type", "application/json");
-      evbuffer_add(evhttp_request_get_output_buffer(request),
-                   aCall.body.data(),
-                   aCall.body.size());
-    }
-    return request;
+    this->answer.code = aStatus;
+    this->encoding = FindHeader(aHeaders, "content-encoding");
+    const std::string_view length = FindHeader(aHeaders, "content-length");
+    std::size_t stated = 0;
+    std::from_chars(length.data(), length.data() + length.size(), stated);
+    this->CheckSize(stated);
   }
 
-  static void OnOutput(evbuffer* /*aBuffer*/,
-                       const evbuffer_cb_info* aInfo,
-                       void* aSelf)
+  void OnBody(std::string_view aBytes) override
   {
-    // evhttp fills the buffer only once connected, so a request whose
-    // connection was refused never counts as written.
-    auto* self = static_cast<EvhttpExchange*>(aSelf);
-    self->bytesTransferred += aInfo->n_deleted;
-    if (aInfo->n_deleted > 0) {
-      self->answer.written = true;
+    this->bodyBytes += aBytes.size();
+    if (!this->CheckSize(this->bodyBytes)) {
+      return;
     }
+    if (!this->onPart) {
+      this->answer.body += aBytes;
+      return;
+    }
+    (this->answer.code == kHttpOk ? this->part : this->answer.body) += aBytes;
+    this->timeoutTimer.StartOnce(this->timeout);
+    this->deliveryTimer.StartOnce(Duration(0));
   }
 
-  static void OnInput(evbuffer* /*aBuffer*/,
-                      const evbuffer_cb_info* aInfo,
-                      void* aSelf)
+  void OnComplete(AnswerEnd /*aEnd*/) override
   {
-    auto* self = static_cast<EvhttpExchange*>(aSelf);
-    self->answer.received += aInfo->n_added;
-    self->bytesTransferred += aInfo->n_added;
+    this->answer.written = true;
+    if (!this->encoding.empty()) {
+      this->Decode();
+    }
+    this->Finish();
   }
 
-  static void OnChunk(evhttp_request* aRequest, void* aSelf)
+  void OnFailed(const absl::Status& aReason, bool aWritten) override
   {
-    auto* self = static_cast<EvhttpExchange*>(aSelf);
-    const std::string bytes =
-      TakeAll(evhttp_request_get_input_buffer(aRequest));
-    const int code = evhttp_request_get_response_code(aRequest);
-    (code == 200 ? self->part : self->answer.body) += bytes;
-    self->timeoutTimer.StartOnce(self->timeout);
-    self->deliveryTimer.StartOnce(Duration(0));
+    this->answer.written = aWritten;
+    this->Fail(MakeError(
+      absl::StatusCode::kUnavailable,
+      "{}: {}",
+      aWritten ? "the connection was lost before the response was complete"
+               : "could not connect",
+      MessageOf(aReason)));
   }
 
-  static void OnEnd(evhttp_request* aRequest, void* aSelf)
+private:
+  /// \return false if a body of \p aBytes is too long, which ends the exchange.
+  bool CheckSize(std::size_t aBytes)
   {
-    auto* self = static_cast<EvhttpExchange*>(aSelf);
-    const int code =
-      aRequest == nullptr ? 0 : evhttp_request_get_response_code(aRequest);
-    if (code == 0) {
-      self->Fail(self->answer.written
-                   ? "the connection was lost before the response was complete"
-                   : "could not connect");
-      return;
+    if (aBytes <= this->maxBodyBytes) {
+      return true;
     }
-    self->answer.code = code;
-    self->answer.body += TakeAll(evhttp_request_get_input_buffer(aRequest));
-    const char* encoding = evhttp_find_header(
-      evhttp_request_get_input_headers(aRequest), "Content-Encoding");
-    if (encoding != nullptr) {
-      self->Decode(encoding);
-    }
-    self->Finish();
+    this->answer.written = true;
+    this->Fail(absl::ResourceExhaustedError("the response is too long"));
+    return false;
   }
 
-  void Decode(std::string_view aEncoding)
+  void Decode()
   {
     absl::StatusOr<std::string> text =
-      aEncoding == kCompressionName
+      this->encoding == kCompressionName
         ? Decompress(this->answer.body, this->maxBodyBytes)
         : absl::UnimplementedError(
             "the response has a Content-Encoding that was not requested");
@@ -151,17 +138,11 @@
     this->answer.body = text.ok() ? *std::move(text) : std::string();
   }
 
-  static std::string TakeAll(evbuffer* aBuffer)
-  {
-    const std::size_t length = evbuffer_get_length(aBuffer);
-    std::string bytes(length, '\0');
-    evbuffer_remove(aBuffer, bytes.data(), length);
-    return bytes;
-  }
-
-  void Fail(const char* aReason)
+  void Fail(const absl::Status& aReason)
   {
-    this->answer.status = absl::UnavailableError(aReason);
+    this->answer.code = 0;
+    this->answer.body.clear();
+    this->answer.status = aReason;
     this->Finish();
   }
 
@@ -169,15 +150,15 @@
   {
     // The time-out of a stream restarts with each part.
     const bool isProgressing =
-      !this->onPart && this->limit.Check(this->bytesTransferred);
+      !this->onPart &&
+      this->limit.Check(this->call->BytesSent() + this->call->BytesReceived());
     if (isProgressing) {
       this->timeoutTimer.StartOnce(this->timeout);
       return;
     }
-    this->Close();
-    this->answer.status =
-      absl::DeadlineExceededError("timed out waiting for the HTTP response");
-    this->Finish();
+    this->answer.written = this->call->BytesSent() > 0;
+    this->Fail(
+      absl::DeadlineExceededError("timed out waiting for the HTTP response"));
     this->Deliver();
   }
 
@@ -185,11 +166,15 @@
   {
     this->isDone = true;
     this->timeoutTimer.Stop();
+    if (this->call) {
+      this->answer.received = this->call->BytesReceived();
+      this->call.reset();
+    }
     this->deliveryTimer.StartOnce(Duration(0));
   }
 
-  /// Runs from a timer, never inside evhttp's callbacks: freeing the connection
-  /// there would be a use after free.
+  /// Runs from a timer, never inside the client's callbacks: destroying the
+  /// client there would be a use after free.
   void Deliver()
   {
     if (!this->part.empty()) {
@@ -203,37 +188,26 @@
     }
     if (this->isDone && this->onDone) {
       this->deliveryTimer.Stop();
-      this->Close();
       const DoneHandler handler = std::exchange(this->onDone, nullptr);
       const HttpAnswer result = std::move(this->answer);
       handler(result);
     }
   }
 
-  void Close()
-  {
-    if (this->connection == nullptr) {
-      return;
-    }
-    bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
-    evbuffer_remove_cb(
-      bufferevent_get_output(stream), &EvhttpExchange::OnOutput, this);
-    evbuffer_remove_cb(
-      bufferevent_get_input(stream), &EvhttpExchange::OnInput, this);
-    evhttp_connection_free(std::exchange(this->connection, nullptr));
-  }
-
   PartHandler onPart;
   DoneHandler onDone;
   Duration timeout;
   std::size_t maxBodyBytes;
   Timer deliveryTimer;
   Timer timeoutTimer;
-  evhttp_connection* connection = nullptr;
+  std::unique_ptr<BackendClient> client;
+  std::unique_ptr<BackendCall> call;
   HttpAnswer answer;
   TransferLimit limit;
-  /// Bytes sent and received.
-  std::size_t bytesTransferred = 0;
+  /// The answer's Content-Encoding.
+  std::string encoding;
+  /// Of the answer, as they came.
+  std::size_t bodyBytes = 0;
   /// Bytes of a streamed response not yet passed to onPart.
   std::string part;
   bool isDone = false;
@@ -246,7 +220,7 @@
                     const HttpCall& aCall,
                     DoneHandler aOnDone)
 {
-  return std::make_unique<EvhttpExchange>(
+  return std::make_unique<ClientExchange>(
     aLoop, aCall, nullptr, std::move(aOnDone));
 }
 
@@ -256,7 +230,7 @@
                           PartHandler aOnPart,
                           DoneHandler aOnDone)
 {
-  return std::make_unique<EvhttpExchange>(
+  return std::make_unique<ClientExchange>(
     aLoop, aCall, std::move(aOnPart), std::move(aOnDone));
 }
 
--- a/dogwoodvale/src/Store/HttpExchange.h
+++ b/dogwoodvale/src/Store/HttpExchange.h
@@ -41,7 +41,7 @@
   std::size_t maxBodyBytes = 64U << 20U;
 };
 
-/// One request on its own connection, by evhttp; destroying it cancels it.
+/// One request on its own connection; destroying it cancels it.
 ///
 /// Connections are not pooled: calls are few, and on a pooled connection that
 /// the server has closed, a write that never arrived could not be told from one
--- a/dogwoodvale/src/Store/HttpStoreClient.h
+++ b/dogwoodvale/src/Store/HttpStoreClient.h
@@ -29,7 +29,7 @@
   std::size_t maxQueuedCalls = 1000;
 };
 
-/// A client of etcd's published v3 JSON mapping over HTTP, by evhttp.
+/// A client of etcd's published v3 JSON mapping over HTTP.
 class HttpStoreClient : public StoreClient
 {
 public:
--- a/test/RawSockets.h
+++ b/test/RawSockets.h
@@ -69,11 +69,15 @@
     connect(this->descriptor, reinterpret_cast<sockaddr*>(&to), sizeof(to));
   }
 
-  static RawSocket Listen(int aBacklog = 16)
+  /// \param aPort 0 for any that is free.
+  static RawSocket Listen(int aBacklog = 16, std::uint16_t aPort = 0)
   {
     RawSocket made(
       socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-    sockaddr_in at = Loopback(0);
+    // A port whose earlier connections still wait is taken too.
+    const int on = 1;
+    setsockopt(made.descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in at = Loopback(aPort);
     bind(made.descriptor, reinterpret_cast<sockaddr*>(&at), sizeof(at));
     listen(made.descriptor, aBacklog);
     return made;
