Send no second attempt behind a part of a plain answer

A caller of an idempotent plain service got the beginning of one server's answer and behind it all of another's, ended as one whole answer. An answer of more than 1 MiB is passed on while it comes; when its server is reset in the middle, the request was tried again, since a plain answer counts no tokens and so nothing seemed delivered, and the second answer went into the stream that the first had begun.

What is out to the caller now counts as delivered.

--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -577,8 +577,10 @@
   AttemptOutcome last;
   last.disposition = aError.disposition;
   last.idempotent = this->resolved.requestClass.idempotent;
-  last.deliveredTokens = this->assembler.DeliveredTokens();
   last.streaming = this->writer->HasBegun();
+  // A plain answer has no tokens; a part of it that is out was delivered, too.
+  last.deliveredTokens = std::max<std::uint64_t>(
+    this->assembler.DeliveredTokens(), last.streaming ? 1 : 0);
   last.canResume =
     this->IsTokens() && !this->passedOn && this->assembler.CanResume();
   const bool resumes = last.canResume && last.deliveredTokens > 0;
--- a/test/support/AnswerServer.h
+++ b/test/support/AnswerServer.h
@@ -54,6 +54,8 @@
   /// Bytes of the next answer, and of no other, after which its connection is
   /// reset.
   std::optional<std::size_t> nextCut;
+  /// Turns of the timer between the last byte and a reset.
+  int turnsBeforeReset = 0;
   /// Answers before the request is read, and ends only what this end sends.
   bool isHasty = false;
 
@@ -67,6 +69,7 @@
     bool hasEnded = false;
     /// Of the next byte to send, in the text, then in the repeated bytes.
     std::size_t offset = 0;
+    int turnsBeforeReset = 0;
   };
 
   void Work()
@@ -77,6 +80,7 @@
       this->answers.push_back({ std::move(accepted),
                                 cut ? this->text.substr(0, *cut) : this->text,
                                 cut ? ConnectionEnd::Reset : this->end });
+      this->answers.back().turnsBeforeReset = this->turnsBeforeReset;
       accepted = RawSocket();
     }
     for (Answer& answer : this->answers) {
@@ -128,8 +132,11 @@
         }
         break;
       case ConnectionEnd::Reset:
-        aAnswer.hasEnded = true;
-        aAnswer.socket.Reset();
+        // What the other end has not read by then is lost with the reset.
+        if (aAnswer.turnsBeforeReset-- <= 0) {
+          aAnswer.hasEnded = true;
+          aAnswer.socket.Reset();
+        }
         break;
       case ConnectionEnd::Never:
         const std::size_t size = aAnswer.text.size();
