Bound what an entry holds of an engine's error answer and of a JSON answer

An engine that answered a model request with a status other than 200 and a body without end filled the entry's memory until the request's budget was spent, since such an answer is passed on whole; so did endless tokens of an answer that is given as one JSON object. They are given up at 1 MiB and 8 MiB.

The bound on a JSON answer's text has no test yet.

--- a/dogwoodvale/src/Entry/AnswerWriter.cpp
+++ b/dogwoodvale/src/Entry/AnswerWriter.cpp
@@ -13,6 +13,8 @@
 /// An opaque answer is held back up to this size, so that a failure in the
 /// middle can still be told as an error.
 constexpr std::size_t kHeldBytes = 1U << 20U;
+/// The text of an answer that is given as one JSON object.
+constexpr std::size_t kMaxTextBytes = 8U << 20U;
 
 HeaderField
 ContentType(std::string_view aType)
@@ -55,13 +57,15 @@
 class PassedOn
 {
 public:
-  void Take(const Chunk& aChunk)
+  /// \return false if it is too long.
+  bool Take(const Chunk& aChunk)
   {
     if (aChunk.status != 0) {
       this->status = aChunk.status;
       this->headers = aChunk.headers;
     }
     this->body += aChunk.text;
+    return this->body.size() <= kHeldBytes;
   }
   bool IsUsed() const { return this->status != 0; }
   void Respond(CallerExchange& aExchange, std::string_view aId)
@@ -100,11 +104,10 @@
     this->last = chat ? R"({"index":0,"delta":{})" : R"({"index":0,"text":"")";
   }
 
-  void OnChunk(const Chunk& aChunk) override
+  bool OnChunk(const Chunk& aChunk) override
   {
     if (aChunk.status != 0 || this->other.IsUsed()) {
-      this->other.Take(aChunk);
-      return;
+      return this->other.Take(aChunk);
     }
     this->Begin();
     this->exchange.SendPart(
@@ -113,6 +116,7 @@
                   this->open,
                   Quoted(aChunk.text),
                   this->close));
+    return true;
   }
 
   void Complete(std::string_view aFinishReason,
@@ -190,13 +194,13 @@
   {
   }
 
-  void OnChunk(const Chunk& aChunk) override
+  bool OnChunk(const Chunk& aChunk) override
   {
     if (aChunk.status != 0 || this->other.IsUsed()) {
-      this->other.Take(aChunk);
-      return;
+      return this->other.Take(aChunk);
     }
     this->text += aChunk.text;
+    return this->text.size() <= kMaxTextBytes;
   }
 
   void Complete(std::string_view aFinishReason,
@@ -255,7 +259,7 @@
   {
   }
 
-  void OnChunk(const Chunk& aChunk) override
+  bool OnChunk(const Chunk& aChunk) override
   {
     if (aChunk.status != 0) {
       this->status = aChunk.status;
@@ -264,7 +268,7 @@
     }
     if (this->begun) {
       this->exchange.SendPart(aChunk.text);
-      return;
+      return true;
     }
     this->held += aChunk.text;
     if (this->held.size() > kHeldBytes) {
@@ -273,6 +277,7 @@
       this->exchange.SendPart(this->held);
       this->held.clear();
     }
+    return true;
   }
 
   void Complete(std::string_view /*aFinishReason*/,
--- a/dogwoodvale/src/Entry/AnswerWriter.h
+++ b/dogwoodvale/src/Entry/AnswerWriter.h
@@ -21,7 +21,8 @@
 {
 public:
   virtual ~AnswerWriter() = default;
-  virtual void OnChunk(const Chunk& aChunk) = 0;
+  /// \return false if the answer is longer than can be held; it can only fail.
+  virtual bool OnChunk(const Chunk& aChunk) = 0;
   /// The answer is whole.
   virtual void Complete(std::string_view aFinishReason,
                         const AnswerUsage& aUsage) = 0;
--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -381,7 +381,15 @@
   }
   this->passedOn = this->passedOn || aChunk.status != 0;
   this->NoteTokens(aChunk.tokens);
-  this->writer->OnChunk(aChunk);
+  if (!this->writer->OnChunk(aChunk)) {
+    this->Conclude({ ErrorCode::BackendFailed,
+                     Disposition::MayHaveRun,
+                     "the answer is too long",
+                     milliseconds(0) },
+                   SendResult::Failed,
+                   false);
+    return;
+  }
   // A slow caller slows its own stream alone; nothing is held without bound.
   if (this->exchange->PendingBytes() > this->host.Bounds().callerBufferBytes) {
     this->running->stream->SetReadingPaused(true);
--- a/test/SidecarAnswers.cpp
+++ b/test/SidecarAnswers.cpp
@@ -239,3 +239,40 @@
   CHECK(answer.starts_with("HTTP/1.1 404") == isWhole);
   CHECK(answer.ends_with("no such model") == isWhole);
 }
+
+// An engine's answer without end would be held until the machine is out of
+// memory.
+TEST_CASE("an engine's answer without end is given up", "[sidecar][endless]")
+{
+  const std::string bytes(60'000, 'x');
+  struct Variant
+  {
+    std::string text;
+    std::string repeated;
+  };
+  const Variant variant = GENERATE_COPY(values<Variant>({
+    { "", bytes },
+    { "HTTP/1.1 200 OK\r\n", Repeat("X-Filler: and so on\r\n", 4096) },
+    { "", Repeat("HTTP/1.1 100 Continue\r\n\r\n", 4096) },
+    { kEventHead + "\r\ndata: ", bytes },
+    { kEventHead + "\r\n", Repeat("data: xxx\n", 4096) },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      std::string(4096, '0') },
+    { "HTTP/1.1 400 Bad Request\r\n\r\n", bytes },
+    { "HTTP/1.1 400 Bad Request\r\nContent-Length: 9000000000\r\n\r\n", bytes },
+    { "HTTP/1.1 400 Bad Request\r\nTransfer-Encoding: chunked\r\n\r\n",
+      ChunkOf(bytes) },
+  }));
+  const bool isStream = GENERATE(true, false);
+  CAPTURE(isStream, variant.text, variant.repeated.substr(0, 30));
+  AnswerSite site;
+  site.server.text = variant.text;
+  site.server.repeated = variant.repeated;
+  site.server.end = ConnectionEnd::Never;
+  const TimePoint begun = Now();
+  CHECK_FALSE(LooksWhole(site.Ask(ChatRequest("x", isStream))));
+  CHECK(Between(begun, Now()) < seconds(2));
+  CHECK(site.Until([&] { return site.server.OpenCount() == 0; }));
+  CHECK(site.server.BytesSent() <
+        site.server.Accepted() * (4U << 20U) + kSocketBuffers);
+}
