End the trial of an engine with the head of its answer

A sidecar that tries whether its engine is back read the answer's body to its end, though the head says all. An answer without end was read for as long as the sidecar ran.

test_SidecarAnswers, "a trial of an engine ends with the head of its answer": the connection stayed open for the 5 s of the test before; passes after. That a malformed head does not bring an engine back was so before, and has a test.

--- a/dogwoodvale/src/Sidecar/Sidecar.cpp
+++ b/dogwoodvale/src/Sidecar/Sidecar.cpp
@@ -401,6 +401,8 @@
 Sidecar::OnHead(int /*aStatus*/, std::span<const HeaderField> /*aHeaders*/)
 {
   this->SetBackendUp(true);
+  // The rest may have no end.
+  this->trial.reset();
 }
 
 void
--- a/test/SidecarAnswers.cpp
+++ b/test/SidecarAnswers.cpp
@@ -276,3 +276,76 @@
   CHECK(site.server.BytesSent() <
         site.server.Accepted() * (4U << 20U) + kSocketBuffers);
 }
+
+namespace {
+
+bool
+IsUp(Sidecar& aSidecar)
+{
+  return aSidecar.Statusz().find("\"backend_up\" : true") != std::string::npos;
+}
+
+/// A site whose engine refuses connections until Listen().
+struct DownSite
+{
+  DownSite()
+  {
+    DaemonSettings made = test::CommonSettings(Role::Sidecar, "sidecar-1");
+    made.sidecar.backend = this->address;
+    made.sidecar.service = "chat";
+    this->sidecar = *Sidecar::Create(*this->loop, made);
+    this->entry = *Entry::Create(
+      *this->loop, test::EntryFor(this->file, this->sidecar->PeerAddress()));
+    this->Until([&] { return this->entry->Ready().ok(); });
+    this->caller = RawSocket::Connect(this->entry->CallerAddress());
+    this->caller.Send(ChatRequest("x", true, "brief"));
+    REQUIRE(this->Until([&] { return !IsUp(*this->sidecar); }));
+  }
+
+  bool Until(const std::function<bool()>& aDone,
+             Duration aLimit = seconds(5)) const
+  {
+    return this->loop->RunUntil(aDone, aLimit);
+  }
+
+  std::unique_ptr<EventLoop> loop = *EventLoop::Create();
+  SocketAddress address = test::DeadAddress();
+  test::ConfigurationFile file;
+  std::unique_ptr<Sidecar> sidecar;
+  std::unique_ptr<Entry> entry;
+  RawSocket caller;
+};
+
+} // namespace
+
+// A process that answers with other bytes would be sent requests again.
+TEST_CASE("a malformed head does not bring an engine back", "[sidecar][trial]")
+{
+  DownSite site;
+  AnswerServer server(*site.loop, site.address.port);
+  server.text = GENERATE(as<std::string>{},
+                         "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\n{}",
+                         "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+                         "HTTP/1.1 103 Early Hints\r\n\r\n",
+                         "HTTP/1.1 200 OK\r\n",
+                         "OK\r\n\r\n");
+  CAPTURE(server.text);
+  site.Until([&] { return server.Accepted() > 2 || IsUp(*site.sidecar); });
+  CHECK(server.Accepted() > 2);
+  CHECK_FALSE(IsUp(*site.sidecar));
+}
+
+// The trial's answer is of no use beyond its head; one without end would be
+// read for as long as the sidecar runs.
+TEST_CASE("a trial of an engine ends with the head of its answer",
+          "[sidecar][trial][endless]")
+{
+  DownSite site;
+  AnswerServer server(*site.loop, site.address.port);
+  server.text = "HTTP/1.1 200 OK\r\n\r\n";
+  server.repeated = std::string(60'000, 'x');
+  server.end = ConnectionEnd::Never;
+  REQUIRE(site.Until([&] { return IsUp(*site.sidecar); }));
+  site.caller.Close();
+  CHECK(site.Until([&] { return server.OpenCount() == 0; }));
+}
