Bound a line of the store's watch, and search it in new bytes only

A line without end was held up to the bound of the whole answer (64 MiB), and searched from its beginning with each part. It is given up at 16 MiB, and the watch is read anew.

--- a/dogwoodvale/src/Store/HttpStoreWatch.cpp
+++ b/dogwoodvale/src/Store/HttpStoreWatch.cpp
@@ -6,6 +6,13 @@
 
 namespace dogwoodvale::internal {
 
+namespace {
+
+/// Of one line of the watch: an event with its values.
+constexpr std::size_t kMaxLineBytes = 16U << 20U;
+
+} // namespace
+
 HttpStoreWatch::HttpStoreWatch(StoreClient& aClient,
                                StoreCalls& aCalls,
                                std::string aPrefix,
@@ -72,9 +79,11 @@
 void
 HttpStoreWatch::OnBytes(std::string_view aBytes)
 {
+  const std::size_t searched = this->buffer.size();
   this->buffer += aBytes;
   std::size_t begin = 0;
-  for (std::size_t end = this->buffer.find('\n'); end != std::string::npos;
+  for (std::size_t end = this->buffer.find('\n', searched);
+       end != std::string::npos;
        end = this->buffer.find('\n', begin)) {
     const std::string_view line =
       std::string_view(this->buffer).substr(begin, end - begin);
@@ -84,6 +93,10 @@
     }
   }
   this->buffer.erase(0, begin);
+  if (this->buffer.size() > kMaxLineBytes) {
+    this->OnLoss(
+      absl::ResourceExhaustedError("a line of the watch is too long"));
+  }
 }
 
 bool
--- a/test/StoreClient.cpp
+++ b/test/StoreClient.cpp
@@ -471,3 +471,34 @@
     CHECK(follows("three"));
   }
 }
+
+// A line without end would be held, and searched from its beginning with each
+// part.
+TEST_CASE("a line of a watch without end is given up", "[endless]")
+{
+  constexpr std::size_t kPart = 1U << 20U;
+  constexpr std::size_t kMostParts = 24;
+  Setup setup;
+  setup.server.SetScript([](const std::string& aPath, const auto&) {
+    if (aPath == "/v3/kv/range") {
+      return ScriptedServer::Reply{ .body = RangeBody(kPair, 9) };
+    }
+    return ScriptedServer::Reply{
+      .body =
+        "{\"result\":{\"header\":{\"revision\":\"9\"},\"created\":true}}\n",
+      .isStream = true
+    };
+  });
+  setup.Start();
+  Follower follower;
+  const auto watch = setup.client->Watch("key", follower);
+  REQUIRE(setup.loop->RunUntil([&] { return setup.server.Paths().size() == 2; },
+                               seconds(2)));
+  std::size_t parts = 0;
+  while (follower.losses == 0 && parts < kMostParts) {
+    setup.server.SendMore(std::string(kPart, 'x'));
+    ++parts;
+    setup.loop->RunUntil([&] { return follower.losses > 0; }, milliseconds(20));
+  }
+  CHECK(follower.losses == 1);
+}
