Count a stream that is cut behind its end mark as cut in the load tool

dogwoodvale-load took a stream for complete by [DONE] and its tokens, whether or not HTTP ended it: an entry or gateway that lost the last chunk would not have been noticed.

--- a/test/LoadTool.cpp
+++ b/test/LoadTool.cpp
@@ -24,6 +24,7 @@
   None,
   Cross,
   Cut,
+  CutBehindEndMark,
   Shorten,
   Repeat,
   FailMidway,
@@ -173,6 +174,11 @@
       }
     }
     this->Chunk(aRequest, "data: [DONE]\n\n");
+    if (this->fault == Fault::CutBehindEndMark) {
+      this->CutOff(aRequest);
+      this->unfinished.push_back(aRequest);
+      return;
+    }
     evhttp_send_reply_end(aRequest);
   }
 
@@ -271,6 +277,9 @@
   // a tool that counts bytes or trusts [DONE] would pass them all.
   RequireAllEnd(RunAgainst(Fault::Cross, kChatPlan), Ending::Crossed);
   RequireAllEnd(RunAgainst(Fault::Cut, kChatPlan), Ending::Cut);
+  // All its tokens and its end mark, but not HTTP's end: the caller's client
+  // tells it of an error.
+  RequireAllEnd(RunAgainst(Fault::CutBehindEndMark, kChatPlan), Ending::Cut);
   RequireAllEnd(RunAgainst(Fault::Shorten, kChatPlan), Ending::Truncated);
   RequireAllEnd(RunAgainst(Fault::Repeat, kChatPlan), Ending::Duplicated);
   RequireAllEnd(RunAgainst(Fault::Stall, kChatPlan), Ending::Unanswered);
--- a/tools/load/Answer.cpp
+++ b/tools/load/Answer.cpp
@@ -238,7 +238,7 @@
     this->call.ending = Ending::Error;
     return;
   }
-  if (!this->sawDone) {
+  if (!aWhole || !this->sawDone) {
     this->call.ending = Ending::Cut;
     return;
   }
