--- a/dogwoodvale/src/Entry/CallerRequest.cpp
+++ b/dogwoodvale/src/Entry/CallerRequest.cpp
@@ -381,7 +381,15 @@
   }
   this->passedOn = this->passedOn || aChunk.status != 0;
   this->NoteTokens(aChunk.tokens);
-  this->writer->OnChunk(aChunk);
+  if (!this->writer->OnChunk(aChunk)) {
+    this->Conclude({ ErrorCode::BackendFailed,
+                     Disposition::MayHaveRun,
+                     "the answer is too long",
+                     milliseconds(0) },
+                   SendResult::Failed,
+                   false);
+    return;
+  }
   // A slow caller slows its own stream alone; nothing is held without bound.
   if (this->exchange->PendingBytes() > this->host.Bounds().callerBufferBytes) {
     this->running->stream->SetReadingPaused(true);
@@ -577,8 +585,10 @@
   AttemptOutcome last;
   last.disposition = aError.disposition;
   last.idempotent = this->resolved.requestClass.idempotent;
-  last.deliveredTokens = this->assembler.DeliveredTokens();
   last.streaming = this->writer->HasBegun();
+  // A plain answer has no tokens; a part of it that is out was delivered, too.
+  last.deliveredTokens = std::max<std::uint64_t>(
+    this->assembler.DeliveredTokens(), last.streaming ? 1 : 0);
   last.canResume =
     this->IsTokens() && !this->passedOn && this->assembler.CanResume();
   const bool resumes = last.canResume && last.deliveredTokens > 0;
