--- a/test/support/FleetSite.h
+++ b/test/support/FleetSite.h
@@ -74,8 +74,13 @@
     Try made;
     made.id = fmt::format("try-{}", ++this->tries);
     made.gateway = aGateway;
-    made.socket =
-      RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
+    if (this->opened.empty()) {
+      made.socket =
+        RawSocket::Connect(this->gateways.at(aGateway)->CallerAddress());
+    } else {
+      made.socket = std::move(this->opened.back());
+      this->opened.pop_back();
+    }
     made.socket.Send(WithTimeLimit(
       RequestText(
         aPath, made.id, "Connection: close\r\n" + aMoreHeaders, aBody),
@@ -146,6 +151,8 @@
   }
 
   std::list<Try> sent;
+  /// Connections that the next requests are sent on, if any.
+  std::vector<RawSocket> opened;
   /// How long callers wait, as requests that are sent later state it.
   milliseconds timeLimit{ 1500 };
 
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -129,23 +129,24 @@
     this->peerPorts.push_back(PortReservation::Draw());
     settings.peers = { "127.0.0.1", this->peerPorts.back().Port() };
     settings.operators = { "127.0.0.1", 0 };
-    settings.peerSecret = "a secret of the test's own";
+    settings.peerSecret = this->peerSecret;
     settings.platform.store = { this->storeRelay.value_or(
       this->store->Address()) };
     settings.platform.storeTimeout = milliseconds(300);
     settings.gateway.callers = { "127.0.0.1", 0 };
-    settings.gateway.instanceDrain = milliseconds(300);
+    settings.gateway.instanceDrain = this->instanceDrain;
     settings.gateway.retryRatio = 1.0;
     settings.gateway.stopGrace = seconds(2);
     settings.gateway.quarantine = this->quarantine;
     settings.gateway.decisions = this->decisions;
     settings.gateway.duties = this->duties;
-    GatewayPorts ports = *platform::CreatePorts(*this->loop, settings);
+    EventLoop& own =
+      this->gatewayLoop == nullptr ? *this->loop : *this->gatewayLoop;
+    GatewayPorts ports = *platform::CreatePorts(own, settings);
     if (this->wrapCallers) {
       ports.callers = this->wrapCallers(std::move(ports.callers));
     }
-    this->gateways.push_back(
-      *Gateway::Create(*this->loop, settings, std::move(ports)));
+    this->gateways.push_back(*Gateway::Create(own, settings, std::move(ports)));
     return *this->gateways.back();
   }
 
@@ -248,6 +249,12 @@
     wrapCallers;
   GatewayDecisions decisions;
   DutySettings duties;
+  /// Secret and drain time of gateways that are added later.
+  std::string peerSecret = "a secret of the test's own";
+  Duration instanceDrain = milliseconds(300);
+  /// Loop of gateways that are added later, if not the site's; the gateways on
+  /// it must be destroyed first.
+  EventLoop* gatewayLoop = nullptr;
   std::unique_ptr<EventLoop> loop = *EventLoop::Create();
   std::unique_ptr<standins::MetadataStore> store =
     *standins::MetadataStore::Create(*this->loop, { "127.0.0.1", 0 });
