Take no service for uniform at a gateway that is out of step

A gateway answered a take-up as "the service has one version" by a list of up to two read periods and a further drain time and second, whether or not the others could tell it of a newer one. Cut off or stopped while a version joined, it continued their streams at the only version that it knew.

It concludes so at once only if its list is current, most gateways of its cell have been heard within 0.3 s (three digests if those take longer), none has told of another newer list, and it has read the list since the last time that this did not hold. Else it asks the others, and reads the list in a read that begins after the question: the one tells of the origin, the other shows the version, or that there is only one. Else refused, not run, as before.

After the process was suspended: this is looked for before take-ups and questions are handled; the list counts as outdated until read anew, and digests that waited in the socket no longer make it look newly read. A read that took over 0.3 s is as old as its beginning. A suspension longer than a list may be old, or an outdated list while most gateways are not heard, starts the time with one version anew. An outage of the store that all gateways see still does not.

RC_ASSERT evaluates both sides of an || that is not in parentheses, so the older property read an empty optional; the same check is in parentheses now.

--- a/dogwoodvale/src/Gateway/DirectoryCache.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryCache.cpp
@@ -69,18 +69,40 @@
 }
 
 void
-DirectoryCache::Refresh()
+DirectoryCache::Refresh(Duration aLost)
 {
   this->routes.Rearm();
   // A read begun before the suspension would count as fresh when it ends.
   this->instancesCall.reset();
+  if (this->HasInstances()) {
+    // The clock does not advance while the machine is suspended.
+    this->instancesReadAt = std::min(this->instancesReadAt, Now() - aLost);
+    this->listChecksum = 0;
+    this->isUnconfirmed = true;
+  }
   this->ReadInstances();
 }
 
+void
+DirectoryCache::ReadAgain()
+{
+  this->readsAgain = true;
+  if (this->instancesCall == nullptr) {
+    this->ScheduleReadAgain();
+  }
+}
+
+void
+DirectoryCache::ScheduleReadAgain()
+{
+  this->instancesTimer.StartOnce(std::max(
+    kMinReadGap - Between(this->readBegunAt, Now()), Duration::zero()));
+}
+
 Duration
 DirectoryCache::UntilDue(TimePoint aNow) const
 {
-  if (!this->options.sharesReads || !this->HasInstances() ||
+  if (!this->options.sharesReads || this->readsAgain || !this->HasInstances() ||
       this->behindSince) {
     return Duration::zero();
   }
@@ -106,6 +128,10 @@
 DirectoryCache::OnPeerList(const ListStamp& aList, TimePoint aNow)
 {
   const TimePoint readAt = aNow - aList.age;
+  if (aList.checksum != 0 && aList.checksum != this->listChecksum &&
+      readAt > this->instancesReadAt) {
+    this->contestedAt = aNow;
+  }
   const bool isComparable =
     this->options.sharesReads && aList.checksum != 0 && this->listChecksum != 0;
   // Entries that are kept beyond the store's list are dropped only by an own
@@ -155,6 +181,8 @@
   if (this->instancesCall != nullptr) {
     return;
   }
+  this->readsAgain = false;
+  this->readBegunAt = Now();
   RangeQuery query;
   query.key = this->format.InstancesPrefix();
   query.isPrefix = true;
@@ -170,6 +198,9 @@
      mayBeOld = query.allowStale](const absl::StatusOr<RangeResult>& aResult) {
       const std::unique_ptr<StoreCall> ended = std::move(this->instancesCall);
       this->OnInstancesRead(aResult, mayBeOld);
+      if (this->readsAgain && this->instancesCall == nullptr) {
+        this->ScheduleReadAgain();
+      }
     });
 }
 
@@ -270,11 +301,20 @@
     rejectedNow.emplace(value.key, value.value);
   }
   this->rejected = std::move(rejectedNow);
-  this->instancesReadAt = now;
-  this->ownReadAt = now;
+  const TimePoint begun = this->readBegunAt;
+  const TimePoint readAt = Between(begun, now) > kMaxReadTime ? begun : now;
+  this->instancesReadAt = std::max(this->instancesReadAt, readAt);
+  this->ownReadAt = readAt;
+  this->isUnconfirmed = false;
+  if (this->contestedAt && begun >= *this->contestedAt) {
+    this->contestedAt.reset();
+  }
   this->behindSince.reset();
   this->listChecksum = aMayBeOld ? 0 : ChecksumOf(read, this->rejected);
   this->MergeInstances(std::move(read), now);
+  if (!aMayBeOld) {
+    this->observer.OnListRead(begun);
+  }
 }
 
 void
@@ -466,6 +506,7 @@
       list->age.count());
   this->instancesReadAt = readAt;
   this->listChecksum = 0;
+  this->isUnconfirmed = false;
   this->behindSince.reset();
   this->MergeInstances(std::move(list->instances), now);
 }
--- a/dogwoodvale/src/Gateway/DirectoryCache.h
+++ b/dogwoodvale/src/Gateway/DirectoryCache.h
@@ -23,6 +23,9 @@
   virtual void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) = 0;
   virtual void OnInstances(std::span<const DirectInstance> aInstances) = 0;
   virtual void OnGateways(std::span<const GatewayMember> aGateways) = 0;
+  /// A consistent read of the list of backend servers has ended; a change that
+  /// it has brought was delivered before.
+  virtual void OnListRead(TimePoint aBegun) = 0;
 };
 
 /// Local copy of the directory in the store: routes (watched, see
@@ -50,9 +53,12 @@
                  DirectoryObserver& aObserver);
 
   void Start();
-  /// Rearms the watch and reads the list again, e.g. after the process was
-  /// suspended.
-  void Refresh();
+  /// Rearms the watch and reads the list again, after the process was suspended
+  /// for \p aLost. Until then the list counts as outdated: digests that came
+  /// during the suspension state an age as of their arrival.
+  void Refresh(Duration aLost);
+  /// Reads the list in a read that begins no earlier than now.
+  void ReadAgain();
   /// Removes this gateway's own entry from the store.
   void Leave();
 
@@ -103,6 +109,11 @@
   /// Number of malformed entries of backend servers in the last read.
   std::size_t RejectedCount() const { return this->rejected.size(); }
   bool HasInstances() const { return this->instancesReadAt != TimePoint{}; }
+  /// Whether another gateway has read another list since the last own read
+  /// began, or since the list here was read by the gateway that sent it.
+  bool IsContested() const { return this->contestedAt.has_value(); }
+  /// Whether the list has not been read since the process was suspended.
+  bool IsUnconfirmed() const { return this->isUnconfirmed; }
 
   /// After the store recovers, how long the entry of a live server may still be
   /// missing because it expired during the outage.
@@ -117,6 +128,11 @@
   /// Longest time between two own reads, in periods, however fresh the list is
   /// by the reports of other gateways: these may have been delayed.
   static constexpr double kMaxOwnReadPeriods = 1.5;
+  /// A read that took longer may have been answered while the process was
+  /// suspended, so its list is as old as its beginning.
+  static constexpr Duration kMaxReadTime = milliseconds(300);
+  /// Shortest time between two reads that ReadAgain() causes.
+  static constexpr Duration kMinReadGap = milliseconds(50);
   /// Hints are used only if at least this share of them is missing from the
   /// store's list: they replace entries that the store has lost, not servers
   /// that have left.
@@ -131,6 +147,8 @@
   /// replica.
   void OnInstancesRead(const absl::StatusOr<RangeResult>& aResult,
                        bool aMayBeOld);
+  /// Schedules the read that ReadAgain() has asked for.
+  void ScheduleReadAgain();
   void NoteRejected(const KeyValue& aValue, const absl::Status& aReason);
   bool IsRejected(const DirectInstance& aInstance) const;
   void MergeInstances(std::vector<DirectInstance> aRead, TimePoint aNow);
@@ -179,9 +197,15 @@
   TimePoint instancesReadAt{};
   /// When this gateway last read it from the store.
   TimePoint ownReadAt{};
+  /// When the last read began.
+  TimePoint readBegunAt{};
+  bool readsAgain = false;
+  bool isUnconfirmed = false;
   /// Checksum of the list as read from the store; 0 if the list came from
   /// another gateway or from a possibly stale read.
   std::uint64_t listChecksum = 0;
+  /// When another, newer list was last heard of, see IsContested().
+  std::optional<TimePoint> contestedAt;
   /// Since when a newer list is known of that is not here yet.
   std::optional<TimePoint> behindSince;
   /// Until then, servers that are missing from a read stay listed.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -24,6 +24,10 @@
 /// Share of the time in which a change has to be in force after which outdated
 /// routes are no longer used; the rest covers how long the news was on its way.
 constexpr double kOverdueShare = 0.75;
+/// A gateway that has not been heard for so long, or for so many digests, may
+/// know of backend servers that are not known here.
+constexpr Duration kUnheard = milliseconds(300);
+constexpr int kUnheardDigests = 3;
 
 } // namespace
 
@@ -165,6 +169,7 @@
     return server.status();
   }
   this->callers = *std::move(server);
+  this->origins.SetListReader([this] { this->directory->ReadAgain(); });
   this->directory->Start();
   this->warmStart->Start();
   this->crashes.Start();
@@ -266,7 +271,12 @@
     };
     admitted.stream = keyOf(admitted.callerMetadata.attemptId);
     admitted.resumedStream = keyOf(admitted.callerMetadata.resumes);
-    this->origins.SetListCurrent(this->IsListCurrent(Now()), Now());
+    if (admitted.IsResumption()) {
+      this->suspensionDetector.Check();
+      this->UpdateOrigins(Now());
+    } else {
+      this->origins.SetListCurrent(this->IsListCurrent(Now()), Now());
+    }
     if (const auto limit = admitted.callerMetadata.timeLimit) {
       this->origins.OnTimeLimit(*admitted.route, *limit);
     }
@@ -381,6 +391,7 @@
     ViewCells(this->settings.instance, aGateways, this->cells);
   this->cells = view.cells;
   this->ownCell = view.own;
+  this->cellGateways = std::max<std::size_t>(view.members.size(), 1);
   this->usage.SetGateways(aGateways, view.cells, view.own);
   this->directory->SetSharing(this->settings.gateway.decisions.sharedReads &&
                               view.cells == 1);
@@ -407,6 +418,14 @@
   }
 }
 
+void
+Gateway::OnListRead(TimePoint aBegun)
+{
+  const TimePoint now = Now();
+  this->UpdateOrigins(now);
+  this->origins.OnListRead(aBegun, now);
+}
+
 PeerDigest
 Gateway::MakeDigest()
 {
@@ -435,13 +454,13 @@
 void
 Gateway::OnDigest(const PeerDigest& aDigest, const SocketAddress& aFrom)
 {
-  auto& [knownIncarnation, sequence] = this->digests[aDigest.gateway];
-  if (knownIncarnation == aDigest.incarnation && aDigest.sequence <= sequence) {
+  const TimePoint now = Now();
+  Heard& heard = this->digests[aDigest.gateway];
+  if (heard.incarnation == aDigest.incarnation &&
+      aDigest.sequence <= heard.sequence) {
     return;
   }
-  knownIncarnation = aDigest.incarnation;
-  sequence = aDigest.sequence;
-  const TimePoint now = Now();
+  heard = { aDigest.incarnation, aDigest.sequence, now };
   this->directory->OnPeerStoreContact(aDigest.storeContact, now);
   this->pool.ApplyDigest(aDigest, now);
   this->crashes.ApplyDigest(aDigest);
@@ -540,21 +559,56 @@
 bool
 Gateway::IsListFresh(TimePoint aNow) const
 {
-  const Duration maxAge =
-    kMissedReads * this->settings.gateway.instanceDrain / kReadsPerDrain;
   return this->directory->HasInstances() && !this->directory->IsBehind(aNow) &&
-         this->directory->InstancesAge(aNow) <= maxAge;
+         !this->directory->IsUnconfirmed() &&
+         this->directory->InstancesAge(aNow) <= this->MaxListAge();
+}
+
+Duration
+Gateway::MaxListAge() const
+{
+  return kMissedReads * this->settings.gateway.instanceDrain / kReadsPerDrain;
+}
+
+std::size_t
+Gateway::HeardWithin(Duration aTime, bool aInCell, TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->digests, [&](const auto& aItem) {
+      const auto& [name, heard] = aItem;
+      return name != this->settings.instance &&
+             Between(heard.at, aNow) <= aTime &&
+             (!aInCell || CellOf(name, this->cells) == this->ownCell);
+    }));
+}
+
+bool
+Gateway::HearsMost(TimePoint aNow) const
+{
+  const Duration period = PeerExchange::DigestPeriod(this->cellGateways);
+  const Duration longest = std::max(kUnheard, kUnheardDigests * period);
+  return 2 * (this->HeardWithin(longest, true, aNow) + 1) > this->cellGateways;
+}
+
+void
+Gateway::UpdateOrigins(TimePoint aNow)
+{
+  this->origins.SetHearing(
+    this->HearsMost(aNow) && !this->directory->IsContested(), aNow);
+  this->origins.SetListCurrent(this->IsListCurrent(aNow), aNow);
 }
 
 bool
 Gateway::IsListCurrent(TimePoint aNow) const
 {
-  // A few gateways may be cut off from the store together.
-  const bool hearsMost =
-    2 * (this->pool.Work().PeerCount() + 1) > this->GatewayCount();
+  // A few gateways may be cut off from the store together. Those that count
+  // must have been heard since the last report of contact with the store.
   return this->IsListFresh(aNow) ||
          (this->directory->HasInstances() && !this->directory->IsBehind(aNow) &&
-          this->directory->IsStoreSilent(aNow) && hearsMost);
+          this->directory->IsStoreSilent(aNow) &&
+          2 * (this->HeardWithin(DirectoryCache::kPeerContactTtl, false, aNow) +
+               1) >
+            this->GatewayCount());
 }
 
 void
@@ -585,7 +639,7 @@
   const TimePoint now = Now();
   this->pool.RunMaintenance(now);
   this->crashes.RunMaintenance();
-  this->origins.SetListCurrent(this->IsListCurrent(now), now);
+  this->UpdateOrigins(now);
   this->origins.RunMaintenance(now);
   this->FetchOutdatedFromPeers(now);
   this->LogIfBehind(now);
@@ -602,8 +656,10 @@
   Log(LogLevel::Warning, "suspended", "for_ms", WholeMillis(aLost));
   this->pool.CloseIdleConnections();
   this->pool.Backpressure().OnSuspended(Now());
-  this->origins.OnSuspended(aLost, Now());
-  this->directory->Refresh();
+  if (aLost > this->MaxListAge()) {
+    this->origins.OnSuspended(Now());
+  }
+  this->directory->Refresh(aLost);
 }
 
 // Planned stop.
--- a/dogwoodvale/src/Gateway/Gateway.h
+++ b/dogwoodvale/src/Gateway/Gateway.h
@@ -73,6 +73,7 @@
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override;
   void OnInstances(std::span<const DirectInstance> aInstances) override;
   void OnGateways(std::span<const GatewayMember> aGateways) override;
+  void OnListRead(TimePoint aBegun) override;
 
   PeerDigest MakeDigest() override;
   void OnDigest(const PeerDigest& aDigest, const SocketAddress& aFrom) override;
@@ -103,6 +104,16 @@
   bool IsListFresh(TimePoint aNow) const;
   /// The same, or the store has not been able to change its list since.
   bool IsListCurrent(TimePoint aNow) const;
+  /// Age from which on the list is outdated.
+  Duration MaxListAge() const;
+  /// Number of other gateways, of those of the own cell or of all, that have
+  /// been heard within the time.
+  std::size_t HeardWithin(Duration aTime, bool aInCell, TimePoint aNow) const;
+  /// Whether the gateways that report to this one are heard, but for a few that
+  /// may have failed.
+  bool HearsMost(TimePoint aNow) const;
+  /// Tells what the resumption of streams depends on.
+  void UpdateOrigins(TimePoint aNow);
   /// Fetches from other gateways what this one lacks or has only outdated.
   void FetchOutdatedFromPeers(TimePoint aNow);
   void FetchRoutesFromPeer(TimePoint aNow);
@@ -150,11 +161,19 @@
   std::unique_ptr<OperatorServer> peerServer;
   std::map<ServiceName, RetryWindow> retries;
   std::map<GatewayRequest*, std::unique_ptr<GatewayRequest>> requests;
-  /// Incarnation of each gateway and the sequence number of its newest digest.
-  std::map<InstanceName, std::pair<Incarnation, std::uint64_t>> digests;
+  /// The newest digest of a gateway.
+  struct Heard
+  {
+    Incarnation incarnation = 0;
+    std::uint64_t sequence = 0;
+    TimePoint at{};
+  };
+  std::map<InstanceName, Heard> digests;
   /// Prompts sent since the last digest.
   std::vector<RoutedPrompt> routed;
   std::size_t listedGateways = 1;
+  /// Gateways of the own cell, this one included.
+  std::size_t cellGateways = 1;
   std::size_t cells = 1;
   std::size_t ownCell = 0;
   std::uint64_t digestSequence = 0;
--- a/dogwoodvale/src/Gateway/GatewayOperators.cpp
+++ b/dogwoodvale/src/Gateway/GatewayOperators.cpp
@@ -147,6 +147,10 @@
   if (!path.starts_with(PeerExchange::kPathPrefix)) {
     return OperatorHandler::Other(aRequest);
   }
+  if (path.starts_with(OriginFinder::kPath)) {
+    this->suspensionDetector.Check();
+    this->UpdateOrigins(Now());
+  }
   if (!this->peers->HasValidProof(aRequest.path)) {
     return { kHttpForbidden, "text/plain; charset=utf-8", "no proof\n" };
   }
--- a/dogwoodvale/src/Gateway/OriginFinder.cpp
+++ b/dogwoodvale/src/Gateway/OriginFinder.cpp
@@ -185,16 +185,40 @@
   this->isListCurrent = aIsCurrent;
   if (!aIsCurrent) {
     this->outdatedSince = aNow;
-  } else if (Between(this->outdatedSince, aNow) > this->maxOutdated) {
+    this->wasUnheard = false;
+  } else if (this->wasUnheard ||
+             Between(this->outdatedSince, aNow) > this->maxOutdated) {
+    // A version that came and left was neither listed nor reported here.
     this->history.OnGap(aNow);
   }
 }
 
 void
-OriginFinder::OnSuspended(Duration aLost, TimePoint aNow)
+OriginFinder::SetHearing(bool aHearsMost, TimePoint aNow)
 {
-  if (aLost > this->maxOutdated) {
-    this->history.OnGap(aNow);
+  if (!aHearsMost) {
+    this->hasReadSinceHeard = false;
+  } else if (!this->hearsMost) {
+    this->heardSince = aNow;
+  }
+  this->hearsMost = aHearsMost;
+}
+
+void
+OriginFinder::OnListRead(TimePoint aBegun, TimePoint aNow)
+{
+  this->hasReadSinceHeard =
+    this->hasReadSinceHeard || (this->hearsMost && aBegun >= this->heardSince);
+  std::vector<Query*> waiting;
+  std::ranges::copy_if(
+    this->queries, std::back_inserter(waiting), [aBegun](const Query* aQuery) {
+      return aQuery->awaitsList && aQuery->askedAt <= aBegun;
+    });
+  for (Query* query : waiting) {
+    query->awaitsList = false;
+    if (auto uniform = this->UniformOriginOf(query->route, aNow)) {
+      query->End(FoundOrigin{ *std::move(uniform), OriginSource::Uniform });
+    }
   }
 }
 
@@ -276,6 +300,13 @@
   return StreamOrigin{ service, uniform->version };
 }
 
+std::optional<StreamOrigin>
+OriginFinder::HeardOriginOf(const HostRoute& aRoute, TimePoint aNow) const
+{
+  return this->hasReadSinceHeard ? this->UniformOriginOf(aRoute, aNow)
+                                 : std::nullopt;
+}
+
 void
 OriginFinder::OnSent(StreamKey aKey,
                      const StreamOrigin& aOrigin,
@@ -299,7 +330,7 @@
                         found->isOwn ? OriginSource::Own
                                      : OriginSource::Reported };
   }
-  if (auto uniform = this->UniformOriginOf(aRoute, aNow)) {
+  if (auto uniform = this->HeardOriginOf(aRoute, aNow)) {
     return FoundOrigin{ *std::move(uniform), OriginSource::Uniform };
   }
   return std::nullopt;
@@ -335,6 +366,12 @@
     query->unanswered +=
       this->fetcher(gateway, PathOf(aKey, service, target++)) ? 1 : 0;
   }
+  const auto uniform = this->history.UniformOf(service, query->askedAt);
+  if (this->readList && uniform &&
+      uniform->length >= this->LifetimeOf(aRoute)) {
+    query->awaitsList = true;
+    this->readList();
+  }
   // Also ends a query that no gateway was sent, e.g. as another one with the
   // same key is in flight: its answers count for both.
   query->timeout.StartOnce(kAskTimeout);
@@ -370,7 +407,7 @@
     return WriteJson(document);
   }
   const auto uniform = this->history.UniformOf(question->service, aNow);
-  if (!this->isListCurrent || !uniform) {
+  if (!this->isListCurrent || !this->hasReadSinceHeard || !uniform) {
     return std::nullopt;
   }
   document["service"] = question->service.Value();
@@ -432,7 +469,7 @@
   }
   for (Query* query : this->QueriesOf(question->key)) {
     if (query->unanswered > 0 && --query->unanswered == 0 &&
-        !query->awaitsArchive) {
+        !query->awaitsArchive && !query->awaitsList) {
       query->OnUnanswered();
     }
   }
@@ -442,6 +479,8 @@
 OriginFinder::RunMaintenance(TimePoint aNow)
 {
   this->origins.Expire(aNow);
+  this->wasUnheard =
+    this->wasUnheard || !(this->isListCurrent || this->hearsMost);
   // Streams that began while the service was uniform were not reported.
   for (const auto& [service, lifetime] : this->lifetimes) {
     const auto uniform = this->history.UniformOf(service, aNow);
--- a/dogwoodvale/src/Gateway/OriginFinder.h
+++ b/dogwoodvale/src/Gateway/OriginFinder.h
@@ -54,6 +54,8 @@
   /// Requests a document from another gateway, see PeerExchange::Fetch().
   using Fetcher =
     std::function<bool(const SocketAddress& aFrom, const std::string& aPath)>;
+  /// Reads the list of backend servers, see OnListRead().
+  using ListReader = std::function<void()>;
 
   /// A question to other gateways; destroying it cancels it.
   class Query
@@ -75,9 +77,12 @@
     StreamKey key;
     Handler handler;
     HostRoute route;
+    TimePoint askedAt = Now();
     /// Gateways that have not answered.
     std::size_t unanswered = 0;
     bool awaitsArchive = false;
+    /// Waits for a list that is read after the question.
+    bool awaitsList = false;
     Timer timeout;
   };
 
@@ -94,8 +99,21 @@
   /// Sets whether the list is up to date. Call before decisions that depend on
   /// it and a few times a second.
   void SetListCurrent(bool aIsCurrent, TimePoint aNow);
-  /// The process stood still, so that it read no list.
-  void OnSuspended(Duration aLost, TimePoint aNow);
+  /// Sets whether most gateways that report to this one have been heard
+  /// lately, and none has told of a list that is not known here. Call as
+  /// SetListCurrent().
+  void SetHearing(bool aHearsMost, TimePoint aNow);
+  /// Sets how a list is read that confirms a conclusion.
+  void SetListReader(ListReader aReader)
+  {
+    this->readList = std::move(aReader);
+  }
+  /// A read of the list that began then has ended; OnInstances() has been
+  /// called with what it brought.
+  void OnListRead(TimePoint aBegun, TimePoint aNow);
+  /// The process stood still for so long that it may have missed servers that
+  /// came and left.
+  void OnSuspended(TimePoint aNow) { this->history.OnGap(aNow); }
   /// Sets the other gateways that may be asked.
   /// \param aCells number of cells of the site, of which \p aOwnCell is this
   /// gateway's.
@@ -165,6 +183,10 @@
   /// several versions while a stream lasts.
   std::optional<StreamOrigin> UniformOriginOf(const HostRoute& aRoute,
                                               TimePoint aNow) const;
+  /// UniformOriginOf(), also if no other gateway would tell of a version that
+  /// the list does not show yet.
+  std::optional<StreamOrigin> HeardOriginOf(const HostRoute& aRoute,
+                                            TimePoint aNow) const;
   std::vector<SocketAddress> Targets(std::mt19937_64& aRandom) const;
   std::vector<Query*> QueriesOf(StreamKey aKey) const;
   /// Asks the store, as no gateway knows the origin of a stream of the route.
@@ -178,12 +200,21 @@
 
   EventLoop& loop;
   Fetcher fetcher;
+  ListReader readList;
   OriginArchive& archive;
   TimePoint startedAt = Now();
   StreamOrigins origins;
   SoftwareHistory history;
   Duration maxOutdated;
   bool isListCurrent = false;
+  bool hearsMost = true;
+  /// Since when, and whether the list was read since: what was reported before
+  /// is unknown.
+  TimePoint heardSince{};
+  bool hasReadSinceHeard = true;
+  /// Whether most gateways were not heard for some of the time in which the
+  /// list is not current.
+  bool wasUnheard = false;
   /// Since when it is not.
   TimePoint outdatedSince{};
   /// Never shortened: streams that began under a longer bound may come back.
--- a/dogwoodvale/src/Gateway/SuspensionDetector.h
+++ b/dogwoodvale/src/Gateway/SuspensionDetector.h
@@ -20,14 +20,17 @@
 
   SuspensionDetector(EventLoop& aLoop, Handler aHandler);
 
+  /// Reports a suspension that has just ended. Call before cached state is used
+  /// for a decision: after a suspension what waits at the sockets is handled
+  /// before the timer.
+  void Check();
+
   /// Shorter suspensions are not reported; no cached state becomes stale in
   /// them.
   static constexpr Duration kMinReported = milliseconds(300);
   static constexpr Duration kPeriod = milliseconds(250);
 
 private:
-  void Check();
-
   Handler handler;
   /// See SuspendedTime().
   Duration suspendedBefore{ 0 };
--- a/test/DirectoryCache.cpp
+++ b/test/DirectoryCache.cpp
@@ -62,6 +62,7 @@
   {
     this->gateways = aGateways.size();
   }
+  void OnListRead(TimePoint aBegun) override { this->lastBegun = aBegun; }
   bool Has(const std::string& aName) const
   {
     return std::ranges::any_of(
@@ -73,6 +74,7 @@
   std::vector<Epoch> versions;
   std::vector<DirectInstance> instances;
   std::size_t gateways = 0;
+  TimePoint lastBegun{};
 };
 
 struct Setup
@@ -129,6 +131,20 @@
   CHECK_FALSE(setup.directory.Routes().Apply("0", "g2"));
 }
 
+// Guards against an outdated list that looks new, as its answer waited while
+// the process was suspended.
+TEST_CASE("a list whose read took long is as old as its beginning",
+          "[directory]")
+{
+  Setup setup;
+  setup.store.Write("instances/e1", "ready");
+  REQUIRE(setup.Until([&] { return setup.observer.Has("e1"); }));
+  setup.store.latency = milliseconds(500);
+  const TimePoint slow = Now();
+  REQUIRE(setup.Until([&] { return setup.observer.lastBegun > slow; }));
+  CHECK(setup.directory.InstancesAge(Now()) >= milliseconds(490));
+}
+
 TEST_CASE("an outdated entry does not bring back a leaving server",
           "[directory]")
 {
--- a/test/StreamOrigins.cpp
+++ b/test/StreamOrigins.cpp
@@ -293,7 +293,89 @@
     const TimePoint resumed = std::max(starts, kStart + seconds(0, 60));
     RC_PRE(resumed <= kStart + limit);
     const auto found = finder.Find(1, route, resumed);
-    RC_ASSERT(!found || found->origin.softwareVersion == "v1");
+    RC_ASSERT((!found || found->origin.softwareVersion == "v1"));
+  });
+}
+
+// Guards against taking a service for uniform at a gateway that was cut off,
+// from the store, from the others or from both, while another version was
+// there.
+TEST_CASE("a gateway that was cut off takes no service for uniform wrongly",
+          "[versions]")
+{
+  rc::prop("a stream of a version that others know of gets no other", [] {
+    const auto drawn = [](int aFrom, int aUntil) {
+      return milliseconds(100 * *rc::gen::inRange(aFrom, aUntil));
+    };
+    const auto loop = *EventLoop::Create();
+    test::FakeStore store(*loop);
+    OriginArchive archive(store, { InstanceName("g1"), "secret" });
+    OriginFinder finder(
+      *loop,
+      [](const SocketAddress& /*aFrom*/, const std::string& /*aPath*/) {
+        return false;
+      },
+      archive,
+      seconds(3));
+    HostRoute route;
+    route.services = { { kService, 1 } };
+    route.timeout = seconds(10);
+    constexpr Duration kReadPeriod = milliseconds(500);
+    constexpr Duration kMaxAge = milliseconds(1300);
+    // A gateway notices after so long that it does not hear the others.
+    constexpr Duration kNoticed = milliseconds(300);
+    struct Span
+    {
+      TimePoint from;
+      TimePoint until;
+      bool Has(TimePoint aAt) const
+      {
+        return aAt >= this->from && aAt < this->until;
+      }
+    };
+    const TimePoint storeCut = kStart + drawn(0, 40);
+    const Span unread{ storeCut, storeCut + drawn(0, 80) };
+    const TimePoint peersCut = kStart + drawn(0, 40);
+    const Span unheard{ peersCut, peersCut + drawn(0, 80) };
+    const TimePoint joins = kStart + drawn(0, 100);
+    // Between two reads a version may come and go unseen.
+    const Span second{ joins, joins + kMaxAge + kReadPeriod + drawn(0, 100) };
+    const TimePoint begins =
+      std::min(second.from + drawn(0, 40), second.until - milliseconds(100));
+    const TimePoint resumed = begins + drawn(1, 150);
+    RC_PRE(!unheard.Has(resumed) || resumed >= unheard.from + kNoticed);
+    std::vector<DirectInstance> servers(2);
+    servers[0].service = servers[1].service = kService;
+    servers[0].softwareVersion = "v1";
+    servers[1].softwareVersion = "v2";
+    TimePoint lastRead = kStart - seconds(100);
+    finder.OnInstances(std::span(servers).first(1), lastRead);
+    finder.SetListCurrent(true, lastRead);
+    int reports = 0;
+    for (TimePoint now = kStart - seconds(2); now <= resumed;
+         now += milliseconds(100)) {
+      if (!unread.Has(now) && now - lastRead >= kReadPeriod) {
+        finder.OnInstances(std::span(servers).first(second.Has(now) ? 2 : 1),
+                           now);
+        lastRead = now;
+      }
+      if (now > begins && !unheard.Has(now) && reports < 3) {
+        PeerDigest digest;
+        digest.origins = { { 1, At("v2"), seconds(20) } };
+        finder.ApplyDigest(digest, now);
+        ++reports;
+      }
+      // Reports are sent when the request is, and are lost if not heard then.
+      reports += now > begins ? 1 : 0;
+      finder.SetHearing(!unheard.Has(now) || !unheard.Has(now - kNoticed), now);
+      if (lastRead == now) {
+        finder.OnListRead(now, now);
+      }
+      finder.SetListCurrent(now - lastRead <= kMaxAge, now);
+      finder.RunMaintenance(now);
+    }
+    const auto found = finder.Find(1, route, resumed);
+    RC_ASSERT((!found || found->origin.softwareVersion == "v2"));
   });
 }
 
--- a/test/VersionsOutOfStep.cpp
+++ b/test/VersionsOutOfStep.cpp
@@ -252,6 +252,8 @@
   }
   site.RunAll(milliseconds(50));
   const bool isQueueFull = GENERATE(true, false);
+  // The version leaves before the gateway runs again.
+  const bool leaves = isQueueFull && GENERATE(false, true);
   // From here on the gateway does not run.
   site.Run(milliseconds(200));
   if (isQueueFull) {
@@ -266,6 +268,12 @@
     REQUIRE(site.HasBegun(stream));
   }
   site.Run(milliseconds(1000));
+  if (leaves) {
+    site.RemoveEngines("v2");
+    site.Run(milliseconds(300));
+    // The list is read before the callers come.
+    site.RunAll(milliseconds(50));
+  }
   site.opened = std::move(opened);
   site.TakeUp();
   const Outcome outcome = site.Settled();
