Judge a silent link by what its peer answers, not by what it reads

Cause: TCP_USER_TIMEOUT, set against links that fall silent, also ends a connection whose peer answers each probe of its closed window. TCP_INFO of a bare socket shows it: nothing in flight, probes answered, ended 1.2 s after the first probe; not ended without the option.

LinkTimeout extends the system's limit while bytes are unacknowledged and gives the peer up when it leaves two segments in a row unanswered and is not heard for one limit, or two behind a closed window.

--- a/dogwoodvale/src/Http/BackendConnection.cpp
+++ b/dogwoodvale/src/Http/BackendConnection.cpp
@@ -1,6 +1,5 @@
 #include "BackendConnection.h"
 
-#include <algorithm>
 #include <cerrno>
 #include <charconv>
 
@@ -39,6 +38,9 @@
       bufferevent_socket_new(aLoop.Base(),
                              -1,
                              BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+  , linkTimeout(aLoop, aOwner.Options().silentLinkTimeout, [this] {
+    this->OnPeerGone();
+  })
 {
   bufferevent_setcb(
     this->stream,
@@ -73,6 +75,7 @@
     this->call = nullptr;
   }
   if (this->stream != nullptr) {
+    this->linkTimeout.Stop();
     bufferevent_free(this->stream);
     this->stream = nullptr;
   }
@@ -118,6 +121,7 @@
   if (!rest.empty()) {
     bufferevent_write(this->stream, rest.data(), rest.size());
   }
+  this->linkTimeout.OnWritten();
 }
 
 void
@@ -201,6 +205,7 @@
     this->owner.Retire(*this);
     return;
   }
+  this->linkTimeout.OnReceived();
   evbuffer* input = bufferevent_get_input(this->stream);
   while (this->call != nullptr) {
     const std::size_t size = evbuffer_get_contiguous_space(input);
@@ -297,7 +302,7 @@
                TCP_NODELAY,
                &on,
                sizeof(on));
-    this->SetLinkTimeout();
+    this->linkTimeout.Start(this->stream);
     const timeval limit = ToTimeval(this->owner.Options().idleTimeout);
     bufferevent_set_timeouts(this->stream, &limit, &limit);
     if (this->probe) {
@@ -337,6 +342,18 @@
   // A write that failed leaves what the server had sent before to be read.
 }
 
+void
+BackendConnection::OnPeerGone()
+{
+  if (this->call == nullptr) {
+    this->Close();
+    this->owner.Retire(*this);
+    return;
+  }
+  this->Fail(
+    absl::DeadlineExceededError("the server's host has stopped answering"));
+}
+
 void
 BackendConnection::OnInputEnd()
 {
@@ -369,30 +386,6 @@
   }
 }
 
-void
-BackendConnection::SetLinkTimeout()
-{
-  const Duration limit = this->owner.Options().silentLinkTimeout;
-  if (limit <= Duration::zero()) {
-    return;
-  }
-  const int descriptor = bufferevent_getfd(this->stream);
-  const auto set = [descriptor](int aLevel, int aOption, int aValue) {
-    setsockopt(descriptor, aLevel, aOption, &aValue, sizeof(aValue));
-  };
-  // The system counts probes in whole seconds, one at least.
-  const auto whole = std::max<Duration::rep>(
-    1, std::chrono::duration_cast<seconds>(limit).count());
-  set(
-    IPPROTO_TCP,
-    TCP_USER_TIMEOUT,
-    static_cast<int>(std::chrono::duration_cast<milliseconds>(limit).count()));
-  set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(whole));
-  set(IPPROTO_TCP, TCP_KEEPINTVL, 1);
-  set(IPPROTO_TCP, TCP_KEEPCNT, 1);
-}
-
 void
 BackendConnection::NoteKeepAlive()
 {
@@ -440,6 +433,7 @@
   if (aKeep && sent) {
     bufferevent_enable(this->stream, EV_READ);
     bufferevent_set_timeouts(this->stream, nullptr, nullptr);
+    this->linkTimeout.OnAnswered();
     this->owner.Pool(*this);
   } else {
     this->Close();
--- a/dogwoodvale/src/Http/BackendConnection.h
+++ b/dogwoodvale/src/Http/BackendConnection.h
@@ -6,6 +6,7 @@
 #include "BackendClient.h"
 #include "HttpParser.h"
 #include "LinkState.h"
+#include "LinkTimeout.h"
 #include "Sockets.h"
 
 struct bufferevent;
@@ -71,8 +72,9 @@
   void Write(std::string_view aBytes);
   /// Writes the request that has waited for the connection.
   void WriteRequest();
-  void SetLinkTimeout();
   void NoteKeepAlive();
+  /// See LinkTimeout.
+  void OnPeerGone();
   /// The server sends nothing more, or what it sent can't be read.
   void OnInputEnd();
   /// Whether the server closed after it had taken the whole request, and no
@@ -98,6 +100,7 @@
   /// A request that waits for the connection.
   std::string unwritten;
   LinkState link;
+  LinkTimeout linkTimeout;
   bool connected = false;
   bool isHead = false;
   /// The body has no length of its own and ends when the server closes.
--- a/test/RawSockets.h
+++ b/test/RawSockets.h
@@ -102,6 +102,8 @@
     return true;
   }
 
+  int Descriptor() const { return this->descriptor; }
+
   /// \return how many bytes the system took without waiting.
   ssize_t Send(std::string_view aBytes)
   {
