Keep a silent attempt until another server has something for the caller

Cause: the hand-over closed the connection to the silent server before the other one had accepted the stream, for a server that merely would have been placed.

Now the first attempt ends when the other server, the successor, sends an event or a whole answer; whichever speaks first goes on, and the other is dropped. A rejected, failed or unreachable successor costs the caller nothing. At most two servers have a request; attempts and the retry budget bound who is asked.

--- a/dogwoodvale/src/Gateway/DirectAttempt.cpp
+++ b/dogwoodvale/src/Gateway/DirectAttempt.cpp
@@ -55,7 +55,7 @@
   : protocol(aProtocol)
   , buffers(aBuffers)
   , plan(std::move(aPlan))
-  , listener(aListener)
+  , listener(&aListener)
   , splitter(this->plan.resumeAfter)
   , silenceTimer(aLoop, [this] { this->OnSilence(); })
 {
@@ -108,7 +108,7 @@
 DirectAttempt::OnSilence()
 {
   this->silenceTimer.StartOnce(kSilencePeriod);
-  this->listener.OnAttemptSilent();
+  this->listener->OnAttemptSilent();
 }
 
 void
@@ -148,7 +148,7 @@
   this->headers = this->protocol.ForwardedHeaders(aHeaders);
   this->isStream = this->plan.expectsStream && IsSuccess(aStatus) &&
                    this->answer.mediaType.starts_with(kEventStream);
-  this->listener.OnAttemptHead(this->answer);
+  this->listener->OnAttemptHead(this->answer);
 }
 
 void
@@ -181,7 +181,7 @@
   }
   if (!events->empty()) {
     this->RestartTimeout(this->plan.timeouts.betweenEvents);
-    this->listener.OnAttemptEvents(*events);
+    this->listener->OnAttemptEvents(*events);
   }
 }
 
@@ -210,7 +210,7 @@
       this->Fail(AttemptFailure::Garbled, "another answer inside the body");
       return;
     }
-    this->listener.OnAttemptAnswer(this->body);
+    this->listener->OnAttemptAnswer(this->body);
     return;
   }
   if (this->splitter.HasPartialEvent() || this->splitter.EventCount() == 0) {
@@ -219,7 +219,7 @@
     this->Fail(AttemptFailure::Garbled, "the stream ended inside an event");
     return;
   }
-  this->listener.OnAttemptStreamEnd();
+  this->listener->OnAttemptStreamEnd();
 }
 
 void
@@ -267,7 +267,7 @@
   // which may destroy this attempt.
   const std::unique_ptr<BackendCall> ended = std::move(this->call);
   const std::string reason(aReason);
-  this->listener.OnAttemptFailed(aFailure, reason);
+  this->listener->OnAttemptFailed(aFailure, reason);
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Gateway/DirectAttempt.h
+++ b/dogwoodvale/src/Gateway/DirectAttempt.h
@@ -89,6 +89,8 @@
   DirectAttempt& operator=(const DirectAttempt&) = delete;
 
   void Start(BackendClient& aClient, const HttpRequest& aRequest);
+  /// Events go to another listener from now on.
+  void SetListener(AttemptListener& aListener) { this->listener = &aListener; }
 
   const InstanceName& Instance() const { return this->plan.instance; }
   const BackendAnswer& Answer() const { return this->answer; }
@@ -109,7 +111,7 @@
   /// inside an event; nothing if neither.
   std::optional<BrokenAttempt> ConnectionBreak(TimePoint aNow) const;
 
-  void OnConnected() override { this->listener.OnAttemptConnected(); }
+  void OnConnected() override { this->listener->OnAttemptConnected(); }
   bool IsOwnAnswer(std::span<const HeaderField> aHeaders,
                    bool aIsFirst) override;
   void OnHead(int aStatus, std::span<const HeaderField> aHeaders) override;
@@ -134,7 +136,7 @@
   const BackendProtocol& protocol;
   AnswerBuffers& buffers;
   Plan plan;
-  AttemptListener& listener;
+  AttemptListener* listener;
   EventSplitter splitter;
   Timer silenceTimer;
   std::unique_ptr<BackendCall> call;
--- a/dogwoodvale/src/Gateway/GatewayLog.cpp
+++ b/dogwoodvale/src/Gateway/GatewayLog.cpp
@@ -210,6 +210,38 @@
       aFailed.next);
 }
 
+void
+LogSuccessorAttempt(const GatewayRequest& aRequest,
+                    const SuccessorStep& aStep,
+                    TimePoint aNow)
+{
+  const RequestProgress progress = aRequest.Progress(aNow);
+  Log(LogLevel::Info,
+      "successor",
+      "id",
+      aRequest.Admitted().callerMetadata.attemptId,
+      "route",
+      aRequest.Admitted().route->name,
+      "phase",
+      RequestPhaseName(progress.phase),
+      "instance",
+      aStep.silent.Value(),
+      "successor",
+      aStep.successor.Value(),
+      "result",
+      aStep.result,
+      "reason",
+      aStep.reason,
+      "attempts",
+      aRequest.Outcome().attempts,
+      "events",
+      aRequest.Outcome().events,
+      "age_ms",
+      WholeMillis(progress.age),
+      "since_event_ms",
+      WholeMillis(progress.sinceEvent));
+}
+
 void
 LogOpenRequest(LogLevel aLevel,
                std::string_view aEvent,
--- a/dogwoodvale/src/Gateway/GatewayLog.h
+++ b/dogwoodvale/src/Gateway/GatewayLog.h
@@ -27,7 +27,7 @@
   /// See AttemptFailureName(), or "deadline".
   std::string_view result;
   std::string_view reason;
-  /// The reaction: "retry", "resume" or "give_up".
+  /// The reaction: "retry", "resume", "hand_over" or "give_up".
   std::string_view next;
   /// Time since the attempt was sent.
   Duration spent{ 0 };
@@ -42,6 +42,22 @@
                  const FailedAttempt& aFailed,
                  Duration aListAge);
 
+/// Another server was asked to take over from a silent one, or that ended
+/// without its taking over.
+struct SuccessorStep
+{
+  InstanceName silent;
+  InstanceName successor;
+  /// "asked", "dropped", or see AttemptFailureName().
+  std::string_view result;
+  std::string_view reason;
+};
+
+void
+LogSuccessorAttempt(const GatewayRequest& aRequest,
+                    const SuccessorStep& aStep,
+                    TimePoint aNow);
+
 /// Logs how far a request is that has no whole answer yet: "attempt_silent" for
 /// one whose server has sent nothing for longer than allowed, "cut_by_stop" for
 /// one that is open at the end of a planned stop.
--- a/dogwoodvale/src/Gateway/GatewayMetrics.cpp
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.cpp
@@ -18,6 +18,10 @@
       "gateway_answers_total",
       "Answers of backend servers that were forwarded, by the sign by which "
       "they were complete."))
+  , successors(this->registry.AddCounter<ReasonLabels>(
+      "gateway_successors_total",
+      "Servers that were asked to take over from a silent one, and those that "
+      "did."))
   , gauges(this->registry.AddGauge<ReasonLabels>("gateway_state",
                                                  "The gateway's state now."))
   , droppedLines(
@@ -67,6 +71,10 @@
   if (outcome.answerEnd) {
     ++this->answers.At({ std::string(AnswerEndName(*outcome.answerEnd)) });
   }
+  if (outcome.successors > 0) {
+    this->successors.At({ "asked" }) += outcome.successors;
+    this->successors.At({ "took_over" }) += outcome.takeOvers;
+  }
   metrics.retries += outcome.attempts > 1 ? outcome.attempts - 1 : 0;
   metrics.resumes += outcome.resumes;
   metrics.cancels += outcome.abandoned ? 1 : 0;
--- a/dogwoodvale/src/Gateway/GatewayMetrics.h
+++ b/dogwoodvale/src/Gateway/GatewayMetrics.h
@@ -93,6 +93,8 @@
   CounterFamily<ReasonLabels>& resumptions;
   /// Answers of backend servers by AnswerEnd.
   CounterFamily<ReasonLabels>& answers;
+  /// Servers asked to take over from a silent one.
+  CounterFamily<ReasonLabels>& successors;
   GaugeFamily<ReasonLabels>& gauges;
   CounterFamily<NoLabels>& droppedLines;
 };
--- a/dogwoodvale/src/Gateway/GatewayRequest.cpp
+++ b/dogwoodvale/src/Gateway/GatewayRequest.cpp
@@ -5,6 +5,7 @@
 
 #include "AnswerStatus.h"
 #include "GatewayLog.h"
+#include "SuccessorAttempt.h"
 
 namespace dogwoodvale {
 
@@ -92,7 +93,7 @@
 
 GatewayRequest::~GatewayRequest()
 {
-  this->EndAttempt();
+  this->EndAttempts();
 }
 
 void
@@ -266,7 +267,7 @@
     return;
   }
   this->mayHaveRun = this->mayHaveRun || this->attempt != nullptr;
-  this->EndAttempt();
+  this->EndAttempts();
   this->GiveUp(ErrorCode::Draining, "the gateway is stopping");
 }
 
@@ -399,7 +400,7 @@
     this->GiveUpUnplaced();
     return;
   }
-  this->SendTo(server, *client);
+  this->SendTo({ server, *placed, client });
 }
 
 GatewayRequest::Placing
@@ -435,39 +436,6 @@
   this->outcome.placement = aPlacement;
 }
 
-std::optional<GatewayRequest::Destination>
-GatewayRequest::FindSuccessor(TimePoint aNow)
-{
-  CrashGuard& guard = this->host.Crashes();
-  const CrashSubjects& subjects = this->admitted.subjects;
-  if (guard.QuarantinedSubject(subjects)) {
-    return std::nullopt;
-  }
-  if (const SuspectGate* gate = guard.Gate()) {
-    const auto step =
-      this->suspectWait.Next(*gate, subjects, false, aNow, this->host.Random());
-    if (step.action != SuspectWait::Action::Send) {
-      this->suspectWait.EndTurn();
-      return std::nullopt;
-    }
-  }
-  std::vector<InstanceName> tried = this->excluded;
-  tried.push_back(this->sent->instance);
-  PlacementRequest wanted = this->MakePlacementRequest(aNow);
-  wanted.mayHaveBeenPrefilled = true;
-  const auto [candidates, placed] = this->PlaceBeside(tried, wanted);
-  if (!placed || placed->timeliness == Timeliness::Hopeless) {
-    return std::nullopt;
-  }
-  const DirectCandidate& server = candidates[placed->server];
-  BackendClient* client =
-    this->host.Backends().Acquire(server.name, this->admitted.demand, aNow);
-  if (client == nullptr) {
-    return std::nullopt;
-  }
-  return Destination{ server, *placed, client };
-}
-
 std::optional<ShareStanding>
 GatewayRequest::StandingWhileShort(TimePoint aNow) const
 {
@@ -502,17 +470,17 @@
 }
 
 void
-GatewayRequest::RecordHeldMemory(TimePoint aNow)
+GatewayRequest::RecordHeldMemory(Sent& aSent, TimePoint aNow)
 {
   BackendPool::Sharing* sharing =
     this->host.Backends().SharingOf(this->admitted.service->name);
-  if (sharing == nullptr || !this->sent) {
+  if (sharing == nullptr) {
     return;
   }
-  const Duration held = Between(this->sent->heldUntil, aNow);
-  this->sent->heldUntil = aNow;
+  const Duration held = Between(aSent.heldUntil, aNow);
+  aSent.heldUntil = aNow;
   sharing->shares.OnUse(this->admitted.customer,
-                        static_cast<double>(this->sent->work.memoryTokens) *
+                        static_cast<double>(aSent.work.memoryTokens) *
                           std::chrono::duration<double>(held).count(),
                         aNow);
 }
@@ -534,65 +502,85 @@
 }
 
 BackendRequestMetadata
-GatewayRequest::MetadataFor(const InstanceName& aInstance, TimePoint aNow) const
+GatewayRequest::MetadataFor(const InstanceName& aInstance,
+                            const Placement& aPlacement,
+                            TimePoint aNow) const
 {
   const BackendPool& pool = this->host.Backends();
   BackendRequestMetadata metadata;
   metadata.server = pool.ServerOf(aInstance);
   metadata.customer = this->admitted.customer;
   metadata.timeLeft = this->TimeLeft(aNow);
-  metadata.priority = this->outcome.placement.priority;
+  metadata.priority = aPlacement.priority;
   metadata.resumeAfter = this->lastDeliveredEvent;
-  if (this->outcome.placement.fetch) {
-    metadata.fetchFrom =
-      pool.AddressOf(this->outcome.placement.fetch->instance);
+  if (aPlacement.fetch) {
+    metadata.fetchFrom = pool.AddressOf(aPlacement.fetch->instance);
   }
   return metadata;
 }
 
-void
-GatewayRequest::SendTo(const DirectCandidate& aCandidate,
-                       BackendClient& aClient)
+GatewayRequest::Sent
+GatewayRequest::RecordSent(const Destination& aTo, TimePoint aNow)
 {
-  const TimePoint now = Now();
-  const Placement& placement = this->outcome.placement;
+  const DirectCandidate& server = aTo.server;
+  const BackendWork& work = aTo.placement.work;
   BackendPool& pool = this->host.Backends();
-  this->sent = Sent{ .instance = aCandidate.name,
-                     .softwareVersion = aCandidate.softwareVersion,
-                     .work = placement.work,
-                     .at = now,
-                     .hadFreeSlot = aCandidate.work.requests < aCandidate.slots,
-                     .heldUntil = now };
   if (auto* sharing = pool.SharingOf(this->admitted.service->name)) {
-    sharing->shares.OnUse(this->admitted.customer,
-                          static_cast<double>(placement.work.Prefill()),
-                          now);
-  }
-  this->outcome.expectedPause =
-    pool.ExpectedPause(aCandidate.name, now).value_or(Duration::zero());
-  pool.OnSent(
-    aCandidate.name, placement.work, this->admitted.demand.steps, now);
+    sharing->shares.OnUse(
+      this->admitted.customer, static_cast<double>(work.Prefill()), aNow);
+  }
+  Sent made{ .instance = server.name,
+             .softwareVersion = server.softwareVersion,
+             .work = work,
+             .at = aNow,
+             .expectedPause =
+               pool.ExpectedPause(server.name, aNow).value_or(Duration::zero()),
+             .hadFreeSlot = server.work.requests < server.slots,
+             .heldUntil = aNow };
+  pool.OnSent(server.name, work, this->admitted.demand.steps, aNow);
   const std::uint32_t longTokens =
-    this->admitted.demand.isLong
-      ? static_cast<std::uint32_t>(placement.work.Prefill())
-      : 0;
-  pool.OnLongPrompt(aCandidate.name, longTokens, now);
-  this->host.OnSent(aCandidate.name, this->admitted.demand.steps, longTokens);
-  this->RecordOrigin(now);
-  this->attempt =
-    std::make_unique<DirectAttempt>(this->host.Loop(),
-                                    *this->host.Ports().backends,
-                                    this->host.Answers(),
-                                    this->PlanFor(aCandidate.name, now),
-                                    *this);
+    this->admitted.demand.isLong ? static_cast<std::uint32_t>(work.Prefill())
+                                 : 0;
+  pool.OnLongPrompt(server.name, longTokens, aNow);
+  this->host.OnSent(server.name, this->admitted.demand.steps, longTokens);
   this->host.Crashes().OnSent(this->admitted.subjects);
   this->suspectWait.EndTurn();
-  const BackendRequestMetadata metadata =
-    this->MetadataFor(aCandidate.name, now);
+  return made;
+}
+
+std::unique_ptr<DirectAttempt>
+GatewayRequest::MakeAttempt(const InstanceName& aInstance,
+                            AttemptListener& aListener,
+                            TimePoint aNow)
+{
+  return std::make_unique<DirectAttempt>(this->host.Loop(),
+                                         *this->host.Ports().backends,
+                                         this->host.Answers(),
+                                         this->PlanFor(aInstance, aNow),
+                                         aListener);
+}
+
+void
+GatewayRequest::StartAttempt(DirectAttempt& aAttempt,
+                             const Destination& aTo,
+                             TimePoint aNow)
+{
   ++this->outcome.attempts;
-  this->attempt->Start(
-    aClient,
-    this->host.Ports().backends->Compose(this->exchange->Request(), metadata));
+  aAttempt.Start(*aTo.client,
+                 this->host.Ports().backends->Compose(
+                   this->exchange->Request(),
+                   this->MetadataFor(aTo.server.name, aTo.placement, aNow)));
+}
+
+void
+GatewayRequest::SendTo(const Destination& aTo)
+{
+  const TimePoint now = Now();
+  this->sent = this->RecordSent(aTo, now);
+  this->outcome.expectedPause = this->sent->expectedPause;
+  this->RecordOrigin(now);
+  this->attempt = this->MakeAttempt(aTo.server.name, *this, now);
+  this->StartAttempt(*this->attempt, aTo, now);
 }
 
 // Answers of the backend server.
@@ -694,14 +682,21 @@
 
 void
 GatewayRequest::OnAttemptHead(const BackendAnswer& aHead)
+{
+  this->RecordHead(this->sent->instance, aHead);
+}
+
+void
+GatewayRequest::RecordHead(const InstanceName& aInstance,
+                           const BackendAnswer& aHead)
 {
   const TimePoint now = Now();
   BackendPool& pool = this->host.Backends();
-  pool.OnStatedLoad(this->sent->instance, aHead, now);
+  pool.OnStatedLoad(aInstance, aHead, now);
   // If another instance has taken over the address, the notice does not apply
   // to the instance that the request was meant for.
   if (!aHead.wrongInstance) {
-    pool.OnNotice(this->sent->instance, aHead.notice, now);
+    pool.OnNotice(aInstance, aHead.notice, now);
   }
 }
 
@@ -709,6 +704,7 @@
 GatewayRequest::OnAttemptEvents(std::string_view aBytes)
 {
   const TimePoint now = Now();
+  this->DropSuccessor("the first server goes on");
   this->RecordFirstResponse(now);
   this->RecordExecutionStart(now);
   if (!this->sent->begunAt) {
@@ -727,7 +723,7 @@
     this->exchange->StartStream(this->outcome.status, this->attempt->Headers());
   }
   if (Between(this->sent->heldUntil, now) >= kHeldMemoryPeriod) {
-    this->RecordHeldMemory(now);
+    this->RecordHeldMemory(*this->sent, now);
   }
   if (++this->outcome.events == 1) {
     this->observer.OnFirstEvents(
@@ -806,6 +802,9 @@
   if (!IsServerError(aAnswer.status)) {
     return true;
   }
+  if (this->successor != nullptr) {
+    return false;
+  }
   return !this->MayRepeat() ||
          this->timesSent + 1 >= this->GetRoute().maxAttempts ||
          !this->host.RetriesOf(this->admitted.service->name).HasRoom(Now());
@@ -840,23 +839,37 @@
 }
 
 void
-GatewayRequest::HandleFailure(AttemptFailure aFailure, std::string_view aReason)
+GatewayRequest::RecordFailure(const Sent& aSent,
+                              const DirectAttempt& aAttempt,
+                              AttemptFailure aFailure,
+                              TimePoint aNow)
 {
-  const TimePoint now = Now();
-  const InstanceName instance = this->sent->instance;
-  this->HealthOf(instance).OnFailed(aFailure, this->sent->hadFreeSlot);
+  this->HealthOf(aSent.instance).OnFailed(aFailure, aSent.hadFreeSlot);
   if (aFailure == AttemptFailure::WrongInstance) {
-    this->host.Backends().OnWrongInstance(instance);
-    this->host.Crashes().OnReplaced(instance);
+    this->host.Backends().OnWrongInstance(aSent.instance);
+    this->host.Crashes().OnReplaced(aSent.instance);
   }
-  if (const auto broken = this->attempt->ConnectionBreak(now)) {
+  if (const auto broken = aAttempt.ConnectionBreak(aNow)) {
     this->host.Crashes().OnBroken(
-      instance, this->admitted.subjects, *broken, this->sent->hasPassed);
+      aSent.instance, this->admitted.subjects, *broken, aSent.hasPassed);
   }
   this->mayHaveRun = this->mayHaveRun || !IsNotRun(aFailure);
   this->timesSent += aFailure == AttemptFailure::NotSent ? 0 : 1;
-  this->excluded.push_back(instance);
+  this->excluded.push_back(aSent.instance);
+}
+
+void
+GatewayRequest::HandleFailure(AttemptFailure aFailure, std::string_view aReason)
+{
+  const TimePoint now = Now();
+  this->RecordFailure(*this->sent, *this->attempt, aFailure, now);
   this->KeepReportedOrigin();
+  if (this->successor != nullptr && this->MayContinueAtSuccessor()) {
+    this->LogAttempt(AttemptFailureName(aFailure), aReason, "hand_over");
+    this->ContinueAtSuccessor();
+    return;
+  }
+  this->DropSuccessor("of another software version");
   const RetryVerdict verdict = this->Decide(aFailure, now);
   this->LogAttempt(AttemptFailureName(aFailure),
                    aReason,
@@ -915,53 +928,6 @@
   return verdict;
 }
 
-void
-GatewayRequest::OnAttemptSilent()
-{
-  if (this->exchange->CheckCallerGone()) {
-    return;
-  }
-  const TimePoint now = Now();
-  const bool hasUnread = this->attempt->HasUnread();
-  if (!hasUnread && !std::exchange(this->sent->wasSilent, true)) {
-    this->HealthOf(this->sent->instance)
-      .OnFailed(AttemptFailure::Silent, this->sent->hadFreeSlot);
-    LogOpenRequest(LogLevel::Info, "attempt_silent", *this, now);
-  }
-  AttemptOutcome ended = this->OutcomeSoFar();
-  ended.disposition = Disposition::MayHaveRun;
-  RetryAllowance allowance = this->AllowanceAt(now, false);
-  ++allowance.attempts;
-  // Finding a server is the dearer part.
-  if (DecideOnSilence(ended, allowance, hasUnread, true) ==
-      SilenceVerdict::Wait) {
-    return;
-  }
-  this->KeepReportedOrigin();
-  const std::optional<Destination> next = this->FindSuccessor(now);
-  if (DecideOnSilence(ended, allowance, hasUnread, next.has_value()) ==
-      SilenceVerdict::HandOver) {
-    this->HandOver(*next, now);
-  }
-}
-
-void
-GatewayRequest::HandOver(const Destination& aTo, TimePoint aNow)
-{
-  this->mayHaveRun = true;
-  ++this->timesSent;
-  this->excluded.push_back(this->sent->instance);
-  this->host.RetriesOf(this->admitted.service->name).TryTake(aNow);
-  const bool resumes = this->outcome.events > 0;
-  this->outcome.resumes += resumes ? 1 : 0;
-  this->LogAttempt(AttemptFailureName(AttemptFailure::Silent),
-                   "another server takes over",
-                   resumes ? "resume" : "retry");
-  this->EndAttempt();
-  this->RecordPlacement(aTo.server, aTo.placement);
-  this->SendTo(aTo.server, *aTo.client);
-}
-
 void
 GatewayRequest::GiveUpUnplaced()
 {
@@ -1034,7 +1000,7 @@
   if (this->attempt != nullptr) {
     this->LogAttempt("deadline", "the time limit passed", "give_up");
   }
-  this->EndAttempt();
+  this->EndAttempts();
   this->GiveUp(ErrorCode::DeadlineExceeded, "the time limit passed");
 }
 
@@ -1048,18 +1014,31 @@
   this->Finish();
 }
 
+void
+GatewayRequest::RecordDone(Sent& aSent)
+{
+  this->RecordHeldMemory(aSent, Now());
+  this->host.Backends().OnDone(aSent.instance, aSent.work);
+  this->host.Crashes().OnDone(this->admitted.subjects, aSent.hasPassed);
+}
+
 void
 GatewayRequest::EndAttempt()
 {
   if (this->sent) {
-    this->RecordHeldMemory(Now());
-    this->host.Backends().OnDone(this->sent->instance, this->sent->work);
-    this->host.Crashes().OnDone(this->admitted.subjects, this->sent->hasPassed);
+    this->RecordDone(*this->sent);
     this->sent.reset();
   }
   this->attempt.reset();
 }
 
+void
+GatewayRequest::EndAttempts()
+{
+  this->EndSuccessor();
+  this->EndAttempt();
+}
+
 void
 GatewayRequest::Finish()
 {
@@ -1086,7 +1065,7 @@
   }
   // Before EndAttempt(), since the log line names the server of the attempt.
   this->host.OnDone(*this);
-  this->EndAttempt();
+  this->EndAttempts();
 }
 
 void
--- a/dogwoodvale/src/Gateway/GatewayRequest.h
+++ b/dogwoodvale/src/Gateway/GatewayRequest.h
@@ -76,6 +76,10 @@
   std::uint32_t attempts = 0;
   /// How often the stream was resumed on another server.
   std::uint32_t resumes = 0;
+  /// How often another server was asked to take over from a silent one, and
+  /// how often it did.
+  std::uint32_t successors = 0;
+  std::uint32_t takeOvers = 0;
   /// What began the stream that the caller resumes, if that is known.
   std::optional<FoundOrigin> origin;
   /// None unless a stream that has begun could not be continued.
@@ -196,6 +200,8 @@
     std::string softwareVersion;
     BackendWork work;
     TimePoint at{};
+    /// Between two events of a stream, as predicted.
+    Duration expectedPause{ 0 };
     /// The server had fewer known requests than slots when it was chosen.
     bool hadFreeSlot = false;
     bool hasResponded = false;
@@ -240,9 +246,26 @@
                          const std::optional<ShareStanding>& aStanding,
                          TimePoint aNow);
   /// Counts the memory held since the last call as the customer's use.
-  void RecordHeldMemory(TimePoint aNow);
-  void SendTo(const DirectCandidate& aCandidate, BackendClient& aClient);
+  void RecordHeldMemory(Sent& aSent, TimePoint aNow);
+  /// A server that another attempt could be sent to, with a connection.
+  struct Destination
+  {
+    DirectCandidate server;
+    Placement placement;
+    BackendClient* client = nullptr;
+  };
+  void SendTo(const Destination& aTo);
+  /// Accounts for a request that is being sent; RecordDone() ends that.
+  Sent RecordSent(const Destination& aTo, TimePoint aNow);
+  void RecordDone(Sent& aSent);
+  std::unique_ptr<DirectAttempt> MakeAttempt(const InstanceName& aInstance,
+                                             AttemptListener& aListener,
+                                             TimePoint aNow);
+  void StartAttempt(DirectAttempt& aAttempt,
+                    const Destination& aTo,
+                    TimePoint aNow);
   BackendRequestMetadata MetadataFor(const InstanceName& aInstance,
+                                     const Placement& aPlacement,
                                      TimePoint aNow) const;
   DirectAttempt::Plan PlanFor(const InstanceName& aInstance,
                               TimePoint aNow) const;
@@ -267,6 +290,13 @@
   /// Passes the measurements of the complete stream to the decode model.
   void RecordStream(TimePoint aNow);
   void EndAttempt();
+  void EndAttempts();
+  void RecordHead(const InstanceName& aInstance, const BackendAnswer& aHead);
+  /// Accounts for an attempt that is over without an answer for the caller.
+  void RecordFailure(const Sent& aSent,
+                     const DirectAttempt& aAttempt,
+                     AttemptFailure aFailure,
+                     TimePoint aNow);
   /// Retries, resumes or gives up after a failed attempt or an answer that must
   /// not be forwarded.
   void HandleFailure(AttemptFailure aFailure, std::string_view aReason);
@@ -274,13 +304,6 @@
   /// What is known of the request after the attempts that have ended.
   AttemptOutcome OutcomeSoFar() const;
   RetryAllowance AllowanceAt(TimePoint aNow, bool aIsFree);
-  /// A server that another attempt could be sent to, with a connection.
-  struct Destination
-  {
-    DirectCandidate server;
-    Placement placement;
-    BackendClient* client = nullptr;
-  };
   /// The servers that may take the request, and where it was placed, if at all.
   struct Placing
   {
@@ -289,10 +312,31 @@
   };
   Placing PlaceBeside(std::span<const InstanceName> aExcluded,
                       const PlacementRequest& aWanted);
+  // GatewayHandOver.cpp: another server takes over from a silent one.
+
   /// Finds a server that would take over from the one that has the request.
   /// \return nothing if none would now.
   std::optional<Destination> FindSuccessor(TimePoint aNow);
-  void HandOver(const Destination& aTo, TimePoint aNow);
+  /// The same, if the request may be sent once more.
+  std::optional<Destination> DecideSuccessor(bool aHasUnread, TimePoint aNow);
+  class Successor;
+  /// Sends the request to another server beside the silent one. The first
+  /// attempt ends when the second has something for the caller, and goes on if
+  /// its server speaks first.
+  void StartSuccessor(Destination aTo, TimePoint aNow);
+  /// Whether the successor's server has the software that the stream needs.
+  bool MayContinueAtSuccessor() const;
+  /// The successor has something for the caller. \return whether it has become
+  /// the request's attempt; if not, it is gone.
+  bool TakeOver();
+  /// The successor becomes the request's attempt, whose former one is done.
+  void ContinueAtSuccessor();
+  void OnSuccessorFailed(AttemptFailure aFailure, std::string_view aReason);
+  void OnSuccessorSilent();
+  /// Ends the successor, if there is one, and counts it as an attempt.
+  void DropSuccessor(std::string_view aReason);
+  void EndSuccessor();
+  void LogSuccessor(std::string_view aResult, std::string_view aReason) const;
   /// Records the placement of the next attempt, for logs and metrics.
   void RecordPlacement(const DirectCandidate& aServer,
                        const Placement& aPlacement);
@@ -323,6 +367,8 @@
   Timer deadline;
   std::unique_ptr<DirectAttempt> attempt;
   std::optional<Sent> sent;
+  /// The attempt that is to take over from a silent one; null if there is none.
+  std::unique_ptr<Successor> successor;
   /// Servers that failed or refused the request; not tried again.
   std::vector<InstanceName> excluded;
   /// Failed attempts in which the request may have reached a server.
