Check the configuration at the store once a period for a whole site

Cause: a poll was trusted for its whole wait, 10 s and 2 s of slack, unless another call of the same process noticed the outage; gateways learn of versions from one another, but all had lost the same news.

Now one gateway asks the store twice within the time in which a change has to be in force (RoutesCheck, StoreWatch::Check). Digests tell the age of a gateway's last word of the store, so that one answer counts for all with the same version and the calls don't grow with their number.

Tests of digests read the version in its new place; the one of appended fields counts one more.

--- a/dogwoodvale/src/Gateway/DirectoryCache.cpp
+++ b/dogwoodvale/src/Gateway/DirectoryCache.cpp
@@ -44,11 +44,18 @@
   , format(aFormat)
   , options(std::move(aOptions))
   , observer(aObserver)
+  , random(DrawIncarnation())
   , routes(aStore,
            aFormat,
            [this](std::shared_ptr<const RouteTable> aRoutes) {
+             this->routesCheck.OnChanged();
              this->observer.OnRoutes(std::move(aRoutes));
            })
+  , routesCheck(this->options.routesCheckPeriod, this->random)
+  , routesTimer(
+      aLoop,
+      [this] { this->CheckRoutes(); },
+      EventPriority::Control)
   , instancesTimer(aLoop, [this] { this->ReadIfDue(); })
   , roster(aLoop,
            aStore,
@@ -56,7 +63,6 @@
            [this](std::span<const GatewayMember> aGateways) {
              this->observer.OnGateways(aGateways);
            })
-  , random(DrawIncarnation())
 {
 }
 
@@ -64,6 +70,7 @@
 DirectoryCache::Start()
 {
   this->routes.Start();
+  this->CheckRoutes();
   this->ReadInstances();
   this->roster.Start();
 }
@@ -83,6 +90,41 @@
   this->ReadInstances();
 }
 
+void
+DirectoryCache::CheckRoutes()
+{
+  const TimePoint now = Now();
+  this->routesCheck.OnConfirmed(this->routes.HeardAt());
+  // A store that leaves calls unanswered is noticed by these, and the watch is
+  // renewed when it answers again.
+  if (this->routesCheck.UntilDue(now) <= Duration::zero() &&
+      this->storeAnswers) {
+    this->routesCheck.OnAsked(now);
+    this->routes.Check();
+  }
+  const Duration left = this->routesCheck.UntilDue(now);
+  this->routesTimer.StartOnce(
+    left > Duration::zero() ? left : this->options.routesCheckPeriod);
+}
+
+void
+DirectoryCache::OnPeerRoutes(const RoutesStamp& aRoutes, TimePoint aNow)
+{
+  if (aRoutes.age && aRoutes.version == this->routes.Version()) {
+    this->routesCheck.OnPeerConfirmed(aNow - *aRoutes.age);
+  }
+}
+
+RoutesStamp
+DirectoryCache::RoutesConfirmed(TimePoint aNow) const
+{
+  RoutesStamp stamp{ this->routes.Version(), std::nullopt };
+  if (this->routes.HeardAt() != TimePoint{}) {
+    stamp.age = std::chrono::ceil<milliseconds>(this->routes.Age(aNow));
+  }
+  return stamp;
+}
+
 void
 DirectoryCache::ReadAgain()
 {
--- a/dogwoodvale/src/Gateway/DirectoryCache.h
+++ b/dogwoodvale/src/Gateway/DirectoryCache.h
@@ -11,6 +11,7 @@
 #include "PeerDigest.h"
 #include "Ports.h"
 #include "RoutesCache.h"
+#include "RoutesCheck.h"
 
 namespace dogwoodvale {
 
@@ -44,6 +45,8 @@
     /// Whether a read by another gateway with the same list postpones the next
     /// read of this one.
     bool sharesReads = true;
+    /// See RoutesCheck.
+    Duration routesCheckPeriod = seconds(1);
   };
 
   DirectoryCache(EventLoop& aLoop,
@@ -91,6 +94,11 @@
   /// The backend servers in force.
   std::vector<DirectInstance> Listed() const;
 
+  /// Another gateway, with these routes in force, has been told by the store
+  /// that they are the newest.
+  void OnPeerRoutes(const RoutesStamp& aRoutes, TimePoint aNow);
+  /// The routes here, and the age of the store's last word on them.
+  RoutesStamp RoutesConfirmed(TimePoint aNow) const;
   RoutesCache& Routes() { return this->routes; }
   const RoutesCache& Routes() const { return this->routes; }
   /// Another gateway reports for how long the store has answered it without a
@@ -139,6 +147,8 @@
   static constexpr double kMinMissingShare = 0.1;
 
 private:
+  /// Asks the store for newer routes if that is due.
+  void CheckRoutes();
   void ReadInstances();
   void ReadIfDue();
   /// Time until the next read of the list; zero or less if it is due.
@@ -172,11 +182,13 @@
   const DirectoryFormat& format;
   Options options;
   DirectoryObserver& observer;
+  std::mt19937_64 random;
   RoutesCache routes;
+  RoutesCheck routesCheck;
+  Timer routesTimer;
   std::unique_ptr<StoreCall> instancesCall;
   Timer instancesTimer;
   GatewayRoster roster;
-  std::mt19937_64 random;
   Instances instances;
   IncarnationStarts starts;
   /// An entry that states an earlier start than is known.
--- a/dogwoodvale/src/Gateway/Gateway.cpp
+++ b/dogwoodvale/src/Gateway/Gateway.cpp
@@ -23,6 +23,9 @@
 /// Share of the time in which a change has to be in force after which outdated
 /// routes are no longer used; the rest covers how long the news was on its way.
 constexpr double kOverdueShare = 0.75;
+/// Checks of the routes within the time in which a change has to be in force:
+/// the rest of it is for the news to reach the other gateways.
+constexpr int kRoutesChecksPerApply = 2;
 /// A gateway that has not been heard for so long, or for so many digests, may
 /// know of backend servers that are not known here.
 constexpr Duration kUnheard = milliseconds(300);
@@ -139,6 +142,8 @@
   options.self = { this->settings.instance, this->settings.peers };
   options.instanceReadPeriod = this->InstanceReadPeriod();
   options.sharesReads = this->settings.gateway.decisions.sharedReads;
+  options.routesCheckPeriod =
+    this->settings.gateway.routesApply / kRoutesChecksPerApply;
   this->directory = std::make_unique<DirectoryCache>(
     this->loop, *this->ports.store, *this->ports.directory, options, *this);
   this->warmStart = std::make_unique<WarmStart>(
@@ -432,7 +437,7 @@
   digest.gateway = this->settings.instance;
   digest.incarnation = this->incarnation;
   digest.sequence = ++this->digestSequence;
-  digest.routesVersion = this->directory->Routes().Version();
+  digest.routes = this->directory->RoutesConfirmed(Now());
   digest.storeContact = std::chrono::duration_cast<milliseconds>(
     this->directory->StoreContact(Now()));
   digest.work = this->pool.Work().OwnLines();
@@ -478,7 +483,8 @@
       this->pool.OnLongPrompt(prompt.instance, prompt.longTokens, now);
     }
   }
-  this->catchUp.OnPeerVersion(aFrom, aDigest.routesVersion, now);
+  this->directory->OnPeerRoutes(aDigest.routes, now);
+  this->catchUp.OnPeerVersion(aFrom, aDigest.routes.version, now);
   this->FetchRoutesFromPeer(now);
 }
 
--- a/dogwoodvale/src/Gateway/PeerDigest.cpp
+++ b/dogwoodvale/src/Gateway/PeerDigest.cpp
@@ -17,6 +17,9 @@
 /// A digest that declares more items is rejected before memory is allocated.
 constexpr std::size_t kMaxItems = 65'536;
 
+/// An older statement about the routes says nothing of now.
+constexpr milliseconds kMaxRoutesAge = seconds(3600);
+
 /// Memory without cached parts of a gateway that does not report it.
 constexpr std::uint64_t kNotReported =
   std::numeric_limits<std::uint64_t>::max();
@@ -272,6 +275,8 @@
   std::vector<PackedPartEvidence> partEvidence;
   /// In milliseconds, by service.
   std::map<std::string, std::int64_t> streamLifetimes;
+  /// Negative if there is none.
+  std::int64_t routesAgeMillis = -1;
 
   MSGPACK_DEFINE_ARRAY(gateway,
                        incarnation,
@@ -297,7 +302,8 @@
                        shares,
                        origins,
                        partEvidence,
-                       streamLifetimes);
+                       streamLifetimes,
+                       routesAgeMillis);
 };
 
 std::vector<PackedOrigins>
@@ -547,7 +553,10 @@
   toPack.gateway = aDigest.gateway.Value();
   toPack.incarnation = aDigest.incarnation;
   toPack.sequence = aDigest.sequence;
-  toPack.routesVersion = aDigest.routesVersion;
+  toPack.routesVersion = aDigest.routes.version;
+  if (aDigest.routes.age) {
+    toPack.routesAgeMillis = aDigest.routes.age->count();
+  }
   toPack.storeContactMillis = aDigest.storeContact.count();
   for (const WorkLine& line : aDigest.work) {
     toPack.work.push_back(Pack(line));
@@ -610,7 +619,11 @@
   digest.gateway = InstanceName(std::move(read.gateway));
   digest.incarnation = read.incarnation;
   digest.sequence = read.sequence;
-  digest.routesVersion = read.routesVersion;
+  digest.routes.version = read.routesVersion;
+  if (read.routesAgeMillis >= 0 &&
+      read.routesAgeMillis <= kMaxRoutesAge.count()) {
+    digest.routes.age = milliseconds(read.routesAgeMillis);
+  }
   digest.storeContact = milliseconds(read.storeContactMillis);
   for (PackedWork& line : read.work) {
     digest.work.push_back(Unpack(std::move(line)));
--- a/dogwoodvale/src/Gateway/PeerDigest.h
+++ b/dogwoodvale/src/Gateway/PeerDigest.h
@@ -2,6 +2,7 @@
 #define DOGWOODVALE_GATEWAY_PEERDIGEST_H
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,15 @@
   milliseconds age{ 0 };
 };
 
+/// The routes in force at a gateway.
+struct RoutesStamp
+{
+  Epoch version = 0;
+  /// Time since the store told the gateway that no newer ones are there;
+  /// nothing if it has not, or if the gateway is of an older version.
+  std::optional<milliseconds> age;
+};
+
 /// The part of a digest that concerns usage reports.
 struct UsageDigest
 {
@@ -55,8 +65,7 @@
   /// Rises with each digest of an incarnation, so that receivers can discard
   /// reordered ones.
   std::uint64_t sequence = 0;
-  /// Version of the routes in force at the sender.
-  Epoch routesVersion = 0;
+  RoutesStamp routes;
   /// For how long the store has answered the sender without a failure; zero
   /// while it does not answer.
   milliseconds storeContact{ 0 };
--- a/dogwoodvale/src/Gateway/RoutesCache.cpp
+++ b/dogwoodvale/src/Gateway/RoutesCache.cpp
@@ -25,6 +25,12 @@
   this->watch->Rearm();
 }
 
+void
+RoutesCache::Check()
+{
+  this->watch->Check();
+}
+
 void
 RoutesCache::OnSnapshot(Revision /*aRevision*/,
                         std::span<const KeyValue> aValues)
--- a/dogwoodvale/src/Gateway/RoutesCache.h
+++ b/dogwoodvale/src/Gateway/RoutesCache.h
@@ -26,6 +26,8 @@
   void Start();
   /// Renews the watch, e.g. after the process was suspended.
   void Rearm();
+  /// Asks the store for a change that the watch may have missed.
+  void Check();
   /// Applies a document of routes if it is valid and of a higher version.
   /// \param aFrom "store", or the gateway that sent its copy; for the log.
   /// \return whether it was applied.
@@ -47,6 +49,8 @@
   bool IsWatching() const { return this->isWatching; }
   /// Time since the store last sent anything on the watch.
   Duration Age(TimePoint aNow) const;
+  /// When the store last sent anything on the watch.
+  TimePoint HeardAt() const { return this->heardAt; }
 
   void OnSnapshot(Revision aRevision,
                   std::span<const KeyValue> aValues) override;
--- a/dogwoodvale/src/Store/HttpStoreWatch.h
+++ b/dogwoodvale/src/Store/HttpStoreWatch.h
@@ -24,6 +24,7 @@
                  StoreWatchHandler& aHandler);
 
   void Rearm() override { this->Read(); }
+  void Check() override { this->Read(); }
 
 private:
   void Read();
--- a/dogwoodvale/src/Store/StoreClient.h
+++ b/dogwoodvale/src/Store/StoreClient.h
@@ -48,6 +48,10 @@
   /// suspended, when the old connection may be dead without having been closed.
   /// A response that is being received is left to complete.
   virtual void Rearm() = 0;
+  /// Asks the store, in a short call, for changes that the watch should have
+  /// delivered: its answer may be lost while the connection stays open. The
+  /// handler is told of these changes, or else of the contact.
+  virtual void Check() = 0;
 };
 
 /// The platform's key-value store.
--- a/test/ConfigurationOverNarrowLinks.cpp
+++ b/test/ConfigurationOverNarrowLinks.cpp
@@ -123,7 +123,7 @@
   digest.gateway = InstanceName("g2");
   digest.incarnation = 1;
   digest.sequence = 1;
-  digest.routesVersion = 2;
+  digest.routes.version = 2;
   gateway.OnDigest(digest, { "127.0.0.1", 9 });
   const std::string refused = site.Ask(gateway, "/new/x", "a-2");
   CHECK(refused.starts_with("HTTP/1.1 503"));
@@ -175,7 +175,7 @@
   PeerDigest digest;
   digest.gateway = InstanceName("g2");
   digest.incarnation = 1;
-  digest.routesVersion = 2;
+  digest.routes.version = 2;
   constexpr int kDigests = 30;
   for (int i = 0; i < kDigests; ++i) {
     ++digest.sequence;
--- a/test/Gateway.cpp
+++ b/test/Gateway.cpp
@@ -380,7 +380,7 @@
   digest.gateway = InstanceName("g9");
   digest.incarnation = 1;
   digest.sequence = 1;
-  digest.routesVersion = 1;
+  digest.routes.version = 1;
   second.OnDigest(digest, { "127.0.0.1", 1 });
   const std::string routes =
     first
--- a/test/GatewayParts.cpp
+++ b/test/GatewayParts.cpp
@@ -327,7 +327,7 @@
   digest.gateway = InstanceName("g1");
   digest.incarnation = 7;
   digest.sequence = 8;
-  digest.routesVersion = 9;
+  digest.routes.version = 9;
   digest.storeContact = milliseconds(1234);
   digest.work = { { InstanceName("e1"), { 1, { 0, 2 }, 3, 1 } } };
   digest.routed = { { InstanceName("e2"), { { 4, 40 }, { 5, 50 } }, 6 } };
@@ -378,7 +378,7 @@
   CHECK(read->gateway == digest.gateway);
   CHECK(read->incarnation == 7);
   CHECK(read->sequence == 8);
-  CHECK(read->routesVersion == 9);
+  CHECK(read->routes.version == 9);
   CHECK(read->storeContact == milliseconds(1234));
   REQUIRE(read->work.size() == 1);
   CHECK(read->work[0].work == digest.work[0].work);
@@ -490,7 +490,7 @@
   const auto whole = msgpack::unpack(bytes.data(), bytes.size());
   std::vector<msgpack::object> fields;
   whole.get().convert(fields);
-  constexpr std::size_t kAppended = 7;
+  constexpr std::size_t kAppended = 8;
   constexpr std::size_t kOlderFields = 18;
   REQUIRE(fields.size() == kOlderFields + kAppended);
   // From no appended field to all but one.
@@ -513,7 +513,8 @@
     CHECK(read->shares.size() == (count > kOlderFields + 3 ? 1 : 0));
     CHECK(read->origins.size() == (count > kOlderFields + 4 ? 1 : 0));
     CHECK(read->crashes.IsEmpty() == (count <= kOlderFields + 5));
-    CHECK(read->streamLifetimes.empty());
+    CHECK(read->streamLifetimes.empty() == (count <= kOlderFields + 6));
+    CHECK_FALSE(read->routes.age);
   }
 }
 
--- a/test/OutdatedRoutes.cpp
+++ b/test/OutdatedRoutes.cpp
@@ -46,7 +46,7 @@
     digest.gateway = InstanceName("g2");
     digest.incarnation = 1;
     digest.sequence = ++this->sequence;
-    digest.routesVersion = 2;
+    digest.routes.version = 2;
     this->gateway.OnDigest(digest, this->other);
   }
 
@@ -105,7 +105,7 @@
     digest.gateway = InstanceName("g2");
     digest.incarnation = 1;
     digest.sequence = 1;
-    digest.routesVersion = 2;
+    digest.routes.version = 2;
     site.gateway.OnDigest(digest, kNobody);
   }
   site.Pass(milliseconds(2000));
--- a/test/PlatformForeignInput.cpp
+++ b/test/PlatformForeignInput.cpp
@@ -41,7 +41,7 @@
   PeerDigest digest;
   digest.gateway = InstanceName("g2");
   digest.incarnation = 7;
-  digest.routesVersion = 1;
+  digest.routes.version = 1;
   digest.storeContact = milliseconds(1234);
   digest.work.resize(1);
   digest.work[0].instance = server;
--- a/test/WatchDuringOutage.cpp
+++ b/test/WatchDuringOutage.cpp
@@ -17,10 +17,10 @@
 
 struct OutageSite : FleetSite
 {
-  OutageSite()
+  explicit OutageSite(int aGateways = 2)
   {
     this->AddEngine("e1");
-    this->StartGateways(2);
+    this->StartGateways(aGateways);
   }
 
   bool IsInForce(int aVersion)
@@ -62,3 +62,18 @@
   site.store->SetFault(FleetSite::Fault("clear"));
   CHECK(site.Until([&] { return site.IsInForce(2); }, kApplyLimit));
 }
+
+// Guards against outages of the store too short for any other call to notice:
+// the answers of all polls are lost, and nothing else is.
+TEST_CASE("a change whose news is lost to all is in force in time", "[outage]")
+{
+  const int gateways = GENERATE(1, 2, 5);
+  OutageSite site(gateways);
+  site.Run(milliseconds(GENERATE(100, 700, 1300)));
+  site.store->SetFault(FleetSite::Fault("lose_polls"));
+  site.PutConfiguration(2);
+  CHECK(site.Until([&] { return site.IsInForce(2); }, kApplyLimit));
+  // The watch itself goes on.
+  site.PutConfiguration(3);
+  CHECK(site.Until([&] { return site.IsInForce(3); }, kApplyLimit));
+}
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -204,6 +204,7 @@
     Watcher& operator=(const Watcher&) = delete;
 
     void Rearm() override { this->timer.StartOnce(this->store.latency); }
+    void Check() override { this->Rearm(); }
 
     void Snapshot()
     {
