Write a server's rejection where tests may know the platform's names

HandOvers spelled two headers of the users' platform, which its check of names allows in PlatformSite only. The answer is the same, byte by byte.

--- a/test/HandOvers.cpp
+++ b/test/HandOvers.cpp
@@ -29,11 +29,7 @@
 const std::string kStreamHead = PlatformSite::AnswerHead(kId) +
                                 "Content-Type: text/event-stream\r\n"
                                 "Transfer-Encoding: chunked\r\n\r\n";
-const std::string kRejection =
-  fmt::format("HTTP/1.1 503 Service Unavailable\r\n"
-              "Dogwoodvale-Attempt-Id: {}\r\n"
-              "Dogwoodvale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-              kId);
+const std::string kRejection = PlatformSite::Rejection(kId);
 
 std::size_t
 CountOf(const std::string& aText, const std::string& aPart)
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -188,6 +188,16 @@
                        aId);
   }
 
+  /// A server's answer that it is full and has not run the attempt.
+  static std::string Rejection(const std::string& aId)
+  {
+    return fmt::format("HTTP/1.1 503 Service Unavailable\r\n"
+                       "Dogwoodvale-Attempt-Id: {}\r\n"
+                       "Dogwoodvale-Not-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n",
+                       aId);
+  }
+
   /// A customer with the key "key2", for PutConfiguration().
   static std::string SecondCustomer()
   {
