End no process and follow each list beside an odd entry of another writer

Operators of other systems saw machines end again and again, or follow the list of engines no more, for one entry that was deeply nested, or had a number or a port that is none. Here a nested entry among the gateways ended every gateway that read it, a nested event of an engine its sidecar, and one malformed entry of the instance list froze that list at all entries.

Cause: jsoncpp throws for nesting beyond its limit, which ParseJson() set and did not catch; the instance list was judged as a whole.

Addresses to connect to have a port.

--- a/dogwoodvale/src/Control/FleetView.cpp
+++ b/dogwoodvale/src/Control/FleetView.cpp
@@ -41,14 +41,7 @@
 Json::Value
 ParseDocument(std::string_view aText)
 {
-  Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  if (!reader->parse(
-        aText.data(), aText.data() + aText.size(), &value, nullptr)) {
-    return Json::Value::null;
-  }
-  return value;
+  return ParseJson(aText).value_or(Json::Value::null);
 }
 
 void
--- a/dogwoodvale/src/Core/SocketAddress.cpp
+++ b/dogwoodvale/src/Core/SocketAddress.cpp
@@ -38,6 +38,18 @@
   return SocketAddress{ ip, port };
 }
 
+absl::StatusOr<SocketAddress>
+SocketAddress::ParseRemote(std::string_view aText)
+{
+  absl::StatusOr<SocketAddress> parsed = Parse(aText);
+  if (parsed.ok() && parsed->port == 0) {
+    return MakeError(absl::StatusCode::kInvalidArgument,
+                     "\"{}\" has no port to connect to",
+                     aText);
+  }
+  return parsed;
+}
+
 std::string
 SocketAddress::ToString() const
 {
--- a/dogwoodvale/src/Core/SocketAddress.h
+++ b/dogwoodvale/src/Core/SocketAddress.h
@@ -22,6 +22,8 @@
 
   /// Parses "1.2.3.4:80" or "[::1]:80".
   static absl::StatusOr<SocketAddress> Parse(std::string_view aText);
+  /// The same for an address to connect to, whose port is not 0.
+  static absl::StatusOr<SocketAddress> ParseRemote(std::string_view aText);
 
   std::string ToString() const;
 };
--- a/dogwoodvale/src/Gateway/PeerDocuments.cpp
+++ b/dogwoodvale/src/Gateway/PeerDocuments.cpp
@@ -39,7 +39,7 @@
   }
   const Json::Value& software = aValue["software_version"];
   instance.softwareVersion = software.isString() ? software.asString() : "";
-  auto parsed = SocketAddress::Parse(address);
+  auto parsed = SocketAddress::ParseRemote(address);
   if (!parsed.ok()) {
     return parsed.status();
   }
@@ -105,7 +105,7 @@
   if (!fields.Status().ok()) {
     return fields.Status();
   }
-  return SocketAddress::Parse(peers);
+  return SocketAddress::ParseRemote(peers);
 }
 
 } // namespace dogwoodvale
--- a/dogwoodvale/src/Settings/JsonText.h
+++ b/dogwoodvale/src/Settings/JsonText.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <json/json.h>
 
@@ -16,6 +17,12 @@
 absl::StatusOr<Json::Value>
 ParseJson(std::string_view aText);
 
+/// The text of each item of the list that is \p aMember of an object. Items are
+/// not read: one that is no JSON, or nested too deeply, costs just itself.
+/// \return DataLoss for what has no such list, or doesn't end.
+absl::StatusOr<std::vector<std::string>>
+SplitJsonList(std::string_view aText, std::string_view aMember);
+
 /// On one line, with no space.
 std::string
 WriteJson(const Json::Value& aValue);
--- a/dogwoodvale/src/Sidecar/TokenStream.cpp
+++ b/dogwoodvale/src/Sidecar/TokenStream.cpp
@@ -15,8 +15,13 @@
 {
   static const Json::CharReaderBuilder kBuilder;
   const std::unique_ptr<Json::CharReader> reader(kBuilder.newCharReader());
-  return reader->parse(
-    aText.data(), aText.data() + aText.size(), &aOut, nullptr);
+  try {
+    return reader->parse(
+      aText.data(), aText.data() + aText.size(), &aOut, nullptr);
+  } catch (const Json::Exception&) {
+    // The reader throws only for nesting.
+    return false;
+  }
 }
 
 /// The text of a choice: chat answers carry it in "delta", completions not.
--- a/dogwoodvale/src/Store/InstanceListClient.cpp
+++ b/dogwoodvale/src/Store/InstanceListClient.cpp
@@ -32,7 +32,7 @@
   const std::string role = TextOf(aValue, "role");
   const std::string state = TextOf(aValue, "state");
   const absl::StatusOr<SocketAddress> address =
-    SocketAddress::Parse(TextOf(aValue, "address"));
+    SocketAddress::ParseRemote(TextOf(aValue, "address"));
   const bool isKnown = (role == "entry" || role == "sidecar") &&
                        (state == "live" || state == "leaving");
   if (result.name.IsEmpty() || !isKnown || !address.ok()) {
@@ -46,7 +46,7 @@
   return result;
 }
 
-absl::StatusOr<std::vector<ListedInstance>>
+absl::StatusOr<InstanceListContent>
 ReadAnswer(const HttpAnswer& aAnswer)
 {
   if (!aAnswer.status.ok()) {
@@ -62,25 +62,28 @@
 
 } // namespace
 
-absl::StatusOr<std::vector<ListedInstance>>
+absl::StatusOr<InstanceListContent>
 ParseInstanceList(std::string_view aText)
 {
-  const absl::StatusOr<Json::Value> parsed = ParseJson(aText);
-  if (!parsed.ok()) {
-    return parsed.status();
+  const auto items = SplitJsonList(aText, "instances");
+  if (!items.ok()) {
+    return items.status();
   }
-  if (!parsed->isObject() || !(*parsed)["instances"].isArray()) {
-    return absl::DataLossError("instance list: no array \"instances\"");
-  }
-  std::vector<ListedInstance> result;
-  for (const Json::Value& item : (*parsed)["instances"]) {
-    absl::StatusOr<ListedInstance> instance = ParseInstance(item);
-    if (!instance.ok()) {
-      return instance.status();
+  InstanceListContent content;
+  for (const std::string& item : *items) {
+    const absl::StatusOr<Json::Value> parsed = ParseJson(item);
+    absl::StatusOr<ListedInstance> instance =
+      parsed.ok() ? ParseInstance(*parsed) : parsed.status();
+    if (instance.ok()) {
+      content.instances.push_back(*std::move(instance));
+    } else {
+      content.rejected.emplace_back(MessageOf(instance.status()));
     }
-    result.push_back(*std::move(instance));
   }
-  return result;
+  if (content.instances.empty() && !content.rejected.empty()) {
+    return absl::DataLossError(ToAbsl(content.rejected.front()));
+  }
+  return content;
 }
 
 InstanceListClient::InstanceListClient(EventLoop& aLoop,
@@ -121,14 +124,26 @@
 InstanceListClient::OnAnswer(const HttpAnswer& aAnswer)
 {
   this->ScheduleNext();
-  const absl::StatusOr<std::vector<ListedInstance>> list = ReadAnswer(aAnswer);
+  const absl::StatusOr<InstanceListContent> list = ReadAnswer(aAnswer);
   if (list.ok()) {
     if (this->isFailing) {
-      Log(LogLevel::Info, "instance_list_back", "instances", list->size());
+      Log(LogLevel::Info,
+          "instance_list_back",
+          "instances",
+          list->instances.size());
+    }
+    if (list->rejected != this->rejected && !list->rejected.empty()) {
+      Log(LogLevel::Warning,
+          "instance_list_entries_rejected",
+          "count",
+          list->rejected.size(),
+          "first",
+          list->rejected.front());
     }
+    this->rejected = list->rejected;
     this->isFailing = false;
     this->hasList = true;
-    this->observer.OnList(*list);
+    this->observer.OnList(list->instances);
     return;
   }
   if (!this->isFailing) {
--- a/dogwoodvale/src/Store/InstanceListClient.h
+++ b/dogwoodvale/src/Store/InstanceListClient.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <random>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -22,11 +23,19 @@
   virtual void OnListFailed(const absl::Status& aReason) = 0;
 };
 
+struct InstanceListContent
+{
+  std::vector<ListedInstance> instances;
+  /// Why each other entry could not be read.
+  std::vector<std::string> rejected;
+};
+
 /// Parses {"instances":[{"name","role","service","data_centre","region",
-/// "address","state"}]}.
-/// \return DataLoss if any entry is malformed: a partial list would look as if
-/// the other instances had been removed.
-absl::StatusOr<std::vector<ListedInstance>>
+/// "address","state"}]}. Entries that another writer has left cost only
+/// themselves.
+/// \return DataLoss for what is no list, or if no entry of it can be read: that
+/// would look as if all instances had been removed.
+absl::StatusOr<InstanceListContent>
 ParseInstanceList(std::string_view aText);
 
 /// Polls GET /instances with a jitter of 20% on the period.
@@ -56,6 +65,8 @@
   std::mt19937_64 random;
   std::unique_ptr<HttpExchange> exchange;
   Timer timer;
+  /// Of the last list.
+  std::vector<std::string> rejected;
   bool hasList = false;
   bool isFailing = false;
 };
--- a/test/StoreClient.cpp
+++ b/test/StoreClient.cpp
@@ -317,8 +317,8 @@
     {"name":"a","role":"sidecar","service":"cheques","data_centre":"dc1",
      "region":"r","address":"127.0.0.1:7","state":"leaving"}]})");
   REQUIRE(list.ok());
-  CHECK((*list)[0].state == ListedState::Leaving);
-  CHECK((*list)[0].address.port == 7);
+  CHECK(list->instances[0].state == ListedState::Leaving);
+  CHECK(list->instances[0].address.port == 7);
   for (const char* bad : { "{}",
                            "[]",
                            R"({"instances":[{"name":"a"}]})",
--- a/tools/load/JsonReader.cpp
+++ b/tools/load/JsonReader.cpp
@@ -16,9 +16,14 @@
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value value;
   std::string errors;
-  if (!reader->parse(
-        aText.data(), aText.data() + aText.size(), &value, &errors)) {
-    return absl::InvalidArgumentError(errors);
+  try {
+    if (!reader->parse(
+          aText.data(), aText.data() + aText.size(), &value, &errors)) {
+      return absl::InvalidArgumentError(errors);
+    }
+  } catch (const Json::Exception&) {
+    // The reader throws only for nesting.
+    return absl::InvalidArgumentError("nested too deeply");
   }
   return value;
 }
